--- a/laburnumlug-control/src/mesh.rs
+++ b/laburnumlug-control/src/mesh.rs
@@ -1,7 +1,7 @@
 //! Answers to entries, target processes and other replicas.
 
 use std::rc::Rc;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use compio::net::{TcpListener, TcpStream};
 use laburnumlug::{FencingNumber, FleetVersion, Verdict};
@@ -40,6 +40,10 @@
             Message::Control(ControlMessage::Submit { command }) => {
                 Some(submit(&replica, command).await)
             }
+            Message::Control(ControlMessage::FetchTargets { known }) => {
+                let report = replica.targets_report(Instant::now(), known);
+                Some(Message::Control(ControlMessage::Targets(report)))
+            }
             Message::Replica { body } => replica.answer_peer(&body).await,
             Message::Control(ControlMessage::FetchIntent { target, known }) => {
                 Some(intent(&replica, &target, known))
--- a/laburnumlug-control/src/peer.rs
+++ b/laburnumlug-control/src/peer.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use laburnumlug::Verdict;
-use laburnumlug_mesh::ReplicaId;
+use laburnumlug_mesh::{ReplicaId, ReplicaStanding};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
@@ -28,6 +28,8 @@
     Heartbeat(LeaderHead),
     Append(AppendRequest),
     Install(InstallRequest),
+    /// Asks for the newest change of the fleet document that the replica has logged.
+    Standing,
     /// Asks the leader to log a command.
     Submit {
         time_ms: u64,
@@ -89,6 +91,7 @@
     Vote(VoteAnswer),
     /// Answers [`PeerRequest::Heartbeat`], [`PeerRequest::Append`] and [`PeerRequest::Install`].
     Append(AppendAnswer),
+    Standing(FleetStanding),
     Submitted(Outcome),
     NotSubmitted {
         verdict: Verdict,
@@ -107,6 +110,13 @@
     pub(crate) membership: Membership,
 }
 
+/// Newest change of the fleet document that a replica has logged, committed or not.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct FleetStanding {
+    pub(crate) standing: ReplicaStanding,
+    pub(crate) logged_change: u64,
+}
+
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct VoteAnswer {
     pub(crate) replica: ReplicaId,
--- a/laburnumlug-control/src/replica/config.rs
+++ b/laburnumlug-control/src/replica/config.rs
@@ -23,6 +23,8 @@
     pub(super) peers: Vec<PeerReplica>,
     pub(super) group_commit: bool,
     pub(super) snapshot_entries: u64,
+    pub(super) may_found: bool,
+    pub(super) voters: Option<usize>,
 }
 
 /// Number of entries between two snapshots where the configuration names none.
@@ -38,6 +40,8 @@
             peers: Vec::new(),
             group_commit: true,
             snapshot_entries: DEFAULT_SNAPSHOT_ENTRIES,
+            may_found: true,
+            voters: None,
         }
     }
 
@@ -53,6 +57,20 @@
         self
     }
 
+    /// Sets whether this replica may found a cluster where no replica has data.
+    pub fn may_found(mut self, allowed: bool) -> ReplicaConfig {
+        self.may_found = allowed;
+        self
+    }
+
+    /// Sets how many voters the cluster keeps; further replicas stand by and replace voters that fall silent.
+    ///
+    /// Without it every replica becomes a voter, and voters are never removed for silence alone.
+    pub fn voters(mut self, voters: usize) -> ReplicaConfig {
+        self.voters = Some(voters);
+        self
+    }
+
     /// Sets the number of entries between two snapshots.
     pub fn snapshot_entries(mut self, entries: u64) -> ReplicaConfig {
         self.snapshot_entries = entries;
--- a/laburnumlug-control/src/replica/core.rs
+++ b/laburnumlug-control/src/replica/core.rs
@@ -8,7 +8,7 @@
 use laburnumlug_mesh::ReplicaId;
 use rand::Rng;
 
-use super::leadership::Leadership;
+use super::leadership::{Leadership, MAX_VOTERS};
 use crate::command::{Command, Outcome};
 use crate::entry::{Entry, LogIndex, Membership, Payload, Term};
 use crate::entry_log::Log;
@@ -83,6 +83,8 @@
     pub(super) incoming: Incoming,
     pub(super) snapshot_index: LogIndex,
     pub(super) snapshot_entries: u64,
+    /// How many voters there are at most; further replicas stand by.
+    pub(super) max_voters: usize,
 }
 
 impl Core {
@@ -109,6 +111,7 @@
             incoming: Incoming::default(),
             snapshot_index: 0,
             snapshot_entries,
+            max_voters: MAX_VOTERS,
         }
     }
 
--- a/laburnumlug-control/src/replica/election.rs
+++ b/laburnumlug-control/src/replica/election.rs
@@ -101,9 +101,8 @@
         };
         let mut votes = 1;
         let question = PeerRequest::Vote(req.clone());
-        let mut asked: FuturesUnordered<_> = self
-            .cfg
-            .peers
+        let peers = self.peers();
+        let mut asked: FuturesUnordered<_> = peers
             .iter()
             .map(|peer| async {
                 (
--- a/laburnumlug-control/src/replica/leadership.rs
+++ b/laburnumlug-control/src/replica/leadership.rs
@@ -12,7 +12,10 @@
 const LEADER_LEASE: Duration = Duration::from_millis(1200);
 
 /// Most voters.
-const MAX_VOTERS: usize = 7;
+pub(super) const MAX_VOTERS: usize = 7;
+
+/// Time without an answer after which a replica that stands by takes a voter's place; longer than a restart takes.
+const SILENT_VOTER: Duration = Duration::from_secs(3);
 
 /// State of a leader.
 pub(super) struct Leadership {
@@ -142,17 +145,38 @@
                 && progress.matched >= self.commit
                 && now.saturating_duration_since(progress.heard_at) < LEADER_LEASE
         };
-        let learner = &leadership.progress.values().find(joins)?.replica;
+        let learners = || leadership.progress.values().filter(joins);
         let mut voters = membership.voters.to_vec();
-        match voters.iter().position(|voter| voter.name == learner.name) {
-            Some(old) => {
-                voters.remove(old);
-            }
-            None if voters.len() < MAX_VOTERS => voters.push(learner.clone()),
+        let former = |learner: &Progress| voters.iter().position(|v| v.name == learner.replica.name);
+        if let Some(old) = learners().find_map(former) {
+            voters.remove(old);
+            return Some(voters);
+        }
+        let learner = &learners().next()?.replica;
+        match self.silent_voter(now, leadership) {
+            _ if voters.len() < self.max_voters => voters.push(learner.clone()),
+            Some(silent) => voters.retain(|voter| *voter != silent),
             None => return None,
         }
         Some(voters)
     }
+
+    /// Returns a voter that has answered nothing for long, where the others can commit without it.
+    fn silent_voter(&self, now: Instant, leadership: &Leadership) -> Option<ReplicaId> {
+        let voters = &self.log.membership().voters;
+        let is_silent = |voter: &&ReplicaId| {
+            let heard_at = match leadership.progress.get(&voter.name) {
+                Some(progress) if progress.replica == **voter => progress.heard_at,
+                _ => leadership.since,
+            };
+            **voter != self.meta.replica
+                && now.saturating_duration_since(heard_at.max(leadership.since)) >= SILENT_VOTER
+        };
+        let silent = voters.iter().find(is_silent)?;
+        let staying = voters.iter().filter(|voter| *voter != silent);
+        let heard = staying.filter(|voter| self.hears(now, leadership, voter));
+        (heard.count() > (voters.len() - 1) / 2).then(|| silent.clone())
+    }
 }
 
 #[cfg(test)]
--- a/laburnumlug-control/src/replica/mod.rs
+++ b/laburnumlug-control/src/replica/mod.rs
@@ -6,9 +6,12 @@
 mod follower;
 mod leader;
 mod leadership;
+mod peers;
 mod open;
+mod read;
 mod standing;
 mod submit;
+mod targets;
 mod writer;
 
 use std::cell::RefCell;
@@ -22,6 +25,7 @@
 
 pub use self::config::{PeerReplica, ReplicaConfig};
 use self::core::Core;
+use self::targets::PublishedTargets;
 use crate::command::Command;
 use crate::entry::Payload;
 use crate::peer::{PeerAnswer, PeerRequest};
@@ -35,6 +39,10 @@
 pub struct Replica {
     cfg: ReplicaConfig,
     core: RefCell<Core>,
+    /// The other replicas that are known, from the settings, the membership and their own questions.
+    peers: RefCell<Vec<PeerReplica>>,
+    /// Live targets that this replica has read from the platform.
+    targets: RefCell<Option<PublishedTargets>>,
     /// Held while identity, term or vote change, until the change is synced.
     meta: futures_util::lock::Mutex<MetaFile>,
     pool: Pool,
@@ -135,7 +143,11 @@
     pub(crate) async fn answer_peer(self: &Rc<Self>, body: &[u8]) -> Option<Message> {
         let req: PeerRequest = ciborium::from_reader(body).ok()?;
         let answer = match req {
-            PeerRequest::Hello { from } => PeerAnswer::Hello(self.hello(&from)),
+            PeerRequest::Hello { from } => {
+                self.learn_peer(&from.name);
+                PeerAnswer::Hello(self.hello(&from))
+            }
+            PeerRequest::Standing => PeerAnswer::Standing(self.fleet_standing()),
             PeerRequest::Found { cluster, founders } => {
                 self.accept_founding(cluster, founders).await.ok()?;
                 PeerAnswer::Found
--- a/laburnumlug-control/src/replica/open.rs
+++ b/laburnumlug-control/src/replica/open.rs
@@ -56,7 +56,7 @@
             snapshot: snapshots.read().await.map_err(Error::io)?,
             recovered,
         };
-        let core = match restore(&cfg, stored) {
+        let mut core = match restore(&cfg, stored) {
             Ok(core) => core,
             Err(reason) => {
                 let core = begin_anew(&cfg, &folder, reason)?;
@@ -64,21 +64,24 @@
                 core
             }
         };
+        core.max_voters = cfg.voters.unwrap_or(core.max_voters).min(core.max_voters);
         let replica = Rc::new(Replica {
             pool: Pool::new(cfg.key.clone(), CONNECT_TIMEOUT),
             cfg,
             core: RefCell::new(core),
+            peers: RefCell::default(),
+            targets: RefCell::default(),
             meta: futures_util::lock::Mutex::new(meta_file),
             changed: Event::new(),
             _lock: lock,
         });
+        for peer in replica.cfg.peers.clone() {
+            replica.start_peer(peer);
+        }
+        compio::runtime::spawn(replica.clone().run_peers()).detach();
         compio::runtime::spawn(replica.clone().run_writer(journal, snapshots)).detach();
         compio::runtime::spawn(replica.clone().run_standing()).detach();
         compio::runtime::spawn(replica.clone().run_elections()).detach();
-        for peer in replica.cfg.peers.clone() {
-            compio::runtime::spawn(replica.clone().run_heartbeats(peer.clone())).detach();
-            compio::runtime::spawn(replica.clone().run_replication(peer)).detach();
-        }
         if replica.cfg.peers.is_empty() {
             // Nobody else can tell what was committed, so the log's own tail is all there is to wait for.
             replica
--- /dev/null
+++ b/laburnumlug-control/src/replica/peers.rs
@@ -0,0 +1,58 @@
+//! The other replicas that are known.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use super::{PeerReplica, Replica};
+
+impl Replica {
+    /// Returns the other replicas that are known now.
+    pub(super) fn peers(&self) -> Vec<PeerReplica> {
+        self.peers.borrow().clone()
+    }
+
+    /// Adds a replica whose name is its mesh address, as changed settings name it.
+    pub fn add_peer(self: &Rc<Self>, name: &str) {
+        self.learn_peer(name);
+    }
+
+    /// Adds a replica whose name is its mesh address, unless it is known.
+    ///
+    /// A replica of another name can only be reached where the settings give its address.
+    pub(super) fn learn_peer(self: &Rc<Self>, name: &str) {
+        let is_known = name == self.cfg.name || self.peers.borrow().iter().any(|p| p.name == name);
+        match name.parse::<SocketAddr>() {
+            Ok(addr) if !is_known => {
+                log::info!("control replica {name} is known from now on");
+                self.start_peer(PeerReplica {
+                    name: name.to_string(),
+                    addr,
+                });
+            }
+            _ => {}
+        }
+    }
+
+    /// Adds a replica and starts the tasks that speak to it.
+    pub(super) fn start_peer(self: &Rc<Self>, peer: PeerReplica) {
+        self.peers.borrow_mut().push(peer.clone());
+        compio::runtime::spawn(self.clone().run_heartbeats(peer.clone())).detach();
+        compio::runtime::spawn(self.clone().run_replication(peer)).detach();
+    }
+
+    /// Learns the voters of each new membership.
+    pub(super) async fn run_peers(self: Rc<Self>) {
+        let mut known = 0;
+        loop {
+            let changed = self.changed.listen();
+            let membership = self.core.borrow().log.membership().clone();
+            if membership.index != known {
+                known = membership.index;
+                for voter in membership.voters.iter() {
+                    self.learn_peer(&voter.name);
+                }
+            }
+            changed.await;
+        }
+    }
+}
--- a/laburnumlug-control/src/replica/standing.rs
+++ b/laburnumlug-control/src/replica/standing.rs
@@ -9,7 +9,7 @@
 use laburnumlug_mesh::ReplicaId;
 
 use super::core::Core;
-use super::{Replica, open};
+use super::{PeerReplica, Replica, open};
 use crate::entry::Entry;
 use crate::entry::{Membership, Payload};
 use crate::peer::{HelloAnswer, PeerAnswer, PeerRequest};
@@ -18,6 +18,9 @@
 /// How often the other replicas are asked until the matter is settled.
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How often a replica that is no voter makes itself known.
+const INTRODUCE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How long a replica may take for its answer.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -40,7 +43,7 @@
     pub(super) async fn run_standing(self: Rc<Self>) {
         while !self.core.borrow().verified {
             let answers = self.ask_peers().await;
-            let finding = self.core.borrow().judge(&answers, self.cfg.peers.len());
+            let finding = self.core.borrow().judge(&answers, self.peers().len());
             match finding {
                 Finding::Complete => {
                     log::info!("the data folder holds all that others saw of it");
@@ -61,14 +64,34 @@
             }
             compio::time::sleep(ASK_INTERVAL).await;
         }
+        self.introduce().await;
+    }
+
+    /// Makes this replica known to the others again and again while it is no voter.
+    ///
+    /// A leader that has never heard of it can only learn of it this way.
+    async fn introduce(&self) {
+        loop {
+            let is_voter = self.core.borrow().is_voter();
+            if !is_voter {
+                self.ask_peers().await;
+            }
+            compio::time::sleep(INTRODUCE_INTERVAL).await;
+        }
     }
 
     async fn ask_peers(&self) -> Vec<HelloAnswer> {
+        self.ask(&self.peers()).await
+    }
+
+    async fn ask_founders(&self) -> Vec<HelloAnswer> {
+        self.ask(&self.cfg.peers).await
+    }
+
+    async fn ask(&self, peers: &[PeerReplica]) -> Vec<HelloAnswer> {
         let from = self.core.borrow().meta.replica.clone();
         let hello = PeerRequest::Hello { from };
-        let asking = self
-            .cfg
-            .peers
+        let asking = peers
             .iter()
             .map(|peer| self.call(peer.addr, &hello, HELLO_TIMEOUT));
         let answers = join_all(asking).await.into_iter();
@@ -109,25 +132,28 @@
     ///
     /// All must answer: while one of them is silent, it might hold what another cluster acknowledged.
     async fn found_if_first(&self) -> io::Result<()> {
-        let is_first = self.cfg.peers.iter().all(|peer| self.cfg.name < peer.name);
-        if !is_first {
+        let peers = &self.cfg.peers;
+        let is_first = peers.iter().all(|peer| self.cfg.name < peer.name);
+        if !self.cfg.may_found || !is_first {
+            // A replica that stands by is made known to the others all the same.
+            self.ask_peers().await;
             return Ok(());
         }
-        let answers = self.ask_peers().await;
+        // Only the replicas of the settings found a cluster; what else became known stands by.
+        let answers = self.ask_founders().await;
         let all_empty = answers.iter().all(|answer| answer.cluster.is_none());
-        if answers.len() < self.cfg.peers.len() || !all_empty {
+        if answers.len() < peers.len() || !all_empty {
             return Ok(());
         }
         let own = self.core.borrow().meta.replica.clone();
-        let peers = answers.into_iter().map(|answer| answer.replica);
-        let founders: Vec<ReplicaId> = [own].into_iter().chain(peers).collect();
+        let others = answers.into_iter().map(|answer| answer.replica);
+        let founders: Vec<ReplicaId> = [own].into_iter().chain(others).collect();
         self.accept_founding(rand::random(), Rc::new(founders))
             .await?;
         let Some(founding) = self.founding() else {
             return Ok(());
         };
-        let peers = self.cfg.peers.iter();
-        join_all(peers.map(|peer| self.call(peer.addr, &founding, FOUND_TIMEOUT))).await;
+        join_all(peers.iter().map(|peer| self.call(peer.addr, &founding, FOUND_TIMEOUT))).await;
         self.core.borrow_mut().election_at = Instant::now();
         Ok(())
     }
--- a/laburnumlug-control/src/replica/submit.rs
+++ b/laburnumlug-control/src/replica/submit.rs
@@ -70,9 +70,8 @@
             return self.propose(time_ms, command, left).await;
         }
         let leader = self.core.borrow().leader.clone();
-        let peer = self
-            .cfg
-            .peers
+        let peers = self.peers();
+        let peer = peers
             .iter()
             .find(|peer| Some(&peer.name) == leader.as_ref());
         let Some(peer) = peer else {
--- a/laburnumlug-daemon/src/args.rs
+++ b/laburnumlug-daemon/src/args.rs
@@ -23,6 +23,7 @@
     Entry(EntryArgs),
     Target(TargetArgs),
     Control(ControlArgs),
+    Gateway(GatewayArgs),
     Dev(DevArgs),
 }
 
@@ -53,6 +54,15 @@
     pub(crate) settings: PathBuf,
 }
 
+/// Forward requests of routes to targets that the platform's list shows.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "gateway")]
+pub(crate) struct GatewayArgs {
+    /// path of the INI file
+    #[argh(option)]
+    pub(crate) settings: PathBuf,
+}
+
 /// Run all roles with stand-ins of engines and services in one process, on loopback.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "dev")]
--- a/laburnumlug-daemon/src/control.rs
+++ b/laburnumlug-daemon/src/control.rs
@@ -1,23 +1,38 @@
 //! The role `control`.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Instant;
 
 use compio::net::TcpListener;
 use laburnumlug_control::{OperatorInterface, Replica, serve_mesh};
 use laburnumlug_http::Server;
+use laburnumlug_platform::{InstanceListClient, PlatformOperator};
 
 use crate::control_metrics::ControlMetrics;
 use crate::error::Error;
+use crate::fleet_store::ControlStore;
 use crate::metrics::{self, Metrics};
 use crate::settings::ControlSettings;
-use crate::{logging, signal};
+use crate::{logging, settings_watch, signal, target_reader};
 
 /// Runs a control replica until it is asked to stop.
-pub(crate) async fn run(settings: ControlSettings) -> Result<(), Error> {
+pub(crate) async fn run(settings: ControlSettings, path: PathBuf) -> Result<(), Error> {
     logging::start("control", &settings.process, &settings.log)?;
     let server = start(settings, Rc::new(Metrics::new()?)).await?;
+    let replica = server.replica.clone();
+    compio::runtime::spawn(settings_watch::run(path.clone(), move || {
+        match ControlSettings::read(&path) {
+            Ok(settings) => {
+                for peer in &settings.replicas {
+                    replica.add_peer(&peer.name);
+                }
+            }
+            Err(err) => log::error!("the changed settings are not taken: {err}"),
+        }
+    }))
+    .detach();
     signal::stop_requested().await;
     server.stop().await;
     Ok(())
@@ -76,7 +91,18 @@
         gauges.refresh(Instant::now());
         metrics.text()
     });
-    let operators = compio::runtime::spawn(server.run(Rc::new(interface)));
+    if let Some(addr) = settings.target_list {
+        let source = Rc::new(InstanceListClient::new(addr));
+        compio::runtime::spawn(target_reader::run(replica.clone(), source)).detach();
+    }
+    let operators = match settings.platform_operator {
+        true => {
+            let store = Rc::new(ControlStore::new(replica.clone()));
+            let interface = PlatformOperator::new(store, Rc::new(interface));
+            compio::runtime::spawn(server.run(Rc::new(interface)))
+        }
+        false => compio::runtime::spawn(server.run(Rc::new(interface))),
+    };
     log::info!(
         "control replica {} serves operators on {address}",
         settings.name
--- a/laburnumlug-daemon/src/dev.rs
+++ b/laburnumlug-daemon/src/dev.rs
@@ -14,7 +14,7 @@
 use crate::error::Error;
 use crate::metrics::Metrics;
 use crate::settings::{
-    ControlSettings, EntrySettings, LogSettings, MeshSettings, PeerKind, ProcessSettings,
+    ControlSettings, EntrySettings, LogOutput, LogSettings, MeshSettings, PeerKind, ProcessSettings,
     TargetSettings,
 };
 use crate::{control, entry, logging, signal, target};
@@ -46,6 +46,7 @@
     let log = LogSettings {
         level: log::LevelFilter::Warn,
         file: None,
+        output: LogOutput::default(),
     };
     logging::start("dev", &process, &log)?;
     let data = DataFolder::create()?;
@@ -79,6 +80,10 @@
             replicas: Vec::new(),
             group_commit: true,
             snapshot_entries: None,
+            may_found: true,
+            losses: None,
+            target_list: None,
+            platform_operator: false,
         },
         metrics.clone(),
     )
--- a/laburnumlug-daemon/src/fleet_watch.rs
+++ b/laburnumlug-daemon/src/fleet_watch.rs
@@ -5,8 +5,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use laburnumlug::{Confirmation, FleetDocument, FleetVersion, Service, Target};
-use laburnumlug_mesh::{Connection, ControlMessage, Message, ReplicaStanding};
+use laburnumlug::{
+    Confirmation, FleetDocument, FleetVersion, ReplicaId, Service, Target, TargetList,
+};
+use laburnumlug_mesh::{Connection, ControlMessage, Message, ReplicaStanding, TargetsReport};
 use laburnumlug_operator::parse_document;
 
 use crate::settings::MeshSettings;
@@ -20,6 +22,9 @@
 /// Age beyond which a confirmation no longer permits new work.
 const CONFIRMATION_BOUND: Duration = Duration::from_secs(3);
 
+/// Age of the list of live targets from which every replica is asked for a newer one.
+const TARGETS_BOUND: Duration = Duration::from_millis(1500);
+
 /// A version of the fleet document.
 #[derive(Clone)]
 pub(crate) struct FleetView {
@@ -60,6 +65,27 @@
     confirmation: Confirmation,
     /// When a held view was last known to be the newest; never goes back.
     last_confirmed_at: Option<Instant>,
+    /// Addresses of the replicas that are asked.
+    replicas: Vec<SocketAddr>,
+    /// Digest of the newest list of live targets, and when it was read.
+    targets_digest: u64,
+    targets_read_at: Option<Instant>,
+    observer: Option<Rc<dyn ViewObserver>>,
+}
+
+/// Is told what a [`FleetWatch`] learns.
+pub(crate) trait ViewObserver {
+    /// A newer version is in force.
+    fn view_changed(&self, view: &FleetView);
+
+    /// The view that is held was known to be the newest at `at`.
+    fn view_confirmed(&self, at: Instant);
+
+    /// A list of live targets was read at `read_at`.
+    fn targets_read(&self, read_at: Instant, list: TargetList);
+
+    /// The list of live targets is known to be unchanged at `read_at`.
+    fn targets_unchanged(&self, read_at: Instant);
 }
 
 impl State {
@@ -69,25 +95,67 @@
             applied: 0,
             confirmation: Confirmation::new(replicas),
             last_confirmed_at: None,
+            replicas: Vec::new(),
+            targets_digest: 0,
+            targets_read_at: None,
+            observer: None,
         }
     }
 }
 
+impl State {
+    /// Returns whether every replica is asked for the live targets, since none has told of them lately.
+    fn needs_targets(&self, now: Instant) -> bool {
+        let is_stale = |at: Instant| now.saturating_duration_since(at) > TARGETS_BOUND;
+        self.observer.is_some() && self.targets_read_at.is_none_or(is_stale)
+    }
+}
+
 /// A node's view of the fleet document.
 #[derive(Clone)]
 pub(crate) struct FleetWatch {
     state: Rc<RefCell<State>>,
+    mesh: MeshSettings,
 }
 
 impl FleetWatch {
     /// Starts one task for each control replica.
     pub(crate) fn start(mesh: &MeshSettings) -> FleetWatch {
         let state = Rc::new(RefCell::new(State::new(mesh.control.len())));
-        for (replica, addr) in mesh.control.iter().enumerate() {
-            let task = follow(state.clone(), mesh.clone(), replica, *addr);
-            compio::runtime::spawn(task).detach();
+        let watch = FleetWatch {
+            state,
+            mesh: mesh.clone(),
+        };
+        for addr in &mesh.control {
+            watch.follow_replica(*addr);
+        }
+        watch
+    }
+
+    /// Starts like [`FleetWatch::start`] and tells `observer` all that is learnt, live targets included.
+    pub(crate) fn start_observed(mesh: &MeshSettings, observer: Rc<dyn ViewObserver>) -> FleetWatch {
+        let watch = FleetWatch::start(mesh);
+        watch.state.borrow_mut().observer = Some(observer);
+        watch
+    }
+
+    /// Asks one more replica from now on, unless it is asked already.
+    pub(crate) fn follow_replica(&self, addr: SocketAddr) {
+        let mut state = self.state.borrow_mut();
+        if !state.replicas.contains(&addr) {
+            let replica = state.replicas.len();
+            state.replicas.push(addr);
+            compio::runtime::spawn(follow(self.clone(), replica, addr)).detach();
+        }
+    }
+
+    /// Asks the voters whose names are their addresses, too.
+    fn follow_voters(&self, voters: &[ReplicaId]) {
+        for voter in voters {
+            if let Ok(addr) = voter.name.parse() {
+                self.follow_replica(addr);
+            }
         }
-        FleetWatch { state }
     }
 
     /// Returns the view if it was confirmed recently enough to act on.
@@ -102,25 +170,44 @@
 }
 
 /// Asks one replica again and again.
-async fn follow(state: Rc<RefCell<State>>, mesh: MeshSettings, replica: usize, addr: SocketAddr) {
+async fn follow(watch: FleetWatch, replica: usize, addr: SocketAddr) {
     loop {
-        match Connection::connect(addr, &mesh.key, ANSWER_TIMEOUT).await {
-            Ok(conn) => follow_connection(&state, replica, conn).await,
+        match Connection::connect(addr, &watch.mesh.key, ANSWER_TIMEOUT).await {
+            Ok(conn) => follow_connection(&watch, replica, conn).await,
             Err(err) => log::debug!("control replica {addr}: {err}"),
         }
         compio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
-async fn follow_connection(state: &RefCell<State>, replica: usize, mut conn: Connection) {
+async fn follow_connection(watch: &FleetWatch, replica: usize, mut conn: Connection) {
+    let state = &*watch.state;
+    let mut tells_targets = false;
     loop {
         let known = state.borrow().view.as_ref().map_or(0, |view| view.version);
         let asked_at = Instant::now();
         let asking = ask(&mut conn, known);
         match compio::time::timeout(ANSWER_TIMEOUT, asking).await {
-            Ok(Some(answer)) => note_answer(&mut state.borrow_mut(), replica, asked_at, answer),
+            Ok(Some(answer)) => {
+                watch.follow_voters(&answer.standing.voters);
+                note_answer(&mut state.borrow_mut(), replica, asked_at, answer);
+            }
             _ => return,
         }
+        if tells_targets || state.borrow().needs_targets(Instant::now()) {
+            let known = state.borrow().targets_digest;
+            let asked_at = Instant::now();
+            let asking = ask_targets(&mut conn, known);
+            match compio::time::timeout(ANSWER_TIMEOUT, asking).await {
+                Ok(Some(report)) => {
+                    tells_targets = report.is_some();
+                    if let Some(report) = report {
+                        note_targets(&mut state.borrow_mut(), asked_at, report);
+                    }
+                }
+                _ => return,
+            }
+        }
         compio::time::sleep(POLL_INTERVAL).await;
     }
 }
@@ -158,6 +245,31 @@
     }
 }
 
+async fn ask_targets(conn: &mut Connection, known: u64) -> Option<Option<TargetsReport>> {
+    let question = Message::Control(ControlMessage::FetchTargets { known });
+    conn.send("", &question).await.ok()?;
+    match conn.recv().await {
+        Ok((_, Message::Control(ControlMessage::Targets(report)))) => Some(report),
+        _ => None,
+    }
+}
+
+fn note_targets(state: &mut State, asked_at: Instant, report: TargetsReport) {
+    let Some(read_at) = asked_at.checked_sub(Duration::from_millis(report.age_ms)) else {
+        return;
+    };
+    if state.targets_read_at.is_some_and(|newest| read_at <= newest) {
+        return;
+    }
+    state.targets_read_at = Some(read_at);
+    state.targets_digest = report.digest;
+    match (&state.observer, report.list) {
+        (Some(observer), Some(list)) => observer.targets_read(read_at, list),
+        (Some(observer), None) => observer.targets_unchanged(read_at),
+        (None, _) => {}
+    }
+}
+
 fn note_answer(state: &mut State, replica: usize, asked_at: Instant, answer: FleetAnswer) {
     state
         .confirmation
@@ -172,10 +284,14 @@
             Ok(document) => {
                 log::info!("fleet document version {} is in force", answer.version);
                 state.applied = answer.applied_change;
-                state.view = Some(FleetView {
+                let view = FleetView {
                     version: answer.version,
                     document: Rc::new(document),
-                });
+                };
+                if let Some(observer) = &state.observer {
+                    observer.view_changed(&view);
+                }
+                state.view = Some(view);
             }
             Err(fault) => log::error!("fleet document version {}: {fault}", answer.version),
         },
@@ -184,6 +300,9 @@
     // and a version that has come into force meanwhile was not older than the one confirmed.
     let confirmed_at = state.confirmation.confirmed_at(state.applied);
     state.last_confirmed_at = state.last_confirmed_at.max(confirmed_at);
+    if let (Some(observer), Some(at)) = (&state.observer, state.last_confirmed_at) {
+        observer.view_confirmed(at);
+    }
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -0,0 +1,169 @@
+//! The role `gateway`: forwards requests of routes to targets that the platform's list shows.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compio::net::TcpListener;
+use laburnumlug::{CallerLimits, TargetList};
+use laburnumlug_forward::{ForwardConfig, ForwardHandler, Forwarder};
+use laburnumlug_http::{Limits, LimitsHandle, Request, Server, text_response};
+use laburnumlug_platform::{InstanceListClient, PlatformHeaders, TargetSource};
+use rand::Rng;
+
+use crate::error::Error;
+use crate::fleet_watch::{FleetView, FleetWatch, ViewObserver};
+use crate::metrics::{self, Metrics};
+use crate::settings::GatewaySettings;
+use crate::{logging, settings_watch, signal};
+
+/// Time after the request to stop in which new work is still taken: the platform asks for readiness once a second and
+/// believes the second miss.
+const NOTICE_TIME: Duration = Duration::from_millis(3000);
+
+/// Time before the end of the grace period at which the process ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Age of the list of targets from which this process reads the platform's itself.
+const OWN_READ_AGE: Duration = Duration::from_secs(3);
+
+/// Longest time between two looks at that age, and at least half of it.
+const OWN_READ_INTERVAL: Duration = Duration::from_secs(2);
+
+/// How long one read may take.
+const OWN_READ_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Smallest buffer that the HTTP server takes, in bytes.
+const MIN_HEADER_BYTES: u64 = 8192;
+
+/// Tells a forwarder what is learnt of routes and targets.
+struct Learner {
+    forwarder: Rc<Forwarder>,
+    limits: LimitsHandle,
+    max_connections: usize,
+}
+
+impl ViewObserver for Learner {
+    fn view_changed(&self, view: &FleetView) {
+        self.forwarder.set_routes(view.version, &view.document);
+        let limits = view.document.caller_limits.clone().unwrap_or_default();
+        self.limits.set(server_limits(&limits, self.max_connections));
+    }
+
+    fn view_confirmed(&self, at: Instant) {
+        self.forwarder.set_confirmed_at(at);
+    }
+
+    fn targets_read(&self, read_at: Instant, list: TargetList) {
+        self.forwarder.set_targets(read_at, list);
+    }
+
+    fn targets_unchanged(&self, read_at: Instant) {
+        self.forwarder.confirm_targets(read_at);
+    }
+}
+
+/// Runs a gateway until it is asked to stop.
+pub(crate) async fn run(settings: GatewaySettings, path: PathBuf) -> Result<(), Error> {
+    logging::start("gateway", &settings.process, &settings.log)?;
+    let metrics = Rc::new(Metrics::new()?);
+    metrics::serve(settings.metrics, metrics).await?;
+    let cfg = ForwardConfig::new(&settings.process.zone)
+        .retries(settings.retry_ratio, settings.retry_window);
+    let forwarder = Forwarder::new(cfg, Rc::new(PlatformHeaders));
+    let listener = bind(settings.listen).await?;
+    let limits = server_limits(&CallerLimits::default(), settings.max_connections);
+    let server = Server::new(listener, limits);
+    let shutdown = server.shutdown_handle();
+    let learner = Learner {
+        forwarder: forwarder.clone(),
+        limits: server.limits_handle(),
+        max_connections: settings.max_connections,
+    };
+    let watch = FleetWatch::start_observed(&settings.mesh, Rc::new(learner));
+    let stopping = Rc::new(Cell::new(false));
+    serve_readiness(settings.ready, forwarder.clone(), stopping.clone()).await?;
+    compio::runtime::spawn(read_targets(settings.target_list, forwarder.clone())).detach();
+    compio::runtime::spawn(settings_watch::run(path.clone(), move || {
+        match GatewaySettings::read(&path) {
+            Ok(settings) => {
+                for addr in settings.mesh.control {
+                    watch.follow_replica(addr);
+                }
+            }
+            Err(err) => log::error!("the changed settings are not taken: {err}"),
+        }
+    }))
+    .detach();
+    let handler = Rc::new(ForwardHandler::new(forwarder.clone()));
+    let callers = compio::runtime::spawn(server.run(handler));
+    log::info!("the gateway serves callers on {}", settings.listen);
+    signal::stop_requested().await;
+    let stop_at = Instant::now() + settings.grace.saturating_sub(GRACE_MARGIN);
+    log::info!("the gateway stops");
+    stopping.set(true);
+    forwarder.close_connections();
+    compio::time::sleep(NOTICE_TIME.min(settings.grace / 2)).await;
+    shutdown.shut_down();
+    let left = stop_at.saturating_duration_since(Instant::now());
+    match compio::time::timeout(left, callers).await {
+        Ok(_) => log::info!("the gateway has stopped after the last answer"),
+        Err(_) => log::warn!("the gateway has stopped with answers in progress"),
+    }
+    Ok(())
+}
+
+/// Serves 200 while the gateway takes new callers.
+async fn serve_readiness(
+    addr: SocketAddr,
+    forwarder: Rc<Forwarder>,
+    stopping: Rc<Cell<bool>>,
+) -> Result<(), Error> {
+    let listener = bind(addr).await?;
+    let handler = Rc::new(move |_req: Request| {
+        let resp = match (stopping.get(), forwarder.is_ready()) {
+            (true, _) => text_response(503, "stopping"),
+            (false, true) => text_response(200, "ready"),
+            (false, false) => text_response(503, "routes or targets are not known yet"),
+        };
+        async move { resp }
+    });
+    compio::runtime::spawn(Server::new(listener, Limits::default()).run(handler)).detach();
+    Ok(())
+}
+
+/// Reads the platform's list whenever nobody else has told of a recent one.
+async fn read_targets(addr: SocketAddr, forwarder: Rc<Forwarder>) {
+    let source = InstanceListClient::new(addr);
+    loop {
+        let wait = rand::rng().random_range(OWN_READ_INTERVAL / 2..OWN_READ_INTERVAL);
+        compio::time::sleep(wait).await;
+        let now = Instant::now();
+        let age = forwarder.targets_read_at().map(|at| now.saturating_duration_since(at));
+        if age.is_some_and(|age| age < OWN_READ_AGE) {
+            continue;
+        }
+        match source.fetch(OWN_READ_TIMEOUT).await {
+            Ok(list) => forwarder.set_targets(now, list),
+            Err(err) => log::warn!("the list of targets is not to be had: {err}"),
+        }
+    }
+}
+
+fn server_limits(limits: &CallerLimits, max_connections: usize) -> Limits {
+    let header_bytes = limits.header_bytes.get().max(MIN_HEADER_BYTES);
+    // One timer covers the idle time and the head, so the longer of the two holds.
+    let idle_ms = limits.idle_ms.max(limits.header_ms).get();
+    Limits::default()
+        .connections(max_connections)
+        .header_bytes(usize::try_from(header_bytes).unwrap_or(usize::MAX))
+        .header_timeout(Duration::from_millis(idle_ms))
+}
+
+async fn bind(addr: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|err| Error::bind(addr, err))
+}
--- a/laburnumlug-daemon/src/lib.rs
+++ b/laburnumlug-daemon/src/lib.rs
@@ -19,13 +19,17 @@
 mod dev;
 mod entry;
 mod error;
+mod fleet_store;
 mod fleet_watch;
+mod gateway;
 mod logging;
 mod metrics;
 mod registration;
 mod settings;
+mod settings_watch;
 mod signal;
 mod target;
+mod target_reader;
 
 pub use crate::args::Args;
 pub use crate::error::Error;
@@ -69,7 +73,12 @@
             target::run(settings::TargetSettings::read(&args.settings)?).await
         }
         args::Role::Control(args) => {
-            control::run(settings::ControlSettings::read(&args.settings)?).await
+            let settings = settings::ControlSettings::read(&args.settings)?;
+            control::run(settings, args.settings).await
+        }
+        args::Role::Gateway(args) => {
+            let settings = settings::GatewaySettings::read(&args.settings)?;
+            gateway::run(settings, args.settings).await
         }
         args::Role::Dev(args) => dev::run(args).await,
     }
--- a/laburnumlug-daemon/src/logging.rs
+++ b/laburnumlug-daemon/src/logging.rs
@@ -8,7 +8,7 @@
 use log4rs::encode::json::JsonEncoder;
 
 use crate::error::Error;
-use crate::settings::{LogSettings, ProcessSettings};
+use crate::settings::{LogOutput, LogSettings, ProcessSettings};
 
 /// Name of the only appender.
 const APPENDER: &str = "out";
@@ -29,7 +29,7 @@
     log_mdc::insert("zone", process.zone.as_str());
     let appender = match &settings.file {
         Some(path) => file_appender(path)?,
-        None => console_appender(),
+        None => console_appender(settings.output),
     };
     let config = Config::builder()
         .appender(appender)
@@ -47,9 +47,13 @@
     Ok(Appender::builder().build(APPENDER, Box::new(appender)))
 }
 
-fn console_appender() -> Appender {
+fn console_appender(output: LogOutput) -> Appender {
+    let target = match output {
+        LogOutput::StandardError => Target::Stderr,
+        LogOutput::StandardOutput => Target::Stdout,
+    };
     let appender = ConsoleAppender::builder()
-        .target(Target::Stderr)
+        .target(target)
         .encoder(Box::new(JsonEncoder::new()))
         .build();
     Appender::builder().build(APPENDER, Box::new(appender))
--- a/laburnumlug-daemon/src/settings/common.rs
+++ b/laburnumlug-daemon/src/settings/common.rs
@@ -16,7 +16,7 @@
 };
 pub(super) const LOG: Section = Section {
     name: "log",
-    keys: &["level", "file"],
+    keys: &["level", "file", "output"],
 };
 pub(super) const METRICS: Section = Section {
     name: "metrics",
@@ -24,7 +24,7 @@
 };
 pub(super) const MESH: Section = Section {
     name: "mesh",
-    keys: &["key", "control"],
+    keys: &["key", "control", "port"],
 };
 
 /// Which process this is.
@@ -38,8 +38,18 @@
 #[derive(Clone, Debug)]
 pub(crate) struct LogSettings {
     pub(crate) level: log::LevelFilter,
-    /// File for the log; standard error without one.
+    /// File for the log, where there is one.
     pub(crate) file: Option<PathBuf>,
+    /// Where the log goes without a file.
+    pub(crate) output: LogOutput,
+}
+
+/// Stream of the process that takes the log.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum LogOutput {
+    #[default]
+    StandardError,
+    StandardOutput,
 }
 
 /// How the process reaches the control replicas.
@@ -67,6 +77,9 @@
         Ok(LogSettings {
             level: level.unwrap_or(log::LevelFilter::Info),
             file: file.map(PathBuf::from),
+            output: reader
+                .optional("log", "output", "stdout or stderr", log_output)?
+                .unwrap_or_default(),
         })
     }
 }
@@ -75,7 +88,11 @@
     pub(super) fn read(reader: &Reader) -> Result<MeshSettings, SettingsError> {
         let key = reader.required("mesh", "key", "the key that all processes share", text)?;
         let allowed = "IP:PORT of each control replica, separated by commas";
-        let control = reader.required("mesh", "control", allowed, addrs)?;
+        let mut control: Vec<SocketAddr> = reader.required("mesh", "control", allowed, addrs)?;
+        let port = "the port of all control replicas, where the list gives another";
+        if let Some(port) = reader.optional("mesh", "port", port, |text| text.parse().ok())? {
+            control.iter_mut().for_each(|addr| addr.set_port(port));
+        }
         Ok(MeshSettings {
             key: MeshKey::new(&key),
             control,
@@ -83,6 +100,14 @@
     }
 }
 
+fn log_output(text: &str) -> Option<LogOutput> {
+    match text {
+        "stderr" => Some(LogOutput::StandardError),
+        "stdout" => Some(LogOutput::StandardOutput),
+        _ => None,
+    }
+}
+
 pub(super) fn metrics_listen(reader: &Reader) -> Result<Option<SocketAddr>, SettingsError> {
     reader.optional("metrics", "listen", "IP:PORT", addr)
 }
--- a/laburnumlug-daemon/src/settings/control.rs
+++ b/laburnumlug-daemon/src/settings/control.rs
@@ -22,6 +22,11 @@
         "replicas",
         "group_commit",
         "snapshot_entries",
+        "peers",
+        "may_found",
+        "losses",
+        "target_list",
+        "platform_operator",
     ],
 };
 
@@ -40,7 +45,7 @@
     pub(crate) operators: SocketAddr,
     /// Data folder.
     pub(crate) data: PathBuf,
-    /// Operators and the hashes of their tokens.
+    /// Operators and the hashes of their tokens; without any, the interface to operators admits nobody.
     pub(crate) tokens: Tokens,
     /// The other replicas; none for a cluster of one.
     pub(crate) replicas: Vec<PeerReplica>,
@@ -48,6 +53,14 @@
     pub(crate) group_commit: bool,
     /// Number of log entries between two snapshots, where it is not the default.
     pub(crate) snapshot_entries: Option<usize>,
+    /// Whether this replica may found a cluster.
+    pub(crate) may_found: bool,
+    /// Replicas that may be lost at once; it decides the number of voters.
+    pub(crate) losses: Option<usize>,
+    /// The platform's list of live targets, read while this replica leads.
+    pub(crate) target_list: Option<SocketAddr>,
+    /// Whether the platform's operator calls, too.
+    pub(crate) platform_operator: bool,
 }
 
 impl ControlSettings {
@@ -56,20 +69,43 @@
         let reader = Reader::open(path, &[PROCESS, LOG, MESH, METRICS, CONTROL])?;
         let tokens = "NAME:SHA256 of each operator's token, separated by commas";
         let replicas = "NAME:IP:PORT of each other replica, separated by commas";
+        let listen = reader.required("control", "listen", "IP:PORT", addr)?;
+        let mesh = MeshSettings::read(&reader)?;
+        let peers = "mesh, where the replicas are those of [mesh] control, named by their addresses";
+        let by_address = reader.optional("control", "peers", peers, |text| {
+            (text == "mesh").then(|| address_peers(&mesh, listen))
+        })?;
+        let losses = "a whole number";
         let data: String = reader.required("control", "data", "the path of a folder", text)?;
         Ok(ControlSettings {
             process: ProcessSettings::read(&reader)?,
             log: LogSettings::read(&reader)?,
-            mesh: MeshSettings::read(&reader)?,
             metrics: metrics_listen(&reader)?,
             name: reader.required("control", "name", "the replica's name", text)?,
-            listen: reader.required("control", "listen", "IP:PORT", addr)?,
+            listen,
             operators: reader.required("control", "operators", "IP:PORT", addr)?,
             data: PathBuf::from(data),
-            tokens: Tokens::new(reader.required("control", "tokens", tokens, operator_tokens)?),
-            replicas: reader
-                .optional("control", "replicas", replicas, peer_replicas)?
-                .unwrap_or_default(),
+            tokens: Tokens::new(
+                reader
+                    .optional("control", "tokens", tokens, operator_tokens)?
+                    .unwrap_or_default(),
+            ),
+            may_found: reader
+                .optional("control", "may_found", "yes or no", yes_or_no)?
+                .unwrap_or(true)
+                && by_address.as_ref().is_none_or(|_| mesh.control.contains(&listen)),
+            replicas: match by_address {
+                Some(replicas) => replicas,
+                None => reader
+                    .optional("control", "replicas", replicas, peer_replicas)?
+                    .unwrap_or_default(),
+            },
+            mesh,
+            losses: reader.optional("control", "losses", losses, |text| text.parse().ok())?,
+            target_list: reader.optional("control", "target_list", "IP:PORT", addr)?,
+            platform_operator: reader
+                .optional("control", "platform_operator", "yes or no", yes_or_no)?
+                .unwrap_or(false),
             group_commit: reader
                 .optional("control", "group_commit", "yes or no", yes_or_no)?
                 .unwrap_or(true),
@@ -86,7 +122,13 @@
     pub(crate) fn replica_config(&self) -> ReplicaConfig {
         let cfg = ReplicaConfig::new(&self.name, &self.data, self.mesh.key.clone())
             .peers(self.replicas.clone())
-            .group_commit(self.group_commit);
+            .group_commit(self.group_commit)
+            .may_found(self.may_found);
+        let cfg = match self.losses {
+            // With 2n + 1 voters, a majority is left after n losses.
+            Some(losses) => cfg.voters(2 * losses + 1),
+            None => cfg,
+        };
         match self.snapshot_entries {
             Some(entries) => cfg.snapshot_entries(entries as u64),
             None => cfg,
@@ -114,10 +156,21 @@
         .collect()
 }
 
+/// Returns the replicas of the mesh settings but the one at `own`, named by their addresses.
+fn address_peers(mesh: &MeshSettings, own: SocketAddr) -> Vec<PeerReplica> {
+    let others = mesh.control.iter().filter(|addr| **addr != own);
+    others
+        .map(|addr| PeerReplica {
+            name: addr.to_string(),
+            addr: *addr,
+        })
+        .collect()
+}
+
 fn yes_or_no(text: &str) -> Option<bool> {
     match text {
-        "yes" => Some(true),
-        "no" => Some(false),
+        "yes" | "true" => Some(true),
+        "no" | "false" => Some(false),
         _ => None,
     }
 }
--- a/laburnumlug-daemon/src/settings/mod.rs
+++ b/laburnumlug-daemon/src/settings/mod.rs
@@ -4,11 +4,13 @@
 mod control;
 mod entry;
 mod error;
+mod gateway;
 mod reader;
 mod target;
 
-pub(crate) use self::common::{LogSettings, MeshSettings, ProcessSettings};
+pub(crate) use self::common::{LogOutput, LogSettings, MeshSettings, ProcessSettings};
 pub(crate) use self::control::ControlSettings;
 pub(crate) use self::entry::EntrySettings;
 pub use self::error::SettingsError;
+pub(crate) use self::gateway::GatewaySettings;
 pub(crate) use self::target::{PeerKind, PlatformSettings, TargetSettings};
--- /dev/null
+++ b/laburnumlug-forward/src/directory.rs
@@ -0,0 +1,199 @@
+//! Live targets and what this process knows of each.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Instant;
+
+use laburnumlug::{LiveTarget, Role, ServiceName, TargetList, TargetName};
+use laburnumlug_policy::{PromptCache, ReadingQueue, TargetHealth};
+
+/// Tokens a second that an engine reads before any was measured; a current accelerator node reads a 70-billion
+/// parameter model's prompt at about this rate.
+const FIRST_READ_RATE: f64 = 50_000.0;
+
+/// Share of that rate at which an engine reads that also answers: it reads between the tokens of other requests.
+const ANSWERING_READ_SHARE: f64 = 0.5;
+
+/// One life of a target.
+pub(crate) struct TargetHandle {
+    pub(crate) instance: TargetName,
+    pub(crate) row: RefCell<LiveTarget>,
+    /// Requests of this process that it has not answered.
+    pub(crate) running: Cell<u32>,
+    pub(crate) health: RefCell<TargetHealth>,
+    pub(crate) reading: RefCell<ReadingQueue>,
+    pub(crate) cache: RefCell<PromptCache>,
+}
+
+impl TargetHandle {
+    fn new(now: Instant, row: LiveTarget) -> TargetHandle {
+        let rate = match row.role {
+            Some(Role::Prefill) => FIRST_READ_RATE,
+            _ => FIRST_READ_RATE * ANSWERING_READ_SHARE,
+        };
+        TargetHandle {
+            instance: row.instance.clone(),
+            row: RefCell::new(row),
+            running: Cell::new(0),
+            health: RefCell::default(),
+            reading: RefCell::new(ReadingQueue::new(now, rate)),
+            cache: RefCell::new(PromptCache::new(0)),
+        }
+    }
+
+    /// Counts a request until the returned guard is dropped.
+    pub(crate) fn enter(self: &Rc<Self>) -> Running {
+        self.running.set(self.running.get() + 1);
+        Running {
+            target: self.clone(),
+        }
+    }
+}
+
+/// Counts one request at a target.
+pub(crate) struct Running {
+    pub(crate) target: Rc<TargetHandle>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.target.running.set(self.target.running.get() - 1);
+    }
+}
+
+/// Live targets by service.
+#[derive(Default)]
+pub(crate) struct Directory {
+    /// When the newest list was read; `None` before the first.
+    read_at: Option<Instant>,
+    by_instance: HashMap<TargetName, Rc<TargetHandle>>,
+    services: HashMap<ServiceName, Vec<Rc<TargetHandle>>>,
+}
+
+impl Directory {
+    /// Takes a list that was read at `read_at`; an older one changes nothing.
+    pub(crate) fn update(&mut self, read_at: Instant, list: TargetList) {
+        if self.read_at.is_some_and(|newest| read_at <= newest) {
+            return;
+        }
+        self.read_at = Some(read_at);
+        let mut by_instance = HashMap::new();
+        for mut row in list.targets {
+            let handle = match self.by_instance.remove(&row.instance) {
+                Some(handle) if handle.row.borrow().addr == row.addr => {
+                    // A target that leaves never stays after all; an older page may still show it as ready.
+                    row.leaving |= handle.row.borrow().leaving;
+                    if row.leaving && !handle.row.borrow().leaving {
+                        log::info!(target = row.instance.as_str(); "the target leaves");
+                    }
+                    handle.row.replace(row);
+                    handle
+                }
+                _ => {
+                    log::info!(
+                        target = row.instance.as_str(), addr = row.addr.to_string().as_str();
+                        "a target of service {} was found", row.service
+                    );
+                    Rc::new(TargetHandle::new(read_at, row))
+                }
+            };
+            by_instance.insert(handle.instance.clone(), handle);
+        }
+        for gone in self.by_instance.keys() {
+            log::info!(target = gone.as_str(); "the target is no longer listed");
+        }
+        let mut services: HashMap<ServiceName, Vec<Rc<TargetHandle>>> = HashMap::new();
+        for handle in by_instance.values() {
+            let service = handle.row.borrow().service.clone();
+            services.entry(service).or_default().push(handle.clone());
+        }
+        for handles in services.values_mut() {
+            handles.sort_by(|a, b| a.instance.cmp(&b.instance));
+        }
+        self.by_instance = by_instance;
+        self.services = services;
+    }
+
+    /// Notes that a list read at `read_at` equals the one held.
+    pub(crate) fn confirm(&mut self, read_at: Instant) {
+        self.read_at = self.read_at.max(Some(read_at));
+    }
+
+    /// Returns when the newest list was read.
+    pub(crate) fn read_at(&self) -> Option<Instant> {
+        self.read_at
+    }
+
+    /// Returns the targets of a service that may get new work.
+    pub(crate) fn serving(&self, service: &str) -> Vec<Rc<TargetHandle>> {
+        let handles = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let serving = handles.iter().filter(|handle| !handle.row.borrow().leaving);
+        serving.cloned().collect()
+    }
+
+    /// Returns whether a target at this address is listed.
+    pub(crate) fn has_addr(&self, addr: &std::net::SocketAddr) -> bool {
+        self.by_instance.values().any(|handle| handle.row.borrow().addr == *addr)
+    }
+}
+
+/// Returns the targets that may be asked: the usable ones, or the one that may be usable first.
+pub(crate) fn usable(now: Instant, targets: Vec<Rc<TargetHandle>>) -> Vec<Rc<TargetHandle>> {
+    let is_usable = |target: &&Rc<TargetHandle>| target.health.borrow().is_usable(now);
+    let usable: Vec<Rc<TargetHandle>> = targets.iter().filter(is_usable).cloned().collect();
+    match usable.is_empty() {
+        false => usable,
+        true => {
+            let first = targets.into_iter().min_by_key(|t| t.health.borrow().usable_at());
+            first.into_iter().collect()
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use super::*;
+
+    fn row(instance: &str, leaving: bool) -> LiveTarget {
+        LiveTarget {
+            instance: instance.to_string(),
+            service: "s".to_string(),
+            addr: "10.0.0.1:80".parse().unwrap(),
+            zone: "z".to_string(),
+            slots: 4,
+            leaving,
+            role: None,
+        }
+    }
+
+    fn list(rows: &[LiveTarget]) -> TargetList {
+        TargetList {
+            targets: rows.to_vec(),
+        }
+    }
+
+    #[test]
+    fn update_leaving_stays_leaving() {
+        let now = Instant::now();
+        let mut directory = Directory::default();
+        directory.update(now, list(&[row("a", false), row("b", false)]));
+        assert_eq!(directory.serving("s").len(), 2);
+        directory.update(now + Duration::from_secs(1), list(&[row("a", true), row("b", false)]));
+        directory.update(now + Duration::from_secs(2), list(&[row("a", false), row("b", false)]));
+        let serving = directory.serving("s");
+        assert_eq!(serving.len(), 1);
+        assert_eq!(serving[0].instance, "b");
+    }
+
+    #[test]
+    fn update_older_list() {
+        let now = Instant::now();
+        let mut directory = Directory::default();
+        directory.update(now + Duration::from_secs(1), list(&[row("a", false)]));
+        directory.update(now, list(&[]));
+        assert_eq!(directory.serving("s").len(), 1);
+    }
+}
--- /dev/null
+++ b/laburnumlug-forward/src/events.rs
@@ -0,0 +1,111 @@
+//! Whole events of a stream.
+
+use bytes::{Bytes, BytesMut};
+
+/// Most bytes of an event that has no end.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// Cuts a stream into whole events, so that a caller never sees part of one.
+#[derive(Default)]
+pub(crate) struct EventSplitter {
+    buf: BytesMut,
+    /// Position in `buf` up to which no event ends.
+    searched: usize,
+    last_id: Option<String>,
+}
+
+impl EventSplitter {
+    /// Takes bytes and returns the whole events that they complete.
+    pub(crate) fn push(&mut self, chunk: &[u8]) -> Option<Bytes> {
+        self.buf.extend_from_slice(chunk);
+        let end = self.last_event_end();
+        let end = match end {
+            None if self.buf.len() > MAX_EVENT_BYTES => self.buf.len(),
+            None => return None,
+            Some(end) => end,
+        };
+        let events = self.buf.split_to(end).freeze();
+        self.searched = 0;
+        if let Some(id) = last_id(&events) {
+            self.last_id = Some(id);
+        }
+        Some(events)
+    }
+
+    /// Returns the end of the last whole event.
+    fn last_event_end(&mut self) -> Option<usize> {
+        let from = self.searched.saturating_sub(3);
+        let found = self.buf[from..]
+            .windows(2)
+            .rposition(|pair| pair == b"\n\n")
+            .map(|at| from + at + 2);
+        let with_returns = self.buf[from..]
+            .windows(4)
+            .rposition(|four| four == b"\r\n\r\n")
+            .map(|at| from + at + 4);
+        self.searched = self.buf.len();
+        found.max(with_returns)
+    }
+
+    /// Returns the id of the last whole event.
+    pub(crate) fn last_id(&self) -> Option<&String> {
+        self.last_id.as_ref()
+    }
+
+    /// Sets the id of the last whole event, where a stream goes on at another target.
+    pub(crate) fn set_last_id(&mut self, id: Option<String>) {
+        self.last_id = id;
+    }
+
+    /// Returns the bytes behind the last whole event, at the end of a whole stream.
+    pub(crate) fn finish(&mut self) -> Bytes {
+        self.searched = 0;
+        self.buf.split().freeze()
+    }
+
+    /// Drops the bytes behind the last whole event, where its stream has broken.
+    pub(crate) fn drop_partial(&mut self) {
+        self.searched = 0;
+        self.buf.clear();
+    }
+}
+
+/// Returns the last id that these whole events state.
+fn last_id(events: &[u8]) -> Option<String> {
+    let lines = events.split(|byte| *byte == b'\n').rev();
+    let value = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    let text = std::str::from_utf8(value).ok()?;
+    Some(text.trim().to_string())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn push_partial_event_is_held() {
+        let mut splitter = EventSplitter::default();
+        assert_eq!(splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap(), "id: 1\ndata: a\n\n");
+        assert_eq!(splitter.last_id().unwrap(), "1");
+        assert_eq!(splitter.push(b"ta: b\n"), None);
+        assert_eq!(splitter.push(b"\n").unwrap(), "id: 2\ndata: b\n\n");
+        assert_eq!(splitter.last_id().unwrap(), "2");
+    }
+
+    #[test]
+    fn drop_partial_event_of_broken_stream() {
+        let mut splitter = EventSplitter::default();
+        assert_eq!(splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap(), "id: 1\ndata: a\n\n");
+        splitter.drop_partial();
+        assert_eq!(splitter.push(b"id: 2\ndata: b\n\n").unwrap(), "id: 2\ndata: b\n\n");
+        assert!(splitter.finish().is_empty());
+    }
+
+    #[test]
+    fn push_carriage_returns() {
+        let mut splitter = EventSplitter::default();
+        let event = b"id: 7\r\ndata: a\r\n\r\n";
+        assert_eq!(splitter.push(event).unwrap(), &event[..]);
+        assert_eq!(splitter.last_id().unwrap(), "7");
+    }
+}
--- /dev/null
+++ b/laburnumlug-forward/src/routes.rs
@@ -0,0 +1,156 @@
+//! Routes of one version of the fleet document.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use laburnumlug::{CallerLimits, EngineTraits, FleetDocument, FleetVersion, Repetition, Route, ServiceName};
+
+/// Aim of routes that state none.
+const DEFAULT_AIM: Duration = Duration::from_secs(1);
+
+/// One route.
+#[derive(Debug)]
+pub(crate) struct RouteRow {
+    pub(crate) name: String,
+    prefix: String,
+    pub(crate) repetition: Repetition,
+    pub(crate) resumable: bool,
+    pub(crate) timeout: Duration,
+    pub(crate) aim: Duration,
+    pub(crate) rank: u32,
+    pub(crate) attempts: u32,
+    shares: Vec<(ServiceName, f64)>,
+}
+
+impl RouteRow {
+    fn new(route: &Route) -> RouteRow {
+        RouteRow {
+            name: route.name.clone(),
+            prefix: route.prefix.clone(),
+            repetition: route.repetition,
+            resumable: route.resumable,
+            timeout: Duration::from_millis(route.timeout_ms.get()),
+            aim: route.aim_ms.map_or(DEFAULT_AIM, |ms| Duration::from_millis(ms.get())),
+            rank: route.rank,
+            attempts: route.attempts.get(),
+            shares: route
+                .shares
+                .iter()
+                .filter(|share| share.weight > 0.0)
+                .map(|share| (share.service.clone(), share.weight))
+                .collect(),
+        }
+    }
+
+    /// Returns the service of a request; `draw` is uniform in [0, 1).
+    pub(crate) fn service(&self, draw: f64) -> Option<&ServiceName> {
+        let total: f64 = self.shares.iter().map(|share| share.1).sum();
+        let mut left = draw * total;
+        for (service, weight) in &self.shares {
+            left -= weight;
+            if left < 0.0 {
+                return Some(service);
+            }
+        }
+        self.shares.last().map(|share| &share.0)
+    }
+
+    /// Returns whether a request may run more than once.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        match self.repetition {
+            Repetition::Safe => true,
+            Repetition::Stream => self.resumable,
+            Repetition::Unsafe => false,
+        }
+    }
+}
+
+/// Routes of one version of the fleet document.
+#[derive(Debug)]
+pub(crate) struct RouteTable {
+    pub(crate) version: FleetVersion,
+    pub(crate) limits: CallerLimits,
+    /// Routes by host, longest prefix first.
+    hosts: HashMap<String, Vec<Rc<RouteRow>>>,
+    engines: HashMap<ServiceName, EngineTraits>,
+}
+
+impl RouteTable {
+    pub(crate) fn new(version: FleetVersion, document: &FleetDocument) -> RouteTable {
+        let mut hosts: HashMap<String, Vec<Rc<RouteRow>>> = HashMap::new();
+        for route in &document.routes {
+            let rows = hosts.entry(route.host.to_ascii_lowercase()).or_default();
+            rows.push(Rc::new(RouteRow::new(route)));
+        }
+        for rows in hosts.values_mut() {
+            rows.sort_by_key(|row| std::cmp::Reverse(row.prefix.len()));
+        }
+        let engines = document.services.iter().filter_map(|service| {
+            let engine = service.forwarding.as_ref()?.engine.clone()?;
+            Some((service.name.clone(), engine))
+        });
+        RouteTable {
+            version,
+            limits: document.caller_limits.clone().unwrap_or_default(),
+            engines: engines.collect(),
+            hosts,
+        }
+    }
+
+    /// Returns the route of a request.
+    pub(crate) fn find(&self, host: &str, path: &str) -> Option<Rc<RouteRow>> {
+        let host = host.to_ascii_lowercase();
+        let rows = match (self.hosts.get(&host), host.rsplit_once(':')) {
+            (Some(rows), _) => rows,
+            (None, Some((name, _))) => self.hosts.get(name)?,
+            (None, None) => return None,
+        };
+        rows.iter().find(|row| path.starts_with(&row.prefix)).cloned()
+    }
+
+    /// Returns what is common to a service's engines; `None` for plain services.
+    pub(crate) fn engine(&self, service: &str) -> Option<&EngineTraits> {
+        self.engines.get(service)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn table() -> RouteTable {
+        let document = serde_json::json!({
+            "name": "g", "models": [], "targets": [],
+            "services": [{ "name": "a", "kind": "plain" }, { "name": "b", "kind": "plain" }],
+            "routes": [
+                { "name": "wide", "host": "h.example", "prefix": "/x/", "repetition": "safe",
+                  "timeout_ms": 100, "shares": [{ "service": "a", "weight": 9 }, { "service": "b", "weight": 1 }] },
+                { "name": "narrow", "host": "h.example", "prefix": "/x/y/", "repetition": "unsafe",
+                  "timeout_ms": 100, "shares": [{ "service": "b", "weight": 1 }, { "service": "a", "weight": 0 }] }
+            ]
+        });
+        RouteTable::new(1, &serde_json::from_value(document).unwrap())
+    }
+
+    #[test]
+    fn find_longest_prefix() {
+        let table = table();
+        let name = |host, path| table.find(host, path).map(|row| row.name.clone());
+        assert_eq!(name("h.example", "/x/y/z").as_deref(), Some("narrow"));
+        assert_eq!(name("H.example:8080", "/x/yz").as_deref(), Some("wide"));
+        assert_eq!(name("h.example", "/x"), None);
+        assert_eq!(name("other.example", "/x/"), None);
+    }
+
+    #[test]
+    fn service_by_weight() {
+        let table = table();
+        let wide = table.find("h.example", "/x/").unwrap();
+        assert_eq!(wide.service(0.0).unwrap(), "a");
+        assert_eq!(wide.service(0.89).unwrap(), "a");
+        assert_eq!(wide.service(0.91).unwrap(), "b");
+        let narrow = table.find("h.example", "/x/y/").unwrap();
+        assert_eq!(narrow.service(0.999).unwrap(), "b");
+    }
+}
--- /dev/null
+++ b/laburnumlug-forward/src/stream.rs
@@ -0,0 +1,373 @@
+//! Requests whose answer is a series of events.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use laburnumlug::Verdict;
+use laburnumlug_http::{Answer, BodySender, Response, channel_body};
+use laburnumlug_policy::PromptChain;
+
+use crate::dialect::SendStep;
+use crate::directory::{Running, TargetHandle};
+use crate::engine::{ChosenEngines, Reading};
+use crate::events::EventSplitter;
+use crate::exchange::{Call, SendFailure};
+use crate::forwarder::Forwarder;
+use crate::refusal::{Cause, Refusal};
+use crate::routes::RouteTable;
+
+/// Longest body of an answer that is no stream, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// Most connections that are tried for one request; a connection that fails has carried nothing.
+const MAX_CONNECTS: u32 = 3;
+
+/// A request for a stream, with what its attempts share.
+struct StreamCall {
+    call: Call,
+    service: String,
+    table: Rc<RouteTable>,
+    chain: PromptChain,
+    tried: Vec<Rc<TargetHandle>>,
+    /// Targets that have seen the request.
+    sends: u32,
+}
+
+/// A stream whose first event has come.
+struct OpenStream {
+    answer: Answer,
+    splitter: EventSplitter,
+    first: Bytes,
+    running: Running,
+}
+
+/// What one attempt led to.
+enum Opened {
+    Stream(Box<OpenStream>),
+    /// An answer without events, whole.
+    Whole(Response),
+}
+
+impl Forwarder {
+    /// Answers a request for a stream.
+    pub(crate) async fn answer_stream(
+        self: Rc<Self>,
+        call: Call,
+        service: &str,
+        table: Rc<RouteTable>,
+    ) -> Result<Response, Refusal> {
+        self.note_request(Instant::now(), service);
+        let chain = match &call.facts.prompt {
+            Some(prompt) => PromptChain::new(&prompt.model, prompt.parts.iter().copied()),
+            None => PromptChain::default(),
+        };
+        let mut stream = StreamCall {
+            call,
+            service: service.to_string(),
+            table,
+            chain,
+            tried: Vec::new(),
+            sends: 0,
+        };
+        let mut unknown = false;
+        loop {
+            let failure = match self.open(&mut stream, None).await {
+                Ok(Opened::Whole(resp)) => return Ok(resp),
+                Ok(Opened::Stream(open)) => {
+                    let mut resp = hyper::Response::new(());
+                    *resp.headers_mut() = self.dialect.answered(open.answer.headers());
+                    *resp.status_mut() = hyper::StatusCode::from_u16(open.answer.status())
+                        .unwrap_or(hyper::StatusCode::OK);
+                    let (tx, body) = channel_body();
+                    compio::runtime::spawn(self.relay(stream, *open, tx)).detach();
+                    return Ok(resp.map(|()| body));
+                }
+                Err(failure) => failure,
+            };
+            unknown |= failure.verdict != Verdict::NotRun;
+            let may_repeat = !unknown || stream.call.route.is_repeatable();
+            if may_repeat && self.may_try_again(&stream) {
+                continue;
+            }
+            return Err(match failure.cause.status() {
+                503 if unknown => Refusal::new(Cause::AnswerLost, failure.detail),
+                _ => failure.refusal().retry_after(Duration::from_millis(200)),
+            });
+        }
+    }
+
+    /// Returns whether another target may be asked, and counts that it is.
+    fn may_try_again(&self, stream: &StreamCall) -> bool {
+        let attempts = stream.call.route.attempts;
+        let now = Instant::now();
+        stream.sends < attempts
+            && (stream.tried.len() as u32) < attempts + MAX_CONNECTS
+            && !stream.call.time_left(now).is_zero()
+            && (stream.sends == 0 || self.take_retry(now, &stream.service))
+    }
+
+    /// Sends the request once, until its first event has come.
+    async fn open(
+        &self,
+        stream: &mut StreamCall,
+        resume_after: Option<String>,
+    ) -> Result<Opened, SendFailure> {
+        let now = Instant::now();
+        let chosen = self.choose(now, stream)?;
+        let target = chosen.answering.clone();
+        stream.tried.push(target.clone());
+        log::debug!(
+            request_id = stream.call.facts.id.as_str(), target = target.instance.as_str(),
+            reader = chosen.reading.as_ref().map_or("", |r| r.instance.as_str()),
+            unread = chosen.unread_tokens, predicted_ms = chosen.first_event.as_millis() as u64;
+            "the stream was placed"
+        );
+        let result = self.open_at(stream, chosen, resume_after).await;
+        if let Err(failure) = &result {
+            stream.sends += u32::from(failure.arrived);
+            log::info!(
+                request_id = stream.call.facts.id.as_str(), target = target.instance.as_str(),
+                cause = failure.cause.as_str(); "a send failed: {}", failure.detail
+            );
+        } else {
+            stream.sends += 1;
+        }
+        result
+    }
+
+    fn choose(&self, now: Instant, stream: &StreamCall) -> Result<ChosenEngines, SendFailure> {
+        let traits = stream.table.engine(&stream.service);
+        let chosen = match (&stream.call.facts.prompt, traits) {
+            (Some(prompt), Some(traits)) => self.choose_engines(
+                now,
+                &stream.service,
+                traits,
+                prompt,
+                &stream.chain,
+                &stream.tried,
+            ),
+            _ => {
+                let target = self.plain_target(now, &stream.service, &stream.tried);
+                target.map(|answering| ChosenEngines {
+                    answering,
+                    reading: None,
+                    unread_tokens: 0,
+                    first_event: Duration::ZERO,
+                })
+            }
+        };
+        chosen.ok_or_else(|| SendFailure {
+            verdict: Verdict::NotRun,
+            cause: Cause::NoTarget,
+            detail: "no engine of the service has room".to_string(),
+            arrived: false,
+        })
+    }
+
+    async fn open_at(
+        &self,
+        stream: &StreamCall,
+        chosen: ChosenEngines,
+        resume_after: Option<String>,
+    ) -> Result<Opened, SendFailure> {
+        let call = &stream.call;
+        let target = chosen.answering.clone();
+        let step = match &chosen.reading {
+            Some(reader) => match self.read_prompt(stream, reader, chosen.unread_tokens).await {
+                Some(step) => step,
+                // The answering engine reads the prompt itself.
+                None => SendStep::Whole,
+            },
+            None => SendStep::Whole,
+        };
+        let unread = match step {
+            SendStep::Whole => chosen.unread_tokens,
+            _ => 0,
+        };
+        let running = target.enter();
+        let reading = Reading::start(Instant::now(), &target, unread);
+        let mut answer = self.send(call, &target, step, resume_after).await?;
+        if answer.status() >= 300 {
+            return self.whole(&target, answer).await.map(Opened::Whole);
+        }
+        let mut splitter = EventSplitter::default();
+        loop {
+            let left = call.time_left(Instant::now());
+            let chunk = match compio::time::timeout(left, answer.chunk()).await {
+                Ok(Ok(Some(chunk))) => chunk,
+                Ok(Ok(None)) => {
+                    let body = splitter.finish();
+                    let resp = self.pass_on(answer.status(), answer.headers(), body);
+                    self.pool.keep(Instant::now(), answer);
+                    return Ok(Opened::Whole(resp));
+                }
+                Ok(Err(err)) => {
+                    target.health.borrow_mut().note_failure(Instant::now(), false);
+                    return Err(SendFailure::lost(err.to_string()));
+                }
+                Err(_) => {
+                    return Err(SendFailure {
+                        cause: Cause::TimedOut,
+                        ..SendFailure::lost("no event in time".to_string())
+                    });
+                }
+            };
+            if let Some(first) = splitter.push(&chunk) {
+                reading.finish(Instant::now(), &stream.chain);
+                target.health.borrow_mut().note_success();
+                return Ok(Opened::Stream(Box::new(OpenStream {
+                    answer,
+                    splitter,
+                    first,
+                    running,
+                })));
+            }
+        }
+    }
+
+    /// Has an engine read the prompt for another one; `None` where it did not.
+    async fn read_prompt(
+        &self,
+        stream: &StreamCall,
+        reader: &Rc<TargetHandle>,
+        unread_tokens: u64,
+    ) -> Option<SendStep> {
+        let call = &stream.call;
+        let _running = reader.enter();
+        let reading = Reading::start(Instant::now(), reader, unread_tokens);
+        let result = async {
+            let mut answer = self.send(call, reader, SendStep::ReadPrompt, None).await?;
+            let status = answer.status();
+            let body = answer.bytes(MAX_ANSWER_BYTES).await;
+            let body = body.map_err(|err| SendFailure::lost(err.to_string()))?;
+            self.pool.keep(Instant::now(), answer);
+            match self.dialect.prompt_handle(&body) {
+                Some(handle) if status == 200 => Ok(handle),
+                _ => Err(SendFailure::lost(format!("no prompt was kept, status {status}"))),
+            }
+        };
+        match result.await {
+            Ok(handle) => {
+                reading.finish(Instant::now(), &stream.chain);
+                reader.health.borrow_mut().note_success();
+                let source = reader.row.borrow().addr;
+                Some(SendStep::AnswerFrom { source, handle })
+            }
+            Err(failure) => {
+                log::info!(
+                    request_id = call.facts.id.as_str(), target = reader.instance.as_str(),
+                    cause = failure.cause.as_str(); "the prompt was not read: {}", failure.detail
+                );
+                None
+            }
+        }
+    }
+
+    /// Reads an answer that is no stream.
+    async fn whole(
+        &self,
+        target: &TargetHandle,
+        mut answer: Answer,
+    ) -> Result<Response, SendFailure> {
+        let body = answer.bytes(MAX_ANSWER_BYTES).await;
+        let body = body.map_err(|err| SendFailure::lost(err.to_string()))?;
+        let status = answer.status();
+        if status >= 500 {
+            target.health.borrow_mut().note_failure(Instant::now(), false);
+        }
+        let resp = self.pass_on(status, answer.headers(), body);
+        self.pool.keep(Instant::now(), answer);
+        Ok(resp)
+    }
+
+    /// Passes events on until the stream ends, the caller leaves, or its time is over.
+    async fn relay(self: Rc<Self>, mut stream: StreamCall, open: OpenStream, mut tx: BodySender) {
+        let OpenStream {
+            mut answer,
+            mut splitter,
+            first,
+            mut running,
+        } = open;
+        let id = stream.call.facts.id.clone();
+        if tx.send(first).await.is_err() {
+            return;
+        }
+        loop {
+            let left = stream.call.time_left(Instant::now());
+            let next = {
+                let mut chunk = Box::pin(answer.chunk()).fuse();
+                let mut closed = Box::pin(tx.closed()).fuse();
+                let mut expired = Box::pin(compio::time::sleep(left)).fuse();
+                futures_util::select_biased! {
+                    chunk = chunk => Some(chunk),
+                    () = closed => return,
+                    () = expired => None,
+                }
+            };
+            let broken = match next {
+                Some(Ok(Some(chunk))) => {
+                    let events = splitter.push(&chunk).unwrap_or_default();
+                    if !events.is_empty() && tx.send(events).await.is_err() {
+                        return;
+                    }
+                    continue;
+                }
+                Some(Ok(None)) => {
+                    let rest = splitter.finish();
+                    if rest.is_empty() || tx.send(rest).await.is_ok() {
+                        self.pool.keep(Instant::now(), answer);
+                    }
+                    return;
+                }
+                Some(Err(err)) => err.to_string(),
+                None => {
+                    log::info!(request_id = id.as_str(), cause = Cause::TimedOut.as_str();
+                        "the stream was broken off: its time is over");
+                    return tx.abort();
+                }
+            };
+            let target = running.target.clone();
+            target.health.borrow_mut().note_failure(Instant::now(), false);
+            splitter.drop_partial();
+            let resumed = self.resume(&mut stream, &splitter).await;
+            log::info!(
+                request_id = id.as_str(), target = target.instance.as_str(),
+                resumed = resumed.is_some(); "the stream broke: {broken}"
+            );
+            let Some(next) = resumed else {
+                return tx.abort();
+            };
+            answer = next.answer;
+            running = next.running;
+            let last_id = next.splitter.last_id().or(splitter.last_id()).cloned();
+            splitter = next.splitter;
+            splitter.set_last_id(last_id);
+            if tx.send(next.first).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Continues a broken stream at another target behind the last whole event.
+    async fn resume(
+        &self,
+        stream: &mut StreamCall,
+        splitter: &EventSplitter,
+    ) -> Option<OpenStream> {
+        let last_id = splitter.last_id()?.clone();
+        if !stream.call.route.is_repeatable() {
+            return None;
+        }
+        while self.may_try_again(stream) {
+            match self.open(stream, Some(last_id.clone())).await {
+                Ok(Opened::Stream(open)) => return Some(*open),
+                // Another answer than a stream cannot be joined to one.
+                Ok(Opened::Whole(_)) => return None,
+                Err(_) => {}
+            }
+        }
+        None
+    }
+}
--- a/laburnumlug-http/src/body.rs
+++ b/laburnumlug-http/src/body.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::fmt;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -10,12 +11,24 @@
 use event_listener::Event;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Frame, SizeHint};
 use serde::Serialize;
 
 /// Body of a response, whole or streamed.
-pub type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = Infallible>>>;
+pub type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = Aborted>>>;
+
+/// The sender of a streamed body gave up; the connection is closed so that the answer does not look complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Aborted;
+
+impl fmt::Display for Aborted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer was broken off")
+    }
+}
+
+impl std::error::Error for Aborted {}
 
 /// Response that a [`Handler`](crate::Handler) returns.
 pub type Response = hyper::Response<Body>;
@@ -31,7 +44,7 @@
 where
     B: Into<Bytes>,
 {
-    Box::pin(Full::new(bytes.into()))
+    Box::pin(Full::new(bytes.into()).map_err(|err: Infallible| match err {}))
 }
 
 /// Returns a plain-text response.
@@ -88,7 +101,7 @@
 
 /// Fills a streamed body.
 pub struct BodySender {
-    tx: mpsc::UnboundedSender<Bytes>,
+    tx: mpsc::UnboundedSender<Result<Bytes, Aborted>>,
     buffered: Rc<Buffered>,
 }
 
@@ -109,9 +122,16 @@
         }
         let bytes = self.buffered.bytes.get() + chunk.len();
         self.buffered.bytes.set(bytes);
-        self.tx
-            .unbounded_send(chunk)
-            .map_err(|err| err.into_inner())
+        match self.tx.unbounded_send(Ok(chunk)) {
+            Ok(()) => Ok(()),
+            Err(err) => Err(err.into_inner().unwrap_or_default()),
+        }
+    }
+
+    /// Breaks the body off: what was sent is delivered, and then the connection is closed.
+    pub fn abort(self) {
+        // Without a reader there is nothing to break off.
+        let _ = self.tx.unbounded_send(Err(Aborted));
     }
 
     /// Waits until the reader has hung up.
@@ -129,7 +149,7 @@
 
 /// Body that is read from a channel.
 struct ChannelBody {
-    rx: mpsc::UnboundedReceiver<Bytes>,
+    rx: mpsc::UnboundedReceiver<Result<Bytes, Aborted>>,
     buffered: Rc<Buffered>,
 }
 
@@ -142,19 +162,19 @@
 
 impl hyper::body::Body for ChannelBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = Aborted;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         let chunk = ready!(self.rx.poll_next_unpin(cx));
-        if let Some(chunk) = &chunk {
+        if let Some(Ok(chunk)) = &chunk {
             let bytes = self.buffered.bytes.get() - chunk.len();
             self.buffered.bytes.set(bytes);
             self.buffered.changed.notify(usize::MAX);
         }
-        Poll::Ready(chunk.map(|chunk| Ok(Frame::data(chunk))))
+        Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
     }
 }
 
@@ -181,12 +201,12 @@
 
 impl<G> hyper::body::Body for GuardedBody<G> {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = Aborted;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         self.body.as_mut().poll_frame(cx)
     }
 
@@ -202,7 +222,6 @@
 #[cfg(test)]
 mod tests {
     use futures_util::FutureExt;
-    use http_body_util::BodyExt;
 
     use super::*;
 
@@ -217,6 +236,17 @@
         assert_eq!(sent, Some(Ok(())));
     }
 
+    #[test]
+    fn abort_after_chunk() {
+        let (mut tx, mut body) = channel_body();
+        let chunk = Bytes::from_static(b"a");
+        assert_eq!(tx.send(chunk).now_or_never(), Some(Ok(())));
+        tx.abort();
+        let mut next = || body.frame().now_or_never().unwrap().unwrap();
+        assert!(next().is_ok());
+        assert_eq!(next().err(), Some(Aborted));
+    }
+
     #[test]
     fn send_after_hang_up() {
         let (mut tx, body) = channel_body();
--- a/laburnumlug-http/src/client.rs
+++ b/laburnumlug-http/src/client.rs
@@ -14,6 +14,7 @@
 use std::pin::Pin;
 
 use crate::error::Error;
+use crate::socket;
 
 /// Connection driver of one exchange.
 type Driver = Pin<Box<dyn Future<Output = Result<(), hyper::Error>>>>;
@@ -36,7 +37,7 @@
         Ok(Err(err)) => return Err(Error::connect(err)),
         Err(_) => return Err(Error::connect(std::io::ErrorKind::TimedOut.into())),
     };
-    let _ = stream.set_nodelay(true);
+    socket::set_options(&stream);
     let (mut sender, conn) = http1::handshake(HyperStream::new_plain(stream))
         .await
         .map_err(Error::exchange)?;
--- a/laburnumlug-http/src/lib.rs
+++ b/laburnumlug-http/src/lib.rs
@@ -17,6 +17,7 @@
 ```
 
 [`Server`] runs one task for each connection and bounds headers, bodies, connections and idle time.
+[`ConnectionPool`] keeps connections to peers and tells whether anything of a failed request was written.
 [`send`] opens a fresh connection for each request, so no pooled connection can resend a request that
 must run at most once, and dropping the answer closes the connection, which cancels the work behind it.
 */
@@ -24,14 +25,17 @@
 mod body;
 mod client;
 mod error;
+mod pool;
 mod server;
+mod socket;
 
 pub use crate::body::{
-    Body, BodySender, Response, ResponseBuilder, channel_body, full_body, hold_until_sent,
+    Aborted, Body, BodySender, Response, ResponseBuilder, channel_body, full_body, hold_until_sent,
     json_response, text_response,
 };
 pub use crate::client::{Incoming, send};
 pub use crate::error::Error;
+pub use crate::pool::{Answer, ConnectionPool, SendError};
 pub use crate::server::{
-    Handler, Limits, PeerAddr, Request, Server, ShutdownHandle, discard_body, read_body,
+    Handler, Limits, LimitsHandle, PeerAddr, Request, Server, ShutdownHandle, discard_body, read_body,
 };
--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 server with limits.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -19,7 +19,7 @@
 use rustix::net::sockopt::set_socket_send_buffer_size;
 
 use crate::error::Error;
-use crate::{Response, text_response};
+use crate::{Response, socket, text_response};
 
 /// Unsent bytes that the kernel holds for one connection.
 const SEND_BUFFER_BYTES: usize = 128 * 1024;
@@ -141,16 +141,31 @@
 /// Accepts connections and answers their requests.
 pub struct Server {
     listener: TcpListener,
-    limits: Limits,
+    limits: LimitsHandle,
     shared: Rc<Shared>,
 }
 
+/// Changes the limits of a [`Server`] for connections that are accepted later.
+#[derive(Clone)]
+pub struct LimitsHandle {
+    limits: Rc<RefCell<Limits>>,
+}
+
+impl LimitsHandle {
+    /// Replaces the limits.
+    pub fn set(&self, limits: Limits) {
+        *self.limits.borrow_mut() = limits;
+    }
+}
+
 impl Server {
     /// Creates a server on a bound listener.
     pub fn new(listener: TcpListener, limits: Limits) -> Server {
         Server {
             listener,
-            limits,
+            limits: LimitsHandle {
+                limits: Rc::new(RefCell::new(limits)),
+            },
             shared: Rc::default(),
         }
     }
@@ -162,6 +177,11 @@
         }
     }
 
+    /// Returns a handle that changes this server's limits.
+    pub fn limits_handle(&self) -> LimitsHandle {
+        self.limits.clone()
+    }
+
     /// Serves until it is shut down and the last answer is finished.
     pub async fn run<H>(self, handler: Rc<H>)
     where
@@ -193,9 +213,9 @@
         H: Handler,
     {
         let shared = self.shared.clone();
-        let over_limit = shared.connections.get() >= self.limits.connections;
+        let limits = self.limits.limits.borrow().clone();
+        let over_limit = shared.connections.get() >= limits.connections;
         shared.connections.set(shared.connections.get() + 1);
-        let limits = self.limits.clone();
         compio::runtime::spawn(async move {
             if over_limit {
                 let refuse = Rc::new(|_| async { text_response(503, "too many connections") });
@@ -219,8 +239,7 @@
 ) where
     H: Handler,
 {
-    // Answers are small and latency matters more than packet count.
-    let _ = stream.set_nodelay(true);
+    socket::set_options(&stream);
     // The kernel would let a slow reader hold megabytes.
     let _ = set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
     let service = service_fn(move |mut req: Request| {
--- a/laburnumlug-mesh/src/connection.rs
+++ b/laburnumlug-mesh/src/connection.rs
@@ -8,7 +8,7 @@
 use compio::net::TcpStream;
 use futures_util::{SinkExt, StreamExt};
 use laburnumlug::{Incarnation, RequestId};
-use rustix::net::sockopt::set_socket_send_buffer_size;
+use rustix::net::sockopt::{set_socket_send_buffer_size, set_tcp_user_timeout};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio_tungstenite::WebSocketStream;
@@ -33,6 +33,9 @@
 /// Unsent bytes that the kernel holds for one connection.
 const SEND_BUFFER_BYTES: usize = 256 * 1024;
 
+/// Time in milliseconds after which unacknowledged bytes break a connection; a partitioned peer answers nothing.
+const USER_TIMEOUT_MS: u32 = 3_000;
+
 /// How long the peer may take for its part of the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -267,6 +270,9 @@
 /// Sends small messages at once, and lets the kernel hold few of them for a peer that does not read.
 fn set_options(stream: &TcpStream) {
     let _ = stream.set_nodelay(true);
+    if let Err(err) = set_tcp_user_timeout(stream, USER_TIMEOUT_MS) {
+        log::debug!("TCP_USER_TIMEOUT was not set: {err}");
+    }
     let _ = set_socket_send_buffer_size(stream, SEND_BUFFER_BYTES);
 }
 
--- a/laburnumlug-mesh/src/lib.rs
+++ b/laburnumlug-mesh/src/lib.rs
@@ -42,7 +42,7 @@
 pub use crate::handshake::{MeshKey, SessionId};
 pub use crate::intent::{Intent, ModelVersion, RoleAssignment};
 pub use crate::message::{
-    ControlMessage, LoadReport, Message, PlainRequest, RefusalReason, WorkMessage, WorkPayload,
+    ControlMessage, LoadReport, Message, PlainRequest, RefusalReason, TargetsReport, WorkMessage, WorkPayload,
     WorkRequest,
 };
 pub use crate::node_command::{
--- a/laburnumlug-mesh/src/message.rs
+++ b/laburnumlug-mesh/src/message.rs
@@ -2,7 +2,7 @@
 
 use laburnumlug::{
     AttemptNumber, CallerName, FencingNumber, FleetVersion, IdempotencyKey, Incarnation,
-    ReplicaStanding, ServiceName, TargetName, Verdict,
+    ReplicaStanding, ServiceName, TargetList, TargetName, Verdict,
 };
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +34,13 @@
         /// Version that the asker holds; 0 for none.
         known: FleetVersion,
     },
+    /// Asks for the live targets that the replica has read from the platform.
+    FetchTargets {
+        /// Digest of the list that the asker holds; 0 for none.
+        known: u64,
+    },
+    /// Answers [`ControlMessage::FetchTargets`]; `None` where the replica reads no list.
+    Targets(Option<TargetsReport>),
     /// Answers [`ControlMessage::FetchFleet`].
     Fleet {
         /// Who answers.
@@ -173,6 +180,17 @@
     },
 }
 
+/// A list of live targets and its age.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TargetsReport {
+    /// Time since the list was asked for, in milliseconds.
+    pub age_ms: u64,
+    /// Digest of the list.
+    pub digest: u64,
+    /// The list; `None` where the asker holds it.
+    pub list: Option<TargetList>,
+}
+
 /// A request as an entry hands it to a target process.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct WorkRequest {
--- a/laburnumlug-operator/src/check/mod.rs
+++ b/laburnumlug-operator/src/check/mod.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod names;
+mod routes;
 mod services;
 mod targets;
 
@@ -18,6 +19,7 @@
     services::check(document, &mut faults);
     targets::check(document, &mut faults);
     control::check(document, &mut faults);
+    routes::check(document, &mut faults);
     faults
 }
 
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -43,11 +43,16 @@
 */
 
 mod admission;
+mod allowance;
 mod fairness;
 mod forecast;
+mod health;
+mod placement;
 mod predict;
 mod prefix;
+mod prompt_cache;
 mod rates;
+mod reading;
 mod route;
 mod subset;
 mod work;
@@ -55,11 +60,16 @@
 pub use crate::admission::{
     Admission, CapacityAdmission, DeadlineAdmission, QueueView, Refusal, RefusalCause, admission,
 };
+pub use crate::allowance::RetryAllowance;
 pub use crate::fairness::CallerActivity;
 pub use crate::forecast::{finish_times, waiting_time};
+pub use crate::health::TargetHealth;
+pub use crate::placement::{EngineView, FIRST_EVENT_OVERHEAD, Placement, PromptView, place};
 pub use crate::predict::OutputPredictor;
 pub use crate::prefix::{PrefixHashes, PrefixIndex};
+pub use crate::prompt_cache::{ChainId, PromptCache, PromptChain};
 pub use crate::rates::{EngineRates, RateMeter};
+pub use crate::reading::{ReadId, ReadingQueue};
 pub use crate::route::{
     ByRole, Candidate, LeastQueue, PredictedFinish, ReportedLoad, RouteQuery, Router, router,
 };
--- a/src/confirmation.rs
+++ b/src/confirmation.rs
@@ -60,9 +60,7 @@
 
     /// Notes the answer of the replica at position `replica` to a question that was asked at `asked_at`.
     ///
-    /// # Panics
-    ///
-    /// Panics where `replica` is not below the number given to [`Confirmation::new`].
+    /// A position beyond the number given to [`Confirmation::new`] adds replicas.
     pub fn note(
         &mut self,
         replica: usize,
@@ -70,6 +68,9 @@
         logged_change: u64,
         standing: ReplicaStanding,
     ) {
+        if replica >= self.answers.len() {
+            self.answers.resize(replica + 1, None);
+        }
         self.answers[replica] = Some(Answer {
             asked_at,
             logged_change,
--- a/src/generated.rs
+++ b/src/generated.rs
@@ -61,6 +61,31 @@
         value.parse()
     }
 }
+#[doc = "What a caller may send, and how long it may take."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct CallerLimits {
+    #[serde(default = "defaults::default_u64::<u64, 4194304>")]
+    pub body_bytes: u64,
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 32768>")]
+    pub header_bytes: ::std::num::NonZeroU64,
+    #[doc = "Time for a request's head, in milliseconds."]
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 10000>")]
+    pub header_ms: ::std::num::NonZeroU64,
+    #[doc = "Time that a connection may stay idle, in milliseconds."]
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 15000>")]
+    pub idle_ms: ::std::num::NonZeroU64,
+}
+impl ::std::default::Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            body_bytes: defaults::default_u64::<u64, 4194304>(),
+            header_bytes: defaults::default_nzu64::<::std::num::NonZeroU64, 32768>(),
+            header_ms: defaults::default_nzu64::<::std::num::NonZeroU64, 10000>(),
+            idle_ms: defaults::default_nzu64::<::std::num::NonZeroU64, 15000>(),
+        }
+    }
+}
 #[doc = "A replica of the control log."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -70,20 +95,57 @@
     pub name: ::std::string::String,
     pub zone: ::std::string::String,
 }
+#[doc = "What is common to the engines of a service."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct EngineTraits {
+    #[doc = "How long an engine keeps a prompt that it read for another engine, in milliseconds."]
+    #[serde(default)]
+    pub handle_ms: u64,
+    #[doc = "Rate at which KV cache moves between two engines, in megabits a second; 0 if it does not move."]
+    #[serde(default = "defaults::engine_traits_link_mbps")]
+    pub link_mbps: f64,
+    #[doc = "Tokens that one engine's KV cache holds."]
+    pub memory_tokens: ::std::num::NonZeroU64,
+    #[doc = "Requests that one engine processes at once."]
+    pub slots: ::std::num::NonZeroU32,
+    #[doc = "Size of one token in the KV cache, in bytes."]
+    pub token_bytes: u64,
+}
 #[doc = "The fleet as its operators intend it: what runs where, in which role, and under which policy."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct FleetDocument {
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub adapters: ::std::vec::Vec<Adapter>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub caller_limits: ::std::option::Option<CallerLimits>,
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub control: ::std::vec::Vec<ControlVm>,
     pub models: ::std::vec::Vec<Model>,
     #[doc = "Name of the deployment."]
     pub name: ::std::string::String,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub origin: ::std::option::Option<Origin>,
+    #[doc = "Requests that are forwarded unchanged to the live targets of a service."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub routes: ::std::vec::Vec<Route>,
     pub services: ::std::vec::Vec<Service>,
     pub targets: ::std::vec::Vec<Target>,
 }
+#[doc = "What forwarding needs to know of a service whose targets are discovered."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Forwarding {
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub engine: ::std::option::Option<EngineTraits>,
+    #[doc = "Path of the health check."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub health_path: ::std::option::Option<::std::string::String>,
+    #[doc = "Connections that one target accepts from all callers together."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub max_connections: ::std::option::Option<::std::num::NonZeroU32>,
+}
 #[doc = "One version of a model on a target."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -101,6 +163,15 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub weight_bytes: ::std::option::Option<u64>,
 }
+#[doc = "The document of another system from which this one was translated."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Origin {
+    #[doc = "Its version there; a higher one replaces a lower one."]
+    pub number: u64,
+    #[doc = "Its text as it was submitted."]
+    pub text: ::std::string::String,
+}
 #[doc = "Parameters of the decisions for one service."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -200,6 +271,61 @@
         PolicyPlanner::Fixed
     }
 }
+#[doc = "Whether a request may run more than once; a stream is a request whose answer is a series of events."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum Repetition {
+    #[serde(rename = "safe")]
+    Safe,
+    #[serde(rename = "unsafe")]
+    Unsafe,
+    #[serde(rename = "stream")]
+    Stream,
+}
+impl ::std::fmt::Display for Repetition {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Safe => f.write_str("safe"),
+            Self::Unsafe => f.write_str("unsafe"),
+            Self::Stream => f.write_str("stream"),
+        }
+    }
+}
+impl ::std::str::FromStr for Repetition {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "safe" => Ok(Self::Safe),
+            "unsafe" => Ok(Self::Unsafe),
+            "stream" => Ok(Self::Stream),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Repetition {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Repetition {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 #[doc = "Which part of the work an engine does."]
 #[derive(
     :: serde :: Deserialize,
@@ -264,6 +390,37 @@
     #[serde(default)]
     pub prefill: u32,
 }
+#[doc = "Requests of one host below one path, and how they are forwarded."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    #[doc = "Whether requests name the shared parts of their prompts."]
+    #[serde(default)]
+    pub affine: bool,
+    #[doc = "Time within which an answer, or the first event of a stream, is on time, in milliseconds."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub aim_ms: ::std::option::Option<::std::num::NonZeroU64>,
+    #[doc = "Most targets to which one request is sent."]
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 1>")]
+    pub attempts: ::std::num::NonZeroU32,
+    pub host: ::std::string::String,
+    pub name: ::std::string::String,
+    #[doc = "Longest pause between two events of a stream that is on time, in milliseconds."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub pause_ms: ::std::option::Option<::std::num::NonZeroU64>,
+    #[doc = "Begin of the path, from slash to slash; the longest that fits decides."]
+    pub prefix: ::std::string::String,
+    #[doc = "Urgency among routes; 0 is the most urgent."]
+    #[serde(default)]
+    pub rank: u32,
+    pub repetition: Repetition,
+    #[doc = "Whether a broken stream may go on at another target."]
+    #[serde(default)]
+    pub resumable: bool,
+    pub shares: ::std::vec::Vec<ServiceShare>,
+    #[doc = "Longest time until the answer is complete, in milliseconds."]
+    pub timeout_ms: ::std::num::NonZeroU64,
+}
 #[doc = "How an entry orders the targets for a request: the least used first, those of the fitting role first, or those that would finish first."]
 #[derive(
     :: serde :: Deserialize,
@@ -325,6 +482,8 @@
 pub struct Service {
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub floors: ::std::option::Option<RoleFloors>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub forwarding: ::std::option::Option<Forwarding>,
     pub kind: ServiceKind,
     #[doc = "Models that an engine service answers for."]
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
@@ -384,6 +543,13 @@
         value.parse()
     }
 }
+#[doc = "Share of a route's requests that one service gets."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceShare {
+    pub service: ::std::string::String,
+    pub weight: f64,
+}
 #[doc = "An engine or an application server with its process of the system beside it."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -472,6 +638,13 @@
     {
         T::try_from(V).unwrap()
     }
+    pub(super) fn default_u64<T, const V: u64>() -> T
+    where
+        T: ::std::convert::TryFrom<u64>,
+        <T as ::std::convert::TryFrom<u64>>::Error: ::std::fmt::Debug,
+    {
+        T::try_from(V).unwrap()
+    }
     pub(super) fn default_nzu64<T, const V: u64>() -> T
     where
         T: ::std::convert::TryFrom<::std::num::NonZeroU64>,
@@ -479,6 +652,9 @@
     {
         T::try_from(::std::num::NonZeroU64::try_from(V).unwrap()).unwrap()
     }
+    pub(super) fn engine_traits_link_mbps() -> f64 {
+        0.0_f64
+    }
     pub(super) fn policy_admission() -> super::AdmissionPolicy {
         super::AdmissionPolicy::Capacity
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,18 +36,21 @@
 #[rustfmt::skip]
 mod generated;
 mod id;
+mod live_target;
 mod standing;
 mod verdict;
 
 pub use crate::capacity::{PIECE_TOKENS, pieces_for_tokens};
 pub use crate::confirmation::Confirmation;
 pub use crate::generated::{
-    Adapter, AdmissionPolicy, ControlVm, FleetDocument, LoadedModel, Model, Policy, Role,
-    RoleFloors, RoutingPolicy, Service, ServiceKind, Target, TargetState,
+    Adapter, AdmissionPolicy, CallerLimits, ControlVm, EngineTraits, FleetDocument, Forwarding,
+    LoadedModel, Model, Origin, Policy, Repetition, Role, RoleFloors, Route, RoutingPolicy,
+    Service, ServiceKind, ServiceShare, Target, TargetState,
 };
 pub use crate::id::{
     AttemptNumber, CallerName, FencingNumber, FleetVersion, IdempotencyKey, Incarnation, RequestId,
     ServiceName, TargetName, VmName, ZoneName,
 };
+pub use crate::live_target::{LiveTarget, TargetList};
 pub use crate::standing::{ReplicaId, ReplicaStanding};
 pub use crate::verdict::{ParseVerdictError, Verdict};
