--- a/laburnumlug-control/src/mesh.rs
+++ b/laburnumlug-control/src/mesh.rs
@@ -40,8 +40,8 @@
             Message::Control(ControlMessage::Submit { command }) => {
                 Some(submit(&replica, command).await)
             }
-            Message::Control(ControlMessage::FetchTargets { known }) => {
-                let report = replica.targets_report(Instant::now(), known);
+            Message::Control(ControlMessage::FetchTargets { known, own }) => {
+                let report = replica.targets_report(Instant::now(), known, own);
                 Some(Message::Control(ControlMessage::Targets(report)))
             }
             Message::Replica { body } => replica.answer_peer(&body).await,
--- a/laburnumlug-control/src/replica/leadership.rs
+++ b/laburnumlug-control/src/replica/leadership.rs
@@ -147,7 +147,8 @@
         };
         let learners = || leadership.progress.values().filter(joins);
         let mut voters = membership.voters.to_vec();
-        let former = |learner: &Progress| voters.iter().position(|v| v.name == learner.replica.name);
+        let former =
+            |learner: &Progress| voters.iter().position(|v| v.name == learner.replica.name);
         if let Some(old) = learners().find_map(former) {
             voters.remove(old);
             return Some(voters);
--- a/laburnumlug-control/src/replica/mod.rs
+++ b/laburnumlug-control/src/replica/mod.rs
@@ -6,8 +6,8 @@
 mod follower;
 mod leader;
 mod leadership;
-mod peers;
 mod open;
+mod peers;
 mod read;
 mod standing;
 mod submit;
@@ -15,6 +15,7 @@
 mod writer;
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -43,6 +44,8 @@
     peers: RefCell<Vec<PeerReplica>>,
     /// Live targets that this replica has read from the platform.
     targets: RefCell<Option<PublishedTargets>>,
+    /// Gateways and when each asked last.
+    gateways: RefCell<BTreeMap<SocketAddr, Instant>>,
     /// Held while identity, term or vote change, until the change is synced.
     meta: futures_util::lock::Mutex<MetaFile>,
     pool: Pool,
--- a/laburnumlug-control/src/replica/open.rs
+++ b/laburnumlug-control/src/replica/open.rs
@@ -71,6 +71,7 @@
             core: RefCell::new(core),
             peers: RefCell::default(),
             targets: RefCell::default(),
+            gateways: RefCell::default(),
             meta: futures_util::lock::Mutex::new(meta_file),
             changed: Event::new(),
             _lock: lock,
--- a/laburnumlug-control/src/replica/standing.rs
+++ b/laburnumlug-control/src/replica/standing.rs
@@ -153,7 +153,12 @@
         let Some(founding) = self.founding() else {
             return Ok(());
         };
-        join_all(peers.iter().map(|peer| self.call(peer.addr, &founding, FOUND_TIMEOUT))).await;
+        join_all(
+            peers
+                .iter()
+                .map(|peer| self.call(peer.addr, &founding, FOUND_TIMEOUT)),
+        )
+        .await;
         self.core.borrow_mut().election_at = Instant::now();
         Ok(())
     }
--- a/laburnumlug-daemon/src/control.rs
+++ b/laburnumlug-daemon/src/control.rs
@@ -22,16 +22,17 @@
     logging::start("control", &settings.process, &settings.log)?;
     let server = start(settings, Rc::new(Metrics::new()?)).await?;
     let replica = server.replica.clone();
-    compio::runtime::spawn(settings_watch::run(path.clone(), move || {
-        match ControlSettings::read(&path) {
+    compio::runtime::spawn(settings_watch::run(
+        path.clone(),
+        move || match ControlSettings::read(&path) {
             Ok(settings) => {
                 for peer in &settings.replicas {
                     replica.add_peer(&peer.name);
                 }
             }
             Err(err) => log::error!("the changed settings are not taken: {err}"),
-        }
-    }))
+        },
+    ))
     .detach();
     signal::stop_requested().await;
     server.stop().await;
--- a/laburnumlug-daemon/src/dev.rs
+++ b/laburnumlug-daemon/src/dev.rs
@@ -14,8 +14,8 @@
 use crate::error::Error;
 use crate::metrics::Metrics;
 use crate::settings::{
-    ControlSettings, EntrySettings, LogOutput, LogSettings, MeshSettings, PeerKind, ProcessSettings,
-    TargetSettings,
+    ControlSettings, EntrySettings, LogOutput, LogSettings, MeshSettings, PeerKind,
+    ProcessSettings, TargetSettings,
 };
 use crate::{control, entry, logging, signal, target};
 
--- a/laburnumlug-daemon/src/fleet_store.rs
+++ b/laburnumlug-daemon/src/fleet_store.rs
@@ -54,7 +54,8 @@
             }
             let change = FleetChange::new(OPERATOR, base, &document);
             let submitted =
-                self.replica.submit_within(SystemTime::now(), Command::Fleet(change), left);
+                self.replica
+                    .submit_within(SystemTime::now(), Command::Fleet(change), left);
             match submitted.await {
                 Ok(Outcome::Fleet(Ok(accepted))) => {
                     log::info!(number = number, version = accepted.version; "a configuration was accepted");
--- a/laburnumlug-daemon/src/fleet_watch.rs
+++ b/laburnumlug-daemon/src/fleet_watch.rs
@@ -86,6 +86,12 @@
 
     /// The list of live targets is known to be unchanged at `read_at`.
     fn targets_unchanged(&self, read_at: Instant);
+
+    /// These gateways were active lately.
+    fn gateways_heard(&self, gateways: &[SocketAddr]);
+
+    /// Returns the address at which this process takes events of other gateways.
+    fn own_address(&self) -> Option<SocketAddr>;
 }
 
 impl State {
@@ -133,7 +139,10 @@
     }
 
     /// Starts like [`FleetWatch::start`] and tells `observer` all that is learnt, live targets included.
-    pub(crate) fn start_observed(mesh: &MeshSettings, observer: Rc<dyn ViewObserver>) -> FleetWatch {
+    pub(crate) fn start_observed(
+        mesh: &MeshSettings,
+        observer: Rc<dyn ViewObserver>,
+    ) -> FleetWatch {
         let watch = FleetWatch::start(mesh);
         watch.state.borrow_mut().observer = Some(observer);
         watch
@@ -197,7 +206,12 @@
         if tells_targets || state.borrow().needs_targets(Instant::now()) {
             let known = state.borrow().targets_digest;
             let asked_at = Instant::now();
-            let asking = ask_targets(&mut conn, known);
+            let own = state
+                .borrow()
+                .observer
+                .as_ref()
+                .and_then(|o| o.own_address());
+            let asking = ask_targets(&mut conn, known, own);
             match compio::time::timeout(ANSWER_TIMEOUT, asking).await {
                 Ok(Some(report)) => {
                     tells_targets = report.is_some();
@@ -245,8 +259,12 @@
     }
 }
 
-async fn ask_targets(conn: &mut Connection, known: u64) -> Option<Option<TargetsReport>> {
-    let question = Message::Control(ControlMessage::FetchTargets { known });
+async fn ask_targets(
+    conn: &mut Connection,
+    known: u64,
+    own: Option<SocketAddr>,
+) -> Option<Option<TargetsReport>> {
+    let question = Message::Control(ControlMessage::FetchTargets { known, own });
     conn.send("", &question).await.ok()?;
     match conn.recv().await {
         Ok((_, Message::Control(ControlMessage::Targets(report)))) => Some(report),
@@ -258,9 +276,15 @@
     let Some(read_at) = asked_at.checked_sub(Duration::from_millis(report.age_ms)) else {
         return;
     };
-    if state.targets_read_at.is_some_and(|newest| read_at <= newest) {
+    if state
+        .targets_read_at
+        .is_some_and(|newest| read_at <= newest)
+    {
         return;
     }
+    if let Some(observer) = &state.observer {
+        observer.gateways_heard(&report.gateways);
+    }
     state.targets_read_at = Some(read_at);
     state.targets_digest = report.digest;
     match (&state.observer, report.list) {
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -15,6 +15,7 @@
 
 use crate::error::Error;
 use crate::fleet_watch::{FleetView, FleetWatch, ViewObserver};
+use crate::gateway_peers::GatewayPeers;
 use crate::metrics::{self, Metrics};
 use crate::settings::GatewaySettings;
 use crate::{logging, settings_watch, signal};
@@ -43,13 +44,15 @@
     forwarder: Rc<Forwarder>,
     limits: LimitsHandle,
     max_connections: usize,
+    peers: Rc<GatewayPeers>,
 }
 
 impl ViewObserver for Learner {
     fn view_changed(&self, view: &FleetView) {
         self.forwarder.set_routes(view.version, &view.document);
         let limits = view.document.caller_limits.clone().unwrap_or_default();
-        self.limits.set(server_limits(&limits, self.max_connections));
+        self.limits
+            .set(server_limits(&limits, self.max_connections));
     }
 
     fn view_confirmed(&self, at: Instant) {
@@ -63,6 +66,14 @@
     fn targets_unchanged(&self, read_at: Instant) {
         self.forwarder.confirm_targets(read_at);
     }
+
+    fn gateways_heard(&self, gateways: &[SocketAddr]) {
+        self.peers.set_gateways(gateways);
+    }
+
+    fn own_address(&self) -> Option<SocketAddr> {
+        Some(self.peers.own_address())
+    }
 }
 
 /// Runs a gateway until it is asked to stop.
@@ -77,7 +88,14 @@
     let limits = server_limits(&CallerLimits::default(), settings.max_connections);
     let server = Server::new(listener, limits);
     let shutdown = server.shutdown_handle();
+    let peers = GatewayPeers::start(
+        forwarder.clone(),
+        settings.mesh.key.clone(),
+        settings.mesh_listen,
+        bind(settings.mesh_listen).await?,
+    );
     let learner = Learner {
+        peers,
         forwarder: forwarder.clone(),
         limits: server.limits_handle(),
         max_connections: settings.max_connections,
@@ -86,16 +104,17 @@
     let stopping = Rc::new(Cell::new(false));
     serve_readiness(settings.ready, forwarder.clone(), stopping.clone()).await?;
     compio::runtime::spawn(read_targets(settings.target_list, forwarder.clone())).detach();
-    compio::runtime::spawn(settings_watch::run(path.clone(), move || {
-        match GatewaySettings::read(&path) {
+    compio::runtime::spawn(settings_watch::run(
+        path.clone(),
+        move || match GatewaySettings::read(&path) {
             Ok(settings) => {
                 for addr in settings.mesh.control {
                     watch.follow_replica(addr);
                 }
             }
             Err(err) => log::error!("the changed settings are not taken: {err}"),
-        }
-    }))
+        },
+    ))
     .detach();
     let handler = Rc::new(ForwardHandler::new(forwarder.clone()));
     let callers = compio::runtime::spawn(server.run(handler));
@@ -141,7 +160,9 @@
         let wait = rand::rng().random_range(OWN_READ_INTERVAL / 2..OWN_READ_INTERVAL);
         compio::time::sleep(wait).await;
         let now = Instant::now();
-        let age = forwarder.targets_read_at().map(|at| now.saturating_duration_since(at));
+        let age = forwarder
+            .targets_read_at()
+            .map(|at| now.saturating_duration_since(at));
         if age.is_some_and(|age| age < OWN_READ_AGE) {
             continue;
         }
--- a/laburnumlug-daemon/src/settings/control.rs
+++ b/laburnumlug-daemon/src/settings/control.rs
@@ -71,7 +71,8 @@
         let replicas = "NAME:IP:PORT of each other replica, separated by commas";
         let listen = reader.required("control", "listen", "IP:PORT", addr)?;
         let mesh = MeshSettings::read(&reader)?;
-        let peers = "mesh, where the replicas are those of [mesh] control, named by their addresses";
+        let peers =
+            "mesh, where the replicas are those of [mesh] control, named by their addresses";
         let by_address = reader.optional("control", "peers", peers, |text| {
             (text == "mesh").then(|| address_peers(&mesh, listen))
         })?;
@@ -93,7 +94,9 @@
             may_found: reader
                 .optional("control", "may_found", "yes or no", yes_or_no)?
                 .unwrap_or(true)
-                && by_address.as_ref().is_none_or(|_| mesh.control.contains(&listen)),
+                && by_address
+                    .as_ref()
+                    .is_none_or(|_| mesh.control.contains(&listen)),
             replicas: match by_address {
                 Some(replicas) => replicas,
                 None => reader
--- a/laburnumlug-daemon/src/settings/gateway.rs
+++ b/laburnumlug-daemon/src/settings/gateway.rs
@@ -27,6 +27,7 @@
     keys: &[
         "listen",
         "ready",
+        "mesh_listen",
         "target_list",
         "max_connections",
         "retry_ratio",
@@ -46,6 +47,8 @@
     pub(crate) listen: SocketAddr,
     /// Address on which readiness is told.
     pub(crate) ready: SocketAddr,
+    /// Address for other gateways.
+    pub(crate) mesh_listen: SocketAddr,
     /// The platform's list of live targets, read where no control replica tells of them.
     pub(crate) target_list: SocketAddr,
     /// Most open connections of callers.
@@ -74,6 +77,7 @@
             metrics: metrics_listen(&reader)?,
             listen: reader.required("gateway", "listen", "IP:PORT", addr)?,
             ready: reader.required("gateway", "ready", "IP:PORT", addr)?,
+            mesh_listen: reader.required("gateway", "mesh_listen", "IP:PORT", addr)?,
             target_list: reader.required("gateway", "target_list", "IP:PORT", addr)?,
             max_connections: connections.unwrap_or(DEFAULT_CONNECTIONS),
             retry_ratio: ratio.unwrap_or(DEFAULT_RETRY_RATIO),
@@ -84,7 +88,9 @@
 }
 
 fn ratio(text: &str) -> Option<f64> {
-    text.parse().ok().filter(|ratio: &f64| ratio.is_finite() && *ratio >= 0.0)
+    text.parse()
+        .ok()
+        .filter(|ratio: &f64| ratio.is_finite() && *ratio >= 0.0)
 }
 
 fn seconds(text: &str) -> Option<Duration> {
--- a/laburnumlug-forward/src/directory.rs
+++ b/laburnumlug-forward/src/directory.rs
@@ -132,9 +132,26 @@
         serving.cloned().collect()
     }
 
+    /// Returns the target of an instance.
+    pub(crate) fn target(&self, instance: &str) -> Option<Rc<TargetHandle>> {
+        self.by_instance.get(instance).cloned()
+    }
+
+    /// Returns all targets that are engines.
+    pub(crate) fn engines(&self) -> Vec<Rc<TargetHandle>> {
+        let is_engine = |target: &&Rc<TargetHandle>| target.row.borrow().role.is_some();
+        self.by_instance
+            .values()
+            .filter(is_engine)
+            .cloned()
+            .collect()
+    }
+
     /// Returns whether a target at this address is listed.
     pub(crate) fn has_addr(&self, addr: &std::net::SocketAddr) -> bool {
-        self.by_instance.values().any(|handle| handle.row.borrow().addr == *addr)
+        self.by_instance
+            .values()
+            .any(|handle| handle.row.borrow().addr == *addr)
     }
 }
 
@@ -145,7 +162,9 @@
     match usable.is_empty() {
         false => usable,
         true => {
-            let first = targets.into_iter().min_by_key(|t| t.health.borrow().usable_at());
+            let first = targets
+                .into_iter()
+                .min_by_key(|t| t.health.borrow().usable_at());
             first.into_iter().collect()
         }
     }
@@ -181,8 +200,14 @@
         let mut directory = Directory::default();
         directory.update(now, list(&[row("a", false), row("b", false)]));
         assert_eq!(directory.serving("s").len(), 2);
-        directory.update(now + Duration::from_secs(1), list(&[row("a", true), row("b", false)]));
-        directory.update(now + Duration::from_secs(2), list(&[row("a", false), row("b", false)]));
+        directory.update(
+            now + Duration::from_secs(1),
+            list(&[row("a", true), row("b", false)]),
+        );
+        directory.update(
+            now + Duration::from_secs(2),
+            list(&[row("a", false), row("b", false)]),
+        );
         let serving = directory.serving("s");
         assert_eq!(serving.len(), 1);
         assert_eq!(serving[0].instance, "b");
--- a/laburnumlug-forward/src/engine.rs
+++ b/laburnumlug-forward/src/engine.rs
@@ -1,19 +1,24 @@
-//! Choice of engines for prompts.
+//! Choice of engines for prompts, and what is told to other processes that choose.
 
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use laburnumlug::{EngineTraits, Role};
+use laburnumlug::{EngineEvent, EngineTraits, Role, SendNumber};
 use laburnumlug_policy::{
-    EngineView, FIRST_EVENT_OVERHEAD, PromptChain, PromptView, ReadId, place,
+    EngineView, FIRST_EVENT_OVERHEAD, PromptChain, PromptView, place, reading_work,
 };
 
 use crate::dialect::PromptFacts;
 use crate::directory::{TargetHandle, usable};
 use crate::forwarder::Forwarder;
 
-/// Share of an engine's memory that this process takes as filled by the prompts that it sent there; others send, too.
-const CACHE_SHARE: f64 = 0.4;
+/// Sender number of this process in its own view.
+const OWN: u64 = 0;
+
+/// Share of an engine's memory that its kept prompts are taken to fill; requests in progress need the rest.
+const CACHE_SHARE: f64 = 0.8;
 
 /// Engines that are to serve a prompt.
 pub(crate) struct ChosenEngines {
@@ -24,41 +29,197 @@
     pub(crate) first_event: Duration,
 }
 
-/// A prompt that an engine is reading; dropping it forgets the prompt.
-pub(crate) struct Reading {
+/// Takes what this process does with engines, to tell it to others.
+pub trait EventSink {
+    /// Tells one event.
+    fn tell(&self, event: EngineEvent);
+}
+
+/// A send that another process has told of.
+struct ForeignSend {
+    target: Rc<TargetHandle>,
+    chain: PromptChain,
+}
+
+/// What is known of sends to engines.
+#[derive(Default)]
+pub(crate) struct Ledger {
+    sink: RefCell<Option<Rc<dyn EventSink>>>,
+    last_number: Cell<SendNumber>,
+    /// Own sends that have not ended, as they were told.
+    own: RefCell<HashMap<SendNumber, EngineEvent>>,
+    foreign: RefCell<HashMap<(u64, SendNumber), ForeignSend>>,
+}
+
+impl Ledger {
+    fn tell(&self, event: EngineEvent) {
+        if let Some(sink) = &*self.sink.borrow() {
+            sink.tell(event);
+        }
+    }
+}
+
+/// A prompt at an engine; dropping it ends the request there.
+pub(crate) struct EngineSend {
+    forwarder: Rc<Forwarder>,
     target: Rc<TargetHandle>,
-    id: ReadId,
+    number: SendNumber,
+    chain: PromptChain,
+    sent_at: Instant,
+    predicted: Duration,
+    is_read: bool,
 }
 
-impl Reading {
-    pub(crate) fn start(now: Instant, target: &Rc<TargetHandle>, tokens: u64) -> Reading {
-        Reading {
-            id: target.reading.borrow_mut().start(now, tokens),
+impl EngineSend {
+    /// Notes that a prompt is sent, of which the engine has to read `unread` tokens.
+    pub(crate) fn start(
+        forwarder: &Rc<Forwarder>,
+        now: Instant,
+        target: &Rc<TargetHandle>,
+        chain: &PromptChain,
+        unread: u64,
+    ) -> EngineSend {
+        let ledger = &forwarder.ledger;
+        let number = ledger.last_number.get() + 1;
+        ledger.last_number.set(number);
+        let work = reading_work(unread, chain.tokens());
+        let mut reading = target.reading.borrow_mut();
+        let predicted = reading.waiting_time(now) + reading.reading_time(work);
+        reading.start(now, (OWN, number), work);
+        let event = EngineEvent::Sent {
+            number,
+            engine: target.instance.clone(),
+            work,
+            tokens: chain.tokens(),
+            parts: chain.parts().to_vec(),
+        };
+        ledger.own.borrow_mut().insert(number, event.clone());
+        ledger.tell(event);
+        EngineSend {
+            forwarder: forwarder.clone(),
             target: target.clone(),
+            number,
+            chain: chain.clone(),
+            sent_at: now,
+            predicted,
+            is_read: false,
         }
     }
 
     /// Notes that the prompt was read.
-    pub(crate) fn finish(self, now: Instant, prompt: &PromptChain) {
+    pub(crate) fn note_read(&mut self, now: Instant) {
+        self.is_read = true;
+        let taken = now.saturating_duration_since(self.sent_at);
+        let delay = taken.saturating_sub(self.predicted + FIRST_EVENT_OVERHEAD);
         let mut reading = self.target.reading.borrow_mut();
-        reading.finish(now, self.id, FIRST_EVENT_OVERHEAD);
-        self.target.cache.borrow_mut().insert(prompt);
+        reading.finish(now, (OWN, self.number), FIRST_EVENT_OVERHEAD);
+        reading.note_delay(now, delay);
+        self.target.cache.borrow_mut().insert(&self.chain);
+        let number = self.number;
+        self.forwarder.ledger.tell(EngineEvent::Read { number });
     }
 }
 
-impl Drop for Reading {
+impl Drop for EngineSend {
     fn drop(&mut self) {
-        self.target.reading.borrow_mut().cancel(self.id);
+        let number = self.number;
+        if !self.is_read {
+            let mut reading = self.target.reading.borrow_mut();
+            reading.cancel(Instant::now(), (OWN, number));
+        }
+        let ledger = &self.forwarder.ledger;
+        ledger.own.borrow_mut().remove(&number);
+        ledger.tell(EngineEvent::Ended { number });
     }
 }
 
 impl Forwarder {
+    /// Sets who takes what this process does with engines.
+    pub fn set_event_sink(&self, sink: Rc<dyn EventSink>) {
+        *self.ledger.sink.borrow_mut() = Some(sink);
+    }
+
+    /// Returns what another process has to know when it is first spoken to.
+    pub fn engine_events(&self) -> Vec<EngineEvent> {
+        let holds = self.engines().into_iter().map(|target| EngineEvent::Holds {
+            engine: target.instance.clone(),
+            parts: target.cache.borrow().parts(),
+        });
+        let own = self.ledger.own.borrow();
+        holds.chain(own.values().cloned()).collect()
+    }
+
+    /// Takes what another process did with an engine.
+    pub fn note_engine_event(&self, now: Instant, sender: u64, event: EngineEvent) {
+        let mut foreign = self.ledger.foreign.borrow_mut();
+        match event {
+            EngineEvent::Sent {
+                number,
+                engine,
+                work,
+                parts,
+                ..
+            } => {
+                let Some(target) = self.target(&engine) else {
+                    return;
+                };
+                target
+                    .reading
+                    .borrow_mut()
+                    .start(now, (sender, number), work);
+                target.running.set(target.running.get() + 1);
+                let chain = PromptChain::from_parts(parts);
+                foreign.insert((sender, number), ForeignSend { target, chain });
+            }
+            EngineEvent::Read { number } => {
+                if let Some(send) = foreign.get(&(sender, number)) {
+                    let mut reading = send.target.reading.borrow_mut();
+                    reading.finish(now, (sender, number), FIRST_EVENT_OVERHEAD);
+                    send.target.cache.borrow_mut().insert(&send.chain);
+                }
+            }
+            EngineEvent::Ended { number } => {
+                if let Some(send) = foreign.remove(&(sender, number)) {
+                    send.target
+                        .reading
+                        .borrow_mut()
+                        .cancel(now, (sender, number));
+                    send.target.running.set(send.target.running.get() - 1);
+                }
+            }
+            EngineEvent::Holds { engine, parts } => {
+                if let Some(target) = self.target(&engine) {
+                    let mut cache = target.cache.borrow_mut();
+                    for (chain, tokens) in parts.into_iter().rev() {
+                        cache.insert_oldest(chain, tokens);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Forgets what another process has unfinished, as it is not heard any more.
+    pub fn forget_sender(&self, now: Instant, sender: u64) {
+        let mut foreign = self.ledger.foreign.borrow_mut();
+        foreign.retain(|(from, number), send| {
+            if *from == sender {
+                send.target
+                    .reading
+                    .borrow_mut()
+                    .cancel(now, (*from, *number));
+                send.target.running.set(send.target.running.get() - 1);
+            }
+            *from != sender
+        });
+    }
+
     /// Chooses the engines for a prompt among those that were not tried.
     pub(crate) fn choose_engines(
         &self,
         now: Instant,
         service: &str,
         traits: &EngineTraits,
+        aim: Duration,
         prompt: &PromptFacts,
         chain: &PromptChain,
         tried: &[Rc<TargetHandle>],
@@ -89,6 +250,7 @@
             home: chain.home(),
             tokens: prompt.prompt_tokens,
             shared_tokens: chain.tokens().saturating_sub(own),
+            aim,
             move_time_per_token: move_time_per_token(traits),
         };
         let placed = place(&view, &views)?;
--- a/laburnumlug-forward/src/events.rs
+++ b/laburnumlug-forward/src/events.rs
@@ -85,7 +85,10 @@
     #[test]
     fn push_partial_event_is_held() {
         let mut splitter = EventSplitter::default();
-        assert_eq!(splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap(), "id: 1\ndata: a\n\n");
+        assert_eq!(
+            splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap(),
+            "id: 1\ndata: a\n\n"
+        );
         assert_eq!(splitter.last_id().unwrap(), "1");
         assert_eq!(splitter.push(b"ta: b\n"), None);
         assert_eq!(splitter.push(b"\n").unwrap(), "id: 2\ndata: b\n\n");
@@ -95,9 +98,15 @@
     #[test]
     fn drop_partial_event_of_broken_stream() {
         let mut splitter = EventSplitter::default();
-        assert_eq!(splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap(), "id: 1\ndata: a\n\n");
+        assert_eq!(
+            splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap(),
+            "id: 1\ndata: a\n\n"
+        );
         splitter.drop_partial();
-        assert_eq!(splitter.push(b"id: 2\ndata: b\n\n").unwrap(), "id: 2\ndata: b\n\n");
+        assert_eq!(
+            splitter.push(b"id: 2\ndata: b\n\n").unwrap(),
+            "id: 2\ndata: b\n\n"
+        );
         assert!(splitter.finish().is_empty());
     }
 
--- a/laburnumlug-forward/src/exchange.rs
+++ b/laburnumlug-forward/src/exchange.rs
@@ -137,13 +137,18 @@
         let facts = self.dialect.answer(answer.status(), answer.headers());
         if facts.id.as_ref() != Some(&call.facts.id) {
             // The answer to this request may still come, but nothing on this connection can be trusted.
-            return Err(SendFailure::lost("the answer is not this request's".to_string()));
+            return Err(SendFailure::lost(
+                "the answer is not this request's".to_string(),
+            ));
         }
         if !facts.not_run && !facts.wrong_target {
             return Ok(answer);
         }
         if facts.wrong_target {
-            target.health.borrow_mut().note_failure(Instant::now(), true);
+            target
+                .health
+                .borrow_mut()
+                .note_failure(Instant::now(), true);
         }
         let status = answer.status();
         if answer.bytes(MAX_DRAINED_BYTES).await.is_ok() {
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -14,6 +14,7 @@
 
 use crate::dialect::{CallFacts, Dialect};
 use crate::directory::{Directory, TargetHandle};
+use crate::engine::Ledger;
 use crate::exchange::Call;
 use crate::refusal::{Cause, Refusal};
 use crate::routes::{RouteRow, RouteTable};
@@ -78,6 +79,7 @@
     view: RefCell<View>,
     allowances: RefCell<HashMap<ServiceName, RetryAllowance>>,
     closing: Cell<bool>,
+    pub(crate) ledger: Ledger,
 }
 
 impl Forwarder {
@@ -90,6 +92,7 @@
             view: RefCell::default(),
             allowances: RefCell::default(),
             closing: Cell::new(false),
+            ledger: Ledger::default(),
         })
     }
 
@@ -112,7 +115,8 @@
     pub fn set_targets(&self, read_at: Instant, list: TargetList) {
         self.view.borrow_mut().directory.update(read_at, list);
         let view = self.view.borrow();
-        self.pool.retain(Instant::now(), |addr| view.directory.has_addr(addr));
+        self.pool
+            .retain(Instant::now(), |addr| view.directory.has_addr(addr));
     }
 
     /// Notes that the targets were unchanged in a list that was read at `read_at`.
@@ -136,6 +140,16 @@
         self.closing.set(true);
     }
 
+    /// Returns the live target of an instance.
+    pub(crate) fn target(&self, instance: &str) -> Option<Rc<TargetHandle>> {
+        self.view.borrow().directory.target(instance)
+    }
+
+    /// Returns all live targets that are engines.
+    pub(crate) fn engines(&self) -> Vec<Rc<TargetHandle>> {
+        self.view.borrow().directory.engines()
+    }
+
     pub(crate) fn serving(&self, service: &str) -> Vec<Rc<TargetHandle>> {
         self.view.borrow().directory.serving(service)
     }
@@ -163,7 +177,9 @@
         let arrived = Instant::now();
         let (parts, body) = req.into_parts();
         let facts = self.dialect.call(&parts.headers);
-        let id = facts.as_ref().map_or(String::new(), |facts| facts.id.clone());
+        let id = facts
+            .as_ref()
+            .map_or(String::new(), |facts| facts.id.clone());
         let time_left = facts.as_ref().ok().and_then(|facts| facts.time_left);
         let result = match facts {
             Ok(facts) => self.clone().forward(arrived, facts, parts, body).await,
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -31,4 +31,5 @@
 mod stream;
 
 pub use crate::dialect::{AnswerFacts, CallFacts, Dialect, PromptFacts, SendFacts, SendStep};
+pub use crate::engine::EventSink;
 pub use crate::forwarder::{ForwardConfig, ForwardHandler, Forwarder};
--- a/laburnumlug-forward/src/plain.rs
+++ b/laburnumlug-forward/src/plain.rs
@@ -76,7 +76,9 @@
             None => Refusal::new(Cause::NoTarget, "no target of the service is known")
                 .retry_after(Duration::from_millis(200)),
             // An earlier send may have run, so a later refusal promises nothing.
-            Some(failure) if failure.verdict != Verdict::NotRun && failure.cause.status() == 503 => {
+            Some(failure)
+                if failure.verdict != Verdict::NotRun && failure.cause.status() == 503 =>
+            {
                 Refusal::new(Cause::AnswerLost, failure.detail)
             }
             Some(failure) => failure.refusal().retry_after(Duration::from_millis(100)),
@@ -95,7 +97,10 @@
             let body = match answer.bytes(MAX_ANSWER_BYTES).await {
                 Ok(body) => body,
                 Err(err) => {
-                    target.health.borrow_mut().note_failure(Instant::now(), false);
+                    target
+                        .health
+                        .borrow_mut()
+                        .note_failure(Instant::now(), false);
                     return Err(SendFailure::lost(err.to_string()));
                 }
             };
@@ -109,7 +114,10 @@
         let (answer, body) = match compio::time::timeout(limit, exchanging).await {
             Ok(exchanged) => exchanged?,
             Err(_) => {
-                target.health.borrow_mut().note_failure(Instant::now(), false);
+                target
+                    .health
+                    .borrow_mut()
+                    .note_failure(Instant::now(), false);
                 return Err(SendFailure {
                     cause: Cause::TimedOut,
                     ..SendFailure::lost("no whole answer in time".to_string())
@@ -118,10 +126,15 @@
         };
         let status = answer.status();
         if status >= 500 {
-            target.health.borrow_mut().note_failure(Instant::now(), false);
+            target
+                .health
+                .borrow_mut()
+                .note_failure(Instant::now(), false);
             if call.route.is_repeatable() && !is_last {
                 self.pool.keep(Instant::now(), answer);
-                return Err(SendFailure::lost(format!("the target answered with status {status}")));
+                return Err(SendFailure::lost(format!(
+                    "the target answered with status {status}"
+                )));
             }
         } else {
             target.health.borrow_mut().note_success();
@@ -152,12 +165,20 @@
         targets.retain(|target| !tried.iter().any(|t| Rc::ptr_eq(t, target)));
         let load = |target: &Rc<TargetHandle>| {
             let row = target.row.borrow();
-            let far = if row.zone == self.cfg.zone { 0.0 } else { FAR_PENALTY };
+            let far = if row.zone == self.cfg.zone {
+                0.0
+            } else {
+                FAR_PENALTY
+            };
             let failing = target.health.borrow().failure_share() * FAILURE_PENALTY;
             let jitter = rand::rng().random_range(0.0..0.01);
             f64::from(target.running.get()) / f64::from(row.slots.max(1)) + far + failing + jitter
         };
-        let loads = usable(now, targets).into_iter().map(|target| (load(&target), target));
-        loads.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, target)| target)
+        let loads = usable(now, targets)
+            .into_iter()
+            .map(|target| (load(&target), target));
+        loads
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, target)| target)
     }
 }
--- a/laburnumlug-forward/src/routes.rs
+++ b/laburnumlug-forward/src/routes.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use laburnumlug::{CallerLimits, EngineTraits, FleetDocument, FleetVersion, Repetition, Route, ServiceName};
+use laburnumlug::{
+    CallerLimits, EngineTraits, FleetDocument, FleetVersion, Repetition, Route, ServiceName,
+};
 
 /// Aim of routes that state none.
 const DEFAULT_AIM: Duration = Duration::from_secs(1);
@@ -31,7 +33,9 @@
             repetition: route.repetition,
             resumable: route.resumable,
             timeout: Duration::from_millis(route.timeout_ms.get()),
-            aim: route.aim_ms.map_or(DEFAULT_AIM, |ms| Duration::from_millis(ms.get())),
+            aim: route
+                .aim_ms
+                .map_or(DEFAULT_AIM, |ms| Duration::from_millis(ms.get())),
             rank: route.rank,
             attempts: route.attempts.get(),
             shares: route
@@ -106,7 +110,9 @@
             (None, Some((name, _))) => self.hosts.get(name)?,
             (None, None) => return None,
         };
-        rows.iter().find(|row| path.starts_with(&row.prefix)).cloned()
+        rows.iter()
+            .find(|row| path.starts_with(&row.prefix))
+            .cloned()
     }
 
     /// Returns what is common to a service's engines; `None` for plain services.
--- a/laburnumlug-forward/src/stream.rs
+++ b/laburnumlug-forward/src/stream.rs
@@ -11,7 +11,7 @@
 
 use crate::dialect::SendStep;
 use crate::directory::{Running, TargetHandle};
-use crate::engine::{ChosenEngines, Reading};
+use crate::engine::{ChosenEngines, EngineSend};
 use crate::events::EventSplitter;
 use crate::exchange::{Call, SendFailure};
 use crate::forwarder::Forwarder;
@@ -41,6 +41,7 @@
     splitter: EventSplitter,
     first: Bytes,
     running: Running,
+    engine: EngineSend,
 }
 
 /// What one attempt led to.
@@ -110,7 +111,7 @@
 
     /// Sends the request once, until its first event has come.
     async fn open(
-        &self,
+        self: &Rc<Self>,
         stream: &mut StreamCall,
         resume_after: Option<String>,
     ) -> Result<Opened, SendFailure> {
@@ -144,6 +145,7 @@
                 now,
                 &stream.service,
                 traits,
+                stream.call.route.aim,
                 prompt,
                 &stream.chain,
                 &stream.tried,
@@ -167,7 +169,7 @@
     }
 
     async fn open_at(
-        &self,
+        self: &Rc<Self>,
         stream: &StreamCall,
         chosen: ChosenEngines,
         resume_after: Option<String>,
@@ -187,7 +189,7 @@
             _ => 0,
         };
         let running = target.enter();
-        let reading = Reading::start(Instant::now(), &target, unread);
+        let mut engine = EngineSend::start(self, Instant::now(), &target, &stream.chain, unread);
         let mut answer = self.send(call, &target, step, resume_after).await?;
         if answer.status() >= 300 {
             return self.whole(&target, answer).await.map(Opened::Whole);
@@ -204,7 +206,10 @@
                     return Ok(Opened::Whole(resp));
                 }
                 Ok(Err(err)) => {
-                    target.health.borrow_mut().note_failure(Instant::now(), false);
+                    target
+                        .health
+                        .borrow_mut()
+                        .note_failure(Instant::now(), false);
                     return Err(SendFailure::lost(err.to_string()));
                 }
                 Err(_) => {
@@ -215,13 +220,14 @@
                 }
             };
             if let Some(first) = splitter.push(&chunk) {
-                reading.finish(Instant::now(), &stream.chain);
+                engine.note_read(Instant::now());
                 target.health.borrow_mut().note_success();
                 return Ok(Opened::Stream(Box::new(OpenStream {
                     answer,
                     splitter,
                     first,
                     running,
+                    engine,
                 })));
             }
         }
@@ -229,14 +235,15 @@
 
     /// Has an engine read the prompt for another one; `None` where it did not.
     async fn read_prompt(
-        &self,
+        self: &Rc<Self>,
         stream: &StreamCall,
         reader: &Rc<TargetHandle>,
         unread_tokens: u64,
     ) -> Option<SendStep> {
         let call = &stream.call;
         let _running = reader.enter();
-        let reading = Reading::start(Instant::now(), reader, unread_tokens);
+        let mut engine =
+            EngineSend::start(self, Instant::now(), reader, &stream.chain, unread_tokens);
         let result = async {
             let mut answer = self.send(call, reader, SendStep::ReadPrompt, None).await?;
             let status = answer.status();
@@ -245,12 +252,14 @@
             self.pool.keep(Instant::now(), answer);
             match self.dialect.prompt_handle(&body) {
                 Some(handle) if status == 200 => Ok(handle),
-                _ => Err(SendFailure::lost(format!("no prompt was kept, status {status}"))),
+                _ => Err(SendFailure::lost(format!(
+                    "no prompt was kept, status {status}"
+                ))),
             }
         };
         match result.await {
             Ok(handle) => {
-                reading.finish(Instant::now(), &stream.chain);
+                engine.note_read(Instant::now());
                 reader.health.borrow_mut().note_success();
                 let source = reader.row.borrow().addr;
                 Some(SendStep::AnswerFrom { source, handle })
@@ -275,7 +284,10 @@
         let body = body.map_err(|err| SendFailure::lost(err.to_string()))?;
         let status = answer.status();
         if status >= 500 {
-            target.health.borrow_mut().note_failure(Instant::now(), false);
+            target
+                .health
+                .borrow_mut()
+                .note_failure(Instant::now(), false);
         }
         let resp = self.pass_on(status, answer.headers(), body);
         self.pool.keep(Instant::now(), answer);
@@ -289,6 +301,7 @@
             mut splitter,
             first,
             mut running,
+            mut engine,
         } = open;
         let id = stream.call.facts.id.clone();
         if tx.send(first).await.is_err() {
@@ -316,6 +329,7 @@
                 }
                 Some(Ok(None)) => {
                     let rest = splitter.finish();
+                    drop(engine);
                     if rest.is_empty() || tx.send(rest).await.is_ok() {
                         self.pool.keep(Instant::now(), answer);
                     }
@@ -329,7 +343,10 @@
                 }
             };
             let target = running.target.clone();
-            target.health.borrow_mut().note_failure(Instant::now(), false);
+            target
+                .health
+                .borrow_mut()
+                .note_failure(Instant::now(), false);
             splitter.drop_partial();
             let resumed = self.resume(&mut stream, &splitter).await;
             log::info!(
@@ -341,6 +358,7 @@
             };
             answer = next.answer;
             running = next.running;
+            engine = next.engine;
             let last_id = next.splitter.last_id().or(splitter.last_id()).cloned();
             splitter = next.splitter;
             splitter.set_last_id(last_id);
@@ -352,7 +370,7 @@
 
     /// Continues a broken stream at another target behind the last whole event.
     async fn resume(
-        &self,
+        self: &Rc<Self>,
         stream: &mut StreamCall,
         splitter: &EventSplitter,
     ) -> Option<OpenStream> {
--- a/laburnumlug-http/src/lib.rs
+++ b/laburnumlug-http/src/lib.rs
@@ -37,5 +37,6 @@
 pub use crate::error::Error;
 pub use crate::pool::{Answer, ConnectionPool, SendError};
 pub use crate::server::{
-    Handler, Limits, LimitsHandle, PeerAddr, Request, Server, ShutdownHandle, discard_body, read_body,
+    Handler, Limits, LimitsHandle, PeerAddr, Request, Server, ShutdownHandle, discard_body,
+    read_body,
 };
--- a/laburnumlug-mesh/src/lib.rs
+++ b/laburnumlug-mesh/src/lib.rs
@@ -42,8 +42,8 @@
 pub use crate::handshake::{MeshKey, SessionId};
 pub use crate::intent::{Intent, ModelVersion, RoleAssignment};
 pub use crate::message::{
-    ControlMessage, LoadReport, Message, PlainRequest, RefusalReason, TargetsReport, WorkMessage, WorkPayload,
-    WorkRequest,
+    ControlMessage, GatewayMessage, LoadReport, Message, PlainRequest, RefusalReason,
+    TargetsReport, WorkMessage, WorkPayload, WorkRequest,
 };
 pub use crate::node_command::{
     LoadRequest, NodeCommand, NodeOutcome, NodeReport, OrderReport, OrderResult,
--- a/laburnumlug-mesh/src/message.rs
+++ b/laburnumlug-mesh/src/message.rs
@@ -1,8 +1,10 @@
 //! Messages between the system's own processes.
 
+use std::net::SocketAddr;
+
 use laburnumlug::{
-    AttemptNumber, CallerName, FencingNumber, FleetVersion, IdempotencyKey, Incarnation,
-    ReplicaStanding, ServiceName, TargetList, TargetName, Verdict,
+    AttemptNumber, CallerName, EngineEvent, FencingNumber, FleetVersion, IdempotencyKey,
+    Incarnation, ReplicaStanding, ServiceName, TargetList, TargetName, Verdict,
 };
 use serde::{Deserialize, Serialize};
 
@@ -18,6 +20,8 @@
     Control(ControlMessage),
     /// Between an entry and a target process.
     Work(WorkMessage),
+    /// Between two gateways.
+    Gateway(GatewayMessage),
     /// Between two control replicas, in an encoding of their own.
     Replica {
         /// The encoded message.
@@ -38,6 +42,8 @@
     FetchTargets {
         /// Digest of the list that the asker holds; 0 for none.
         known: u64,
+        /// Address at which the asker takes events of other gateways.
+        own: Option<SocketAddr>,
     },
     /// Answers [`ControlMessage::FetchTargets`]; `None` where the replica reads no list.
     Targets(Option<TargetsReport>),
@@ -180,6 +186,18 @@
     },
 }
 
+/// Message of one gateway to another; nothing is answered.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum GatewayMessage {
+    /// First message of a connection.
+    Hello {
+        /// Who sends; another start of the same gateway has another number.
+        sender: u64,
+    },
+    /// What the sender did with engines, oldest first.
+    Engines(Vec<EngineEvent>),
+}
+
 /// A list of live targets and its age.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct TargetsReport {
@@ -187,6 +205,8 @@
     pub age_ms: u64,
     /// Digest of the list.
     pub digest: u64,
+    /// Gateways that have asked lately.
+    pub gateways: Vec<SocketAddr>,
     /// The list; `None` where the asker holds it.
     pub list: Option<TargetList>,
 }
--- a/laburnumlug-policy/src/allowance.rs
+++ b/laburnumlug-policy/src/allowance.rs
@@ -52,7 +52,11 @@
     /// Returns the present part and drops those that have left the window.
     fn part(&mut self, now: Instant) -> &mut (Instant, u64, u64) {
         let is_old = |begin: Instant, age| now.saturating_duration_since(begin) >= age;
-        while self.parts.front().is_some_and(|part| is_old(part.0, self.window)) {
+        while self
+            .parts
+            .front()
+            .is_some_and(|part| is_old(part.0, self.window))
+        {
             self.parts.pop_front();
         }
         let is_new = match self.parts.back() {
--- a/laburnumlug-policy/src/health.rs
+++ b/laburnumlug-policy/src/health.rs
@@ -54,9 +54,8 @@
     pub fn note_failure(&mut self, now: Instant, certain: bool) {
         self.failures += 1;
         self.failure_share += OUTCOME_WEIGHT * (1.0 - self.failure_share);
-        let ejects = certain
-            || self.failures >= FAILURES_TO_EJECT
-            || self.failure_share > FAILURE_SHARE;
+        let ejects =
+            certain || self.failures >= FAILURES_TO_EJECT || self.failure_share > FAILURE_SHARE;
         if ejects {
             let time = FIRST_EJECTION * 2_u32.pow(self.ejections.min(8));
             self.ejected_until = Some(now + time.min(MAX_EJECTION));
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -69,7 +69,7 @@
 pub use crate::prefix::{PrefixHashes, PrefixIndex};
 pub use crate::prompt_cache::{ChainId, PromptCache, PromptChain};
 pub use crate::rates::{EngineRates, RateMeter};
-pub use crate::reading::{ReadId, ReadingQueue};
+pub use crate::reading::{ReadId, ReadingQueue, reading_work};
 pub use crate::route::{
     ByRole, Candidate, LeastQueue, PredictedFinish, ReportedLoad, RouteQuery, Router, router,
 };
--- a/laburnumlug-policy/src/placement.rs
+++ b/laburnumlug-policy/src/placement.rs
@@ -6,6 +6,7 @@
 use laburnumlug::Role;
 
 use crate::prompt_cache::ChainId;
+use crate::reading::reading_work;
 
 /// Time from the end of reading to the first event at the caller.
 pub const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(20);
@@ -13,8 +14,17 @@
 /// Price of a prompt that is moved, as time; it has a memory of its own at both engines.
 const MOVE_PENALTY: Duration = Duration::from_millis(20);
 
+/// Share of the aim up to which a predicted first event is taken as on time; predictions are uncertain.
+const SAFE_SHARE: f64 = 0.6;
+
+/// Weight of waiting against time of engines, while the first event is on time.
+const WAIT_WEIGHT: f64 = 0.3;
+
+/// Weight of waiting beyond that.
+const LATE_WEIGHT: f64 = 3.0;
+
 /// Share of a prompt's shared parts that its home is expected to hold where nothing is known.
-const HOME_CREDIT: f64 = 0.7;
+const HOME_CREDIT: f64 = 0.3;
 
 /// What is known of one engine when a prompt is placed.
 #[derive(Clone, Debug)]
@@ -46,6 +56,8 @@
     pub tokens: u64,
     /// Tokens of the parts that other requests share.
     pub shared_tokens: u64,
+    /// Time within which the first event is on time.
+    pub aim: Duration,
     /// Time to move one token between two engines; `None` where prompts cannot be moved.
     pub move_time_per_token: Option<Duration>,
 }
@@ -61,6 +73,8 @@
     pub first_event: Duration,
     /// Tokens that the reading engine has to read.
     pub unread_tokens: u64,
+    /// Time that the placement takes of the engines.
+    engine_time: Duration,
 }
 
 /// Chooses the engines that promise the earliest first event.
@@ -79,8 +93,11 @@
             Placement {
                 answering: i,
                 reading: None,
-                first_event: engine.waiting + read_time(unread, engine) + FIRST_EVENT_OVERHEAD,
+                first_event: engine.waiting
+                    + read_time(unread, prompt, engine)
+                    + FIRST_EVENT_OVERHEAD,
                 unread_tokens: unread,
+                engine_time: read_time(unread, prompt, engine),
             }
         });
     let moved = engines
@@ -90,15 +107,26 @@
         .filter_map(|(i, engine)| {
             let unread = unread_tokens(prompt, engine, home == Some(i));
             let (answering, moving) = receiver(prompt, engine, engines)?;
-            let read = engine.waiting + read_time(unread, engine) + FIRST_EVENT_OVERHEAD;
+            let reading = read_time(unread, prompt, engine);
             Some(Placement {
                 answering,
                 reading: Some(i),
-                first_event: read + moving + MOVE_PENALTY,
+                first_event: engine.waiting + reading + FIRST_EVENT_OVERHEAD + moving,
                 unread_tokens: unread,
+                engine_time: reading + MOVE_PENALTY,
             })
         });
-    direct.chain(moved).min_by_key(|placement| placement.first_event)
+    direct
+        .chain(moved)
+        .min_by_key(|placement| price(prompt, placement))
+}
+
+/// Returns what a placement costs, as time: the time of engines that it takes from others, and its own lateness.
+fn price(prompt: &PromptView, placement: &Placement) -> Duration {
+    let late = placement
+        .first_event
+        .saturating_sub(prompt.aim.mul_f64(SAFE_SHARE));
+    placement.engine_time + placement.first_event.mul_f64(WAIT_WEIGHT) + late.mul_f64(LATE_WEIGHT)
 }
 
 /// Returns the engine to which a prompt moves, and how long that takes.
@@ -115,7 +143,11 @@
         .filter(|(_, engine)| engine.role != Role::Prefill && engine.running < engine.slots);
     receivers
         .map(|(i, engine)| {
-            let distance = if engine.is_near == reading.is_near { 1 } else { 2 };
+            let distance = if engine.is_near == reading.is_near {
+                1
+            } else {
+                2
+            };
             let load = f64::from(engine.running) / f64::from(engine.slots.max(1));
             // A prompt that is being read at the receiver slows its tokens.
             let busy = engine.waiting / 4 + Duration::from_millis(30).mul_f64(load);
@@ -129,11 +161,15 @@
         true => (prompt.shared_tokens as f64 * HOME_CREDIT) as u64,
         false => 0,
     };
-    prompt.tokens.saturating_sub(engine.held_tokens.max(expected)).max(1)
+    prompt
+        .tokens
+        .saturating_sub(engine.held_tokens.max(expected))
+        .max(1)
 }
 
-fn read_time(tokens: u64, engine: &EngineView) -> Duration {
-    Duration::from_secs_f64(tokens as f64 / engine.rate.max(1.0))
+fn read_time(unread: u64, prompt: &PromptView, engine: &EngineView) -> Duration {
+    let work = reading_work(unread, prompt.tokens);
+    Duration::from_secs_f64(work as f64 / engine.rate.max(1.0))
 }
 
 /// Returns the engine to which a chain belongs, by rendezvous hashing weighted with the rates.
@@ -180,6 +216,7 @@
             home: Some(home),
             tokens: shared + own,
             shared_tokens: shared,
+            aim: Duration::from_millis(600),
             move_time_per_token: Some(Duration::from_nanos(800)),
         }
     }
--- a/laburnumlug-policy/src/prompt_cache.rs
+++ b/laburnumlug-policy/src/prompt_cache.rs
@@ -3,6 +3,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+/// Number of the first use; lower ones are for parts of which others tell.
+const FIRST_USE: u64 = 1 << 32;
+
 /// Hash of a prompt's parts from its first to one of them.
 pub type ChainId = u64;
 
@@ -30,6 +33,11 @@
         }
     }
 
+    /// Creates a chain from the chain and tokens of each part.
+    pub fn from_parts(parts: Vec<(ChainId, u64)>) -> PromptChain {
+        PromptChain { parts }
+    }
+
     /// Returns chain and tokens of each part, in order.
     pub fn parts(&self) -> &[(ChainId, u64)] {
         &self.parts
@@ -67,7 +75,7 @@
             tokens: 0,
             parts: HashMap::new(),
             by_use: BTreeMap::new(),
-            uses: 0,
+            uses: FIRST_USE,
         }
     }
 
@@ -78,7 +86,10 @@
 
     /// Returns how many leading tokens of a prompt the engine probably holds.
     pub fn matched_tokens(&self, prompt: &PromptChain) -> u64 {
-        let held = prompt.parts.iter().take_while(|part| self.parts.contains_key(&part.0));
+        let held = prompt
+            .parts
+            .iter()
+            .take_while(|part| self.parts.contains_key(&part.0));
         held.map(|part| part.1).sum()
     }
 
@@ -106,6 +117,30 @@
         }
     }
 
+    /// Returns chain and tokens of all parts, least recently used first.
+    pub fn parts(&self) -> Vec<(ChainId, u64)> {
+        let by_use = self.by_use.values();
+        let held = by_use.filter_map(|chain| Some((*chain, self.parts.get(chain)?.0)));
+        held.collect()
+    }
+
+    /// Notes a part that somebody else knows to be held, as the least recently used one.
+    pub fn insert_oldest(&mut self, chain: ChainId, tokens: u64) {
+        let has_room = self.tokens + tokens <= self.max_tokens;
+        if has_room && !self.parts.contains_key(&chain) {
+            let oldest = self
+                .by_use
+                .first_key_value()
+                .map_or(self.uses, |first| *first.0);
+            let Some(use_number) = oldest.checked_sub(1) else {
+                return;
+            };
+            self.parts.insert(chain, (tokens, use_number));
+            self.by_use.insert(use_number, chain);
+            self.tokens += tokens;
+        }
+    }
+
     /// Forgets everything, as after a restart of the engine.
     pub fn clear(&mut self) {
         self.parts.clear();
--- a/laburnumlug-policy/src/reading.rs
+++ b/laburnumlug-policy/src/reading.rs
@@ -5,39 +5,51 @@
 /// Weight of the newest prompt in an engine's measured rate.
 const RATE_WEIGHT: f64 = 0.1;
 
-/// Fewest tokens of a prompt whose reading time tells something of the rate.
-const MIN_MEASURED_TOKENS: u64 = 1_000;
+/// Least work of a prompt whose reading time tells something of the rate.
+const MIN_MEASURED_WORK: u64 = 1_000;
 
 /// Bounds of a measured rate relative to the first estimate, so that one odd answer cannot mislead for long.
 const RATE_BOUNDS: (f64, f64) = (0.2, 3.0);
 
 /// Time in which the observed delay of an engine loses two thirds of its weight.
-const DELAY_DECAY: Duration = Duration::from_millis(500);
+const DELAY_DECAY: Duration = Duration::from_millis(300);
 
-/// Number of one prompt that an engine reads.
-pub type ReadId = u64;
+/// Largest share of the prompt being read that is taken as done.
+const MAX_PROGRESS: f64 = 0.9;
+
+/// Share by which reading a token takes longer for each token before it: attention over a prompt of 50,000 tokens costs
+/// about as much as the rest of the network.
+const CONTEXT_COST: f64 = 2e-5;
+
+/// A prompt on its way through an engine: its sender and the sender's number for it.
+pub type ReadId = (u64, u64);
+
+/// Returns the work of reading the last `unread` of `tokens` tokens, in tokens of an empty context.
+pub fn reading_work(unread: u64, tokens: u64) -> u64 {
+    let before = tokens as f64 - unread as f64 / 2.0;
+    (unread as f64 * (1.0 + CONTEXT_COST * before)) as u64
+}
 
 #[derive(Clone, Debug)]
 struct Read {
     id: ReadId,
-    tokens: u64,
+    work: u64,
     sent_at: Instant,
     /// Whether nothing else was being read when it was sent.
     alone: bool,
 }
 
-/// Prompts that were sent to an engine and whose first event has not arrived.
+/// Prompts that were sent to an engine and are not known to be read, in the order in which they were sent.
 #[derive(Clone, Debug)]
 pub struct ReadingQueue {
-    /// Tokens a second that the engine reads, as first estimated and as measured.
+    /// Work a second that the engine does, as first estimated and as measured.
     base_rate: f64,
     rate: f64,
     reads: Vec<Read>,
-    next_id: ReadId,
+    /// Since when the first prompt is taken to be read.
+    first_since: Instant,
     /// By how much the last first event came later than predicted, and when.
     delay: (Duration, Instant),
-    /// Tokens that other senders have told of.
-    foreign_tokens: u64,
 }
 
 impl ReadingQueue {
@@ -47,97 +59,101 @@
             base_rate: rate,
             rate,
             reads: Vec::new(),
-            next_id: 0,
+            first_since: now,
             delay: (Duration::ZERO, now),
-            foreign_tokens: 0,
         }
     }
 
-    /// Returns the measured rate in tokens a second.
+    /// Returns the measured rate in work a second.
     pub fn rate(&self) -> f64 {
         self.rate
     }
 
-    /// Returns the number of prompts that were sent from here and are not read.
-    pub fn len(&self) -> usize {
-        self.reads.len()
-    }
-
-    /// Returns whether nothing that was sent from here is unread.
-    pub fn is_empty(&self) -> bool {
-        self.reads.is_empty()
-    }
-
-    /// Returns the tokens that were sent from here and are not read.
-    pub fn own_tokens(&self) -> u64 {
-        self.reads.iter().map(|read| read.tokens).sum()
-    }
-
-    /// Sets the tokens that other senders have unread at this engine.
-    pub fn set_foreign_tokens(&mut self, tokens: u64) {
-        self.foreign_tokens = tokens;
+    /// Returns the work that is not done.
+    pub fn work(&self) -> u64 {
+        self.reads.iter().map(|read| read.work).sum()
     }
 
-    /// Notes a prompt of which the engine has to read `tokens` tokens.
-    pub fn start(&mut self, now: Instant, tokens: u64) -> ReadId {
-        self.next_id += 1;
+    /// Notes a prompt whose reading is `work`.
+    pub fn start(&mut self, now: Instant, id: ReadId, work: u64) {
+        if self.reads.is_empty() {
+            self.first_since = now;
+        }
         self.reads.push(Read {
-            id: self.next_id,
-            tokens,
+            id,
+            work,
             sent_at: now,
-            alone: self.reads.is_empty() && self.foreign_tokens == 0,
+            alone: self.reads.is_empty(),
         });
-        self.next_id
     }
 
-    /// Notes the first event of a prompt's answer.
+    /// Notes that a prompt was read; its first event came `overhead` later.
     pub fn finish(&mut self, now: Instant, id: ReadId, overhead: Duration) {
-        let Some(position) = self.reads.iter().position(|read| read.id == id) else {
+        let Some(read) = self.remove(now, id) else {
             return;
         };
-        let read = self.reads.remove(position);
         let taken = now.saturating_duration_since(read.sent_at);
         let reading = taken.saturating_sub(overhead);
-        if read.alone && read.tokens >= MIN_MEASURED_TOKENS && !reading.is_zero() {
-            let measured = read.tokens as f64 / reading.as_secs_f64();
-            let bounds = (self.base_rate * RATE_BOUNDS.0, self.base_rate * RATE_BOUNDS.1);
-            let measured = measured.clamp(bounds.0, bounds.1);
-            self.rate += RATE_WEIGHT * (measured - self.rate);
+        if read.alone && read.work >= MIN_MEASURED_WORK && !reading.is_zero() {
+            let measured = read.work as f64 / reading.as_secs_f64();
+            let bounds = (
+                self.base_rate * RATE_BOUNDS.0,
+                self.base_rate * RATE_BOUNDS.1,
+            );
+            self.rate += RATE_WEIGHT * (measured.clamp(bounds.0, bounds.1) - self.rate);
         }
-        let ahead: u64 = self.reads.iter().filter(|r| r.id < id).map(|r| r.tokens).sum();
-        let expected = Duration::from_secs_f64((ahead + read.tokens) as f64 / self.rate) + overhead;
-        self.delay = (taken.saturating_sub(expected), now);
+    }
+
+    /// Notes by how much a first event came later than predicted.
+    pub fn note_delay(&mut self, now: Instant, delay: Duration) {
+        self.delay = (delay.max(self.recent_delay(now) / 2), now);
     }
 
     /// Forgets a prompt that is not answered.
-    pub fn cancel(&mut self, id: ReadId) {
-        self.reads.retain(|read| read.id != id);
+    pub fn cancel(&mut self, now: Instant, id: ReadId) {
+        self.remove(now, id);
+    }
+
+    /// Forgets all prompts of one sender.
+    pub fn forget_sender(&mut self, now: Instant, sender: u64) {
+        let ids: Vec<ReadId> = self.reads.iter().map(|read| read.id).collect();
+        for id in ids.into_iter().filter(|id| id.0 == sender) {
+            self.remove(now, id);
+        }
     }
 
     /// Predicts how long a prompt waits that is sent now.
     pub fn waiting_time(&self, now: Instant) -> Duration {
-        let tokens = self.own_tokens() + self.foreign_tokens;
-        let queued = Duration::from_secs_f64(tokens as f64 / self.rate);
-        // The oldest prompt has been read in part; at most half of it is taken as done.
+        let queued = self.reading_time(self.work());
         let progress = match self.reads.first() {
             Some(read) => {
-                let half = Duration::from_secs_f64(read.tokens as f64 / self.rate / 2.0);
-                now.saturating_duration_since(read.sent_at).min(half)
+                let longest = self.reading_time(read.work).mul_f64(MAX_PROGRESS);
+                now.saturating_duration_since(self.first_since).min(longest)
             }
             None => Duration::ZERO,
         };
-        queued.saturating_sub(progress).max(self.recent_delay(now))
+        queued.saturating_sub(progress) + self.recent_delay(now)
     }
 
-    /// Predicts how long the engine takes to read `tokens` tokens.
-    pub fn reading_time(&self, tokens: u64) -> Duration {
-        Duration::from_secs_f64(tokens as f64 / self.rate)
+    /// Predicts how long the engine takes for `work`.
+    pub fn reading_time(&self, work: u64) -> Duration {
+        Duration::from_secs_f64(work as f64 / self.rate)
+    }
+
+    fn remove(&mut self, now: Instant, id: ReadId) -> Option<Read> {
+        let position = self.reads.iter().position(|read| read.id == id)?;
+        if position == 0 {
+            self.first_since = now;
+        }
+        Some(self.reads.remove(position))
     }
 
     /// Returns the delay that was last observed, which loses weight with its age.
     fn recent_delay(&self, now: Instant) -> Duration {
         let age = now.saturating_duration_since(self.delay.1).as_secs_f64();
-        self.delay.0.mul_f64((-age / DELAY_DECAY.as_secs_f64()).exp())
+        self.delay
+            .0
+            .mul_f64((-age / DELAY_DECAY.as_secs_f64()).exp())
     }
 }
 
@@ -145,38 +161,60 @@
 mod tests {
     use super::*;
 
+    /// Pattern: a long prompt is ahead of a short one.
     #[test]
     fn waiting_time_long_prompt_ahead() {
         let now = Instant::now();
         let mut queue = ReadingQueue::new(now, 50_000.0);
         assert_eq!(queue.waiting_time(now), Duration::ZERO);
-        let id = queue.start(now, 50_000);
+        queue.start(now, (0, 1), 50_000);
         assert_eq!(queue.waiting_time(now), Duration::from_secs(1));
-        queue.cancel(id);
-        assert_eq!(queue.waiting_time(now), Duration::ZERO);
+        let later = now + Duration::from_millis(400);
+        assert_eq!(queue.waiting_time(later), Duration::from_millis(600));
+        queue.start(later, (1, 1), 5_000);
+        assert_eq!(queue.waiting_time(later), Duration::from_millis(700));
+        queue.cancel(later, (0, 1));
+        assert_eq!(queue.waiting_time(later), Duration::from_millis(100));
     }
 
     #[test]
-    fn finish_later_than_predicted() {
+    fn waiting_time_after_delay() {
         let now = Instant::now();
         let mut queue = ReadingQueue::new(now, 50_000.0);
-        queue.set_foreign_tokens(1);
-        let id = queue.start(now, 5_000);
-        let later = now + Duration::from_millis(600);
-        queue.finish(later, id, Duration::ZERO);
-        queue.set_foreign_tokens(0);
-        assert!(queue.waiting_time(later) >= Duration::from_millis(400));
-        assert!(queue.waiting_time(later + 4 * DELAY_DECAY) < Duration::from_millis(50));
+        queue.note_delay(now, Duration::from_millis(400));
+        assert_eq!(queue.waiting_time(now), Duration::from_millis(400));
+        assert!(queue.waiting_time(now + 4 * DELAY_DECAY) < Duration::from_millis(10));
     }
 
     #[test]
     fn finish_measures_rate() {
         let now = Instant::now();
         let mut queue = ReadingQueue::new(now, 50_000.0);
-        for _ in 0..100 {
-            let id = queue.start(now, 10_000);
-            queue.finish(now + Duration::from_millis(400), id, Duration::ZERO);
+        for number in 0..100 {
+            queue.start(now, (0, number), 10_000);
+            queue.finish(
+                now + Duration::from_millis(400),
+                (0, number),
+                Duration::ZERO,
+            );
         }
         assert!((queue.rate() - 25_000.0).abs() < 1_000.0);
     }
+
+    #[test]
+    fn forget_sender_leaves_others() {
+        let now = Instant::now();
+        let mut queue = ReadingQueue::new(now, 50_000.0);
+        queue.start(now, (1, 1), 100);
+        queue.start(now, (2, 1), 200);
+        queue.forget_sender(now, 1);
+        assert_eq!(queue.work(), 200);
+    }
+
+    #[test]
+    fn reading_work_long_context() {
+        assert_eq!(reading_work(0, 10_000), 0);
+        assert!(reading_work(1_000, 1_000) < 1_020);
+        assert!(reading_work(1_000, 50_000) > 1_900);
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 
 mod capacity;
 mod confirmation;
+mod engine_event;
 #[allow(missing_docs, dead_code, clippy::all)]
 #[rustfmt::skip]
 mod generated;
@@ -42,6 +43,7 @@
 
 pub use crate::capacity::{PIECE_TOKENS, pieces_for_tokens};
 pub use crate::confirmation::Confirmation;
+pub use crate::engine_event::{EngineEvent, SendNumber};
 pub use crate::generated::{
     Adapter, AdmissionPolicy, CallerLimits, ControlVm, EngineTraits, FleetDocument, Forwarding,
     LoadedModel, Model, Origin, Policy, Repetition, Role, RoleFloors, Route, RoutingPolicy,
