Plan the roles of engines: two thirds only read prompts

Cause: six of nine engines answered and read 15 tokens a ms each, as they read in pieces of 256 between the steps of answers; three only read, at about 45 tokens a ms. Direct reads of more than 5,000 tokens took 240 ms and more beyond what was predicted, and the reading engines had queues of 1.5 s. All answers together need less than one engine.

Ruled out: processor time of the gateways (0.02 cores); more exact predictions alone, as they were right for the engines that only read.

Change: the leader of the control replicas plans roles from the list of engines (one third answers, spread over the zones), tells the gateways which engines change, proves its leadership and gives fenced orders.

--- a/laburnumlug-control/src/replica/leadership.rs
+++ b/laburnumlug-control/src/replica/leadership.rs
@@ -6,7 +6,7 @@
 use laburnumlug_mesh::ReplicaId;
 
 use super::core::{Core, Role};
-use crate::entry::{LogIndex, Payload};
+use crate::entry::{LogIndex, Payload, Term};
 
 /// Time without a majority after which a leader steps down.
 const LEADER_LEASE: Duration = Duration::from_millis(1200);
@@ -51,6 +51,21 @@
         heard.count() >= membership.majority()
     }
 
+    /// Returns whether this replica leads in `term` and a majority has answered what it sent after `asked_at`.
+    pub(super) fn is_leader_since(&self, term: Term, asked_at: Instant) -> bool {
+        let Role::Leader(leadership) = &self.role else {
+            return false;
+        };
+        let membership = self.log.membership();
+        let has_answered = |voter: &&ReplicaId| match leadership.progress.get(&voter.name) {
+            _ if **voter == self.meta.replica => true,
+            Some(progress) => progress.replica == **voter && progress.heard_at >= asked_at,
+            None => false,
+        };
+        let answered = membership.voters.iter().filter(has_answered).count();
+        self.meta.term == term && answered >= membership.majority()
+    }
+
     /// Returns whether a voter has answered recently, or has not had the time to.
     fn hears(&self, now: Instant, leadership: &Leadership, voter: &ReplicaId) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < LEADER_LEASE;
--- a/laburnumlug-control/src/replica/mod.rs
+++ b/laburnumlug-control/src/replica/mod.rs
@@ -36,6 +36,9 @@
 /// How long a connection to another replica may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// How often a proof of leadership is looked for.
+const PROOF_INTERVAL: Duration = Duration::from_millis(10);
+
 /// One replica of the control log.
 pub struct Replica {
     cfg: ReplicaConfig,
@@ -112,6 +115,17 @@
         self.core.borrow().is_leader(now)
     }
 
+    /// Returns whether a majority confirms after the call began that this replica leads in `term`.
+    pub async fn prove_leadership(&self, term: u64, timeout: Duration) -> bool {
+        let asked_at = Instant::now();
+        let proving = async {
+            while !self.core.borrow().is_leader_since(term, asked_at) {
+                compio::time::sleep(PROOF_INTERVAL).await;
+            }
+        };
+        compio::time::timeout(timeout, proving).await.is_ok()
+    }
+
     /// Returns whether all that was committed before this replica's process started is applied here.
     ///
     /// Until then the committed state that it shows may be an older one.
--- a/laburnumlug-daemon/src/control.rs
+++ b/laburnumlug-daemon/src/control.rs
@@ -8,12 +8,13 @@
 use compio::net::TcpListener;
 use laburnumlug_control::{OperatorInterface, Replica, serve_mesh};
 use laburnumlug_http::Server;
-use laburnumlug_platform::{InstanceListClient, PlatformOperator};
+use laburnumlug_platform::{InstanceListClient, PlatformOperator, PlatformOrders};
 
 use crate::control_metrics::ControlMetrics;
 use crate::error::Error;
 use crate::fleet_store::ControlStore;
 use crate::metrics::{self, Metrics};
+use crate::role_planner::RolePlanner;
 use crate::settings::ControlSettings;
 use crate::{logging, settings_watch, signal, target_reader};
 
@@ -94,7 +95,13 @@
     });
     if let Some(addr) = settings.target_list {
         let source = Rc::new(InstanceListClient::new(addr));
-        compio::runtime::spawn(target_reader::run(replica.clone(), source)).detach();
+        let planner = Rc::new(RolePlanner::new(
+            replica.clone(),
+            Rc::new(PlatformOrders),
+            &settings.process.vm,
+            settings.order_turn,
+        ));
+        compio::runtime::spawn(target_reader::run(replica.clone(), source, planner)).detach();
     }
     let operators = match settings.platform_operator {
         true => {
--- a/laburnumlug-daemon/src/dev.rs
+++ b/laburnumlug-daemon/src/dev.rs
@@ -84,6 +84,7 @@
             losses: None,
             target_list: None,
             platform_operator: false,
+            order_turn: Duration::from_secs(3),
         },
         metrics.clone(),
     )
--- a/laburnumlug-daemon/src/lib.rs
+++ b/laburnumlug-daemon/src/lib.rs
@@ -26,6 +26,7 @@
 mod logging;
 mod metrics;
 mod registration;
+mod role_planner;
 mod settings;
 mod settings_watch;
 mod signal;
--- a/laburnumlug-daemon/src/settings/control.rs
+++ b/laburnumlug-daemon/src/settings/control.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use laburnumlug_control::{OperatorToken, PeerReplica, ReplicaConfig, Tokens};
 
@@ -9,7 +10,10 @@
     LOG, LogSettings, MESH, METRICS, MeshSettings, PROCESS, ProcessSettings, metrics_listen,
 };
 use super::error::SettingsError;
-use super::reader::{Reader, Section, addr, count, text};
+use super::reader::{Reader, Section, addr, count, millis, text};
+
+/// Time between orders of two leaders where the settings name none.
+const DEFAULT_ORDER_TURN: Duration = Duration::from_secs(3);
 
 const CONTROL: Section = Section {
     name: "control",
@@ -27,6 +31,7 @@
         "losses",
         "target_list",
         "platform_operator",
+        "order_turn_ms",
     ],
 };
 
@@ -61,6 +66,8 @@
     pub(crate) target_list: Option<SocketAddr>,
     /// Whether the platform's operator calls, too.
     pub(crate) platform_operator: bool,
+    /// Time in which orders of two leaders to one engine may not follow each other.
+    pub(crate) order_turn: Duration,
 }
 
 impl ControlSettings {
@@ -106,6 +113,9 @@
             mesh,
             losses: reader.optional("control", "losses", losses, |text| text.parse().ok())?,
             target_list: reader.optional("control", "target_list", "IP:PORT", addr)?,
+            order_turn: reader
+                .optional("control", "order_turn_ms", "a whole number from 1", millis)?
+                .unwrap_or(DEFAULT_ORDER_TURN),
             platform_operator: reader
                 .optional("control", "platform_operator", "yes or no", yes_or_no)?
                 .unwrap_or(false),
--- a/laburnumlug-daemon/src/target_reader.rs
+++ b/laburnumlug-daemon/src/target_reader.rs
@@ -6,6 +6,8 @@
 use laburnumlug_control::Replica;
 use laburnumlug_platform::TargetSource;
 
+use crate::role_planner::RolePlanner;
+
 /// Time between two reads while this replica leads; calls to the platform are rationed.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -13,7 +15,11 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Reads the list again and again while this replica leads.
-pub(crate) async fn run(replica: Rc<Replica>, source: Rc<dyn TargetSource>) {
+pub(crate) async fn run(
+    replica: Rc<Replica>,
+    source: Rc<dyn TargetSource>,
+    planner: Rc<RolePlanner>,
+) {
     let mut failing = false;
     loop {
         let asked_at = Instant::now();
@@ -25,7 +31,8 @@
                 _ => {}
             }
             failing = result.is_err();
-            if let Ok(list) = result {
+            if let Ok(mut list) = result {
+                planner.plan(Instant::now(), &mut list);
                 replica.publish_targets(asked_at, list);
             }
         }
--- a/laburnumlug-forward/src/directory.rs
+++ b/laburnumlug-forward/src/directory.rs
@@ -10,10 +10,18 @@
 
 /// Tokens a second that an engine reads before any was measured; a current accelerator node reads a 70-billion
 /// parameter model's prompt at about this rate.
-const FIRST_READ_RATE: f64 = 50_000.0;
+const FIRST_READ_RATE: f64 = 45_000.0;
 
-/// Share of that rate at which an engine reads that also answers: it reads between the tokens of other requests.
-const ANSWERING_READ_SHARE: f64 = 0.5;
+/// Share of that rate at which an engine reads that also answers: it reads small pieces between the tokens of other
+/// requests.
+const ANSWERING_READ_SHARE: f64 = 0.36;
+
+fn first_rate(role: Option<Role>) -> f64 {
+    match role {
+        Some(Role::Prefill) => FIRST_READ_RATE,
+        _ => FIRST_READ_RATE * ANSWERING_READ_SHARE,
+    }
+}
 
 /// One life of a target.
 pub(crate) struct TargetHandle {
@@ -28,10 +36,7 @@
 
 impl TargetHandle {
     fn new(now: Instant, row: LiveTarget) -> TargetHandle {
-        let rate = match row.role {
-            Some(Role::Prefill) => FIRST_READ_RATE,
-            _ => FIRST_READ_RATE * ANSWERING_READ_SHARE,
-        };
+        let rate = first_rate(row.role);
         TargetHandle {
             instance: row.instance.clone(),
             row: RefCell::new(row),
@@ -87,6 +92,11 @@
                     if row.leaving && !handle.row.borrow().leaving {
                         log::info!(target = row.instance.as_str(); "the target leaves");
                     }
+                    if handle.row.borrow().role != row.role {
+                        handle
+                            .reading
+                            .replace(ReadingQueue::new(read_at, first_rate(row.role)));
+                    }
                     handle.row.replace(row);
                     handle
                 }
@@ -128,7 +138,10 @@
     /// Returns the targets of a service that may get new work.
     pub(crate) fn serving(&self, service: &str) -> Vec<Rc<TargetHandle>> {
         let handles = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        let serving = handles.iter().filter(|handle| !handle.row.borrow().leaving);
+        let serving = handles.iter().filter(|handle| {
+            let row = handle.row.borrow();
+            !row.leaving && !row.changing
+        });
         serving.cloned().collect()
     }
 
@@ -184,6 +197,7 @@
             zone: "z".to_string(),
             slots: 4,
             leaving,
+            changing: false,
             role: None,
         }
     }
--- a/laburnumlug-forward/src/stream.rs
+++ b/laburnumlug-forward/src/stream.rs
@@ -119,13 +119,20 @@
         let chosen = self.choose(now, stream)?;
         let target = chosen.answering.clone();
         stream.tried.push(target.clone());
-        log::debug!(
+        let reader = chosen
+            .reading
+            .as_ref()
+            .map_or(String::new(), |r| r.instance.clone());
+        let (unread, predicted) = (chosen.unread_tokens, chosen.first_event);
+        let waited = now.saturating_duration_since(stream.call.arrived);
+        let result = self.open_at(stream, chosen, resume_after).await;
+        log::info!(
             request_id = stream.call.facts.id.as_str(), target = target.instance.as_str(),
-            reader = chosen.reading.as_ref().map_or("", |r| r.instance.as_str()),
-            unread = chosen.unread_tokens, predicted_ms = chosen.first_event.as_millis() as u64;
-            "the stream was placed"
+            reader = reader.as_str(), unread = unread, tokens = stream.chain.tokens(),
+            waited_ms = waited.as_millis() as u64, predicted_ms = predicted.as_millis() as u64,
+            taken_ms = now.elapsed().as_millis() as u64, opened = result.is_ok();
+            "a stream was placed"
         );
-        let result = self.open_at(stream, chosen, resume_after).await;
         if let Err(failure) = &result {
             stream.sends += u32::from(failure.arrived);
             log::info!(
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -53,6 +53,7 @@
 mod prompt_cache;
 mod rates;
 mod reading;
+mod role_plan;
 mod route;
 mod subset;
 mod work;
@@ -70,6 +71,7 @@
 pub use crate::prompt_cache::{ChainId, PromptCache, PromptChain};
 pub use crate::rates::{EngineRates, RateMeter};
 pub use crate::reading::{ReadId, ReadingQueue, reading_work};
+pub use crate::role_plan::{RoleChange, plan_roles};
 pub use crate::route::{
     ByRole, Candidate, LeastQueue, PredictedFinish, ReportedLoad, RouteQuery, Router, router,
 };
--- a/src/live_target.rs
+++ b/src/live_target.rs
@@ -22,6 +22,9 @@
     pub slots: u32,
     /// Whether it is going to stop and gets no new work.
     pub leaving: bool,
+    /// Whether its role is being changed, so that it gets no new work.
+    #[serde(default)]
+    pub changing: bool,
     /// Which part of the work an engine does; `None` for plain servers.
     pub role: Option<Role>,
 }
