Find silent engines by their silence, and ask engines what they hold after a restart

A request for which no target was usable was tried again without a pause and without an await, which held up its whole gateway until the request's deadline. Such a request is refused at once now.

Change: a target that does not answer within twice the predicted time is suspected and probed, and the other gateways are told; a prompt that was not read is placed again; a handle that is gone is read again at its engine; a gateway asks engines that it finds what they hold, unless another one tells it first. Parts are known by the ids that engines use.

--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -10,7 +10,7 @@
 use laburnumlug::{CallerLimits, TargetList};
 use laburnumlug_forward::{ForwardConfig, ForwardHandler, Forwarder};
 use laburnumlug_http::{Limits, LimitsHandle, Request, Server, text_response};
-use laburnumlug_platform::{InstanceListClient, PlatformHeaders, TargetSource};
+use laburnumlug_platform::{InstanceListClient, PlatformHeaders, PlatformInspector, TargetSource};
 use rand::Rng;
 
 use crate::error::Error;
@@ -83,7 +83,7 @@
     metrics::serve(settings.metrics, metrics).await?;
     let cfg = ForwardConfig::new(&settings.process.zone)
         .retries(settings.retry_ratio, settings.retry_window);
-    let forwarder = Forwarder::new(cfg, Rc::new(PlatformHeaders));
+    let forwarder = Forwarder::new(cfg, Rc::new(PlatformHeaders), Rc::new(PlatformInspector));
     let listener = bind(settings.listen).await?;
     let limits = server_limits(&CallerLimits::default(), settings.max_connections);
     let server = Server::new(listener, limits);
--- a/laburnumlug-forward/src/directory.rs
+++ b/laburnumlug-forward/src/directory.rs
@@ -23,6 +23,9 @@
     }
 }
 
+/// Tokens that an engine is taken to hold before its service tells.
+const UNKNOWN_MEMORY: u64 = 500_000;
+
 /// One life of a target.
 pub(crate) struct TargetHandle {
     pub(crate) instance: TargetName,
@@ -32,6 +35,8 @@
     pub(crate) health: RefCell<TargetHealth>,
     pub(crate) reading: RefCell<ReadingQueue>,
     pub(crate) cache: RefCell<PromptCache>,
+    /// Whether it is known what it held when it was found.
+    pub(crate) is_inspected: Cell<bool>,
 }
 
 impl TargetHandle {
@@ -43,7 +48,8 @@
             running: Cell::new(0),
             health: RefCell::default(),
             reading: RefCell::new(ReadingQueue::new(now, rate)),
-            cache: RefCell::new(PromptCache::new(0)),
+            cache: RefCell::new(PromptCache::new(UNKNOWN_MEMORY)),
+            is_inspected: Cell::new(false),
         }
     }
 
@@ -78,9 +84,12 @@
 
 impl Directory {
     /// Takes a list that was read at `read_at`; an older one changes nothing.
-    pub(crate) fn update(&mut self, read_at: Instant, list: TargetList) {
+    ///
+    /// Returns the targets that were not known.
+    pub(crate) fn update(&mut self, read_at: Instant, list: TargetList) -> Vec<Rc<TargetHandle>> {
+        let mut found = Vec::new();
         if self.read_at.is_some_and(|newest| read_at <= newest) {
-            return;
+            return found;
         }
         self.read_at = Some(read_at);
         let mut by_instance = HashMap::new();
@@ -105,7 +114,9 @@
                         target = row.instance.as_str(), addr = row.addr.to_string().as_str();
                         "a target of service {} was found", row.service
                     );
-                    Rc::new(TargetHandle::new(read_at, row))
+                    let handle = Rc::new(TargetHandle::new(read_at, row));
+                    found.push(handle.clone());
+                    handle
                 }
             };
             by_instance.insert(handle.instance.clone(), handle);
@@ -123,6 +134,7 @@
         }
         self.by_instance = by_instance;
         self.services = services;
+        found
     }
 
     /// Notes that a list read at `read_at` equals the one held.
--- a/laburnumlug-forward/src/engine.rs
+++ b/laburnumlug-forward/src/engine.rs
@@ -52,7 +52,7 @@
 }
 
 impl Ledger {
-    fn tell(&self, event: EngineEvent) {
+    pub(crate) fn tell(&self, event: EngineEvent) {
         if let Some(sink) = &*self.sink.borrow() {
             sink.tell(event);
         }
@@ -141,7 +141,11 @@
 
     /// Returns what another process has to know when it is first spoken to.
     pub fn engine_events(&self) -> Vec<EngineEvent> {
-        let holds = self.engines().into_iter().map(|target| EngineEvent::Holds {
+        let known = self
+            .engines()
+            .into_iter()
+            .filter(|target| target.is_inspected.get());
+        let holds = known.map(|target| EngineEvent::Holds {
             engine: target.instance.clone(),
             parts: target.cache.borrow().parts(),
         });
@@ -187,8 +191,18 @@
                     send.target.running.set(send.target.running.get() - 1);
                 }
             }
+            EngineEvent::Reachable { engine, serves } => {
+                if let Some(target) = self.target(&engine) {
+                    let mut health = target.health.borrow_mut();
+                    match serves {
+                        true => health.clear_suspicion(),
+                        false => health.suspect(now),
+                    }
+                }
+            }
             EngineEvent::Holds { engine, parts } => {
                 if let Some(target) = self.target(&engine) {
+                    target.is_inspected.set(true);
                     let mut cache = target.cache.borrow_mut();
                     for (chain, tokens) in parts.into_iter().rev() {
                         cache.insert_oldest(chain, tokens);
--- a/laburnumlug-forward/src/exchange.rs
+++ b/laburnumlug-forward/src/exchange.rs
@@ -38,6 +38,14 @@
     }
 }
 
+/// How long a send waits for the head of its answer before its target is suspected.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Patience {
+    pub(crate) limit: Duration,
+    /// Whether the send ends then; otherwise it waits for as long as the caller does.
+    pub(crate) may_give_up: bool,
+}
+
 /// A send without an answer that can be passed on.
 #[derive(Debug)]
 pub(crate) struct SendFailure {
@@ -46,6 +54,8 @@
     pub(crate) detail: String,
     /// Whether the target has seen the request at all.
     pub(crate) arrived: bool,
+    /// Whether it was only to read a prompt for another target.
+    pub(crate) at_reader: bool,
 }
 
 impl SendFailure {
@@ -55,6 +65,7 @@
             cause: Cause::AnswerLost,
             detail,
             arrived: true,
+            at_reader: false,
         }
     }
 
@@ -67,11 +78,12 @@
 impl Forwarder {
     /// Sends a request once and waits for the head of the answer.
     pub(crate) async fn send(
-        &self,
+        self: &Rc<Self>,
         call: &Call,
-        target: &TargetHandle,
+        target: &Rc<TargetHandle>,
         step: SendStep,
         resume_after: Option<String>,
+        patience: Patience,
     ) -> Result<Answer, SendFailure> {
         let now = Instant::now();
         let time_left = call.time_left(now);
@@ -81,6 +93,7 @@
                 cause: Cause::Expired,
                 detail: "no time is left".to_string(),
                 arrived: false,
+                at_reader: false,
             });
         }
         let facts = SendFacts {
@@ -97,31 +110,47 @@
         *req.uri_mut() = call.path.clone();
         *req.headers_mut() = headers;
         let addr = target.row.borrow().addr;
-        let sending = self.pool.send(now, addr, req);
-        let sent = compio::time::timeout(time_left, sending).await;
+        let mut sending = Box::pin(self.pool.send(now, addr, req));
+        let limit = patience.limit.min(time_left);
+        let sent = match compio::time::timeout(limit, sending.as_mut()).await {
+            Err(_) if limit < time_left => {
+                self.suspect(Instant::now(), target, "it has not answered for long");
+                match patience.may_give_up {
+                    true => None,
+                    false => {
+                        let left = call.time_left(Instant::now());
+                        compio::time::timeout(left, sending.as_mut()).await.ok()
+                    }
+                }
+            }
+            sent => sent.ok(),
+        };
+        drop(sending);
         let now = Instant::now();
         match sent {
-            Ok(Ok(answer)) => self.check(call, target, answer).await,
-            Ok(Err(SendError::NotSent(err))) => {
-                target.health.borrow_mut().note_failure(now, true);
+            Some(Ok(answer)) => self.check(call, target, answer).await,
+            Some(Err(SendError::NotSent(err))) => {
+                self.suspect(now, target, "no connection is made");
                 Err(SendFailure {
                     verdict: Verdict::NotRun,
                     cause: Cause::Unreachable,
                     detail: err.to_string(),
                     arrived: false,
+                    at_reader: false,
                 })
             }
-            Ok(Err(SendError::Sent(err))) => {
+            Some(Err(SendError::Sent(err))) => {
                 target.health.borrow_mut().note_failure(now, false);
                 Err(SendFailure::lost(err.to_string()))
             }
-            Err(_) => {
+            None => {
                 target.health.borrow_mut().note_failure(now, false);
                 Err(SendFailure {
                     verdict: Verdict::MayHaveRun,
                     cause: Cause::TimedOut,
                     detail: "no answer in time".to_string(),
                     arrived: true,
+                    at_reader: false,
                 })
             }
         }
@@ -129,9 +158,9 @@
 
     /// Checks that an answer belongs to the request and does not refuse it.
     async fn check(
-        &self,
+        self: &Rc<Self>,
         call: &Call,
-        target: &TargetHandle,
+        target: &Rc<TargetHandle>,
         mut answer: Answer,
     ) -> Result<Answer, SendFailure> {
         let facts = self.dialect.answer(answer.status(), answer.headers());
@@ -145,10 +174,11 @@
             return Ok(answer);
         }
         if facts.wrong_target {
-            target
-                .health
-                .borrow_mut()
-                .note_failure(Instant::now(), true);
+            self.suspect(
+                Instant::now(),
+                target,
+                "another target answers at its address",
+            );
         }
         let status = answer.status();
         if answer.bytes(MAX_DRAINED_BYTES).await.is_ok() {
@@ -159,6 +189,7 @@
             cause: Cause::TargetRefused,
             detail: format!("the target refused with status {status}"),
             arrived: true,
+            at_reader: false,
         })
     }
 }
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -16,6 +16,7 @@
 use crate::directory::{Directory, TargetHandle};
 use crate::engine::Ledger;
 use crate::exchange::Call;
+use crate::probe::Inspector;
 use crate::refusal::{Cause, Refusal};
 use crate::routes::{RouteRow, RouteTable};
 
@@ -37,6 +38,9 @@
 /// Time that callers without a deadline of their own are given, where the route has a longer one.
 const DEFAULT_TIME: Duration = Duration::from_secs(30);
 
+/// Path of the health check of services that state none.
+const DEFAULT_HEALTH_PATH: &str = "/health";
+
 /// Configuration of a [`Forwarder`].
 #[derive(Clone, Debug)]
 pub struct ForwardConfig {
@@ -75,6 +79,7 @@
 pub struct Forwarder {
     pub(crate) cfg: ForwardConfig,
     pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) inspector: Rc<dyn Inspector>,
     pub(crate) pool: ConnectionPool,
     view: RefCell<View>,
     allowances: RefCell<HashMap<ServiceName, RetryAllowance>>,
@@ -84,10 +89,15 @@
 
 impl Forwarder {
     /// Creates a forwarder that knows no routes and no targets.
-    pub fn new(cfg: ForwardConfig, dialect: Rc<dyn Dialect>) -> Rc<Forwarder> {
+    pub fn new(
+        cfg: ForwardConfig,
+        dialect: Rc<dyn Dialect>,
+        inspector: Rc<dyn Inspector>,
+    ) -> Rc<Forwarder> {
         Rc::new(Forwarder {
             cfg,
             dialect,
+            inspector,
             pool: ConnectionPool::new(CONNECT_TIMEOUT, IDLE_TIME),
             view: RefCell::default(),
             allowances: RefCell::default(),
@@ -112,8 +122,14 @@
     }
 
     /// Sets the targets from a list that was read at `read_at`.
-    pub fn set_targets(&self, read_at: Instant, list: TargetList) {
-        self.view.borrow_mut().directory.update(read_at, list);
+    pub fn set_targets(self: &Rc<Self>, read_at: Instant, list: TargetList) {
+        let found = self.view.borrow_mut().directory.update(read_at, list);
+        for target in found
+            .into_iter()
+            .filter(|target| target.row.borrow().role.is_some())
+        {
+            self.inspect(target);
+        }
         let view = self.view.borrow();
         self.pool
             .retain(Instant::now(), |addr| view.directory.has_addr(addr));
@@ -140,6 +156,16 @@
         self.closing.set(true);
     }
 
+    /// Returns the path of a service's health check.
+    pub(crate) fn health_path(&self, service: &str) -> String {
+        let view = self.view.borrow();
+        let path = view
+            .table
+            .as_ref()
+            .and_then(|table| table.health_path(service));
+        path.unwrap_or(DEFAULT_HEALTH_PATH).to_string()
+    }
+
     /// Returns the live target of an instance.
     pub(crate) fn target(&self, instance: &str) -> Option<Rc<TargetHandle>> {
         self.view.borrow().directory.target(instance)
--- a/laburnumlug-forward/src/plain.rs
+++ b/laburnumlug-forward/src/plain.rs
@@ -10,7 +10,7 @@
 
 use crate::dialect::SendStep;
 use crate::directory::{TargetHandle, usable};
-use crate::exchange::{Call, SendFailure};
+use crate::exchange::{Call, Patience, SendFailure};
 use crate::forwarder::Forwarder;
 use crate::refusal::{Cause, Refusal};
 
@@ -23,6 +23,9 @@
 /// Multiple of a route's aim after which a repeatable request is given to another target.
 const SILENCE_FACTOR: u32 = 2;
 
+/// Multiple of a route's aim after which a silent target is suspected.
+const SUSPECT_FACTOR: u32 = 3;
+
 /// Load that another availability zone must be below the own one to be preferred; it costs latency and traffic.
 const FAR_PENALTY: f64 = 0.4;
 
@@ -32,7 +35,7 @@
 impl Forwarder {
     /// Answers a request that has one whole answer.
     pub(crate) async fn answer_plain(
-        &self,
+        self: &Rc<Self>,
         call: &Call,
         service: &str,
     ) -> Result<Response, Refusal> {
@@ -86,14 +89,20 @@
     }
 
     async fn exchange_plain(
-        &self,
+        self: &Rc<Self>,
         call: &Call,
         target: &Rc<TargetHandle>,
         is_last: bool,
     ) -> Result<Response, SendFailure> {
         let _running = target.enter();
         let exchanging = async {
-            let mut answer = self.send(call, target, SendStep::Whole, None).await?;
+            let patience = Patience {
+                limit: call.route.aim * SUSPECT_FACTOR,
+                may_give_up: false,
+            };
+            let mut answer = self
+                .send(call, target, SendStep::Whole, None, patience)
+                .await?;
             let body = match answer.bytes(MAX_ANSWER_BYTES).await {
                 Ok(body) => body,
                 Err(err) => {
--- a/laburnumlug-forward/src/routes.rs
+++ b/laburnumlug-forward/src/routes.rs
@@ -78,6 +78,7 @@
     /// Routes by host, longest prefix first.
     hosts: HashMap<String, Vec<Rc<RouteRow>>>,
     engines: HashMap<ServiceName, EngineTraits>,
+    health_paths: HashMap<ServiceName, String>,
 }
 
 impl RouteTable {
@@ -94,10 +95,15 @@
             let engine = service.forwarding.as_ref()?.engine.clone()?;
             Some((service.name.clone(), engine))
         });
+        let health_paths = document.services.iter().filter_map(|service| {
+            let path = service.forwarding.as_ref()?.health_path.clone()?;
+            Some((service.name.clone(), path))
+        });
         RouteTable {
             version,
             limits: document.caller_limits.clone().unwrap_or_default(),
             engines: engines.collect(),
+            health_paths: health_paths.collect(),
             hosts,
         }
     }
@@ -115,6 +121,11 @@
             .cloned()
     }
 
+    /// Returns the path of a service's health check.
+    pub(crate) fn health_path(&self, service: &str) -> Option<&str> {
+        self.health_paths.get(service).map(String::as_str)
+    }
+
     /// Returns what is common to a service's engines; `None` for plain services.
     pub(crate) fn engine(&self, service: &str) -> Option<&EngineTraits> {
         self.engines.get(service)
--- a/laburnumlug-forward/src/stream.rs
+++ b/laburnumlug-forward/src/stream.rs
@@ -13,7 +13,7 @@
 use crate::directory::{Running, TargetHandle};
 use crate::engine::{ChosenEngines, EngineSend};
 use crate::events::EventSplitter;
-use crate::exchange::{Call, SendFailure};
+use crate::exchange::{Call, Patience, SendFailure};
 use crate::forwarder::Forwarder;
 use crate::refusal::{Cause, Refusal};
 use crate::routes::RouteTable;
@@ -24,6 +24,16 @@
 /// Most connections that are tried for one request; a connection that fails has carried nothing.
 const MAX_CONNECTS: u32 = 3;
 
+/// Multiple of the predicted time to the first event after which a silent engine is suspected.
+const SILENCE_FACTOR: u32 = 2;
+
+/// Time on top of that; predictions are uncertain by some hundred milliseconds.
+const SILENCE_MARGIN: Duration = Duration::from_millis(500);
+
+fn silence_limit(expected: Duration) -> Duration {
+    expected * SILENCE_FACTOR + SILENCE_MARGIN
+}
+
 /// A request for a stream, with what its attempts share.
 struct StreamCall {
     call: Call,
@@ -88,7 +98,9 @@
                 Err(failure) => failure,
             };
             unknown |= failure.verdict != Verdict::NotRun;
-            let may_repeat = !unknown || stream.call.route.is_repeatable();
+            // Without a target there is nothing to try again until one is found.
+            let may_repeat =
+                failure.cause != Cause::NoTarget && (!unknown || stream.call.route.is_repeatable());
             if may_repeat && self.may_try_again(&stream) {
                 continue;
             }
@@ -118,7 +130,7 @@
         let now = Instant::now();
         let chosen = self.choose(now, stream)?;
         let target = chosen.answering.clone();
-        stream.tried.push(target.clone());
+        let tried = (target.clone(), chosen.reading.clone());
         let reader = chosen
             .reading
             .as_ref()
@@ -133,6 +145,15 @@
             taken_ms = now.elapsed().as_millis() as u64, opened = result.is_ok();
             "a stream was placed"
         );
+        stream.tried.push(match (&result, tried) {
+            (
+                Err(SendFailure {
+                    at_reader: true, ..
+                }),
+                (_, Some(reader)),
+            ) => reader,
+            (_, (target, _)) => target,
+        });
         if let Err(failure) = &result {
             stream.sends += u32::from(failure.arrived);
             log::info!(
@@ -172,6 +193,7 @@
             cause: Cause::NoTarget,
             detail: "no engine of the service has room".to_string(),
             arrived: false,
+            at_reader: false,
         })
     }
 
@@ -184,11 +206,10 @@
         let call = &stream.call;
         let target = chosen.answering.clone();
         let step = match &chosen.reading {
-            Some(reader) => match self.read_prompt(stream, reader, chosen.unread_tokens).await {
-                Some(step) => step,
-                // The answering engine reads the prompt itself.
-                None => SendStep::Whole,
-            },
+            Some(reader) => {
+                self.read_prompt(stream, reader, chosen.unread_tokens, chosen.first_event)
+                    .await?
+            }
             None => SendStep::Whole,
         };
         let unread = match step {
@@ -197,7 +218,40 @@
         };
         let running = target.enter();
         let mut engine = EngineSend::start(self, Instant::now(), &target, &stream.chain, unread);
-        let mut answer = self.send(call, &target, step, resume_after).await?;
+        let expected = match step {
+            SendStep::Whole => chosen.first_event,
+            _ => Duration::ZERO,
+        };
+        let patience = Patience {
+            limit: silence_limit(expected),
+            may_give_up: call.route.is_repeatable(),
+        };
+        let from_handle = matches!(step, SendStep::AnswerFrom { .. });
+        let sent = self
+            .send(call, &target, step, resume_after.clone(), patience)
+            .await;
+        let mut answer = match sent {
+            // The prompt is gone at its reader; the same engine can read it itself.
+            Err(failure)
+                if from_handle
+                    && failure.cause == Cause::TargetRefused
+                    && self.take_retry(Instant::now(), &stream.service) =>
+            {
+                if let Some(reader) = &chosen.reading {
+                    reader
+                        .health
+                        .borrow_mut()
+                        .note_failure(Instant::now(), false);
+                }
+                let patience = Patience {
+                    limit: silence_limit(call.route.aim),
+                    ..patience
+                };
+                self.send(call, &target, SendStep::Whole, resume_after, patience)
+                    .await?
+            }
+            sent => sent?,
+        };
         if answer.status() >= 300 {
             return self.whole(&target, answer).await.map(Opened::Whole);
         }
@@ -240,19 +294,27 @@
         }
     }
 
-    /// Has an engine read the prompt for another one; `None` where it did not.
+    /// Has an engine read the prompt for another one.
     async fn read_prompt(
         self: &Rc<Self>,
         stream: &StreamCall,
         reader: &Rc<TargetHandle>,
         unread_tokens: u64,
-    ) -> Option<SendStep> {
+        expected: Duration,
+    ) -> Result<SendStep, SendFailure> {
         let call = &stream.call;
         let _running = reader.enter();
         let mut engine =
             EngineSend::start(self, Instant::now(), reader, &stream.chain, unread_tokens);
         let result = async {
-            let mut answer = self.send(call, reader, SendStep::ReadPrompt, None).await?;
+            let patience = Patience {
+                limit: silence_limit(expected),
+                may_give_up: true,
+            };
+            let sent = self
+                .send(call, reader, SendStep::ReadPrompt, None, patience)
+                .await;
+            let mut answer = sent?;
             let status = answer.status();
             let body = answer.bytes(MAX_ANSWER_BYTES).await;
             let body = body.map_err(|err| SendFailure::lost(err.to_string()))?;
@@ -269,14 +331,21 @@
                 engine.note_read(Instant::now());
                 reader.health.borrow_mut().note_success();
                 let source = reader.row.borrow().addr;
-                Some(SendStep::AnswerFrom { source, handle })
+                Ok(SendStep::AnswerFrom { source, handle })
             }
             Err(failure) => {
                 log::info!(
                     request_id = call.facts.id.as_str(), target = reader.instance.as_str(),
                     cause = failure.cause.as_str(); "the prompt was not read: {}", failure.detail
                 );
-                None
+                // Reading alone does not count as a run, and another engine may do it.
+                Err(SendFailure {
+                    verdict: Verdict::NotRun,
+                    cause: Cause::Unreachable,
+                    arrived: false,
+                    at_reader: true,
+                    ..failure
+                })
             }
         }
     }
@@ -390,6 +459,7 @@
                 Ok(Opened::Stream(open)) => return Some(*open),
                 // Another answer than a stream cannot be joined to one.
                 Ok(Opened::Whole(_)) => return None,
+                Err(failure) if failure.cause == Cause::NoTarget => return None,
                 Err(_) => {}
             }
         }
--- a/laburnumlug-policy/src/health.rs
+++ b/laburnumlug-policy/src/health.rs
@@ -11,6 +11,9 @@
 /// Longest time for which a target gets no requests.
 const MAX_EJECTION: Duration = Duration::from_secs(4);
 
+/// Longest time for which a target is suspected where no probe is heard of.
+const MAX_SUSPICION: Duration = Duration::from_secs(10);
+
 /// Weight of the newest outcome in the share of failures.
 const OUTCOME_WEIGHT: f64 = 0.1;
 
@@ -24,17 +27,36 @@
     failure_share: f64,
     ejections: u32,
     ejected_until: Option<Instant>,
+    /// Until when the target gets nothing unless a probe shows that it serves.
+    suspected_until: Option<Instant>,
 }
 
 impl TargetHealth {
     /// Returns whether the target may get requests.
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.ejected_until.is_none_or(|until| now >= until)
+        let is_over = |until: Instant| now >= until;
+        self.ejected_until.is_none_or(is_over) && !self.is_suspected(now)
+    }
+
+    /// Returns whether the target waits for a probe.
+    pub fn is_suspected(&self, now: Instant) -> bool {
+        self.suspected_until.is_some_and(|until| now < until)
+    }
+
+    /// Notes that nothing gets through to the target.
+    pub fn suspect(&mut self, now: Instant) {
+        self.suspected_until = Some(now + MAX_SUSPICION);
+    }
+
+    /// Notes that the target serves.
+    pub fn clear_suspicion(&mut self) {
+        self.suspected_until = None;
+        self.failures = 0;
     }
 
     /// Returns when the target may get requests again.
     pub fn usable_at(&self) -> Option<Instant> {
-        self.ejected_until
+        self.ejected_until.max(self.suspected_until)
     }
 
     /// Returns the share of recent requests that failed.
@@ -78,6 +100,19 @@
         assert!(health.is_usable(now + FIRST_EJECTION));
     }
 
+    /// Pattern: a target falls silent and is back seconds later.
+    #[test]
+    fn suspect_until_probe() {
+        let now = Instant::now();
+        let mut health = TargetHealth::default();
+        health.suspect(now);
+        assert!(!health.is_usable(now + Duration::from_secs(5)));
+        health.clear_suspicion();
+        assert!(health.is_usable(now));
+        health.suspect(now);
+        assert!(health.is_usable(now + MAX_SUSPICION));
+    }
+
     #[test]
     fn note_failure_in_a_row() {
         let now = Instant::now();
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -68,7 +68,7 @@
 pub use crate::placement::{EngineView, FIRST_EVENT_OVERHEAD, Placement, PromptView, place};
 pub use crate::predict::OutputPredictor;
 pub use crate::prefix::{PrefixHashes, PrefixIndex};
-pub use crate::prompt_cache::{ChainId, PromptCache, PromptChain};
+pub use crate::prompt_cache::{PartId, PromptCache, PromptChain, part_id};
 pub use crate::rates::{EngineRates, RateMeter};
 pub use crate::reading::{ReadId, ReadingQueue, reading_work};
 pub use crate::role_plan::{RoleChange, plan_roles};
--- a/laburnumlug-policy/src/placement.rs
+++ b/laburnumlug-policy/src/placement.rs
@@ -5,7 +5,7 @@
 
 use laburnumlug::Role;
 
-use crate::prompt_cache::ChainId;
+use crate::prompt_cache::PartId;
 use crate::reading::reading_work;
 
 /// Time from the end of reading to the first event at the caller.
@@ -50,8 +50,8 @@
 /// A prompt that is to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct PromptView {
-    /// Chain of its shared parts.
-    pub home: Option<ChainId>,
+    /// The last of its shared parts.
+    pub home: Option<PartId>,
     /// Tokens of all parts.
     pub tokens: u64,
     /// Tokens of the parts that other requests share.
@@ -173,7 +173,7 @@
 }
 
 /// Returns the engine to which a chain belongs, by rendezvous hashing weighted with the rates.
-fn home_of(chain: ChainId, engines: &[EngineView]) -> Option<usize> {
+fn home_of(chain: PartId, engines: &[EngineView]) -> Option<usize> {
     let score = |engine: &EngineView| {
         let mut hasher = DefaultHasher::new();
         (chain, &engine.instance).hash(&mut hasher);
@@ -211,7 +211,7 @@
             .collect()
     }
 
-    fn prompt(home: ChainId, shared: u64, own: u64) -> PromptView {
+    fn prompt(home: PartId, shared: u64, own: u64) -> PromptView {
         PromptView {
             home: Some(home),
             tokens: shared + own,
--- a/src/engine_event.rs
+++ b/src/engine_event.rs
@@ -33,6 +33,13 @@
         /// Number of the send.
         number: SendNumber,
     },
+    /// Nothing gets through to a target, or it serves again.
+    Reachable {
+        /// The target.
+        engine: TargetName,
+        /// Whether it serves.
+        serves: bool,
+    },
     /// The sender believes that the engine holds these parts, least recently used first.
     Holds {
         /// The engine.
