Let engines read short prompts first

Cause: at an engine a prompt waits for all that was sent before it.

Ruled out: that engines share their time between prompts (long ones overtake each other in 5 of 100 cases); the urgency decides which waiting prompt is read next.

Change: the urgency at an engine follows the size of what is unread, then the rank of the route; what is late in any case comes last. The predicted wait counts only what is ahead by that order.

--- a/laburnumlug-forward/src/dialect.rs
+++ b/laburnumlug-forward/src/dialect.rs
@@ -53,8 +53,8 @@
     pub instance: TargetName,
     /// How long the target may work.
     pub time_left: Duration,
-    /// Urgency among requests for engines; 0 is the most urgent.
-    pub rank: Option<u32>,
+    /// Urgency among requests for engines, from 0 to 9; 0 goes first.
+    pub priority: Option<u8>,
     /// Part of the work.
     pub step: SendStep,
     /// Id of the last event that the caller has, where a stream goes on.
--- a/laburnumlug-forward/src/engine.rs
+++ b/laburnumlug-forward/src/engine.rs
@@ -7,12 +7,14 @@
 
 use laburnumlug::{EngineEvent, EngineTraits, Role, SendNumber};
 use laburnumlug_policy::{
-    EngineView, FIRST_EVENT_OVERHEAD, PromptChain, PromptView, place, reading_work,
+    EngineView, FIRST_EVENT_OVERHEAD, LATE_PRIORITY, PromptChain, PromptView, place,
+    reading_priority, reading_work,
 };
 
 use crate::dialect::PromptFacts;
 use crate::directory::{TargetHandle, usable};
 use crate::forwarder::Forwarder;
+use crate::routes::RouteRow;
 
 /// Sender number of this process in its own view.
 const OWN: u64 = 0;
@@ -27,6 +29,8 @@
     pub(crate) reading: Option<Rc<TargetHandle>>,
     pub(crate) unread_tokens: u64,
     pub(crate) first_event: Duration,
+    /// Urgency at the engine that reads.
+    pub(crate) priority: u8,
 }
 
 /// Takes what this process does with engines, to tell it to others.
@@ -78,19 +82,20 @@
         target: &Rc<TargetHandle>,
         chain: &PromptChain,
         unread: u64,
+        priority: u8,
     ) -> EngineSend {
         let ledger = &forwarder.ledger;
         let number = ledger.last_number.get() + 1;
         ledger.last_number.set(number);
         let work = reading_work(unread, chain.tokens());
         let mut reading = target.reading.borrow_mut();
-        let predicted = reading.waiting_time(now) + reading.reading_time(work);
-        reading.start(now, (OWN, number), work);
+        let predicted = reading.waiting_time(now, priority) + reading.reading_time(work);
+        reading.start(now, (OWN, number), priority, work);
         let event = EngineEvent::Sent {
             number,
             engine: target.instance.clone(),
             work,
-            tokens: chain.tokens(),
+            priority,
             parts: chain.parts().to_vec(),
         };
         ledger.own.borrow_mut().insert(number, event.clone());
@@ -161,8 +166,8 @@
                 number,
                 engine,
                 work,
+                priority,
                 parts,
-                ..
             } => {
                 let Some(target) = self.target(&engine) else {
                     return;
@@ -170,7 +175,7 @@
                 target
                     .reading
                     .borrow_mut()
-                    .start(now, (sender, number), work);
+                    .start(now, (sender, number), priority, work);
                 target.running.set(target.running.get() + 1);
                 let chain = PromptChain::from_parts(parts);
                 foreign.insert((sender, number), ForeignSend { target, chain });
@@ -233,7 +238,7 @@
         now: Instant,
         service: &str,
         traits: &EngineTraits,
-        aim: Duration,
+        route: &RouteRow,
         prompt: &PromptFacts,
         chain: &PromptChain,
         tried: &[Rc<TargetHandle>],
@@ -247,13 +252,17 @@
                 let row = target.row.borrow();
                 let reading = target.reading.borrow();
                 target.cache.borrow_mut().resize(memory);
+                let held_tokens = target.cache.borrow().matched_tokens(chain);
+                let unread = prompt.prompt_tokens.saturating_sub(held_tokens);
+                let work = reading_work(unread, prompt.prompt_tokens);
+                let priority = reading_priority(route.rank, work);
                 EngineView {
                     instance: target.instance.clone(),
                     role: row.role.unwrap_or(Role::Mixed),
                     is_near: row.zone == self.cfg.zone,
-                    waiting: reading.waiting_time(now),
+                    waiting: reading.waiting_time(now, priority),
                     rate: reading.rate(),
-                    held_tokens: target.cache.borrow().matched_tokens(chain),
+                    held_tokens,
                     running: target.running.get(),
                     slots: row.slots.max(1),
                 }
@@ -264,15 +273,21 @@
             home: chain.home(),
             tokens: prompt.prompt_tokens,
             shared_tokens: chain.tokens().saturating_sub(own),
-            aim,
+            aim: route.aim,
             move_time_per_token: move_time_per_token(traits),
         };
         let placed = place(&view, &views)?;
+        let work = reading_work(placed.unread_tokens, prompt.prompt_tokens);
+        let priority = match placed.is_late(route.aim) {
+            true => LATE_PRIORITY,
+            false => reading_priority(route.rank, work),
+        };
         Some(ChosenEngines {
             answering: targets[placed.answering].clone(),
             reading: placed.reading.map(|i| targets[i].clone()),
             unread_tokens: placed.unread_tokens,
             first_event: placed.first_event,
+            priority,
         })
     }
 }
--- a/laburnumlug-forward/src/exchange.rs
+++ b/laburnumlug-forward/src/exchange.rs
@@ -38,12 +38,15 @@
     }
 }
 
-/// How long a send waits for the head of its answer before its target is suspected.
+/// Terms of one send.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Patience {
+pub(crate) struct SendTerms {
+    /// Time without the head of an answer after which the target is suspected.
     pub(crate) limit: Duration,
     /// Whether the send ends then; otherwise it waits for as long as the caller does.
     pub(crate) may_give_up: bool,
+    /// Urgency at an engine.
+    pub(crate) priority: Option<u8>,
 }
 
 /// A send without an answer that can be passed on.
@@ -83,7 +86,7 @@
         target: &Rc<TargetHandle>,
         step: SendStep,
         resume_after: Option<String>,
-        patience: Patience,
+        terms: SendTerms,
     ) -> Result<Answer, SendFailure> {
         let now = Instant::now();
         let time_left = call.time_left(now);
@@ -99,7 +102,7 @@
         let facts = SendFacts {
             instance: target.instance.clone(),
             time_left,
-            rank: call.facts.prompt.as_ref().map(|_| call.route.rank),
+            priority: terms.priority,
             step,
             resume_after,
         };
@@ -111,11 +114,11 @@
         *req.headers_mut() = headers;
         let addr = target.row.borrow().addr;
         let mut sending = Box::pin(self.pool.send(now, addr, req));
-        let limit = patience.limit.min(time_left);
+        let limit = terms.limit.min(time_left);
         let sent = match compio::time::timeout(limit, sending.as_mut()).await {
             Err(_) if limit < time_left => {
                 self.suspect(Instant::now(), target, "it has not answered for long");
-                match patience.may_give_up {
+                match terms.may_give_up {
                     true => None,
                     false => {
                         let left = call.time_left(Instant::now());
--- a/laburnumlug-forward/src/plain.rs
+++ b/laburnumlug-forward/src/plain.rs
@@ -10,7 +10,7 @@
 
 use crate::dialect::SendStep;
 use crate::directory::{TargetHandle, usable};
-use crate::exchange::{Call, Patience, SendFailure};
+use crate::exchange::{Call, SendFailure, SendTerms};
 use crate::forwarder::Forwarder;
 use crate::refusal::{Cause, Refusal};
 
@@ -96,12 +96,13 @@
     ) -> Result<Response, SendFailure> {
         let _running = target.enter();
         let exchanging = async {
-            let patience = Patience {
+            let terms = SendTerms {
                 limit: call.route.aim * SUSPECT_FACTOR,
                 may_give_up: false,
+                priority: None,
             };
             let mut answer = self
-                .send(call, target, SendStep::Whole, None, patience)
+                .send(call, target, SendStep::Whole, None, terms)
                 .await?;
             let body = match answer.bytes(MAX_ANSWER_BYTES).await {
                 Ok(body) => body,
--- a/laburnumlug-forward/src/stream.rs
+++ b/laburnumlug-forward/src/stream.rs
@@ -13,7 +13,7 @@
 use crate::directory::{Running, TargetHandle};
 use crate::engine::{ChosenEngines, EngineSend};
 use crate::events::EventSplitter;
-use crate::exchange::{Call, Patience, SendFailure};
+use crate::exchange::{Call, SendFailure, SendTerms};
 use crate::forwarder::Forwarder;
 use crate::refusal::{Cause, Refusal};
 use crate::routes::RouteTable;
@@ -173,7 +173,7 @@
                 now,
                 &stream.service,
                 traits,
-                stream.call.route.aim,
+                &stream.call.route,
                 prompt,
                 &stream.chain,
                 &stream.tried,
@@ -185,6 +185,7 @@
                     reading: None,
                     unread_tokens: 0,
                     first_event: Duration::ZERO,
+                    priority: 0,
                 })
             }
         };
@@ -206,10 +207,7 @@
         let call = &stream.call;
         let target = chosen.answering.clone();
         let step = match &chosen.reading {
-            Some(reader) => {
-                self.read_prompt(stream, reader, chosen.unread_tokens, chosen.first_event)
-                    .await?
-            }
+            Some(reader) => self.read_prompt(stream, reader, &chosen).await?,
             None => SendStep::Whole,
         };
         let unread = match step {
@@ -217,18 +215,26 @@
             _ => 0,
         };
         let running = target.enter();
-        let mut engine = EngineSend::start(self, Instant::now(), &target, &stream.chain, unread);
+        let mut engine = EngineSend::start(
+            self,
+            Instant::now(),
+            &target,
+            &stream.chain,
+            unread,
+            chosen.priority,
+        );
         let expected = match step {
             SendStep::Whole => chosen.first_event,
             _ => Duration::ZERO,
         };
-        let patience = Patience {
+        let terms = SendTerms {
             limit: silence_limit(expected),
             may_give_up: call.route.is_repeatable(),
+            priority: Some(chosen.priority),
         };
         let from_handle = matches!(step, SendStep::AnswerFrom { .. });
         let sent = self
-            .send(call, &target, step, resume_after.clone(), patience)
+            .send(call, &target, step, resume_after.clone(), terms)
             .await;
         let mut answer = match sent {
             // The prompt is gone at its reader; the same engine can read it itself.
@@ -243,11 +249,11 @@
                         .borrow_mut()
                         .note_failure(Instant::now(), false);
                 }
-                let patience = Patience {
+                let terms = SendTerms {
                     limit: silence_limit(call.route.aim),
-                    ..patience
+                    ..terms
                 };
-                self.send(call, &target, SendStep::Whole, resume_after, patience)
+                self.send(call, &target, SendStep::Whole, resume_after, terms)
                     .await?
             }
             sent => sent?,
@@ -299,20 +305,27 @@
         self: &Rc<Self>,
         stream: &StreamCall,
         reader: &Rc<TargetHandle>,
-        unread_tokens: u64,
-        expected: Duration,
+        chosen: &ChosenEngines,
     ) -> Result<SendStep, SendFailure> {
+        let expected = chosen.first_event;
         let call = &stream.call;
         let _running = reader.enter();
-        let mut engine =
-            EngineSend::start(self, Instant::now(), reader, &stream.chain, unread_tokens);
+        let mut engine = EngineSend::start(
+            self,
+            Instant::now(),
+            reader,
+            &stream.chain,
+            chosen.unread_tokens,
+            chosen.priority,
+        );
         let result = async {
-            let patience = Patience {
+            let terms = SendTerms {
                 limit: silence_limit(expected),
                 may_give_up: true,
+                priority: Some(chosen.priority),
             };
             let sent = self
-                .send(call, reader, SendStep::ReadPrompt, None, patience)
+                .send(call, reader, SendStep::ReadPrompt, None, terms)
                 .await;
             let mut answer = sent?;
             let status = answer.status();
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -70,7 +70,7 @@
 pub use crate::prefix::{PrefixHashes, PrefixIndex};
 pub use crate::prompt_cache::{PartId, PromptCache, PromptChain, part_id};
 pub use crate::rates::{EngineRates, RateMeter};
-pub use crate::reading::{ReadId, ReadingQueue, reading_work};
+pub use crate::reading::{LATE_PRIORITY, ReadId, ReadingQueue, reading_priority, reading_work};
 pub use crate::role_plan::{RoleChange, plan_roles};
 pub use crate::route::{
     ByRole, Candidate, LeastQueue, PredictedFinish, ReportedLoad, RouteQuery, Router, router,
--- a/laburnumlug-policy/src/placement.rs
+++ b/laburnumlug-policy/src/placement.rs
@@ -77,6 +77,13 @@
     engine_time: Duration,
 }
 
+impl Placement {
+    /// Returns whether the first event is predicted to be late.
+    pub fn is_late(&self, aim: Duration) -> bool {
+        self.first_event > aim
+    }
+}
+
 /// Chooses the engines that promise the earliest first event.
 ///
 /// Requests with the same shared parts meet at the same engine although nobody tells the senders of one another:
--- a/laburnumlug-policy/src/reading.rs
+++ b/laburnumlug-policy/src/reading.rs
@@ -30,9 +30,29 @@
     (unread as f64 * (1.0 + CONTEXT_COST * before)) as u64
 }
 
+/// Work of the smallest prompts, which are the most urgent ones at an engine.
+const SMALL_WORK: u64 = 1_000;
+
+/// Most levels of urgency that the size of a prompt decides.
+const SIZE_LEVELS: u32 = 6;
+
+/// Lowest urgency, of prompts that are late in any case.
+pub const LATE_PRIORITY: u8 = 9;
+
+/// Returns the urgency of a prompt at an engine; 0 goes first.
+///
+/// Engines read one prompt after another. Letting short ones pass keeps most of them on time, and the long ones lose
+/// little by it; the rank of the route decides between prompts of about the same size.
+pub fn reading_priority(rank: u32, work: u64) -> u8 {
+    let level = (work / SMALL_WORK).checked_ilog2().map_or(0, |log| log + 1);
+    let priority = level.min(SIZE_LEVELS) + rank.min(2);
+    (priority as u8).min(LATE_PRIORITY - 1)
+}
+
 #[derive(Clone, Debug)]
 struct Read {
     id: ReadId,
+    priority: u8,
     work: u64,
     sent_at: Instant,
     /// Whether nothing else was being read when it was sent.
@@ -46,8 +66,8 @@
     base_rate: f64,
     rate: f64,
     reads: Vec<Read>,
-    /// Since when the first prompt is taken to be read.
-    first_since: Instant,
+    /// The prompt that is taken to be read now, and since when.
+    active: Option<(ReadId, Instant)>,
     /// By how much the last first event came later than predicted, and when.
     delay: (Duration, Instant),
 }
@@ -59,7 +79,7 @@
             base_rate: rate,
             rate,
             reads: Vec::new(),
-            first_since: now,
+            active: None,
             delay: (Duration::ZERO, now),
         }
     }
@@ -75,16 +95,24 @@
     }
 
     /// Notes a prompt whose reading is `work`.
-    pub fn start(&mut self, now: Instant, id: ReadId, work: u64) {
-        if self.reads.is_empty() {
-            self.first_since = now;
-        }
+    pub fn start(&mut self, now: Instant, id: ReadId, priority: u8, work: u64) {
         self.reads.push(Read {
             id,
+            priority,
             work,
             sent_at: now,
             alone: self.reads.is_empty(),
         });
+        self.activate(now);
+    }
+
+    /// Takes the most urgent prompt as read from now on, where none is.
+    fn activate(&mut self, now: Instant) {
+        if self.active.is_none() {
+            // The first of the most urgent ones, as they stand in the order in which they were sent.
+            let next = self.reads.iter().min_by_key(|read| read.priority);
+            self.active = next.map(|read| (read.id, now));
+        }
     }
 
     /// Notes that a prompt was read; its first event came `overhead` later.
@@ -122,15 +150,20 @@
         }
     }
 
-    /// Predicts how long a prompt waits that is sent now.
-    pub fn waiting_time(&self, now: Instant) -> Duration {
-        let queued = self.reading_time(self.work());
-        let progress = match self.reads.first() {
-            Some(read) => {
+    /// Predicts how long a prompt of this urgency waits that is sent now.
+    pub fn waiting_time(&self, now: Instant, priority: u8) -> Duration {
+        let is_active = |read: &&Read| self.active.is_some_and(|(id, _)| id == read.id);
+        let ahead = self
+            .reads
+            .iter()
+            .filter(|read| is_active(read) || read.priority <= priority);
+        let queued = self.reading_time(ahead.map(|read| read.work).sum());
+        let progress = match (self.reads.iter().find(is_active), self.active) {
+            (Some(read), Some((_, since))) => {
                 let longest = self.reading_time(read.work).mul_f64(MAX_PROGRESS);
-                now.saturating_duration_since(self.first_since).min(longest)
+                now.saturating_duration_since(since).min(longest)
             }
-            None => Duration::ZERO,
+            _ => Duration::ZERO,
         };
         queued.saturating_sub(progress) + self.recent_delay(now)
     }
@@ -142,10 +175,12 @@
 
     fn remove(&mut self, now: Instant, id: ReadId) -> Option<Read> {
         let position = self.reads.iter().position(|read| read.id == id)?;
-        if position == 0 {
-            self.first_since = now;
+        let read = self.reads.remove(position);
+        if self.active.is_some_and(|(active, _)| active == id) {
+            self.active = None;
+            self.activate(now);
         }
-        Some(self.reads.remove(position))
+        Some(read)
     }
 
     /// Returns the delay that was last observed, which loses weight with its age.
@@ -166,15 +201,39 @@
     fn waiting_time_long_prompt_ahead() {
         let now = Instant::now();
         let mut queue = ReadingQueue::new(now, 50_000.0);
-        assert_eq!(queue.waiting_time(now), Duration::ZERO);
-        queue.start(now, (0, 1), 50_000);
-        assert_eq!(queue.waiting_time(now), Duration::from_secs(1));
+        assert_eq!(queue.waiting_time(now, 9), Duration::ZERO);
+        queue.start(now, (0, 1), 5, 50_000);
+        assert_eq!(queue.waiting_time(now, 9), Duration::from_secs(1));
         let later = now + Duration::from_millis(400);
-        assert_eq!(queue.waiting_time(later), Duration::from_millis(600));
-        queue.start(later, (1, 1), 5_000);
-        assert_eq!(queue.waiting_time(later), Duration::from_millis(700));
+        assert_eq!(queue.waiting_time(later, 9), Duration::from_millis(600));
+        queue.start(later, (1, 1), 5, 5_000);
+        assert_eq!(queue.waiting_time(later, 9), Duration::from_millis(700));
         queue.cancel(later, (0, 1));
-        assert_eq!(queue.waiting_time(later), Duration::from_millis(100));
+        assert_eq!(queue.waiting_time(later, 9), Duration::from_millis(100));
+    }
+
+    /// Pattern: a short question comes while long prompts queue.
+    #[test]
+    fn waiting_time_urgent_passes_queue() {
+        let now = Instant::now();
+        let mut queue = ReadingQueue::new(now, 50_000.0);
+        queue.start(now, (0, 1), 5, 10_000);
+        queue.start(now, (0, 2), 5, 50_000);
+        // What is being read is not interrupted.
+        assert_eq!(queue.waiting_time(now, 0), Duration::from_millis(200));
+        queue.start(now, (0, 3), 0, 5_000);
+        assert_eq!(queue.waiting_time(now, 0), Duration::from_millis(300));
+        assert_eq!(queue.waiting_time(now, 5), Duration::from_millis(1300));
+        queue.finish(now, (0, 1), Duration::ZERO);
+        assert_eq!(queue.waiting_time(now, 0), Duration::from_millis(100));
+    }
+
+    #[test]
+    fn reading_priority_size_then_rank() {
+        assert_eq!(reading_priority(0, 900), 0);
+        assert_eq!(reading_priority(2, 900), 2);
+        assert!(reading_priority(0, 3_000) < reading_priority(0, 9_000));
+        assert!(reading_priority(9, 1_000_000) < LATE_PRIORITY);
     }
 
     #[test]
@@ -182,8 +241,8 @@
         let now = Instant::now();
         let mut queue = ReadingQueue::new(now, 50_000.0);
         queue.note_delay(now, Duration::from_millis(400));
-        assert_eq!(queue.waiting_time(now), Duration::from_millis(400));
-        assert!(queue.waiting_time(now + 4 * DELAY_DECAY) < Duration::from_millis(10));
+        assert_eq!(queue.waiting_time(now, 9), Duration::from_millis(400));
+        assert!(queue.waiting_time(now + 4 * DELAY_DECAY, 9) < Duration::from_millis(10));
     }
 
     #[test]
@@ -191,7 +250,7 @@
         let now = Instant::now();
         let mut queue = ReadingQueue::new(now, 50_000.0);
         for number in 0..100 {
-            queue.start(now, (0, number), 10_000);
+            queue.start(now, (0, number), 5, 10_000);
             queue.finish(
                 now + Duration::from_millis(400),
                 (0, number),
@@ -205,8 +264,8 @@
     fn forget_sender_leaves_others() {
         let now = Instant::now();
         let mut queue = ReadingQueue::new(now, 50_000.0);
-        queue.start(now, (1, 1), 100);
-        queue.start(now, (2, 1), 200);
+        queue.start(now, (1, 1), 5, 100);
+        queue.start(now, (2, 1), 5, 200);
         queue.forget_sender(now, 1);
         assert_eq!(queue.work(), 200);
     }
--- a/src/engine_event.rs
+++ b/src/engine_event.rs
@@ -18,8 +18,8 @@
         engine: TargetName,
         /// Tokens that the engine has to read, weighted with what reading them costs.
         work: u64,
-        /// Tokens of the whole prompt.
-        tokens: u64,
+        /// Urgency at the engine; 0 goes first.
+        priority: u8,
         /// Chain and tokens of each of the prompt's parts.
         parts: Vec<(u64, u64)>,
     },
