--- a/laburnumlug-daemon/tests/it/client.rs
+++ b/laburnumlug-daemon/tests/it/client.rs
@@ -115,6 +115,15 @@
     Some((version, serde_json::from_str(&body).ok()?))
 }
 
+/// Asks a control replica for a page and returns status and body; `None` where no answer came.
+pub async fn get_status_and_page(addr: SocketAddr, path: &str) -> Option<(u16, String)> {
+    let client = cyper::Client::new().unwrap();
+    let req = client.get(format!("http://{addr}{path}")).unwrap();
+    let resp = req.bearer_auth("dev").unwrap().send().await.ok()?;
+    let status = resp.status().as_u16();
+    Some((status, resp.text().await.ok()?))
+}
+
 /// Asks a control replica for a page; `None` where no answer came.
 pub async fn get_page(addr: SocketAddr, path: &str) -> Option<String> {
     let client = cyper::Client::new().unwrap();
--- a/laburnumlug-daemon/tests/it/harness.rs
+++ b/laburnumlug-daemon/tests/it/harness.rs
@@ -23,7 +23,7 @@
 pub const MESH_KEY: &str = "test-key";
 
 /// SHA-256 of the operator token `dev`.
-const TOKEN_HASH: &str = "ef260e9aa3c673af240d17a2660480361a8e081d1ffeca2a5ed0e3219fc18567";
+pub const TOKEN_HASH: &str = "ef260e9aa3c673af240d17a2660480361a8e081d1ffeca2a5ed0e3219fc18567";
 
 /// How long a state may take to come about before the test fails.
 const PATIENCE: Duration = Duration::from_secs(30);
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod harness;
 mod operators;
 mod path;
+mod platform;
 mod requests;
 mod settings;
 mod settings_page;
--- /dev/null
+++ b/laburnumlug-daemon/tests/it/platform.rs
@@ -0,0 +1,182 @@
+//! Control replicas that are named by their addresses, as the platform starts them.
+
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+
+use crate::client;
+use crate::harness::{Folder, MESH_KEY, Process, TOKEN_HASH, block_on, free_addr, wait_for};
+
+/// One control replica.
+struct Replica {
+    listen: SocketAddr,
+    operators: SocketAddr,
+    process: Process,
+}
+
+struct Cluster {
+    folder: Folder,
+    replicas: Vec<Replica>,
+}
+
+impl Cluster {
+    /// Starts the first three replicas of a cluster.
+    fn start() -> Cluster {
+        let folder = Folder::new();
+        let addrs: Vec<(SocketAddr, SocketAddr)> =
+            (0..3).map(|_| (free_addr(), free_addr())).collect();
+        let seeds: Vec<SocketAddr> = addrs.iter().map(|(listen, _)| *listen).collect();
+        let replicas = addrs
+            .iter()
+            .map(|(listen, operators)| start_replica(&folder, *listen, *operators, &seeds, true));
+        Cluster {
+            replicas: replicas.collect(),
+            folder,
+        }
+    }
+
+    fn seeds(&self) -> Vec<SocketAddr> {
+        self.replicas.iter().map(|replica| replica.listen).collect()
+    }
+
+    /// Puts a configuration in force through one replica.
+    async fn replace(&self, replica: usize, number: u64, timeout_ms: u64) {
+        wait_for("accepted configuration", || async {
+            let text = config(number, timeout_ms).to_string();
+            let addr = self.replicas[replica].operators;
+            let answer = client::post(addr, "/config/replace", &[], &text).await?;
+            (answer.status == 200).then_some(())
+        })
+        .await;
+    }
+
+    /// Reads the configuration from one replica, once it can prove that it is the newest.
+    async fn read(&self, replica: usize) -> Value {
+        wait_for("confirmed configuration", || async {
+            let addr = self.replicas[replica].operators;
+            let (status, body) = client::get_status_and_page(addr, "/config/get").await?;
+            (status == 200).then(|| serde_json::from_str(&body).unwrap())
+        })
+        .await
+    }
+}
+
+fn start_replica(
+    folder: &Folder,
+    listen: SocketAddr,
+    operators: SocketAddr,
+    seeds: &[SocketAddr],
+    may_found: bool,
+) -> Replica {
+    let name = format!("control-{}", listen.port());
+    let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+    let text = format!(
+        "[process]\nvm = {name}\nzone = z\n[mesh]\nkey = {MESH_KEY}\ncontrol = {}\n[control]\nname = {listen}\n\
+         listen = {listen}\noperators = {operators}\ndata = {}\npeers = mesh\nmay_found = {may_found}\n\
+         losses = 1\nplatform_operator = yes\ntokens = dev:{TOKEN_HASH}\n",
+        seeds.join(","),
+        folder.path().join(&name).display(),
+    );
+    let path = folder.write(&format!("{name}.ini"), &text);
+    Replica {
+        listen,
+        operators,
+        process: Process::start("control", &path),
+    }
+}
+
+fn config(number: u64, timeout_ms: u64) -> Value {
+    json!({
+        "version": number,
+        "routes": [{ "name": "r", "host": "h.example", "pathPrefix": "/p/", "kind": "safe",
+            "timeoutMs": timeout_ms, "service": "plain" }],
+        "services": [{ "name": "plain", "healthPath": "/health" }],
+    })
+}
+
+#[test]
+fn config_highest_number_holds_at_every_replica() {
+    block_on(async {
+        let cluster = Cluster::start();
+        cluster.replace(0, 7, 500).await;
+        // An older one is acknowledged and changes nothing, and so does other content under the same number.
+        cluster.replace(1, 3, 100).await;
+        cluster.replace(2, 7, 100).await;
+        for replica in 0..3 {
+            assert_eq!(cluster.read(replica).await, config(7, 500));
+        }
+    });
+}
+
+#[test]
+fn config_invalid_is_refused() {
+    block_on(async {
+        let cluster = Cluster::start();
+        cluster.replace(0, 1, 500).await;
+        let whole = config(2, 500).to_string();
+        let mut unknown = config(2, 500);
+        unknown["routes"][0]["service"] = json!("none");
+        for text in [
+            &whole[..whole.len() / 2],
+            &config(2, 0).to_string(),
+            &unknown.to_string(),
+        ] {
+            let addr = cluster.replicas[1].operators;
+            let answer = client::post(addr, "/config/replace", &[], text)
+                .await
+                .unwrap();
+            assert_eq!(answer.status, 400, "{text}");
+        }
+        assert_eq!(cluster.read(2).await, config(1, 500));
+    });
+}
+
+#[test]
+fn config_survives_loss_of_a_disk_and_then_of_another_replica() {
+    block_on(async {
+        let mut cluster = Cluster::start();
+        cluster.replace(0, 1, 500).await;
+        cluster.replicas[0].process.kill();
+        cluster.replace(1, 2, 500).await;
+        let (listen, operators) = (cluster.replicas[0].listen, cluster.replicas[0].operators);
+        let data = cluster
+            .folder
+            .path()
+            .join(format!("control-{}", listen.port()));
+        std::fs::remove_dir_all(data).unwrap();
+        let seeds = cluster.seeds();
+        cluster.replicas[0] = start_replica(&cluster.folder, listen, operators, &seeds, false);
+        assert_eq!(cluster.read(0).await, config(2, 500));
+        wait_for_voter(&cluster, 0).await;
+        cluster.replicas[1].process.kill();
+        cluster.replace(0, 3, 500).await;
+        assert_eq!(cluster.read(2).await, config(3, 500));
+    });
+}
+
+/// A replica is gone for good, and another one comes at another address with an empty disk.
+#[test]
+fn config_survives_replacement_at_another_address() {
+    block_on(async {
+        let mut cluster = Cluster::start();
+        cluster.replace(0, 1, 500).await;
+        let seeds = cluster.seeds();
+        cluster.replicas[2].process.kill();
+        let new = start_replica(&cluster.folder, free_addr(), free_addr(), &seeds, false);
+        cluster.replicas[2] = new;
+        wait_for_voter(&cluster, 2).await;
+        cluster.replicas[1].process.kill();
+        cluster.replace(2, 2, 500).await;
+        assert_eq!(cluster.read(0).await, config(2, 500));
+    });
+}
+
+/// Waits until a replica's vote counts.
+async fn wait_for_voter(cluster: &Cluster, replica: usize) {
+    wait_for("voter", || async {
+        let body = client::get_page(cluster.replicas[replica].operators, "/status").await?;
+        let status: Value = serde_json::from_str(&body).ok()?;
+        (status["is_voter"] == json!(true)).then_some(())
+    })
+    .await;
+}
--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -19,7 +19,7 @@
 use rustix::net::sockopt::set_socket_send_buffer_size;
 
 use crate::error::Error;
-use crate::{Response, socket, text_response};
+use crate::{Response, text_response};
 
 /// Unsent bytes that the kernel holds for one connection.
 const SEND_BUFFER_BYTES: usize = 128 * 1024;
@@ -239,7 +239,9 @@
 ) where
     H: Handler,
 {
-    socket::set_options(&stream);
+    // Answers are small and latency matters more than packet count. A caller that does not read is no silent peer:
+    // whoever fills the body decides how long it is waited for.
+    let _ = stream.set_nodelay(true);
     // The kernel would let a slow reader hold megabytes.
     let _ = set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
     let service = service_fn(move |mut req: Request| {
