Explain a request afterwards; logs never delay requests

Cause: on call there are only logs. They were written from the serving thread, without a bound, and one request's lines stand in the logs of several processes.

Change: a thread writes the log from a bounded buffer; each kind and cause of line has a bound, and what is left out is counted in the log; laburnumlug explain tells one request's story from several logs, with what happened to its targets before. Late answers of plain requests leave a line.

Shown by tests: a blocked output delays nothing, a burst of one cause stays within its bound, explain on recorded logs, on truncated lines, unknown ids and missing files.

--- a/laburnumlug-cli/src/args.rs
+++ b/laburnumlug-cli/src/args.rs
@@ -3,6 +3,7 @@
 use argh::FromArgs;
 
 use crate::bench::BenchArgs;
+use crate::explain::ExplainArgs;
 use crate::operator_args::{
     AskArgs, AuditArgs, ControlArgs, DrainArgs, FleetArgs, StatusArgs, TokenArgs,
 };
@@ -36,6 +37,7 @@
     Bench(BenchArgs),
     Control(ControlArgs),
     Drain(DrainArgs),
+    Explain(ExplainArgs),
     Fleet(FleetArgs),
     StandIn(StandInArgs),
     Status(StatusArgs),
--- a/laburnumlug-cli/src/main.rs
+++ b/laburnumlug-cli/src/main.rs
@@ -6,6 +6,7 @@
 mod bench;
 mod edit;
 mod exchange;
+mod explain;
 mod failure;
 mod fleet;
 mod operator_args;
@@ -65,6 +66,7 @@
             Command::Ask(args) => ask::run(args).await,
             Command::Audit(args) => audit::run(args).await,
             Command::Bench(args) => bench::run(args).await,
+            Command::Explain(args) => explain::run(&args),
             Command::Control(args) => edit::control(args).await,
             Command::Drain(args) => edit::drain(args).await,
             Command::Fleet(args) => fleet::run(args).await,
--- a/laburnumlug-daemon/src/lib.rs
+++ b/laburnumlug-daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod fleet_watch;
 mod gateway;
 mod gateway_peers;
+mod log_writer;
 mod logging;
 mod metrics;
 mod registration;
--- a/laburnumlug-daemon/src/logging.rs
+++ b/laburnumlug-daemon/src/logging.rs
@@ -2,12 +2,12 @@
 
 use std::path::Path;
 
-use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::append::file::FileAppender;
 use log4rs::config::{Appender, Config, Root};
 use log4rs::encode::json::JsonEncoder;
 
 use crate::error::Error;
+use crate::log_writer::LogWriter;
 use crate::settings::{LogOutput, LogSettings, ProcessSettings};
 
 /// Name of the only appender.
@@ -48,13 +48,9 @@
 }
 
 fn console_appender(output: LogOutput) -> Appender {
-    let target = match output {
-        LogOutput::StandardError => Target::Stderr,
-        LogOutput::StandardOutput => Target::Stdout,
+    let writer = match output {
+        LogOutput::StandardError => LogWriter::start(std::io::stderr()),
+        LogOutput::StandardOutput => LogWriter::start(std::io::stdout()),
     };
-    let appender = ConsoleAppender::builder()
-        .target(target)
-        .encoder(Box::new(JsonEncoder::new()))
-        .build();
-    Appender::builder().build(APPENDER, Box::new(appender))
+    Appender::builder().build(APPENDER, Box::new(writer))
 }
--- a/laburnumlug-forward/src/plain.rs
+++ b/laburnumlug-forward/src/plain.rs
@@ -57,7 +57,10 @@
             let is_last = sends + 1 >= call.route.attempts;
             tried.push(target.clone());
             let failure = match self.exchange_plain(call, &target, is_last).await {
-                Ok(resp) => return Ok(resp),
+                Ok(resp) => {
+                    self.note_late(call, &target);
+                    return Ok(resp);
+                }
                 Err(failure) => failure,
             };
             log::info!(
@@ -154,6 +157,18 @@
         Ok(resp)
     }
 
+    /// Logs an answer that comes later than its route aims at.
+    fn note_late(&self, call: &Call, target: &TargetHandle) {
+        let taken = call.arrived.elapsed();
+        if taken > call.route.aim {
+            log::info!(
+                request_id = call.facts.id.as_str(), target = target.instance.as_str(), cause = "late",
+                route = call.route.name.as_str(), taken_ms = taken.as_millis() as u64,
+                aim_ms = call.route.aim.as_millis() as u64; "a late answer"
+            );
+        }
+    }
+
     /// Makes the response to the caller from a target's whole answer.
     pub(crate) fn pass_on(&self, status: u16, headers: &hyper::HeaderMap, body: Bytes) -> Response {
         let mut resp = hyper::Response::new(full_body(body));
--- a/laburnumlug-forward/src/refusal.rs
+++ b/laburnumlug-forward/src/refusal.rs
@@ -17,8 +17,6 @@
     NoRoute,
     NoConfiguration,
     NoTarget,
-    /// Every target that might answer in time is busy.
-    Busy,
     /// A target stated that it did not run the request.
     TargetRefused,
     /// No connection to a target was made.
@@ -42,7 +40,6 @@
             Cause::NoRoute => 404,
             Cause::NoConfiguration
             | Cause::NoTarget
-            | Cause::Busy
             | Cause::TargetRefused
             | Cause::Unreachable
             | Cause::Expired => 503,
@@ -60,7 +57,6 @@
             Cause::NoRoute => "no-route",
             Cause::NoConfiguration => "no-configuration",
             Cause::NoTarget => "no-target",
-            Cause::Busy => "busy",
             Cause::TargetRefused => "target-refused",
             Cause::Unreachable => "unreachable",
             Cause::AnswerLost => "answer-lost",
@@ -116,7 +112,7 @@
 
     #[test]
     fn response_retry_after_bounded_by_time_left() {
-        let refusal = Refusal::new(Cause::Busy, "").retry_after(Duration::from_secs(9));
+        let refusal = Refusal::new(Cause::NoTarget, "").retry_after(Duration::from_secs(9));
         let resp = refusal.response(Duration::from_millis(600));
         assert_eq!(resp.status(), 503);
         assert_eq!(resp.headers()["retry-after"], "0.200");
