Probe a silent engine before its requests are given up

Change: after that time the target is probed. Only one that does not answer the probe is suspected; the others keep their requests, and a prompt that is only read is placed again after the same time once more.

--- a/laburnumlug-forward/src/exchange.rs
+++ b/laburnumlug-forward/src/exchange.rs
@@ -41,9 +41,10 @@
 /// Terms of one send.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SendTerms {
-    /// Time without the head of an answer after which the target is suspected.
+    /// Time without the head of an answer after which the target is probed.
     pub(crate) limit: Duration,
-    /// Whether the send ends then; otherwise it waits for as long as the caller does.
+    /// Whether the send ends where the probe fails, or after the same time again; otherwise it waits for as long as
+    /// the caller does.
     pub(crate) may_give_up: bool,
     /// Urgency at an engine.
     pub(crate) priority: Option<u8>,
@@ -117,13 +118,22 @@
         let limit = terms.limit.min(time_left);
         let sent = match compio::time::timeout(limit, sending.as_mut()).await {
             Err(_) if limit < time_left => {
-                self.suspect(Instant::now(), target, "it has not answered for long");
-                match terms.may_give_up {
-                    true => None,
-                    false => {
-                        let left = call.time_left(Instant::now());
-                        compio::time::timeout(left, sending.as_mut()).await.ok()
-                    }
+                // An engine with a long queue is silent, too, but answers a probe.
+                let serves = self.serves(target).await;
+                if !serves {
+                    self.suspect(
+                        Instant::now(),
+                        target,
+                        "it answers neither requests nor a probe",
+                    );
+                }
+                let left = call.time_left(Instant::now());
+                match (terms.may_give_up, serves) {
+                    (true, false) => None,
+                    (true, true) => compio::time::timeout(limit.min(left), sending.as_mut())
+                        .await
+                        .ok(),
+                    (false, _) => compio::time::timeout(left, sending.as_mut()).await.ok(),
                 }
             }
             sent => sent.ok(),
--- a/laburnumlug-forward/src/probe.rs
+++ b/laburnumlug-forward/src/probe.rs
@@ -69,16 +69,21 @@
         compio::runtime::spawn(self.clone().probe(target.clone())).detach();
     }
 
+    /// Returns whether a target answers its health check now.
+    pub(crate) async fn serves(&self, target: &TargetHandle) -> bool {
+        let row = target.row.borrow().clone();
+        let path = self.health_path(&row.service);
+        let probe = self.inspector.serves(row.addr, row.instance, path);
+        matches!(compio::time::timeout(PROBE_TIMEOUT, probe).await, Ok(true))
+    }
+
     async fn probe(self: Rc<Self>, target: Rc<TargetHandle>) {
         for _ in 0..MAX_PROBES {
             compio::time::sleep(PROBE_INTERVAL).await;
             if self.target(&target.instance).is_none() {
                 return;
             }
-            let row = target.row.borrow().clone();
-            let path = self.health_path(&row.service);
-            let probe = self.inspector.serves(row.addr, row.instance, path);
-            if matches!(compio::time::timeout(PROBE_TIMEOUT, probe).await, Ok(true)) {
+            if self.serves(&target).await {
                 break;
             }
         }
