Split the choice of candidates from the choice of engines

Behaviour stays but for one case: where all usable engines were tried, the one that is usable first is asked.

--- a/laburnumlug-control/src/state.rs
+++ b/laburnumlug-control/src/state.rs
@@ -56,7 +56,7 @@
     /// It is a resend of a change that was accepted.
     Resend(Accepted),
     /// It is acceptable; this is its document.
-    Accept(FleetDocument),
+    Accept(Box<FleetDocument>),
 }
 
 /// State that the log's records build.
@@ -271,7 +271,9 @@
     fn decide(&self, change: &FleetChange) -> Result<Decision, FleetRefusal> {
         match self.earlier_answer(change)? {
             Some(accepted) => Ok(Decision::Resend(accepted)),
-            None => self.check(change).map(Decision::Accept),
+            None => self
+                .check(change)
+                .map(|document| Decision::Accept(Box::new(document))),
         }
     }
 
--- a/laburnumlug-forward/src/engine.rs
+++ b/laburnumlug-forward/src/engine.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::dialect::PromptFacts;
-use crate::directory::{TargetHandle, usable};
+use crate::directory::TargetHandle;
 use crate::forwarder::Forwarder;
 use crate::routes::RouteRow;
 
@@ -232,19 +232,16 @@
         });
     }
 
-    /// Chooses the engines for a prompt among those that were not tried.
+    /// Chooses the engines for a prompt among `targets`.
     pub(crate) fn choose_engines(
         &self,
         now: Instant,
-        service: &str,
+        targets: &[Rc<TargetHandle>],
         traits: &EngineTraits,
         route: &RouteRow,
         prompt: &PromptFacts,
         chain: &PromptChain,
-        tried: &[Rc<TargetHandle>],
     ) -> Option<ChosenEngines> {
-        let mut targets = usable(now, self.serving(service));
-        targets.retain(|target| !tried.iter().any(|t| Rc::ptr_eq(t, target)));
         let memory = (traits.memory_tokens.get() as f64 * CACHE_SHARE) as u64;
         let views: Vec<EngineView> = targets
             .iter()
--- a/laburnumlug-forward/src/plain.rs
+++ b/laburnumlug-forward/src/plain.rs
@@ -179,6 +179,18 @@
         resp
     }
 
+    /// Returns the targets that may be asked and were not tried.
+    pub(crate) fn untried(
+        &self,
+        now: Instant,
+        service: &str,
+        tried: &[Rc<TargetHandle>],
+    ) -> Vec<Rc<TargetHandle>> {
+        let mut targets = self.serving(service);
+        targets.retain(|target| !tried.iter().any(|t| Rc::ptr_eq(t, target)));
+        usable(now, targets)
+    }
+
     /// Returns the least loaded target that was not tried.
     pub(crate) fn plain_target(
         &self,
@@ -186,8 +198,6 @@
         service: &str,
         tried: &[Rc<TargetHandle>],
     ) -> Option<Rc<TargetHandle>> {
-        let mut targets = self.serving(service);
-        targets.retain(|target| !tried.iter().any(|t| Rc::ptr_eq(t, target)));
         let load = |target: &Rc<TargetHandle>| {
             let row = target.row.borrow();
             let far = if row.zone == self.cfg.zone {
@@ -199,7 +209,8 @@
             let jitter = rand::rng().random_range(0.0..0.01);
             f64::from(target.running.get()) / f64::from(row.slots.max(1)) + far + failing + jitter
         };
-        let loads = usable(now, targets)
+        let loads = self
+            .untried(now, service, tried)
             .into_iter()
             .map(|target| (load(&target), target));
         loads
--- a/laburnumlug-forward/src/stream.rs
+++ b/laburnumlug-forward/src/stream.rs
@@ -171,12 +171,11 @@
         let chosen = match (&stream.call.facts.prompt, traits) {
             (Some(prompt), Some(traits)) => self.choose_engines(
                 now,
-                &stream.service,
+                &self.untried(now, &stream.service, &stream.tried),
                 traits,
                 &stream.call.route,
                 prompt,
                 &stream.chain,
-                &stream.tried,
             ),
             _ => {
                 let target = self.plain_target(now, &stream.service, &stream.tried);
