--- a/laburnumlug-daemon/src/lib.rs
+++ b/laburnumlug-daemon/src/lib.rs
@@ -26,6 +26,7 @@
 mod log_writer;
 mod logging;
 mod metrics;
+mod referral;
 mod registration;
 mod role_planner;
 mod settings;
@@ -75,10 +76,13 @@
         args::Role::Target(args) => {
             target::run(settings::TargetSettings::read(&args.settings)?).await
         }
-        args::Role::Control(args) => {
-            let settings = settings::ControlSettings::read(&args.settings)?;
-            control::run(settings, args.settings).await
-        }
+        args::Role::Control(args) => match settings::ReferralSettings::read(&args.settings)? {
+            Some(settings) => referral::run(settings, args.settings).await,
+            None => {
+                let settings = settings::ControlSettings::read(&args.settings)?;
+                control::run(settings, args.settings).await
+            }
+        },
         args::Role::Gateway(args) => {
             let settings = settings::GatewaySettings::read(&args.settings)?;
             gateway::run(settings, args.settings).await
--- a/laburnumlug-daemon/src/settings/control.rs
+++ b/laburnumlug-daemon/src/settings/control.rs
@@ -15,7 +15,7 @@
 /// Time between orders of two leaders where the settings name none.
 const DEFAULT_ORDER_TURN: Duration = Duration::from_secs(3);
 
-const CONTROL: Section = Section {
+pub(super) const CONTROL: Section = Section {
     name: "control",
     keys: &[
         "name",
@@ -32,6 +32,7 @@
         "target_list",
         "platform_operator",
         "order_turn_ms",
+        "others",
     ],
 };
 
--- a/laburnumlug-daemon/src/settings/mod.rs
+++ b/laburnumlug-daemon/src/settings/mod.rs
@@ -6,6 +6,7 @@
 mod error;
 mod gateway;
 mod reader;
+mod referral;
 mod target;
 
 pub(crate) use self::common::{LogOutput, LogSettings, MeshSettings, ProcessSettings};
@@ -13,4 +14,5 @@
 pub(crate) use self::entry::EntrySettings;
 pub use self::error::SettingsError;
 pub(crate) use self::gateway::GatewaySettings;
+pub(crate) use self::referral::ReferralSettings;
 pub(crate) use self::target::{PeerKind, PlatformSettings, TargetSettings};
--- a/laburnumlug-daemon/tests/it/platform.rs
+++ b/laburnumlug-daemon/tests/it/platform.rs
@@ -1,7 +1,10 @@
 //! Control replicas that are named by their addresses, as the platform starts them.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::Full;
 use serde_json::{Value, json};
 
 use crate::client;
@@ -180,3 +183,30 @@
     })
     .await;
 }
+
+/// A VM without a disk holds no replica and refers operators to one.
+#[test]
+fn control_without_disk_refers_operators() {
+    block_on(async {
+        let folder = Folder::new();
+        let (operators, other) = (free_addr(), free_addr());
+        let text = format!(
+            "[process]\nvm = a\nzone = z\n[mesh]\nkey = {MESH_KEY}\ncontrol = {other}\n[control]\n\
+             name = a\nlisten = {}\noperators = {operators}\ndata =\nothers = {operators},{other}\n",
+            free_addr(),
+        );
+        let path = folder.write("referral.ini", &text);
+        let _process = Process::start("control", &path);
+        let location = wait_for("referral", || async {
+            let req = hyper::Request::get("/config/get?x=1")
+                .body(Full::new(Bytes::new()))
+                .unwrap();
+            let timeout = Duration::from_secs(1);
+            let incoming = laburnumlug_http::send(operators, req, timeout).await.ok()?;
+            assert_eq!(incoming.status(), 307);
+            Some(incoming.headers()["location"].to_str().unwrap().to_string())
+        })
+        .await;
+        assert_eq!(location, format!("http://{other}/config/get?x=1"));
+    });
+}
--- a/laburnumlug-forward/src/stream.rs
+++ b/laburnumlug-forward/src/stream.rs
@@ -43,6 +43,8 @@
     tried: Vec<Rc<TargetHandle>>,
     /// Targets that have seen the request.
     sends: u32,
+    /// Engines that were asked in vain to read the prompt.
+    vain_reads: u32,
 }
 
 /// A stream whose first event has come.
@@ -81,6 +83,7 @@
             chain,
             tried: Vec::new(),
             sends: 0,
+            vain_reads: 0,
         };
         let mut unknown = false;
         loop {
@@ -118,7 +121,7 @@
         stream.sends < attempts
             && (stream.tried.len() as u32) < attempts + MAX_CONNECTS
             && !stream.call.time_left(now).is_zero()
-            && (stream.sends == 0 || self.take_retry(now, &stream.service))
+            && (stream.sends + stream.vain_reads == 0 || self.take_retry(now, &stream.service))
     }
 
     /// Sends the request once, until its first event has come.
@@ -155,7 +158,10 @@
             (_, (target, _)) => target,
         });
         if let Err(failure) = &result {
-            stream.sends += u32::from(failure.arrived);
+            match failure.at_reader {
+                true => stream.vain_reads += u32::from(failure.arrived),
+                false => stream.sends += u32::from(failure.arrived),
+            }
             log::info!(
                 request_id = stream.call.facts.id.as_str(), target = target.instance.as_str(),
                 cause = failure.cause.as_str(); "a send failed: {}", failure.detail
@@ -354,7 +360,6 @@
                 Err(SendFailure {
                     verdict: Verdict::NotRun,
                     cause: Cause::Unreachable,
-                    arrived: false,
                     at_reader: true,
                     ..failure
                 })
