Fetch one copy of a large configuration at a time

Each gateway fetched every new version from all replicas at once, each within one second: the copies delayed each other, the answers came too late, and the fetch began anew. Gateways handled requests by version 17 though 20 had been acknowledged.

Change: one replica at a time is asked for the document, with 5 s for it; the others are asked for the version alone. A replica that is silent for half a second keeps no other from being asked.

--- a/laburnumlug-daemon/src/fleet_watch.rs
+++ b/laburnumlug-daemon/src/fleet_watch.rs
@@ -22,6 +22,12 @@
 /// How long a replica may take for one answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a replica may take for an answer that may carry a document, which can be megabytes on a slow link.
+const DOCUMENT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time after which another replica is asked for the document, too; a replica may have fallen silent.
+const FETCH_TURN: Duration = Duration::from_millis(500);
+
 /// Age beyond which a confirmation no longer permits new work.
 const CONFIRMATION_BOUND: Duration = Duration::from_secs(3);
 
@@ -68,6 +74,8 @@
     confirmation: Confirmation,
     /// When a held view was last known to be the newest; never goes back.
     last_confirmed_at: Option<Instant>,
+    /// Since when one replica is asked for a newer document; the others are asked for its version alone.
+    fetching_since: Option<Instant>,
     /// Addresses of the replicas that are asked.
     replicas: Vec<SocketAddr>,
     /// Digest of the newest list of live targets, and when it was read.
@@ -104,6 +112,7 @@
             applied: 0,
             confirmation: Confirmation::new(replicas),
             last_confirmed_at: None,
+            fetching_since: None,
             replicas: Vec::new(),
             targets_digest: 0,
             targets_read_at: None,
@@ -113,6 +122,17 @@
 }
 
 impl State {
+    /// Returns whether a replica may be asked for a document: no other one is, or that one has been silent for long.
+    fn may_fetch(&self, now: Instant) -> bool {
+        let is_over = |since: Instant| now.saturating_duration_since(since) > FETCH_TURN;
+        self.fetching_since.is_none_or(is_over)
+    }
+
+    /// Returns the version that is held; 0 for none.
+    fn held_version(&self) -> FleetVersion {
+        self.view.as_ref().map_or(0, |view| view.version)
+    }
+
     /// Returns whether every replica is asked for the live targets, since none has told of them lately.
     fn needs_targets(&self, now: Instant) -> bool {
         let is_stale = |at: Instant| now.saturating_duration_since(at) > TARGETS_BOUND;
@@ -203,10 +223,21 @@
     let state = &*watch.state;
     let mut tells_targets = false;
     loop {
-        let known = state.borrow().view.as_ref().map_or(0, |view| view.version);
+        // Several copies of one large document would delay each other.
         let asked_at = Instant::now();
-        let asking = ask(&mut conn, known);
-        match compio::time::timeout(ANSWER_TIMEOUT, asking).await {
+        let fetches = state.borrow().may_fetch(asked_at);
+        let (known, timeout) = match fetches {
+            true => (state.borrow().held_version(), DOCUMENT_TIMEOUT),
+            false => (FleetVersion::MAX, ANSWER_TIMEOUT),
+        };
+        if fetches {
+            state.borrow_mut().fetching_since = Some(asked_at);
+        }
+        let answer = compio::time::timeout(timeout, ask(&mut conn, known)).await;
+        if fetches {
+            state.borrow_mut().fetching_since = None;
+        }
+        match answer {
             Ok(Some(answer)) => {
                 watch.follow_voters(&answer.standing.voters);
                 note_answer(&mut state.borrow_mut(), replica, asked_at, answer);
@@ -308,7 +339,7 @@
     state
         .confirmation
         .note(replica, asked_at, answer.logged_change, answer.standing);
-    let held = state.view.as_ref().map_or(0, |view| view.version);
+    let held = state.held_version();
     match answer.document {
         // A lagging replica's answer never takes a newer view back.
         _ if answer.version < held || answer.applied_change <= state.applied => {}
@@ -379,6 +410,17 @@
         assert_eq!(state.applied, 9);
     }
 
+    /// Pattern: the configuration is megabytes large, and the replica that sends it falls silent.
+    #[test]
+    fn may_fetch_one_at_a_time() {
+        let now = Instant::now();
+        let mut state = State::new(3);
+        assert!(state.may_fetch(now));
+        state.fetching_since = Some(now);
+        assert!(!state.may_fetch(now + FETCH_TURN));
+        assert!(state.may_fetch(now + 2 * FETCH_TURN));
+    }
+
     #[test]
     fn note_answer_newer_version_not_applied_yet() {
         let now = Instant::now();
