--- a/laburnumlug-daemon/tests/it/platform.rs
+++ b/laburnumlug-daemon/tests/it/platform.rs
@@ -88,13 +88,17 @@
     }
 }
 
+/// Returns a configuration in the platform's words, which stand in its own folder.
 fn config(number: u64, timeout_ms: u64) -> Value {
-    json!({
-        "version": number,
-        "routes": [{ "name": "r", "host": "h.example", "pathPrefix": "/p/", "kind": "safe",
-            "timeoutMs": timeout_ms, "service": "plain" }],
-        "services": [{ "name": "plain", "healthPath": "/health" }],
-    })
+    config_with_service(number, timeout_ms, "plain")
+}
+
+fn config_with_service(number: u64, timeout_ms: u64, service: &str) -> Value {
+    let text = include_str!("../../../platform/tests/sample-config.json")
+        .replace("1001", &number.to_string())
+        .replace("2002", &timeout_ms.to_string())
+        .replace("service-of-route", service);
+    serde_json::from_str(&text).unwrap()
 }
 
 #[test]
@@ -117,8 +121,7 @@
         let cluster = Cluster::start();
         cluster.replace(0, 1, 500).await;
         let whole = config(2, 500).to_string();
-        let mut unknown = config(2, 500);
-        unknown["routes"][0]["service"] = json!("none");
+        let unknown = config_with_service(2, 500, "none");
         for text in [
             &whole[..whole.len() / 2],
             &config(2, 0).to_string(),
