--- a/laburnumlug-daemon/tests/it/platform.rs
+++ b/laburnumlug-daemon/tests/it/platform.rs
@@ -1,10 +1,12 @@
 //! Control replicas that are named by their addresses, as the platform starts them.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
+use rustix::process::Signal;
 use serde_json::{Value, json};
 
 use crate::client;
@@ -213,3 +215,52 @@
         assert_eq!(location, format!("http://{other}/config/get?x=1"));
     });
 }
+
+/// Returns the status that a gateway tells of its readiness; `None` where it does not answer.
+async fn readiness(addr: SocketAddr) -> Option<u16> {
+    let (status, _) = client::get_status_and_page(addr, "/ready").await?;
+    Some(status)
+}
+
+/// A gateway is ready once it knows routes and targets, lives through SIGHUP, and tells at once that it stops, though it
+/// goes on for as long as the platform needs to notice.
+#[test]
+fn gateway_readiness_hang_up_and_stop() {
+    block_on(async {
+        let cluster = Cluster::start();
+        let list = free_addr();
+        let listener = compio::net::TcpListener::bind(list).await.unwrap();
+        let server = laburnumlug_http::Server::new(listener, laburnumlug_http::Limits::default());
+        let handler = Rc::new(|_req: laburnumlug_http::Request| async {
+            let text = include_str!("../../../platform/tests/sample-list.json");
+            hyper::Response::new(laburnumlug_http::full_body(text))
+        });
+        compio::runtime::spawn(server.run(handler)).detach();
+        let seeds: Vec<String> = cluster.seeds().iter().map(ToString::to_string).collect();
+        let (listen, ready) = (free_addr(), free_addr());
+        let text = format!(
+            "[process]\nvm = g\nzone = z\n[mesh]\nkey = {MESH_KEY}\ncontrol = {}\n[gateway]\nlisten = {listen}\n\
+             ready = {ready}\nmesh_listen = {}\ntarget_list = {list}\ngrace_s = 4\n",
+            seeds.join(","),
+            free_addr(),
+        );
+        let path = cluster.folder.write("gateway.ini", &text);
+        let mut gateway = Process::start("gateway", &path);
+        wait_for("readiness without routes", || async {
+            (readiness(ready).await? == 503).then_some(())
+        })
+        .await;
+        cluster.replace(0, 1, 500).await;
+        wait_for("readiness", || async {
+            (readiness(ready).await? == 200).then_some(())
+        })
+        .await;
+        gateway.signal(Signal::HUP);
+        gateway.signal(Signal::TERM);
+        wait_for("notice of the stop", || async {
+            (readiness(ready).await? == 503).then_some(())
+        })
+        .await;
+        assert_eq!(gateway.wait().await.code(), Some(0));
+    });
+}
