--- a/laburnumlug-daemon/src/entry/handler.rs
+++ b/laburnumlug-daemon/src/entry/handler.rs
@@ -23,12 +23,6 @@
 /// How long a caller may take to send a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Most bytes of a refused request's body that are read and dropped.
-const MAX_DISCARDED_BYTES: usize = 64 * 1024 * 1024;
-
-/// How long the body of a refused request is read and dropped.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Headers that concern one connection only or that this system sets itself.
 const DROPPED_HEADERS: [&str; 8] = [
     "connection",
@@ -173,11 +167,7 @@
             Err(err) if expects => return Err(err),
             Err(err) => err,
         };
-        compio::runtime::spawn(async move {
-            let discarding = discard_body(body, MAX_DISCARDED_BYTES);
-            let _ = compio::time::timeout(DISCARD_TIMEOUT, discarding).await;
-        })
-        .detach();
+        discard_body(body);
         Err(err)
     }
 
--- a/laburnumlug-daemon/tests/it/platform.rs
+++ b/laburnumlug-daemon/tests/it/platform.rs
@@ -1,6 +1,7 @@
 //! Control replicas that are named by their addresses, as the platform starts them.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,15 +26,21 @@
 }
 
 impl Cluster {
-    /// Starts the first three replicas of a cluster.
+    /// Starts the first replicas of a cluster that bears the loss of one.
     fn start() -> Cluster {
+        Cluster::start_bearing(1)
+    }
+
+    /// Starts the first replicas of a cluster that bears these losses at once.
+    fn start_bearing(losses: usize) -> Cluster {
         let folder = Folder::new();
-        let addrs: Vec<(SocketAddr, SocketAddr)> =
-            (0..3).map(|_| (free_addr(), free_addr())).collect();
+        let addrs: Vec<(SocketAddr, SocketAddr)> = (0..=2 * losses)
+            .map(|_| (free_addr(), free_addr()))
+            .collect();
         let seeds: Vec<SocketAddr> = addrs.iter().map(|(listen, _)| *listen).collect();
-        let replicas = addrs
-            .iter()
-            .map(|(listen, operators)| start_replica(&folder, *listen, *operators, &seeds, true));
+        let replicas = addrs.iter().map(|(listen, operators)| {
+            start_replica(&folder, losses, *listen, *operators, &seeds, true)
+        });
         Cluster {
             replicas: replicas.collect(),
             folder,
@@ -68,6 +75,7 @@
 
 fn start_replica(
     folder: &Folder,
+    losses: usize,
     listen: SocketAddr,
     operators: SocketAddr,
     seeds: &[SocketAddr],
@@ -78,7 +86,7 @@
     let text = format!(
         "[process]\nvm = {name}\nzone = z\n[mesh]\nkey = {MESH_KEY}\ncontrol = {}\n[control]\nname = {listen}\n\
          listen = {listen}\noperators = {operators}\ndata = {}\npeers = mesh\nmay_found = {may_found}\n\
-         losses = 1\nplatform_operator = yes\ntokens = dev:{TOKEN_HASH}\n",
+         losses = {losses}\nplatform_operator = yes\ntokens = dev:{TOKEN_HASH}\n",
         seeds.join(","),
         folder.path().join(&name).display(),
     );
@@ -153,7 +161,7 @@
             .join(format!("control-{}", listen.port()));
         std::fs::remove_dir_all(data).unwrap();
         let seeds = cluster.seeds();
-        cluster.replicas[0] = start_replica(&cluster.folder, listen, operators, &seeds, false);
+        cluster.replicas[0] = start_replica(&cluster.folder, 1, listen, operators, &seeds, false);
         assert_eq!(cluster.read(0).await, config(2, 500));
         wait_for_voter(&cluster, 0).await;
         cluster.replicas[1].process.kill();
@@ -170,7 +178,7 @@
         cluster.replace(0, 1, 500).await;
         let seeds = cluster.seeds();
         cluster.replicas[2].process.kill();
-        let new = start_replica(&cluster.folder, free_addr(), free_addr(), &seeds, false);
+        let new = start_replica(&cluster.folder, 1, free_addr(), free_addr(), &seeds, false);
         cluster.replicas[2] = new;
         wait_for_voter(&cluster, 2).await;
         cluster.replicas[1].process.kill();
@@ -179,6 +187,44 @@
     });
 }
 
+/// Two of five replicas go at once, and come back empty; then two others go.
+#[test]
+fn config_survives_two_losses_at_once_and_two_more() {
+    block_on(async {
+        let mut cluster = Cluster::start_bearing(2);
+        cluster.replace(0, 1, 500).await;
+        for replica in 0..5 {
+            wait_for_voter(&cluster, replica).await;
+        }
+        for replica in [0, 1] {
+            cluster.replicas[replica].process.kill();
+        }
+        cluster.replace(2, 2, 500).await;
+        let seeds = cluster.seeds();
+        for replica in [0, 1] {
+            let Replica {
+                listen, operators, ..
+            } = cluster.replicas[replica];
+            let data = cluster
+                .folder
+                .path()
+                .join(format!("control-{}", listen.port()));
+            std::fs::remove_dir_all(data).unwrap();
+            cluster.replicas[replica] =
+                start_replica(&cluster.folder, 2, listen, operators, &seeds, false);
+        }
+        for replica in [0, 1] {
+            wait_for_voter(&cluster, replica).await;
+        }
+        for replica in [2, 3] {
+            cluster.replicas[replica].process.kill();
+        }
+        cluster.replace(0, 3, 500).await;
+        assert_eq!(cluster.read(1).await, config(3, 500));
+        assert_eq!(cluster.read(4).await, config(3, 500));
+    });
+}
+
 /// Waits until a replica's vote counts.
 async fn wait_for_voter(cluster: &Cluster, replica: usize) {
     wait_for("voter", || async {
@@ -216,6 +262,81 @@
     });
 }
 
+/// A gateway and the list of targets that it reads.
+struct Gateway {
+    listen: SocketAddr,
+    ready: SocketAddr,
+    mesh: SocketAddr,
+    list: SocketAddr,
+    process: Process,
+}
+
+impl Gateway {
+    /// Starts a gateway that finds control through these seeds.
+    async fn start(folder: &Folder, seeds: &[SocketAddr]) -> Gateway {
+        let list = free_addr();
+        let listener = compio::net::TcpListener::bind(list).await.unwrap();
+        let server = laburnumlug_http::Server::new(listener, laburnumlug_http::Limits::default());
+        let handler = Rc::new(|_req: laburnumlug_http::Request| async {
+            let text = include_str!("../../../platform/tests/sample-list.json");
+            hyper::Response::new(laburnumlug_http::full_body(text))
+        });
+        compio::runtime::spawn(server.run(handler)).detach();
+        let (listen, ready, mesh) = (free_addr(), free_addr(), free_addr());
+        let path = write_gateway_settings(folder, [listen, ready, mesh, list], seeds);
+        Gateway {
+            listen,
+            ready,
+            mesh,
+            list,
+            process: Process::start("gateway", &path),
+        }
+    }
+
+    /// Puts other seeds into the settings of the running process.
+    fn change_seeds(&self, folder: &Folder, seeds: &[SocketAddr]) {
+        let addrs = [self.listen, self.ready, self.mesh, self.list];
+        write_gateway_settings(folder, addrs, seeds);
+    }
+}
+
+fn write_gateway_settings(
+    folder: &Folder,
+    [listen, ready, mesh, list]: [SocketAddr; 4],
+    seeds: &[SocketAddr],
+) -> PathBuf {
+    let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+    let text = format!(
+        "[process]\nvm = g\nzone = z\n[mesh]\nkey = {MESH_KEY}\ncontrol = {}\n[gateway]\nlisten = {listen}\n\
+         ready = {ready}\nmesh_listen = {mesh}\ntarget_list = {list}\ngrace_s = 4\n",
+        seeds.join(","),
+    );
+    folder.write("gateway.ini", &text)
+}
+
+/// The seeds that a gateway started with are gone; others come with changed settings, without any signal.
+#[test]
+fn gateway_takes_changed_seeds() {
+    block_on(async {
+        let cluster = Cluster::start();
+        cluster.replace(0, 1, 500).await;
+        let gateway = Gateway::start(&cluster.folder, &[free_addr()]).await;
+        wait_for("readiness without control", || async {
+            (readiness(gateway.ready).await? == 503).then_some(())
+        })
+        .await;
+        // Settings that cannot be used are passed over, and the process goes on.
+        cluster.folder.write("gateway.ini", "[process");
+        compio::time::sleep(Duration::from_millis(1500)).await;
+        assert_eq!(readiness(gateway.ready).await, Some(503));
+        gateway.change_seeds(&cluster.folder, &cluster.seeds()[1..2]);
+        wait_for("readiness", || async {
+            (readiness(gateway.ready).await? == 200).then_some(())
+        })
+        .await;
+    });
+}
+
 /// Returns the status that a gateway tells of its readiness; `None` where it does not answer.
 async fn readiness(addr: SocketAddr) -> Option<u16> {
     let (status, _) = client::get_status_and_page(addr, "/ready").await?;
@@ -228,24 +349,8 @@
 fn gateway_readiness_hang_up_and_stop() {
     block_on(async {
         let cluster = Cluster::start();
-        let list = free_addr();
-        let listener = compio::net::TcpListener::bind(list).await.unwrap();
-        let server = laburnumlug_http::Server::new(listener, laburnumlug_http::Limits::default());
-        let handler = Rc::new(|_req: laburnumlug_http::Request| async {
-            let text = include_str!("../../../platform/tests/sample-list.json");
-            hyper::Response::new(laburnumlug_http::full_body(text))
-        });
-        compio::runtime::spawn(server.run(handler)).detach();
-        let seeds: Vec<String> = cluster.seeds().iter().map(ToString::to_string).collect();
-        let (listen, ready) = (free_addr(), free_addr());
-        let text = format!(
-            "[process]\nvm = g\nzone = z\n[mesh]\nkey = {MESH_KEY}\ncontrol = {}\n[gateway]\nlisten = {listen}\n\
-             ready = {ready}\nmesh_listen = {}\ntarget_list = {list}\ngrace_s = 4\n",
-            seeds.join(","),
-            free_addr(),
-        );
-        let path = cluster.folder.write("gateway.ini", &text);
-        let mut gateway = Process::start("gateway", &path);
+        let mut gateway = Gateway::start(&cluster.folder, &cluster.seeds()).await;
+        let ready = gateway.ready;
         wait_for("readiness without routes", || async {
             (readiness(ready).await? == 503).then_some(())
         })
@@ -255,12 +360,12 @@
             (readiness(ready).await? == 200).then_some(())
         })
         .await;
-        gateway.signal(Signal::HUP);
-        gateway.signal(Signal::TERM);
+        gateway.process.signal(Signal::HUP);
+        gateway.process.signal(Signal::TERM);
         wait_for("notice of the stop", || async {
             (readiness(ready).await? == 503).then_some(())
         })
         .await;
-        assert_eq!(gateway.wait().await.code(), Some(0));
+        assert_eq!(gateway.process.wait().await.code(), Some(0));
     });
 }
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -7,8 +7,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use hyper::body::Body;
 use laburnumlug::{FleetDocument, FleetVersion, Repetition, ServiceName, TargetList, ZoneName};
-use laburnumlug_http::{ConnectionPool, Handler, Request, Response, read_body};
+use laburnumlug_http::{ConnectionPool, Handler, Request, Response, discard_body, read_body};
 use laburnumlug_policy::RetryAllowance;
 use rand::Rng;
 
@@ -207,14 +208,14 @@
 
     async fn answer(self: Rc<Self>, req: Request) -> Response {
         let arrived = Instant::now();
-        let (parts, body) = req.into_parts();
+        let (parts, mut body) = req.into_parts();
         let facts = self.dialect.call(&parts.headers);
         let id = facts
             .as_ref()
             .map_or(String::new(), |facts| facts.id.clone());
         let time_left = facts.as_ref().ok().and_then(|facts| facts.time_left);
         let result = match facts {
-            Ok(facts) => self.clone().forward(arrived, facts, parts, body).await,
+            Ok(facts) => self.clone().forward(arrived, facts, parts, &mut body).await,
             Err(reason) => Err(Refusal::new(Cause::BadRequest, reason)),
         };
         let mut resp = match result {
@@ -227,6 +228,9 @@
                     "answered with {}: {}", refusal.cause.status(), refusal.detail
                 );
                 let left = time_left.unwrap_or(DEFAULT_TIME).saturating_sub(waited);
+                if !body.is_end_stream() {
+                    discard_body(body);
+                }
                 let mut resp = refusal.response(left);
                 self.dialect.identify(resp.headers_mut(), &id);
                 resp
@@ -244,7 +248,7 @@
         arrived: Instant,
         facts: CallFacts,
         parts: hyper::http::request::Parts,
-        mut body: hyper::body::Incoming,
+        body: &mut hyper::body::Incoming,
     ) -> Result<Response, Refusal> {
         while !self.is_ready() && arrived.elapsed() < START_WAIT {
             compio::time::sleep(START_LOOK_INTERVAL).await;
@@ -255,7 +259,7 @@
         })?;
         let route = self.route(arrived, &table, &parts)?;
         let limit = usize::try_from(table.limits.body_bytes).unwrap_or(usize::MAX);
-        let reading = read_body(&mut body, limit);
+        let reading = read_body(body, limit);
         let body = match compio::time::timeout(BODY_TIMEOUT, reading).await {
             Ok(Ok(body)) => body,
             Ok(Err(err)) if err.is_body_too_large() => {
--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -24,6 +24,12 @@
 /// Unsent bytes that the kernel holds for one connection.
 const SEND_BUFFER_BYTES: usize = 128 * 1024;
 
+/// Most bytes of a refused request's body that are read and dropped.
+const MAX_DISCARDED_BYTES: usize = 64 * 1024 * 1024;
+
+/// How long the body of a refused request is read and dropped.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Request as a [`Handler`] receives it.
 pub type Request = hyper::Request<hyper::body::Incoming>;
 
@@ -304,11 +310,18 @@
     Ok(buf.freeze())
 }
 
-/// Reads and drops the rest of a body whose request has been refused, at most `limit` bytes.
+/// Reads and drops the rest of a refused request's body in the background, within bounds of bytes and time.
 ///
 /// A connection that is closed while its client still sends is reset, and the client then loses the answer.
-pub async fn discard_body(mut body: hyper::body::Incoming, limit: usize) {
-    let mut left = limit;
+pub fn discard_body(body: hyper::body::Incoming) {
+    compio::runtime::spawn(async move {
+        let _ = compio::time::timeout(DISCARD_TIMEOUT, read_and_drop(body)).await;
+    })
+    .detach();
+}
+
+async fn read_and_drop(mut body: hyper::body::Incoming) {
+    let mut left = MAX_DISCARDED_BYTES;
     while let Some(Ok(frame)) = body.frame().await {
         let bytes = frame.data_ref().map_or(0, Bytes::len);
         match left.checked_sub(bytes) {
