Send documents to gateways compressed

Ruled out: a smaller document without the platform's text (half of it, where compression leaves a tenth); compression of log entries (each replica sends few of them). Change: DEFLATE of the document in the mesh, once for a version at each replica. Messages changed, so the protocol's version is 2.

--- a/laburnumlug-control/src/mesh.rs
+++ b/laburnumlug-control/src/mesh.rs
@@ -1,11 +1,12 @@
 //! Answers to entries, target processes and other replicas.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
 use compio::net::{TcpListener, TcpStream};
 use laburnumlug::{FencingNumber, FleetVersion, Verdict};
-use laburnumlug_mesh::{Connection, ControlMessage, MeshKey, Message, NodeCommand};
+use laburnumlug_mesh::{Connection, ControlMessage, MeshKey, Message, NodeCommand, PackedText};
 
 use crate::command::{Command, Outcome};
 use crate::replica::Replica;
@@ -13,12 +14,16 @@
 /// How long a node's command may take; shorter than the time after which a node asks another replica.
 const NODE_SUBMIT_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// The newest document that was sent, so that it is compressed once for all who ask.
+type LastDocument = Rc<RefCell<Option<(FleetVersion, PackedText)>>>;
+
 /// Serves the system's other processes until the listener fails.
 pub async fn serve_mesh(listener: TcpListener, key: MeshKey, replica: Rc<Replica>) {
+    let last = LastDocument::default();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let task = serve_connection(stream, key.clone(), replica.clone());
+                let task = serve_connection(stream, key.clone(), replica.clone(), last.clone());
                 compio::runtime::spawn(task).detach();
             }
             Err(err) => {
@@ -29,14 +34,21 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, key: MeshKey, replica: Rc<Replica>) {
+async fn serve_connection(
+    stream: TcpStream,
+    key: MeshKey,
+    replica: Rc<Replica>,
+    last: LastDocument,
+) {
     let mut conn = match Connection::accept(stream, &key).await {
         Ok(conn) => conn,
         Err(err) => return log::warn!("refused a mesh connection: {err}"),
     };
     while let Ok((request_id, message)) = conn.recv().await {
         let answer = match message {
-            Message::Control(ControlMessage::FetchFleet { known }) => Some(fleet(&replica, known)),
+            Message::Control(ControlMessage::FetchFleet { known }) => {
+                Some(fleet(&replica, &last, known))
+            }
             Message::Control(ControlMessage::Submit { command }) => {
                 Some(submit(&replica, command).await)
             }
@@ -59,15 +71,26 @@
     }
 }
 
-fn fleet(replica: &Replica, known: FleetVersion) -> Message {
+fn fleet(replica: &Replica, last: &LastDocument, known: FleetVersion) -> Message {
     let fleet = replica.fleet();
+    let document = (fleet.version > known).then(|| {
+        let mut last = last.borrow_mut();
+        match &*last {
+            Some((version, document)) if *version == fleet.version => document.clone(),
+            _ => {
+                let document = PackedText::pack(&fleet.document);
+                *last = Some((fleet.version, document.clone()));
+                document
+            }
+        }
+    });
     let applied_change = replica.with_state(|state| state.fleet_index());
     Message::Control(ControlMessage::Fleet {
         standing: replica.standing(),
         logged_change: replica.logged_change(applied_change, Command::concerns_fleet),
         applied_change,
         version: fleet.version,
-        document: (fleet.version > known).then(|| fleet.document.to_string()),
+        document,
     })
 }
 
--- a/laburnumlug-daemon/src/fleet_watch.rs
+++ b/laburnumlug-daemon/src/fleet_watch.rs
@@ -8,7 +8,9 @@
 use laburnumlug::{
     Confirmation, FleetDocument, FleetVersion, ReplicaId, Service, Target, TargetList,
 };
-use laburnumlug_mesh::{Connection, ControlMessage, Message, ReplicaStanding, TargetsReport};
+use laburnumlug_mesh::{
+    Connection, ControlMessage, Message, PackedText, ReplicaStanding, TargetsReport,
+};
 use laburnumlug_operator::parse_document;
 
 use crate::settings::MeshSettings;
@@ -273,7 +275,7 @@
     logged_change: u64,
     applied_change: u64,
     version: FleetVersion,
-    document: Option<String>,
+    document: Option<PackedText>,
 }
 
 async fn ask(conn: &mut Connection, known: FleetVersion) -> Option<FleetAnswer> {
@@ -345,7 +347,11 @@
         _ if answer.version < held || answer.applied_change <= state.applied => {}
         None if answer.version == held => state.applied = answer.applied_change,
         None => {}
-        Some(text) => match parse_document(&text) {
+        Some(document) => match document
+            .unpack()
+            .map_err(|err| err.to_string())
+            .and_then(|text| parse_document(&text).map_err(|fault| fault.to_string()))
+        {
             Ok(document) => {
                 log::info!("fleet document version {} is in force", answer.version);
                 state.applied = answer.applied_change;
@@ -392,7 +398,7 @@
             logged_change: applied_change,
             applied_change,
             version,
-            document: document.then(|| DOCUMENT.to_string()),
+            document: document.then(|| PackedText::pack(DOCUMENT)),
         }
     }
 
--- a/laburnumlug-mesh/src/connection.rs
+++ b/laburnumlug-mesh/src/connection.rs
@@ -22,7 +22,7 @@
 use crate::traffic;
 
 /// Version of the message format; both ends must agree on it.
-pub const PROTOCOL_VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 2;
 
 /// Largest message in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
--- a/laburnumlug-mesh/src/lib.rs
+++ b/laburnumlug-mesh/src/lib.rs
@@ -30,6 +30,7 @@
 mod intent;
 mod message;
 mod node_command;
+mod packed;
 mod pool;
 mod traffic;
 
@@ -48,6 +49,7 @@
 pub use crate::node_command::{
     LoadRequest, NodeCommand, NodeOutcome, NodeReport, OrderReport, OrderResult,
 };
+pub use crate::packed::PackedText;
 pub use crate::pool::Pool;
 pub use crate::traffic::{Traffic, sent_traffic};
 pub use laburnumlug::{ReplicaId, ReplicaStanding};
--- a/laburnumlug-mesh/src/message.rs
+++ b/laburnumlug-mesh/src/message.rs
@@ -12,6 +12,7 @@
 use crate::handshake::SessionId;
 use crate::intent::Intent;
 use crate::node_command::{NodeCommand, NodeOutcome};
+use crate::packed::PackedText;
 
 /// Any message of the mesh.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -59,7 +60,7 @@
         /// than what the asker holds.
         version: FleetVersion,
         /// The committed document as JSON, absent where the asker already holds it.
-        document: Option<String>,
+        document: Option<PackedText>,
     },
     /// Asks for a command to be logged.
     Submit {
