Count each further reading of a prompt as a further send

A request that was tried again took one further send from the allowance, but made two: the prompt was read apart once more and then answered. Change: each reading after a request's first takes a further send of its own; without one the answering engine reads. Test: stream_further_sends_are_limited_with_their_readings: 4 further sends of 2 allowed before, 2 now.

--- a/laburnumlug-forward/src/stream.rs
+++ b/laburnumlug-forward/src/stream.rs
@@ -43,8 +43,8 @@
     tried: Vec<Rc<TargetHandle>>,
     /// Targets that have seen the request.
     sends: u32,
-    /// Engines that were asked in vain to read the prompt.
-    vain_reads: u32,
+    /// Engines that were asked only to read the prompt, and have seen the request.
+    reads: u32,
 }
 
 /// A stream whose first event has come.
@@ -83,7 +83,7 @@
             chain,
             tried: Vec::new(),
             sends: 0,
-            vain_reads: 0,
+            reads: 0,
         };
         let mut unknown = false;
         loop {
@@ -114,14 +114,14 @@
         }
     }
 
-    /// Returns whether another target may be asked, and counts that it is.
+    /// Returns whether another target may be asked to answer, and counts that it is.
     fn may_try_again(&self, stream: &StreamCall) -> bool {
         let attempts = stream.call.route.attempts;
         let now = Instant::now();
         stream.sends < attempts
             && (stream.tried.len() as u32) < attempts + MAX_CONNECTS
             && !stream.call.time_left(now).is_zero()
-            && (stream.sends + stream.vain_reads == 0 || self.take_retry(now, &stream.service))
+            && (stream.sends == 0 || self.take_retry(now, &stream.service))
     }
 
     /// Sends the request once, until its first event has come.
@@ -159,7 +159,7 @@
         });
         if let Err(failure) = &result {
             match failure.at_reader {
-                true => stream.vain_reads += u32::from(failure.arrived),
+                true => {}
                 false => stream.sends += u32::from(failure.arrived),
             }
             log::info!(
@@ -205,16 +205,27 @@
 
     async fn open_at(
         self: &Rc<Self>,
-        stream: &StreamCall,
-        chosen: ChosenEngines,
+        stream: &mut StreamCall,
+        mut chosen: ChosenEngines,
         resume_after: Option<String>,
     ) -> Result<Opened, SendFailure> {
-        let call = &stream.call;
-        let target = chosen.answering.clone();
+        // Reading elsewhere is free once; more of it are further sends, and without them the answering engine reads.
+        let is_extra = chosen.reading.is_some() && stream.reads > 0;
+        if is_extra && !self.take_retry(Instant::now(), &stream.service) {
+            chosen.reading = None;
+        }
         let step = match &chosen.reading {
-            Some(reader) => self.read_prompt(stream, reader, &chosen).await?,
+            Some(reader) => {
+                let read = self.read_prompt(stream, reader, &chosen).await;
+                let arrived = read.as_ref().err().is_none_or(|failure| failure.arrived);
+                stream.reads += u32::from(arrived);
+                read?
+            }
             None => SendStep::Whole,
         };
+        let stream = &*stream;
+        let call = &stream.call;
+        let target = chosen.answering.clone();
         let unread = match step {
             SendStep::Whole => chosen.unread_tokens,
             _ => 0,
