--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -72,6 +72,9 @@
 
     fn gateways_heard(&self, gateways: &[SocketAddr]) {
         self.peers.set_gateways(gateways);
+        let own = self.peers.own_address();
+        let others = gateways.iter().filter(|addr| **addr != own);
+        self.forwarder.set_processes(1 + others.count());
     }
 
     fn own_address(&self) -> Option<SocketAddr> {
@@ -85,7 +88,8 @@
     let metrics = Rc::new(Metrics::new()?);
     metrics::serve(settings.metrics, metrics).await?;
     let cfg = ForwardConfig::new(&settings.process.zone)
-        .retries(settings.retry_ratio, settings.retry_window);
+        .retries(settings.retry_ratio, settings.retry_window)
+        .retry_slack(settings.retry_slack);
     let forwarder = Forwarder::new(cfg, Rc::new(PlatformHeaders), Rc::new(PlatformInspector));
     let listener = bind(settings.listen).await?;
     let limits = server_limits(&CallerLimits::default(), settings.max_connections);
--- a/laburnumlug-daemon/src/settings/gateway.rs
+++ b/laburnumlug-daemon/src/settings/gateway.rs
@@ -19,6 +19,9 @@
 /// Window of the retry ratio where the settings name none.
 const DEFAULT_RETRY_WINDOW: Duration = Duration::from_secs(10);
 
+/// Sends beyond the share where the settings name none: two for each of some processes.
+const DEFAULT_RETRY_SLACK: f64 = 50.0;
+
 /// Time for a planned stop where the settings name none.
 const DEFAULT_GRACE: Duration = Duration::from_secs(8);
 
@@ -32,6 +35,7 @@
         "max_connections",
         "retry_ratio",
         "retry_window_s",
+        "retry_slack",
         "grace_s",
     ],
 };
@@ -56,6 +60,8 @@
     /// Further sends for each request within the window.
     pub(crate) retry_ratio: f64,
     pub(crate) retry_window: Duration,
+    /// Sends beyond that share that all gateways together may make within the window.
+    pub(crate) retry_slack: f64,
     /// Time from the request to stop until the process is killed.
     pub(crate) grace: Duration,
 }
@@ -66,9 +72,10 @@
         let reader = Reader::open(path, &[PROCESS, LOG, MESH, METRICS, GATEWAY])?;
         let whole = "a whole number from 1";
         let connections = reader.optional("gateway", "max_connections", whole, count)?;
-        let ratio = reader.optional("gateway", "retry_ratio", "a number from 0", ratio)?;
+        let ratio = reader.optional("gateway", "retry_ratio", "a number from 0", non_negative)?;
         let time = "a number of seconds above 0";
         let window = reader.optional("gateway", "retry_window_s", time, seconds)?;
+        let slack = reader.optional("gateway", "retry_slack", "a number from 0", non_negative)?;
         let grace = reader.optional("gateway", "grace_s", time, seconds)?;
         Ok(GatewaySettings {
             process: ProcessSettings::read(&reader)?,
@@ -82,15 +89,16 @@
             max_connections: connections.unwrap_or(DEFAULT_CONNECTIONS),
             retry_ratio: ratio.unwrap_or(DEFAULT_RETRY_RATIO),
             retry_window: window.unwrap_or(DEFAULT_RETRY_WINDOW),
+            retry_slack: slack.unwrap_or(DEFAULT_RETRY_SLACK),
             grace: grace.unwrap_or(DEFAULT_GRACE),
         })
     }
 }
 
-fn ratio(text: &str) -> Option<f64> {
+fn non_negative(text: &str) -> Option<f64> {
     text.parse()
         .ok()
-        .filter(|ratio: &f64| ratio.is_finite() && *ratio >= 0.0)
+        .filter(|number: &f64| number.is_finite() && *number >= 0.0)
 }
 
 fn seconds(text: &str) -> Option<Duration> {
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -45,6 +45,15 @@
 /// Time that callers without a deadline of their own are given, where the route has a longer one.
 const DEFAULT_TIME: Duration = Duration::from_secs(30);
 
+/// Share of the slack of further sends that is handed out; processes that start again have forgotten what they sent.
+const SLACK_SHARE: f64 = 0.5;
+
+/// Most further sends that one process may make without requests that earn them.
+const MAX_FREE_SENDS: f64 = 2.0;
+
+/// Processes that share one limit, as long as it is not known how many they are.
+const UNKNOWN_PROCESSES: usize = 32;
+
 /// Path of the health check of services that state none.
 const DEFAULT_HEALTH_PATH: &str = "/health";
 
@@ -54,6 +63,7 @@
     pub(crate) zone: ZoneName,
     retry_ratio: f64,
     retry_window: Duration,
+    retry_slack: f64,
 }
 
 impl ForwardConfig {
@@ -63,6 +73,7 @@
             zone: zone.to_string(),
             retry_ratio: 0.1,
             retry_window: Duration::from_secs(10),
+            retry_slack: 0.0,
         }
     }
 
@@ -72,6 +83,17 @@
         self.retry_window = window;
         self
     }
+
+    /// Sets how many sends beyond that share all processes together may make within the window.
+    pub fn retry_slack(mut self, sends: f64) -> ForwardConfig {
+        self.retry_slack = sends;
+        self
+    }
+
+    /// Returns how many of these sends one of several processes may make.
+    fn free_sends(&self, processes: usize) -> f64 {
+        (self.retry_slack * SLACK_SHARE / processes.max(1) as f64).min(MAX_FREE_SENDS)
+    }
 }
 
 #[derive(Default)]
@@ -90,6 +112,8 @@
     pub(crate) pool: ConnectionPool,
     view: RefCell<View>,
     allowances: RefCell<HashMap<ServiceName, RetryAllowance>>,
+    /// How many processes share the limit of further sends.
+    processes: Cell<usize>,
     closing: Cell<bool>,
     pub(crate) ledger: Ledger,
 }
@@ -108,6 +132,7 @@
             pool: ConnectionPool::new(CONNECT_TIMEOUT, IDLE_TIME),
             view: RefCell::default(),
             allowances: RefCell::default(),
+            processes: Cell::new(UNKNOWN_PROCESSES),
             closing: Cell::new(false),
             ledger: Ledger::default(),
         })
@@ -158,6 +183,15 @@
         view.table.is_some() && view.directory.read_at().is_some()
     }
 
+    /// Sets how many processes, this one included, share the limit of further sends.
+    pub fn set_processes(&self, processes: usize) {
+        self.processes.set(processes);
+        let free = self.cfg.free_sends(processes);
+        for allowance in self.allowances.borrow_mut().values_mut() {
+            allowance.set_free(free);
+        }
+    }
+
     /// Asks callers from now on to close their connections after each answer.
     pub fn close_connections(&self) {
         self.closing.set(true);
@@ -202,7 +236,8 @@
         F: FnOnce(&mut RetryAllowance) -> T,
     {
         let mut allowances = self.allowances.borrow_mut();
-        let new = || RetryAllowance::new(self.cfg.retry_ratio, self.cfg.retry_window);
+        let free = self.cfg.free_sends(self.processes.get());
+        let new = || RetryAllowance::new(self.cfg.retry_ratio, self.cfg.retry_window, free);
         act(allowances.entry(service.to_string()).or_insert_with(new))
     }
 
