Divide the inspections of engines, and have three gateways tell one that starts what engines hold

Connections to engines timed out after 250 ms at just these gateways (127 of them), streams came late for 4 s. A gateway that starts alone was told the same 25 times. Ruled out: connections held by the former life of the gateways (the time-outs go by gateway, not by engine), full engines. Change: rendezvous hashing divides the inspections, 150 ms to each turn; a gateway that starts is told what engines hold by the three that come first for its address, and of unfinished sends by all, as before.

--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -73,8 +73,8 @@
     fn gateways_heard(&self, gateways: &[SocketAddr]) {
         self.peers.set_gateways(gateways);
         let own = self.peers.own_address();
-        let others = gateways.iter().filter(|addr| **addr != own);
-        self.forwarder.set_processes(1 + others.count());
+        let others = gateways.iter().copied().filter(|addr| *addr != own);
+        self.forwarder.set_members(own, others.collect());
     }
 
     fn own_address(&self) -> Option<SocketAddr> {
--- a/laburnumlug-daemon/src/gateway_peers.rs
+++ b/laburnumlug-daemon/src/gateway_peers.rs
@@ -122,7 +122,7 @@
             .await?;
         outbox.overflowed.set(false);
         outbox.events.borrow_mut().clear();
-        let mut events = self.forwarder.engine_events();
+        let mut events = self.forwarder.engine_events(addr);
         while self.is_wanted(&addr, outbox) && !outbox.overflowed.get() {
             conn.send("", &Message::Gateway(GatewayMessage::Engines(events)))
                 .await?;
--- a/laburnumlug-forward/src/engine.rs
+++ b/laburnumlug-forward/src/engine.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,11 @@
 /// Share of an engine's memory that its kept prompts are taken to fill; requests in progress need the rest.
 const CACHE_SHARE: f64 = 0.8;
 
+/// Processes that tell one that has just started what the engines hold; one of them may be about to stop.
+///
+/// The one that is told may be counted among them.
+const VIEW_TELLERS: usize = 3;
+
 /// Engines that are to serve a prompt.
 pub(crate) struct ChosenEngines {
     pub(crate) answering: Rc<TargetHandle>,
@@ -145,11 +151,15 @@
     }
 
     /// Returns what another process has to know when it is first spoken to.
-    pub fn engine_events(&self) -> Vec<EngineEvent> {
+    ///
+    /// What engines hold is much to tell, so only those processes do that come first for `addr`.
+    pub fn engine_events(&self, addr: SocketAddr) -> Vec<EngineEvent> {
+        let rank = self.duty_rank(&addr.to_string());
+        let tells = rank.is_none_or(|rank| rank < VIEW_TELLERS);
         let known = self
             .engines()
             .into_iter()
-            .filter(|target| target.is_inspected.get());
+            .filter(|target| tells && target.is_inspected.get());
         let holds = known.map(|target| EngineEvent::Holds {
             engine: target.instance.clone(),
             parts: target.cache.borrow().parts(),
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -10,7 +11,7 @@
 use hyper::body::Body;
 use laburnumlug::{FleetDocument, FleetVersion, Repetition, ServiceName, TargetList, ZoneName};
 use laburnumlug_http::{ConnectionPool, Handler, Request, Response, discard_body, read_body};
-use laburnumlug_policy::RetryAllowance;
+use laburnumlug_policy::{RetryAllowance, duty_rank};
 use rand::Rng;
 
 use crate::dialect::{CallFacts, Dialect};
@@ -112,8 +113,8 @@
     pub(crate) pool: ConnectionPool,
     view: RefCell<View>,
     allowances: RefCell<HashMap<ServiceName, RetryAllowance>>,
-    /// How many processes share the limit of further sends.
-    processes: Cell<usize>,
+    /// Address of this process and of the others that forward; `None` as long as they are not known.
+    members: RefCell<Option<(SocketAddr, Vec<SocketAddr>)>>,
     closing: Cell<bool>,
     pub(crate) ledger: Ledger,
 }
@@ -132,7 +133,7 @@
             pool: ConnectionPool::new(CONNECT_TIMEOUT, IDLE_TIME),
             view: RefCell::default(),
             allowances: RefCell::default(),
-            processes: Cell::new(UNKNOWN_PROCESSES),
+            members: RefCell::default(),
             closing: Cell::new(false),
             ledger: Ledger::default(),
         })
@@ -183,15 +184,31 @@
         view.table.is_some() && view.directory.read_at().is_some()
     }
 
-    /// Sets how many processes, this one included, share the limit of further sends.
-    pub fn set_processes(&self, processes: usize) {
-        self.processes.set(processes);
-        let free = self.cfg.free_sends(processes);
+    /// Sets which processes forward: this one, and the others.
+    pub fn set_members(&self, own: SocketAddr, others: Vec<SocketAddr>) {
+        *self.members.borrow_mut() = Some((own, others));
+        let free = self.free_sends();
         for allowance in self.allowances.borrow_mut().values_mut() {
             allowance.set_free(free);
         }
     }
 
+    /// Returns how many of the other processes come before this one for a duty; `None` as long as they are not known.
+    pub(crate) fn duty_rank(&self, item: &str) -> Option<usize> {
+        let members = self.members.borrow();
+        let (own, others) = members.as_ref()?;
+        Some(duty_rank(item, own, others))
+    }
+
+    /// Returns how many sends this process may make that no request has earned.
+    fn free_sends(&self) -> f64 {
+        let members = self.members.borrow();
+        let processes = members
+            .as_ref()
+            .map_or(UNKNOWN_PROCESSES, |(_, others)| others.len() + 1);
+        self.cfg.free_sends(processes)
+    }
+
     /// Asks callers from now on to close their connections after each answer.
     pub fn close_connections(&self) {
         self.closing.set(true);
@@ -236,7 +253,7 @@
         F: FnOnce(&mut RetryAllowance) -> T,
     {
         let mut allowances = self.allowances.borrow_mut();
-        let free = self.cfg.free_sends(self.processes.get());
+        let free = self.free_sends();
         let new = || RetryAllowance::new(self.cfg.retry_ratio, self.cfg.retry_window, free);
         act(allowances.entry(service.to_string()).or_insert_with(new))
     }
--- a/laburnumlug-forward/src/probe.rs
+++ b/laburnumlug-forward/src/probe.rs
@@ -22,8 +22,17 @@
 /// Most probes of one target in a row; afterwards it gets requests again.
 const MAX_PROBES: u32 = 20;
 
-/// Longest wait before an engine is asked what it holds; the first gateway that knows tells the others.
-const LONGEST_INSPECTION_WAIT: Duration = Duration::from_millis(400);
+/// How long a process that has just started waits to learn of the others, which divide the inspections.
+const MEMBERS_WAIT: Duration = Duration::from_millis(800);
+
+/// Time between two looks at that.
+const MEMBERS_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time for which each process leaves an inspection to the one before it; the first that knows tells the others.
+const INSPECTION_TURN: Duration = Duration::from_millis(150);
+
+/// Most turns that are waited for.
+const MAX_TURNS: usize = 6;
 
 /// How long an engine may take to tell what it holds.
 const INSPECTION_TIMEOUT: Duration = Duration::from_millis(800);
@@ -101,8 +110,7 @@
     pub(crate) fn inspect(self: &Rc<Self>, target: Rc<TargetHandle>) {
         let forwarder = self.clone();
         compio::runtime::spawn(async move {
-            let wait = rand::rng().random_range(Duration::ZERO..LONGEST_INSPECTION_WAIT);
-            compio::time::sleep(wait).await;
+            forwarder.wait_for_turn(&target.instance).await;
             if target.is_inspected.get() {
                 return;
             }
@@ -116,6 +124,20 @@
         .detach();
     }
 
+    /// Waits until the processes that come first for a target have had their time to inspect it.
+    async fn wait_for_turn(&self, instance: &str) {
+        let mut waited = Duration::ZERO;
+        let rank = loop {
+            match self.duty_rank(instance) {
+                Some(rank) => break rank.min(MAX_TURNS),
+                None if waited >= MEMBERS_WAIT => break rand::rng().random_range(0..MAX_TURNS),
+                None => compio::time::sleep(MEMBERS_INTERVAL).await,
+            }
+            waited += MEMBERS_INTERVAL;
+        };
+        compio::time::sleep(INSPECTION_TURN * rank as u32).await;
+    }
+
     fn note_held(&self, target: &Rc<TargetHandle>, parts: &[HeldPart]) {
         target.is_inspected.set(true);
         let held = parts
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -44,6 +44,7 @@
 
 mod admission;
 mod allowance;
+mod duty;
 mod fairness;
 mod forecast;
 mod health;
@@ -62,6 +63,7 @@
     Admission, CapacityAdmission, DeadlineAdmission, QueueView, Refusal, RefusalCause, admission,
 };
 pub use crate::allowance::RetryAllowance;
+pub use crate::duty::duty_rank;
 pub use crate::fairness::CallerActivity;
 pub use crate::forecast::{finish_times, waiting_time};
 pub use crate::health::TargetHealth;
