Spread choices among answering engines that seem equal

Change: each choice adds up to 1 ms at random to a receiver's cost. Test: place_blind_choices_spread.

--- a/laburnumlug-forward/src/engine.rs
+++ b/laburnumlug-forward/src/engine.rs
@@ -12,6 +12,8 @@
     reading_priority, reading_work,
 };
 
+use rand::Rng;
+
 use crate::dialect::PromptFacts;
 use crate::directory::TargetHandle;
 use crate::forwarder::Forwarder;
@@ -23,6 +25,9 @@
 /// Share of an engine's memory that its kept prompts are taken to fill; requests in progress need the rest.
 const CACHE_SHARE: f64 = 0.8;
 
+/// Longest time by which engines that seem equal differ; about two requests in progress weigh as much.
+const LONGEST_JITTER: Duration = Duration::from_millis(1);
+
 /// Processes that tell one that has just started what the engines hold; one of them may be about to stop.
 ///
 /// The one that is told may be counted among them.
@@ -272,6 +277,7 @@
                     held_tokens,
                     running: target.running.get(),
                     slots: row.slots.max(1),
+                    jitter: rand::rng().random_range(Duration::ZERO..LONGEST_JITTER),
                 }
             })
             .collect();
--- a/laburnumlug-policy/src/placement.rs
+++ b/laburnumlug-policy/src/placement.rs
@@ -45,6 +45,9 @@
     pub running: u32,
     /// Most requests that it processes at once.
     pub slots: u32,
+    /// Random time, drawn for each choice, by which engines that seem equal differ: several processes choose at once, and
+    /// each learns of the others' choices late.
+    pub jitter: Duration,
 }
 
 /// A prompt that is to be placed.
@@ -158,7 +161,7 @@
             let load = f64::from(engine.running) / f64::from(engine.slots.max(1));
             // A prompt that is being read at the receiver slows its tokens.
             let busy = engine.waiting / 4 + Duration::from_millis(30).mul_f64(load);
-            (i, per_token * tokens * distance + busy)
+            (i, per_token * tokens * distance + busy + engine.jitter)
         })
         .min_by_key(|(_, time)| *time)
 }
@@ -209,6 +212,7 @@
             held_tokens: 0,
             running: 0,
             slots: 64,
+            jitter: Duration::ZERO,
         }
     }
 
@@ -270,4 +274,21 @@
         }
         assert_eq!(place(&prompt(1, 100, 10), &fleet), None);
     }
+
+    /// Pattern: all gateways start at once, and none knows yet what the others have sent.
+    #[test]
+    fn place_blind_choices_spread() {
+        let chosen = (0..26).map(|gateway| {
+            let mut fleet = fleet();
+            for (i, engine) in fleet.iter_mut().enumerate() {
+                // Any permutation that differs between the gateways.
+                let draw = (gateway * 7 + i * 5) % 9;
+                engine.jitter = Duration::from_micros(100 * draw as u64);
+            }
+            place(&prompt(1, 13_000, 1_000), &fleet).unwrap().answering
+        });
+        let mut counts = [0; 9];
+        chosen.for_each(|i| counts[i] += 1);
+        assert!(counts.iter().all(|count| *count < 13), "{counts:?}");
+    }
 }
