Learn how long connections may rest before servers forget them

Now a break counts only where a new connection to the same server then serves. Change: once two servers were seen to forget, no connection is used again that rested for half of the shortest rest that was too long, for 30 s.

--- a/laburnumlug-http/src/lib.rs
+++ b/laburnumlug-http/src/lib.rs
@@ -26,6 +26,7 @@
 mod client;
 mod error;
 mod pool;
+mod rest;
 mod server;
 mod socket;
 
--- a/laburnumlug-http/src/pool.rs
+++ b/laburnumlug-http/src/pool.rs
@@ -14,6 +14,7 @@
 use hyper::client::conn::http1;
 
 use crate::error::Error;
+use crate::rest::RestLimit;
 use crate::socket;
 
 /// Most idle connections that are kept for one peer.
@@ -22,6 +23,9 @@
 /// Share of a peer's stated idle time after which a connection is not used again; the peer's clock runs apart.
 const IDLE_SHARE: f64 = 0.7;
 
+/// Time from a send within which a dead connection shows; a round trip within a region takes a few milliseconds.
+const DEAD_TIME: Duration = Duration::from_millis(50);
+
 /// Why a request got no answer.
 #[derive(Debug)]
 pub enum SendError {
@@ -39,6 +43,7 @@
 
 struct Idle {
     conn: Connection,
+    since: Instant,
     until: Instant,
 }
 
@@ -50,6 +55,7 @@
     /// How long a connection is kept whose peer states no time.
     idle_time: Duration,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    rest_limit: RefCell<RestLimit>,
 }
 
 impl ConnectionPool {
@@ -59,6 +65,7 @@
             connect_timeout,
             idle_time,
             idle: RefCell::default(),
+            rest_limit: RefCell::default(),
         }
     }
 
@@ -75,15 +82,26 @@
         addr: SocketAddr,
         mut req: hyper::Request<Full<Bytes>>,
     ) -> Result<Answer, SendError> {
-        while let Some(conn) = self.take_idle(now, addr) {
+        while let Some((conn, rested)) = self.take_idle(now, addr) {
+            let sent_at = Instant::now();
             match exchange(addr, conn, req).await {
                 Ok(answer) => return Ok(answer),
                 Err(Unsent::Returned(returned)) => req = *returned,
-                Err(Unsent::Lost(err)) => return Err(SendError::Sent(err)),
+                Err(Unsent::Lost(err)) => {
+                    // A connection that was dead already breaks at once, others break while the peer works.
+                    if sent_at.elapsed() < DEAD_TIME {
+                        self.rest_limit.borrow_mut().note_dead(addr, rested);
+                    }
+                    return Err(SendError::Sent(err));
+                }
             }
         }
         let conn = self.connect(addr).await.map_err(SendError::NotSent)?;
-        match exchange(addr, conn, req).await {
+        let exchanged = exchange(addr, conn, req).await;
+        self.rest_limit
+            .borrow_mut()
+            .note_new(Instant::now(), addr, exchanged.is_ok());
+        match exchanged {
             Ok(answer) => Ok(answer),
             Err(Unsent::Returned(_)) => {
                 let err = std::io::ErrorKind::ConnectionReset.into();
@@ -112,7 +130,11 @@
         let conns = idle.entry(answer.addr).or_default();
         if conns.len() < MAX_IDLE_PER_PEER {
             let conn = answer.conn;
-            conns.push(Idle { conn, until });
+            conns.push(Idle {
+                conn,
+                since: now,
+                until,
+            });
         }
     }
 
@@ -128,14 +150,18 @@
         });
     }
 
-    fn take_idle(&self, now: Instant, addr: SocketAddr) -> Option<Connection> {
+    /// Takes the connection that was used last, and tells how long it has rested.
+    fn take_idle(&self, now: Instant, addr: SocketAddr) -> Option<(Connection, Duration)> {
+        let longest_rest = self.rest_limit.borrow().longest(now);
         let mut idle = self.idle.borrow_mut();
         let conns = idle.get_mut(&addr)?;
         while let Some(idle) = conns.pop() {
             let mut conn = idle.conn;
             let is_ready = matches!(conn.sender.ready().now_or_never(), Some(Ok(())));
-            if idle.until > now && is_ready {
-                return Some(conn);
+            let rested = now.saturating_duration_since(idle.since);
+            let is_fresh = longest_rest.is_none_or(|longest| rested <= longest);
+            if idle.until > now && is_ready && is_fresh {
+                return Some((conn, rested));
             }
         }
         None
