Give a target that was ejected one request at a time, and follow two gateways that eject one

Ruled out: idle connections that servers forget (the same servers break new ones). Change: after an ejection one request shows whether a target serves; one failure ejects again. A gateway that ejects a target tells the others, and two such ejections within 2 s are followed. Recent failures weigh in the choice of engines.

--- a/laburnumlug-forward/src/engine.rs
+++ b/laburnumlug-forward/src/engine.rs
@@ -25,6 +25,9 @@
 /// Share of an engine's memory that its kept prompts are taken to fill; requests in progress need the rest.
 const CACHE_SHARE: f64 = 0.8;
 
+/// Time that a failed send costs a caller, about: it is found out and another engine reads the prompt.
+const FAILURE_DELAY: Duration = Duration::from_millis(500);
+
 /// Longest time by which engines that seem equal differ; about two requests in progress weigh as much.
 const LONGEST_JITTER: Duration = Duration::from_millis(1);
 
@@ -211,6 +214,12 @@
                     send.target.running.set(send.target.running.get() - 1);
                 }
             }
+            EngineEvent::Failing { target } => {
+                if let Some(target) = self.target(&target) {
+                    let mut health = target.health.borrow_mut();
+                    health.note_foreign_ejection(now, sender);
+                }
+            }
             EngineEvent::Reachable { engine, serves } => {
                 if let Some(target) = self.target(&engine) {
                     let mut health = target.health.borrow_mut();
@@ -272,7 +281,8 @@
                     instance: target.instance.clone(),
                     role: row.role.unwrap_or(Role::Mixed),
                     is_near: row.zone == self.cfg.zone,
-                    waiting: reading.waiting_time(now, priority),
+                    waiting: reading.waiting_time(now, priority)
+                        + FAILURE_DELAY.mul_f64(target.health.borrow().failure_share()),
                     rate: reading.rate(),
                     held_tokens,
                     running: target.running.get(),
--- a/laburnumlug-forward/src/exchange.rs
+++ b/laburnumlug-forward/src/exchange.rs
@@ -100,6 +100,7 @@
                 at_reader: false,
             });
         }
+        target.health.borrow_mut().note_chosen(now);
         let facts = SendFacts {
             instance: target.instance.clone(),
             time_left,
@@ -153,11 +154,11 @@
                 })
             }
             Some(Err(SendError::Sent(err))) => {
-                target.health.borrow_mut().note_failure(now, false);
+                self.note_failure(now, &target);
                 Err(SendFailure::lost(err.to_string()))
             }
             None => {
-                target.health.borrow_mut().note_failure(now, false);
+                self.note_failure(now, &target);
                 Err(SendFailure {
                     verdict: Verdict::MayHaveRun,
                     cause: Cause::TimedOut,
--- a/laburnumlug-forward/src/plain.rs
+++ b/laburnumlug-forward/src/plain.rs
@@ -110,10 +110,7 @@
             let body = match answer.bytes(MAX_ANSWER_BYTES).await {
                 Ok(body) => body,
                 Err(err) => {
-                    target
-                        .health
-                        .borrow_mut()
-                        .note_failure(Instant::now(), false);
+                    self.note_failure(Instant::now(), &target);
                     return Err(SendFailure::lost(err.to_string()));
                 }
             };
@@ -127,10 +124,7 @@
         let (answer, body) = match compio::time::timeout(limit, exchanging).await {
             Ok(exchanged) => exchanged?,
             Err(_) => {
-                target
-                    .health
-                    .borrow_mut()
-                    .note_failure(Instant::now(), false);
+                self.note_failure(Instant::now(), &target);
                 return Err(SendFailure {
                     cause: Cause::TimedOut,
                     ..SendFailure::lost("no whole answer in time".to_string())
@@ -139,10 +133,7 @@
         };
         let status = answer.status();
         if status >= 500 {
-            target
-                .health
-                .borrow_mut()
-                .note_failure(Instant::now(), false);
+            self.note_failure(Instant::now(), &target);
             if call.route.is_repeatable() && !is_last {
                 self.pool.keep(Instant::now(), answer);
                 return Err(SendFailure::lost(format!(
--- a/laburnumlug-forward/src/probe.rs
+++ b/laburnumlug-forward/src/probe.rs
@@ -78,6 +78,15 @@
         compio::runtime::spawn(self.clone().probe(target.clone())).detach();
     }
 
+    /// Notes that a request failed at a target; other processes are told where it gets none for a while.
+    pub(crate) fn note_failure(&self, now: Instant, target: &TargetHandle) {
+        if target.health.borrow_mut().note_failure(now, false) {
+            log::info!(target = target.instance.as_str(); "the target gets no requests for a while: it fails");
+            let target = target.instance.clone();
+            self.ledger.tell(EngineEvent::Failing { target });
+        }
+    }
+
     /// Returns whether a target answers its health check now.
     pub(crate) async fn serves(&self, target: &TargetHandle) -> bool {
         let row = target.row.borrow().clone();
--- a/laburnumlug-forward/src/stream.rs
+++ b/laburnumlug-forward/src/stream.rs
@@ -260,10 +260,7 @@
                     && self.take_retry(Instant::now(), &stream.service) =>
             {
                 if let Some(reader) = &chosen.reading {
-                    reader
-                        .health
-                        .borrow_mut()
-                        .note_failure(Instant::now(), false);
+                    self.note_failure(Instant::now(), &reader);
                 }
                 let terms = SendTerms {
                     limit: silence_limit(call.route.aim),
@@ -289,10 +286,7 @@
                     return Ok(Opened::Whole(resp));
                 }
                 Ok(Err(err)) => {
-                    target
-                        .health
-                        .borrow_mut()
-                        .note_failure(Instant::now(), false);
+                    self.note_failure(Instant::now(), &target);
                     return Err(SendFailure::lost(err.to_string()));
                 }
                 Err(_) => {
@@ -388,10 +382,7 @@
         let body = body.map_err(|err| SendFailure::lost(err.to_string()))?;
         let status = answer.status();
         if status >= 500 {
-            target
-                .health
-                .borrow_mut()
-                .note_failure(Instant::now(), false);
+            self.note_failure(Instant::now(), &target);
         }
         let resp = self.pass_on(status, answer.headers(), body);
         self.pool.keep(Instant::now(), answer);
@@ -447,10 +438,7 @@
                 }
             };
             let target = running.target.clone();
-            target
-                .health
-                .borrow_mut()
-                .note_failure(Instant::now(), false);
+            self.note_failure(Instant::now(), &target);
             splitter.drop_partial();
             let resumed = self.resume(&mut stream, &splitter).await;
             log::info!(
--- a/src/engine_event.rs
+++ b/src/engine_event.rs
@@ -33,6 +33,11 @@
         /// Number of the send.
         number: SendNumber,
     },
+    /// The sender gives a target no requests for a while, as several failed there.
+    Failing {
+        /// The target.
+        target: TargetName,
+    },
     /// Nothing gets through to a target, or it serves again.
     Reachable {
         /// The target.
