Count what gateways do, check the one line of each refusal, and the fields of log lines

Cause: a gateway's metrics address served nothing of requests, and nothing checked that each refusal has one line. Found by the new test: a request whose time was over before it was sent got 504, which says that it may have run. It has not, and gets 503 with cause expired.

--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -15,6 +15,7 @@
 
 use crate::error::Error;
 use crate::fleet_watch::{FleetView, FleetWatch, ViewObserver};
+use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_peers::GatewayPeers;
 use crate::metrics::{self, Metrics};
 use crate::settings::GatewaySettings;
@@ -86,11 +87,12 @@
 pub(crate) async fn run(settings: GatewaySettings, path: PathBuf) -> Result<(), Error> {
     logging::start("gateway", &settings.process, &settings.log)?;
     let metrics = Rc::new(Metrics::new()?);
-    metrics::serve(settings.metrics, metrics).await?;
+    metrics::serve(settings.metrics, metrics.clone()).await?;
     let cfg = ForwardConfig::new(&settings.process.zone)
         .retries(settings.retry_ratio, settings.retry_window)
         .retry_slack(settings.retry_slack);
     let forwarder = Forwarder::new(cfg, Rc::new(PlatformHeaders), Rc::new(PlatformInspector));
+    forwarder.set_observer(Rc::new(GatewayMetrics::new(&metrics)));
     let listener = bind(settings.listen).await?;
     let limits = server_limits(&CallerLimits::default(), settings.max_connections);
     let server = Server::new(listener, limits);
--- /dev/null
+++ b/laburnumlug-daemon/src/gateway_metrics.rs
@@ -0,0 +1,100 @@
+//! Metrics of a gateway.
+
+use std::time::Duration;
+
+use laburnumlug::Repetition;
+use laburnumlug_forward::ForwardObserver;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram};
+
+use crate::metrics::Metrics;
+
+/// Upper bounds of the latency histogram's buckets, in seconds; routes aim at 100 to 600 ms.
+const LATENCY_BOUNDS_SECONDS: [f64; 16] = [
+    0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.0, 2.0, 4.0, 8.0,
+];
+
+/// Counts what a forwarder tells.
+pub(crate) struct GatewayMetrics {
+    answers: Counter<u64>,
+    latency: Histogram<f64>,
+    refusals: Counter<u64>,
+    broken_streams: Counter<u64>,
+    sends: Counter<u64>,
+    further_sends: Counter<u64>,
+}
+
+impl GatewayMetrics {
+    /// Creates the instruments.
+    pub(crate) fn new(metrics: &Metrics) -> GatewayMetrics {
+        let counter = |name, description| metrics.counter(name, description);
+        GatewayMetrics {
+            answers: counter(
+                "laburnumlug.gateway.answers",
+                "Answers of targets that were passed on, by kind of route and status",
+            ),
+            latency: metrics.histogram(
+                "laburnumlug.gateway.answer.seconds",
+                "Time from a request's arrival to its whole answer, or to a stream's first event",
+                &LATENCY_BOUNDS_SECONDS,
+            ),
+            refusals: counter(
+                "laburnumlug.gateway.refusals",
+                "Answers of the gateway's own, by status and cause",
+            ),
+            broken_streams: counter(
+                "laburnumlug.gateway.broken.streams",
+                "Streams that had begun and were broken off",
+            ),
+            sends: counter(
+                "laburnumlug.gateway.sends",
+                "Sends of requests to targets by outcome",
+            ),
+            further_sends: counter(
+                "laburnumlug.gateway.further.sends",
+                "Sends beyond a request's first, by whether the limit allowed them",
+            ),
+        }
+    }
+}
+
+impl ForwardObserver for GatewayMetrics {
+    fn answered(&self, repetition: Repetition, status: u16, time: Duration) {
+        let kind = KeyValue::new("kind", kind_name(repetition));
+        self.latency
+            .record(time.as_secs_f64(), std::slice::from_ref(&kind));
+        let status = KeyValue::new("status", i64::from(status));
+        self.answers.add(1, &[kind, status]);
+    }
+
+    fn refused(&self, status: u16, cause: &'static str) {
+        let status = KeyValue::new("status", i64::from(status));
+        self.refusals
+            .add(1, &[status, KeyValue::new("cause", cause)]);
+    }
+
+    fn stream_broken(&self) {
+        self.broken_streams.add(1, &[]);
+    }
+
+    fn sent(&self, outcome: &'static str) {
+        self.sends.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    fn further_send(&self, allowed: bool) {
+        let allowed = KeyValue::new("allowed", allowed);
+        self.further_sends.add(1, &[allowed]);
+    }
+}
+
+fn kind_name(repetition: Repetition) -> &'static str {
+    match repetition {
+        Repetition::Safe => "safe",
+        Repetition::Unsafe => "unsafe",
+        Repetition::Stream => "stream",
+    }
+}
+
+#[cfg(test)]
+#[path = "gateway_metrics_tests.rs"]
+mod tests;
--- /dev/null
+++ b/laburnumlug-daemon/src/gateway_metrics_tests.rs
@@ -0,0 +1,27 @@
+use super::*;
+
+#[test]
+fn text_names_and_buckets() {
+    let metrics = Metrics::new().unwrap();
+    let gateway = GatewayMetrics::new(&metrics);
+    gateway.answered(Repetition::Stream, 200, Duration::from_millis(350));
+    gateway.refused(503, "no-target");
+    gateway.stream_broken();
+    gateway.sent("answer-lost");
+    gateway.further_send(false);
+    let text = metrics.text();
+    for line in [
+        "laburnumlug_gateway_answers_total{kind=\"stream\"",
+        "laburnumlug_gateway_answer_seconds_bucket{kind=\"stream\"",
+        "laburnumlug_gateway_refusals_total{cause=\"no-target\"",
+        "laburnumlug_gateway_broken_streams_total",
+        "laburnumlug_gateway_sends_total{outcome=\"answer-lost\"",
+        "laburnumlug_gateway_further_sends_total{allowed=\"false\"",
+    ] {
+        assert!(text.contains(line), "{line} is not in {text}");
+    }
+    // The aims of 300, 400 and 600 ms each end a bucket.
+    for bound in ["0.3", "0.4", "0.6"] {
+        assert!(text.contains(&format!("le=\"{bound}\"")), "{text}");
+    }
+}
--- a/laburnumlug-daemon/src/lib.rs
+++ b/laburnumlug-daemon/src/lib.rs
@@ -22,6 +22,7 @@
 mod fleet_store;
 mod fleet_watch;
 mod gateway;
+mod gateway_metrics;
 mod gateway_peers;
 mod log_writer;
 mod logging;
--- a/laburnumlug-daemon/src/metrics.rs
+++ b/laburnumlug-daemon/src/metrics.rs
@@ -101,6 +101,28 @@
             .build()
     }
 
+    /// Creates a counter that its owner counts with.
+    pub(crate) fn counter(&self, name: &'static str, description: &'static str) -> Counter<u64> {
+        self.meter
+            .u64_counter(name)
+            .with_description(description)
+            .build()
+    }
+
+    /// Creates a histogram with these upper bounds of its buckets.
+    pub(crate) fn histogram(
+        &self,
+        name: &'static str,
+        description: &'static str,
+        bounds: &[f64],
+    ) -> Histogram<f64> {
+        self.meter
+            .f64_histogram(name)
+            .with_description(description)
+            .with_boundaries(bounds.to_vec())
+            .build()
+    }
+
     /// Counts a request and the time to the head of its answer.
     pub(crate) fn count_request(
         &self,
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod client;
 mod control;
 mod harness;
+mod log_fields;
 mod operators;
 mod path;
 mod platform;
--- a/laburnumlug-forward/src/exchange.rs
+++ b/laburnumlug-forward/src/exchange.rs
@@ -73,6 +73,16 @@
         }
     }
 
+    pub(crate) fn expired() -> SendFailure {
+        SendFailure {
+            verdict: Verdict::NotRun,
+            cause: Cause::Expired,
+            detail: "no time is left".to_string(),
+            arrived: false,
+            at_reader: false,
+        }
+    }
+
     /// Returns the answer to the caller where nothing more is tried.
     pub(crate) fn refusal(&self) -> Refusal {
         Refusal::new(self.cause, self.detail.clone())
@@ -88,17 +98,30 @@
         step: SendStep,
         resume_after: Option<String>,
         terms: SendTerms,
+    ) -> Result<Answer, SendFailure> {
+        let result = self
+            .send_uncounted(call, target, step, resume_after, terms)
+            .await;
+        let outcome = match &result {
+            Ok(_) => "answered",
+            Err(failure) => failure.cause.as_str(),
+        };
+        self.observe(|observer| observer.sent(outcome));
+        result
+    }
+
+    async fn send_uncounted(
+        self: &Rc<Self>,
+        call: &Call,
+        target: &Rc<TargetHandle>,
+        step: SendStep,
+        resume_after: Option<String>,
+        terms: SendTerms,
     ) -> Result<Answer, SendFailure> {
         let now = Instant::now();
         let time_left = call.time_left(now);
         if time_left.is_zero() {
-            return Err(SendFailure {
-                verdict: Verdict::NotRun,
-                cause: Cause::Expired,
-                detail: "no time is left".to_string(),
-                arrived: false,
-                at_reader: false,
-            });
+            return Err(SendFailure::expired());
         }
         target.health.borrow_mut().note_chosen(now);
         let facts = SendFacts {
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -18,6 +18,7 @@
 use crate::directory::{Directory, TargetHandle};
 use crate::engine::Ledger;
 use crate::exchange::Call;
+use crate::observer::ForwardObserver;
 use crate::probe::Inspector;
 use crate::refusal::{Cause, Refusal};
 use crate::routes::{RouteRow, RouteTable};
@@ -116,6 +117,7 @@
     /// Address of this process and of the others that forward; `None` as long as they are not known.
     members: RefCell<Option<(SocketAddr, Vec<SocketAddr>)>>,
     closing: Cell<bool>,
+    observer: RefCell<Option<Rc<dyn ForwardObserver>>>,
     pub(crate) ledger: Ledger,
 }
 
@@ -135,10 +137,25 @@
             allowances: RefCell::default(),
             members: RefCell::default(),
             closing: Cell::new(false),
+            observer: RefCell::default(),
             ledger: Ledger::default(),
         })
     }
 
+    /// Sets who is told how requests end.
+    pub fn set_observer(&self, observer: Rc<dyn ForwardObserver>) {
+        *self.observer.borrow_mut() = Some(observer);
+    }
+
+    pub(crate) fn observe<F>(&self, tell: F)
+    where
+        F: FnOnce(&dyn ForwardObserver),
+    {
+        if let Some(observer) = &*self.observer.borrow() {
+            tell(&**observer);
+        }
+    }
+
     /// Sets the routes; an older version changes nothing.
     pub fn set_routes(&self, version: FleetVersion, document: &FleetDocument) {
         let held = self.view.borrow().table.as_ref().map(|table| table.version);
@@ -245,7 +262,9 @@
 
     /// Takes one further send; returns `false` where the limit is reached.
     pub(crate) fn take_retry(&self, now: Instant, service: &str) -> bool {
-        self.with_allowance(service, |allowance| allowance.try_take(now))
+        let allowed = self.with_allowance(service, |allowance| allowance.try_take(now));
+        self.observe(|observer| observer.further_send(allowed));
+        allowed
     }
 
     fn with_allowance<T, F>(&self, service: &str, act: F) -> T
@@ -279,6 +298,9 @@
                     waited_ms = waited.as_millis() as u64;
                     "answered with {}: {}", refusal.cause.status(), refusal.detail
                 );
+                self.observe(|observer| {
+                    observer.refused(refusal.cause.status(), refusal.cause.as_str());
+                });
                 let left = time_left.unwrap_or(DEFAULT_TIME).saturating_sub(waited);
                 if !body.is_end_stream() {
                     discard_body(body);
@@ -336,10 +358,13 @@
         let Some(service) = route.service(draw) else {
             return Err(Refusal::new(Cause::NoTarget, "the route has no service"));
         };
-        match route.repetition {
-            Repetition::Stream => self.answer_stream(call, service, table).await,
-            Repetition::Safe | Repetition::Unsafe => self.answer_plain(&call, service).await,
-        }
+        let resp = match route.repetition {
+            Repetition::Stream => self.clone().answer_stream(call, service, table).await?,
+            Repetition::Safe | Repetition::Unsafe => self.answer_plain(&call, service).await?,
+        };
+        let time = arrived.elapsed();
+        self.observe(|o| o.answered(route.repetition, resp.status().as_u16(), time));
+        Ok(resp)
     }
 
     fn route(
--- a/laburnumlug-forward/src/plain.rs
+++ b/laburnumlug-forward/src/plain.rs
@@ -120,7 +120,11 @@
             true => call.route.aim * SILENCE_FACTOR,
             false => Duration::MAX,
         };
-        let limit = patience.min(call.time_left(Instant::now()));
+        let time_left = call.time_left(Instant::now());
+        if time_left.is_zero() {
+            return Err(SendFailure::expired());
+        }
+        let limit = patience.min(time_left);
         let (answer, body) = match compio::time::timeout(limit, exchanging).await {
             Ok(exchanged) => exchanged?,
             Err(_) => {
--- a/laburnumlug-forward/src/stream.rs
+++ b/laburnumlug-forward/src/stream.rs
@@ -434,6 +434,7 @@
                 None => {
                     log::info!(request_id = id.as_str(), cause = Cause::TimedOut.as_str();
                         "the stream was broken off: its time is over");
+                    self.observe(|observer| observer.stream_broken());
                     return tx.abort();
                 }
             };
@@ -446,6 +447,7 @@
                 resumed = resumed.is_some(); "the stream broke: {broken}"
             );
             let Some(next) = resumed else {
+                self.observe(|observer| observer.stream_broken());
                 return tx.abort();
             };
             answer = next.answer;
