Ask answering engines that failed now and then where no other one answers

Cause: where all usable engines only read prompts, requests were refused ("no engine of the service has room"), though answering engines that had failed a moment before might have served them. Change: without a usable target that answers, those that were ejected are asked, and only without them the suspected one that may be back first. Tests: usable_without_answering_engine, usable_all_suspected.

--- a/laburnumlug-forward/src/directory.rs
+++ b/laburnumlug-forward/src/directory.rs
@@ -180,19 +180,27 @@
     }
 }
 
-/// Returns the targets that may be asked: the usable ones, or the one that may be usable first.
+/// Returns the targets that may be asked: the usable ones, and where none of them answers, those that are the least
+/// unlikely to. Engines that only read prompts answer nothing.
 pub(crate) fn usable(now: Instant, targets: Vec<Rc<TargetHandle>>) -> Vec<Rc<TargetHandle>> {
-    let is_usable = |target: &&Rc<TargetHandle>| target.health.borrow().is_usable(now);
-    let usable: Vec<Rc<TargetHandle>> = targets.iter().filter(is_usable).cloned().collect();
-    match usable.is_empty() {
-        false => usable,
+    let answers = |target: &Rc<TargetHandle>| target.row.borrow().role != Some(Role::Prefill);
+    let is_usable = |target: &Rc<TargetHandle>| target.health.borrow().is_usable(now);
+    let (mut usable, unusable): (Vec<_>, Vec<_>) = targets.into_iter().partition(is_usable);
+    if usable.iter().any(answers) {
+        return usable;
+    }
+    let mut resort: Vec<Rc<TargetHandle>> = unusable.into_iter().filter(answers).collect();
+    // A target that failed now and then is a better resort than one to which nothing gets through.
+    let is_suspected = |target: &Rc<TargetHandle>| target.health.borrow().is_suspected(now);
+    match resort.iter().all(is_suspected) {
         true => {
-            let first = targets
-                .into_iter()
-                .min_by_key(|t| t.health.borrow().usable_at());
-            first.into_iter().collect()
+            resort.sort_by_key(|target| target.health.borrow().usable_at());
+            resort.truncate(1);
         }
+        false => resort.retain(|target| !is_suspected(target)),
     }
+    usable.extend(resort);
+    usable
 }
 
 #[cfg(test)]
@@ -247,4 +255,49 @@
         directory.update(now, list(&[]));
         assert_eq!(directory.serving("s").len(), 1);
     }
+
+    fn handles(now: Instant, roles: &[Role]) -> Vec<Rc<TargetHandle>> {
+        let handle = |(i, role): (usize, &Role)| {
+            let role = Some(*role);
+            let row = row(&format!("i-{i}"), false);
+            Rc::new(TargetHandle::new(now, LiveTarget { role, ..row }))
+        };
+        roles.iter().enumerate().map(handle).collect()
+    }
+
+    fn names(targets: &[Rc<TargetHandle>]) -> Vec<&str> {
+        targets
+            .iter()
+            .map(|target| target.instance.as_str())
+            .collect()
+    }
+
+    /// Pattern: all answering engines failed within a second, while those that read are well.
+    #[test]
+    fn usable_without_answering_engine() {
+        let now = Instant::now();
+        let targets = handles(
+            now,
+            &[Role::Prefill, Role::Decode, Role::Decode, Role::Decode],
+        );
+        for target in &targets[1..3] {
+            target.health.borrow_mut().note_failure(now, true);
+        }
+        assert_eq!(names(&usable(now, targets.clone())), ["i-0", "i-3"]);
+        targets[3].health.borrow_mut().suspect(now);
+        // Without this, the request was refused though two engines might have served it.
+        assert_eq!(names(&usable(now, targets)), ["i-0", "i-1", "i-2"]);
+    }
+
+    #[test]
+    fn usable_all_suspected() {
+        let now = Instant::now();
+        let targets = handles(now, &[Role::Decode, Role::Decode]);
+        targets[1].health.borrow_mut().suspect(now);
+        targets[0]
+            .health
+            .borrow_mut()
+            .suspect(now + Duration::from_secs(1));
+        assert_eq!(names(&usable(now, targets)), ["i-1"]);
+    }
 }
