--- a/laburnumlug-policy/src/role_plan.rs
+++ b/laburnumlug-policy/src/role_plan.rs
@@ -6,7 +6,7 @@
 
 /// Share of a service's engines that answer. An answering engine makes thousands of tokens a second from prompts that
 /// others have read, but reads prompts itself at a third of the rate of one that only reads.
-const ANSWERING_SHARE: f64 = 1.0 / 5.0;
+const ANSWERING_SHARE: f64 = 1.0 / 4.0;
 
 /// Fewest engines that answer, so that the loss of one stops nothing.
 const MIN_ANSWERING: usize = 2;
@@ -140,7 +140,7 @@
     /// Pattern: prompts of 17,000 tokens and answers of 15; reading binds, and answering engines are idle.
     #[test]
     fn plan_roles_large_and_small_fleets() {
-        for (engines, expected) in [(1, 1), (2, 2), (6, 2), (9, 3), (18, 4), (41, 8)] {
+        for (engines, expected) in [(1, 1), (2, 2), (6, 2), (9, 3), (18, 5), (41, 10)] {
             assert_eq!(wanted_answering(engines), expected, "of {engines}");
         }
     }
