--- /dev/null
+++ b/laburnumlug-daemon/tests/gateways/site.rs
@@ -0,0 +1,90 @@
+//! The processes of a run, and the servers behind them.
+
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+
+use crate::client;
+use crate::harness::wait_for;
+use crate::platform_fleet::{Cluster, Gateway, readiness, serve_list};
+use crate::standin::{Behaviour, ServerStandIn};
+
+/// Gateways of a run.
+const GATEWAYS: usize = 3;
+
+/// Servers: one that loses each answer and one that mixes answers up stand among those that serve.
+const SERVERS: [(&str, Behaviour); 6] = [
+    ("plain", Behaviour::Serve),
+    ("plain", Behaviour::Serve),
+    ("plain", Behaviour::LoseAnswer),
+    ("plain", Behaviour::CrossedId),
+    ("engines", Behaviour::Serve),
+    ("engines", Behaviour::Serve),
+];
+
+/// Three control replicas, gateways, and servers behind them.
+pub struct Site {
+    pub cluster: Cluster,
+    pub gateways: Vec<Gateway>,
+    pub servers: Vec<ServerStandIn>,
+}
+
+impl Site {
+    /// Starts everything and waits until all gateways are ready.
+    pub async fn start() -> Site {
+        let cluster = Cluster::start();
+        let mut servers = Vec::new();
+        let mut rows = Vec::new();
+        for (i, (service, behaviour)) in SERVERS.into_iter().enumerate() {
+            let instance = format!("i-{i}");
+            let server = ServerStandIn::start(&instance, behaviour).await;
+            let row = include_str!("../../../platform/tests/soak-row.json")
+                .replace("INSTANCE", &instance)
+                .replace("SERVICE", service)
+                .replace("ADDRESS", &server.addr().to_string());
+            rows.push(serde_json::from_str::<Value>(&row).unwrap());
+            servers.push(server);
+        }
+        let page = json!({ "instances": rows, "next": null }).to_string();
+        let list = serve_list(page).await;
+        let gateways = (0..GATEWAYS)
+            .map(|i| Gateway::start_at(&cluster.folder, &format!("g-{i}"), list, &cluster.seeds()));
+        let site = Site {
+            gateways: gateways.collect(),
+            cluster,
+            servers,
+        };
+        wait_for("first configuration", || async {
+            let addr = site.cluster.replicas[0].operators;
+            let answer = client::post(addr, "/config/replace", &[], &config(1)).await?;
+            (answer.status == 200).then_some(())
+        })
+        .await;
+        site.wait_until_ready().await;
+        site
+    }
+
+    /// Waits until every gateway takes requests.
+    pub async fn wait_until_ready(&self) {
+        for gateway in &self.gateways {
+            wait_for("readiness", || async {
+                (readiness(gateway.ready).await? == 200).then_some(())
+            })
+            .await;
+        }
+    }
+
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.gateways.iter().map(|gateway| gateway.listen).collect()
+    }
+
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        let replicas = self.cluster.replicas.iter();
+        replicas.map(|replica| replica.operators).collect()
+    }
+}
+
+/// Returns the configuration of a number, in the platform's words, which stand in its own folder.
+pub fn config(number: u64) -> String {
+    include_str!("../../../platform/tests/soak-config.json").replace("1001", &number.to_string())
+}
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -12,6 +12,7 @@
 mod operators;
 mod path;
 mod platform;
+mod platform_fleet;
 mod requests;
 mod settings;
 mod settings_page;
--- a/laburnumlug-daemon/tests/it/platform.rs
+++ b/laburnumlug-daemon/tests/it/platform.rs
@@ -1,115 +1,17 @@
 //! Control replicas that are named by their addresses, as the platform starts them.
 
-use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use rustix::process::Signal;
-use serde_json::{Value, json};
 
 use crate::client;
-use crate::harness::{Folder, MESH_KEY, Process, TOKEN_HASH, block_on, free_addr, wait_for};
-
-/// One control replica.
-struct Replica {
-    listen: SocketAddr,
-    operators: SocketAddr,
-    process: Process,
-}
-
-struct Cluster {
-    folder: Folder,
-    replicas: Vec<Replica>,
-}
-
-impl Cluster {
-    /// Starts the first replicas of a cluster that bears the loss of one.
-    fn start() -> Cluster {
-        Cluster::start_bearing(1)
-    }
-
-    /// Starts the first replicas of a cluster that bears these losses at once.
-    fn start_bearing(losses: usize) -> Cluster {
-        let folder = Folder::new();
-        let addrs: Vec<(SocketAddr, SocketAddr)> = (0..=2 * losses)
-            .map(|_| (free_addr(), free_addr()))
-            .collect();
-        let seeds: Vec<SocketAddr> = addrs.iter().map(|(listen, _)| *listen).collect();
-        let replicas = addrs.iter().map(|(listen, operators)| {
-            start_replica(&folder, losses, *listen, *operators, &seeds, true)
-        });
-        Cluster {
-            replicas: replicas.collect(),
-            folder,
-        }
-    }
-
-    fn seeds(&self) -> Vec<SocketAddr> {
-        self.replicas.iter().map(|replica| replica.listen).collect()
-    }
-
-    /// Puts a configuration in force through one replica.
-    async fn replace(&self, replica: usize, number: u64, timeout_ms: u64) {
-        wait_for("accepted configuration", || async {
-            let text = config(number, timeout_ms).to_string();
-            let addr = self.replicas[replica].operators;
-            let answer = client::post(addr, "/config/replace", &[], &text).await?;
-            (answer.status == 200).then_some(())
-        })
-        .await;
-    }
-
-    /// Reads the configuration from one replica, once it can prove that it is the newest.
-    async fn read(&self, replica: usize) -> Value {
-        wait_for("confirmed configuration", || async {
-            let addr = self.replicas[replica].operators;
-            let (status, body) = client::get_status_and_page(addr, "/config/get").await?;
-            (status == 200).then(|| serde_json::from_str(&body).unwrap())
-        })
-        .await
-    }
-}
-
-fn start_replica(
-    folder: &Folder,
-    losses: usize,
-    listen: SocketAddr,
-    operators: SocketAddr,
-    seeds: &[SocketAddr],
-    may_found: bool,
-) -> Replica {
-    let name = format!("control-{}", listen.port());
-    let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
-    let text = format!(
-        "[process]\nvm = {name}\nzone = z\n[mesh]\nkey = {MESH_KEY}\ncontrol = {}\n[control]\nname = {listen}\n\
-         listen = {listen}\noperators = {operators}\ndata = {}\npeers = mesh\nmay_found = {may_found}\n\
-         losses = {losses}\nplatform_operator = yes\ntokens = dev:{TOKEN_HASH}\n",
-        seeds.join(","),
-        folder.path().join(&name).display(),
-    );
-    let path = folder.write(&format!("{name}.ini"), &text);
-    Replica {
-        listen,
-        operators,
-        process: Process::start("control", &path),
-    }
-}
-
-/// Returns a configuration in the platform's words, which stand in its own folder.
-fn config(number: u64, timeout_ms: u64) -> Value {
-    config_with_service(number, timeout_ms, "plain")
-}
-
-fn config_with_service(number: u64, timeout_ms: u64, service: &str) -> Value {
-    let text = include_str!("../../../platform/tests/sample-config.json")
-        .replace("1001", &number.to_string())
-        .replace("2002", &timeout_ms.to_string())
-        .replace("service-of-route", service);
-    serde_json::from_str(&text).unwrap()
-}
+use crate::harness::{Folder, MESH_KEY, Process, block_on, free_addr, wait_for};
+use crate::platform_fleet::{
+    Cluster, Gateway, Replica, config, config_with_service, readiness, start_replica,
+    wait_for_voter,
+};
 
 #[test]
 fn config_highest_number_holds_at_every_replica() {
@@ -225,16 +127,6 @@
     });
 }
 
-/// Waits until a replica's vote counts.
-async fn wait_for_voter(cluster: &Cluster, replica: usize) {
-    wait_for("voter", || async {
-        let body = client::get_page(cluster.replicas[replica].operators, "/status").await?;
-        let status: Value = serde_json::from_str(&body).ok()?;
-        (status["is_voter"] == json!(true)).then_some(())
-    })
-    .await;
-}
-
 /// A VM without a disk holds no replica and refers operators to one.
 #[test]
 fn control_without_disk_refers_operators() {
@@ -262,58 +154,6 @@
     });
 }
 
-/// A gateway and the list of targets that it reads.
-struct Gateway {
-    listen: SocketAddr,
-    ready: SocketAddr,
-    mesh: SocketAddr,
-    list: SocketAddr,
-    process: Process,
-}
-
-impl Gateway {
-    /// Starts a gateway that finds control through these seeds.
-    async fn start(folder: &Folder, seeds: &[SocketAddr]) -> Gateway {
-        let list = free_addr();
-        let listener = compio::net::TcpListener::bind(list).await.unwrap();
-        let server = laburnumlug_http::Server::new(listener, laburnumlug_http::Limits::default());
-        let handler = Rc::new(|_req: laburnumlug_http::Request| async {
-            let text = include_str!("../../../platform/tests/sample-list.json");
-            hyper::Response::new(laburnumlug_http::full_body(text))
-        });
-        compio::runtime::spawn(server.run(handler)).detach();
-        let (listen, ready, mesh) = (free_addr(), free_addr(), free_addr());
-        let path = write_gateway_settings(folder, [listen, ready, mesh, list], seeds);
-        Gateway {
-            listen,
-            ready,
-            mesh,
-            list,
-            process: Process::start("gateway", &path),
-        }
-    }
-
-    /// Puts other seeds into the settings of the running process.
-    fn change_seeds(&self, folder: &Folder, seeds: &[SocketAddr]) {
-        let addrs = [self.listen, self.ready, self.mesh, self.list];
-        write_gateway_settings(folder, addrs, seeds);
-    }
-}
-
-fn write_gateway_settings(
-    folder: &Folder,
-    [listen, ready, mesh, list]: [SocketAddr; 4],
-    seeds: &[SocketAddr],
-) -> PathBuf {
-    let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
-    let text = format!(
-        "[process]\nvm = g\nzone = z\n[mesh]\nkey = {MESH_KEY}\ncontrol = {}\n[gateway]\nlisten = {listen}\n\
-         ready = {ready}\nmesh_listen = {mesh}\ntarget_list = {list}\ngrace_s = 4\n",
-        seeds.join(","),
-    );
-    folder.write("gateway.ini", &text)
-}
-
 /// The seeds that a gateway started with are gone; others come with changed settings, without any signal.
 #[test]
 fn gateway_takes_changed_seeds() {
@@ -326,7 +166,7 @@
         })
         .await;
         // Settings that cannot be used are passed over, and the process goes on.
-        cluster.folder.write("gateway.ini", "[process");
+        cluster.folder.write("g.ini", "[process");
         compio::time::sleep(Duration::from_millis(1500)).await;
         assert_eq!(readiness(gateway.ready).await, Some(503));
         gateway.change_seeds(&cluster.folder, &cluster.seeds()[1..2]);
@@ -337,12 +177,6 @@
     });
 }
 
-/// Returns the status that a gateway tells of its readiness; `None` where it does not answer.
-async fn readiness(addr: SocketAddr) -> Option<u16> {
-    let (status, _) = client::get_status_and_page(addr, "/ready").await?;
-    Some(status)
-}
-
 /// A gateway is ready once it knows routes and targets, lives through SIGHUP, and tells at once that it stops, though it
 /// goes on for as long as the platform needs to notice.
 #[test]
