--- a/laburnumlug-daemon/tests/gateways/checker.rs
+++ b/laburnumlug-daemon/tests/gateways/checker.rs
@@ -25,7 +25,7 @@
         let id = headers["x-request-id"].to_str().unwrap().to_string();
         *runs.entry(id).or_default() += 1;
     }
-    let calls = run.calls.borrow();
+    let calls = run.calls.borrow().clone();
     for called in calls.iter() {
         let runs = runs.get(&called.id).copied().unwrap_or(0);
         if let Some(fault) = fault_of(called, runs) {
--- a/laburnumlug-forward/src/exchange.rs
+++ b/laburnumlug-forward/src/exchange.rs
@@ -177,11 +177,11 @@
                 })
             }
             Some(Err(SendError::Sent(err))) => {
-                self.note_failure(now, &target);
+                self.note_failure(now, target);
                 Err(SendFailure::lost(err.to_string()))
             }
             None => {
-                self.note_failure(now, &target);
+                self.note_failure(now, target);
                 Err(SendFailure {
                     verdict: Verdict::MayHaveRun,
                     cause: Cause::TimedOut,
--- a/laburnumlug-forward/src/plain.rs
+++ b/laburnumlug-forward/src/plain.rs
@@ -110,7 +110,7 @@
             let body = match answer.bytes(MAX_ANSWER_BYTES).await {
                 Ok(body) => body,
                 Err(err) => {
-                    self.note_failure(Instant::now(), &target);
+                    self.note_failure(Instant::now(), target);
                     return Err(SendFailure::lost(err.to_string()));
                 }
             };
@@ -128,7 +128,7 @@
         let (answer, body) = match compio::time::timeout(limit, exchanging).await {
             Ok(exchanged) => exchanged?,
             Err(_) => {
-                self.note_failure(Instant::now(), &target);
+                self.note_failure(Instant::now(), target);
                 return Err(SendFailure {
                     cause: Cause::TimedOut,
                     ..SendFailure::lost("no whole answer in time".to_string())
@@ -137,7 +137,7 @@
         };
         let status = answer.status();
         if status >= 500 {
-            self.note_failure(Instant::now(), &target);
+            self.note_failure(Instant::now(), target);
             if call.route.is_repeatable() && !is_last {
                 self.pool.keep(Instant::now(), answer);
                 return Err(SendFailure::lost(format!(
--- a/laburnumlug-forward/src/stream.rs
+++ b/laburnumlug-forward/src/stream.rs
@@ -260,7 +260,7 @@
                     && self.take_retry(Instant::now(), &stream.service) =>
             {
                 if let Some(reader) = &chosen.reading {
-                    self.note_failure(Instant::now(), &reader);
+                    self.note_failure(Instant::now(), reader);
                 }
                 let terms = SendTerms {
                     limit: silence_limit(call.route.aim),
@@ -382,7 +382,7 @@
         let body = body.map_err(|err| SendFailure::lost(err.to_string()))?;
         let status = answer.status();
         if status >= 500 {
-            self.note_failure(Instant::now(), &target);
+            self.note_failure(Instant::now(), target);
         }
         let resp = self.pass_on(status, answer.headers(), body);
         self.pool.keep(Instant::now(), answer);
