Read bodies and open connections in one place

The pooled and the fresh client, and the server, each had a loop over the frames of a body; both clients opened sockets alike. All of them call next_chunk and read_body of reading.rs now, and socket::connect. No change of behaviour; the tests of laburnumlug-http and of the packages that use it pass unchanged.

--- a/laburnumlug-http/src/client.rs
+++ b/laburnumlug-http/src/client.rs
@@ -4,16 +4,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use futures_util::FutureExt;
 use futures_util::future::Fuse;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::client::conn::http1;
 use std::future::Future;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 
 use crate::error::Error;
+use crate::reading::{next_chunk, read_body};
 use crate::socket;
 
 /// Connection driver of one exchange.
@@ -31,13 +31,7 @@
     req: hyper::Request<Full<Bytes>>,
     connect_timeout: Duration,
 ) -> Result<Incoming, Error> {
-    let connecting = compio::time::timeout(connect_timeout, TcpStream::connect(addr)).await;
-    let stream = match connecting {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(err)) => return Err(Error::connect(err)),
-        Err(_) => return Err(Error::connect(std::io::ErrorKind::TimedOut.into())),
-    };
-    socket::set_options(&stream);
+    let stream = socket::connect(addr, connect_timeout).await?;
     let (mut sender, conn) = http1::handshake(HyperStream::new_plain(stream))
         .await
         .map_err(Error::exchange)?;
@@ -87,26 +81,7 @@
     ///
     /// Fails when the connection breaks before the end of the body.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
-        loop {
-            let frame = {
-                let mut next = self.body.frame().fuse();
-                loop {
-                    futures_util::select_biased! {
-                        frame = next => break frame,
-                        // The body reports a broken connection itself.
-                        _ended = &mut self.driver => {}
-                    }
-                }
-            };
-            match frame {
-                None => return Ok(None),
-                Some(Err(err)) => return Err(Error::exchange(err)),
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) if !data.is_empty() => return Ok(Some(data)),
-                    _ => continue,
-                },
-            }
-        }
+        drive(&mut self.driver, next_chunk(&mut self.body)).await
     }
 
     /// Returns the whole body, of at most `limit` bytes.
@@ -115,13 +90,20 @@
     ///
     /// Fails when the body is longer than `limit` or its connection breaks.
     pub async fn bytes(&mut self, limit: usize) -> Result<Bytes, Error> {
-        let mut buf = bytes::BytesMut::new();
-        while let Some(chunk) = self.chunk().await? {
-            if buf.len() + chunk.len() > limit {
-                return Err(Error::body_too_large(limit));
-            }
-            buf.extend_from_slice(&chunk);
+        drive(&mut self.driver, read_body(&mut self.body, limit)).await
+    }
+}
+
+/// Waits for `work` on a connection and drives that meanwhile; the work reports a broken connection itself.
+async fn drive<F>(driver: &mut Fuse<Driver>, work: F) -> F::Output
+where
+    F: Future,
+{
+    let mut work = pin!(work.fuse());
+    loop {
+        futures_util::select_biased! {
+            output = work => break output,
+            _ended = &mut *driver => {}
         }
-        Ok(buf.freeze())
     }
 }
--- a/laburnumlug-http/src/lib.rs
+++ b/laburnumlug-http/src/lib.rs
@@ -26,6 +26,7 @@
 mod client;
 mod error;
 mod pool;
+mod reading;
 mod rest;
 mod server;
 mod socket;
@@ -37,7 +38,7 @@
 pub use crate::client::{Incoming, send};
 pub use crate::error::Error;
 pub use crate::pool::{Answer, ConnectionPool, SendError};
+pub use crate::reading::read_body;
 pub use crate::server::{
     Handler, Limits, LimitsHandle, PeerAddr, Request, Server, ShutdownHandle, discard_body,
-    read_body,
 };
--- a/laburnumlug-http/src/pool.rs
+++ b/laburnumlug-http/src/pool.rs
@@ -6,14 +6,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
 use cyper_core::HyperStream;
 use futures_util::FutureExt;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::client::conn::http1;
 
 use crate::error::Error;
+use crate::reading::{next_chunk, read_body};
 use crate::rest::RestLimit;
 use crate::socket;
 
@@ -168,13 +168,7 @@
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<Connection, Error> {
-        let connecting = compio::time::timeout(self.connect_timeout, TcpStream::connect(addr));
-        let stream = match connecting.await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(err)) => return Err(Error::connect(err)),
-            Err(_) => return Err(Error::connect(std::io::ErrorKind::TimedOut.into())),
-        };
-        socket::set_options(&stream);
+        let stream = socket::connect(addr, self.connect_timeout).await?;
         let (sender, conn) = http1::handshake(HyperStream::new_plain(stream))
             .await
             .map_err(Error::exchange)?;
@@ -257,19 +251,9 @@
     ///
     /// Fails when the connection breaks before the end of the body.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
-        loop {
-            match self.body.frame().await {
-                None => {
-                    self.ended = true;
-                    return Ok(None);
-                }
-                Some(Err(err)) => return Err(Error::exchange(err)),
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) if !data.is_empty() => return Ok(Some(data)),
-                    _ => {}
-                },
-            }
-        }
+        let chunk = next_chunk(&mut self.body).await?;
+        self.ended |= chunk.is_none();
+        Ok(chunk)
     }
 
     /// Returns the whole body, of at most `limit` bytes.
@@ -278,14 +262,9 @@
     ///
     /// Fails when the body is longer than `limit` or its connection breaks.
     pub async fn bytes(&mut self, limit: usize) -> Result<Bytes, Error> {
-        let mut buf = bytes::BytesMut::new();
-        while let Some(chunk) = self.chunk().await? {
-            if buf.len() + chunk.len() > limit {
-                return Err(Error::body_too_large(limit));
-            }
-            buf.extend_from_slice(&chunk);
-        }
-        Ok(buf.freeze())
+        let bytes = read_body(&mut self.body, limit).await?;
+        self.ended = true;
+        Ok(bytes)
     }
 }
 
--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -8,17 +8,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
 use event_listener::Event;
 use futures_util::future::{Either, select};
-use http_body_util::BodyExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use rustix::net::sockopt::set_socket_send_buffer_size;
 
-use crate::error::Error;
+use crate::reading::next_chunk;
 use crate::{Response, text_response};
 
 /// Unsent bytes that the kernel holds for one connection.
@@ -288,28 +286,6 @@
     }
 }
 
-/// Reads a whole body of at most `limit` bytes.
-///
-/// # Errors
-///
-/// Fails when the body is longer than `limit` or its connection breaks.
-pub async fn read_body<B>(mut body: B, limit: usize) -> Result<Bytes, Error>
-where
-    B: hyper::body::Body<Data = Bytes, Error = hyper::Error> + Unpin,
-{
-    let mut buf = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(Error::exchange)?;
-        if let Some(data) = frame.data_ref() {
-            if buf.len() + data.len() > limit {
-                return Err(Error::body_too_large(limit));
-            }
-            buf.extend_from_slice(data);
-        }
-    }
-    Ok(buf.freeze())
-}
-
 /// Reads and drops the rest of a refused request's body in the background, within bounds of bytes and time.
 ///
 /// A connection that is closed while its client still sends is reset, and the client then loses the answer.
@@ -322,9 +298,8 @@
 
 async fn read_and_drop(mut body: hyper::body::Incoming) {
     let mut left = MAX_DISCARDED_BYTES;
-    while let Some(Ok(frame)) = body.frame().await {
-        let bytes = frame.data_ref().map_or(0, Bytes::len);
-        match left.checked_sub(bytes) {
+    while let Ok(Some(chunk)) = next_chunk(&mut body).await {
+        match left.checked_sub(chunk.len()) {
             Some(rest) => left = rest,
             None => return,
         }
