Name the outcomes of a send once, and send in three steps

Five literals of SendFailure said the same in other words; they are lost, timed_out, refused, unsent and expired now. The wrapper that counted sends repeated the six arguments of what it wrapped: send builds the facts, wait_for_head sends and probes, judge says what can be passed on. Waits that callers are told have names. The share of the slack is worked out only where an allowance is new.

--- a/laburnumlug-forward/src/exchange.rs
+++ b/laburnumlug-forward/src/exchange.rs
@@ -63,26 +63,54 @@
 }
 
 impl SendFailure {
-    pub(crate) fn lost(detail: String) -> SendFailure {
+    /// The target has seen the request, and its answer is lost.
+    pub(crate) fn lost<D>(detail: D) -> SendFailure
+    where
+        D: Into<String>,
+    {
         SendFailure {
             verdict: Verdict::MayHaveRun,
             cause: Cause::AnswerLost,
-            detail,
+            detail: detail.into(),
             arrived: true,
             at_reader: false,
         }
     }
 
-    pub(crate) fn expired() -> SendFailure {
+    /// The target has seen the request, and has not answered in time.
+    pub(crate) fn timed_out(detail: &str) -> SendFailure {
+        SendFailure {
+            cause: Cause::TimedOut,
+            ..SendFailure::lost(detail)
+        }
+    }
+
+    /// The target stated that it did not run the request.
+    fn refused(status: u16) -> SendFailure {
+        SendFailure {
+            verdict: Verdict::NotRun,
+            cause: Cause::TargetRefused,
+            ..SendFailure::lost(format!("the target refused with status {status}"))
+        }
+    }
+
+    /// No target has seen the request.
+    pub(crate) fn unsent<D>(cause: Cause, detail: D) -> SendFailure
+    where
+        D: Into<String>,
+    {
         SendFailure {
             verdict: Verdict::NotRun,
-            cause: Cause::Expired,
-            detail: "no time is left".to_string(),
+            cause,
             arrived: false,
-            at_reader: false,
+            ..SendFailure::lost(detail)
         }
     }
 
+    pub(crate) fn expired() -> SendFailure {
+        SendFailure::unsent(Cause::Expired, "no time is left")
+    }
+
     /// Returns the answer to the caller where nothing more is tried.
     pub(crate) fn refusal(&self) -> Refusal {
         Refusal::new(self.cause, self.detail.clone())
@@ -99,9 +127,23 @@
         resume_after: Option<String>,
         terms: SendTerms,
     ) -> Result<Answer, SendFailure> {
-        let result = self
-            .send_uncounted(call, target, step, resume_after, terms)
-            .await;
+        let now = Instant::now();
+        let time_left = call.time_left(now);
+        let result = match time_left.is_zero() {
+            true => Err(SendFailure::expired()),
+            false => {
+                target.health.borrow_mut().note_chosen(now);
+                let facts = SendFacts {
+                    instance: target.instance.clone(),
+                    time_left,
+                    priority: terms.priority,
+                    step,
+                    resume_after,
+                };
+                let sent = self.wait_for_head(now, call, target, facts, terms).await;
+                self.judge(call, target, sent).await
+            }
+        };
         let outcome = match &result {
             Ok(_) => "answered",
             Err(failure) => failure.cause.as_str(),
@@ -110,27 +152,15 @@
         result
     }
 
-    async fn send_uncounted(
+    /// Sends a request and waits for the head of an answer; `None` where none came in time.
+    async fn wait_for_head(
         self: &Rc<Self>,
+        now: Instant,
         call: &Call,
         target: &Rc<TargetHandle>,
-        step: SendStep,
-        resume_after: Option<String>,
+        facts: SendFacts,
         terms: SendTerms,
-    ) -> Result<Answer, SendFailure> {
-        let now = Instant::now();
-        let time_left = call.time_left(now);
-        if time_left.is_zero() {
-            return Err(SendFailure::expired());
-        }
-        target.health.borrow_mut().note_chosen(now);
-        let facts = SendFacts {
-            instance: target.instance.clone(),
-            time_left,
-            priority: terms.priority,
-            step,
-            resume_after,
-        };
+    ) -> Option<Result<Answer, SendError>> {
         let mut headers = call.headers.clone();
         self.dialect.address(&mut headers, &facts);
         let mut req = hyper::Request::new(Full::new(call.body.clone()));
@@ -139,42 +169,39 @@
         *req.headers_mut() = headers;
         let addr = target.row.borrow().addr;
         let mut sending = Box::pin(self.pool.send(now, addr, req));
-        let limit = terms.limit.min(time_left);
-        let sent = match compio::time::timeout(limit, sending.as_mut()).await {
-            Err(_) if limit < time_left => {
-                // An engine with a long queue is silent, too, but answers a probe.
-                let serves = self.serves(target).await;
-                if !serves {
-                    self.suspect(
-                        Instant::now(),
-                        target,
-                        "it answers neither requests nor a probe",
-                    );
-                }
-                let left = call.time_left(Instant::now());
-                match (terms.may_give_up, serves) {
-                    (true, false) => None,
-                    (true, true) => compio::time::timeout(limit.min(left), sending.as_mut())
-                        .await
-                        .ok(),
-                    (false, _) => compio::time::timeout(left, sending.as_mut()).await.ok(),
-                }
-            }
-            sent => sent.ok(),
+        let limit = terms.limit.min(facts.time_left);
+        let sent = compio::time::timeout(limit, sending.as_mut()).await;
+        if sent.is_ok() || limit >= facts.time_left {
+            return sent.ok();
+        }
+        // An engine with a long queue is silent, too, but answers a probe.
+        let serves = self.serves(target).await;
+        if !serves {
+            let reason = "it answers neither requests nor a probe";
+            self.suspect(Instant::now(), target, reason);
+        }
+        let left = call.time_left(Instant::now());
+        let patience = match (terms.may_give_up, serves) {
+            (true, false) => return None,
+            (true, true) => limit.min(left),
+            (false, _) => left,
         };
-        drop(sending);
+        compio::time::timeout(patience, sending).await.ok()
+    }
+
+    /// Returns what can be passed on of what came of a send, and notes what it tells of the target.
+    async fn judge(
+        self: &Rc<Self>,
+        call: &Call,
+        target: &Rc<TargetHandle>,
+        sent: Option<Result<Answer, SendError>>,
+    ) -> Result<Answer, SendFailure> {
         let now = Instant::now();
         match sent {
             Some(Ok(answer)) => self.check(call, target, answer).await,
             Some(Err(SendError::NotSent(err))) => {
                 self.suspect(now, target, "no connection is made");
-                Err(SendFailure {
-                    verdict: Verdict::NotRun,
-                    cause: Cause::Unreachable,
-                    detail: err.to_string(),
-                    arrived: false,
-                    at_reader: false,
-                })
+                Err(SendFailure::unsent(Cause::Unreachable, err.to_string()))
             }
             Some(Err(SendError::Sent(err))) => {
                 self.note_failure(now, target);
@@ -182,13 +209,7 @@
             }
             None => {
                 self.note_failure(now, target);
-                Err(SendFailure {
-                    verdict: Verdict::MayHaveRun,
-                    cause: Cause::TimedOut,
-                    detail: "no answer in time".to_string(),
-                    arrived: true,
-                    at_reader: false,
-                })
+                Err(SendFailure::timed_out("no answer in time"))
             }
         }
     }
@@ -203,9 +224,7 @@
         let facts = self.dialect.answer(answer.status(), answer.headers());
         if facts.id.as_ref() != Some(&call.facts.id) {
             // The answer to this request may still come, but nothing on this connection can be trusted.
-            return Err(SendFailure::lost(
-                "the answer is not this request's".to_string(),
-            ));
+            return Err(SendFailure::lost("the answer is not this request's"));
         }
         if !facts.not_run && !facts.wrong_target {
             return Ok(answer);
@@ -221,12 +240,6 @@
         if answer.bytes(MAX_DRAINED_BYTES).await.is_ok() {
             self.pool.keep(Instant::now(), answer);
         }
-        Err(SendFailure {
-            verdict: Verdict::NotRun,
-            cause: Cause::TargetRefused,
-            detail: format!("the target refused with status {status}"),
-            arrived: true,
-            at_reader: false,
-        })
+        Err(SendFailure::refused(status))
     }
 }
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -272,8 +272,10 @@
         F: FnOnce(&mut RetryAllowance) -> T,
     {
         let mut allowances = self.allowances.borrow_mut();
-        let free = self.free_sends();
-        let new = || RetryAllowance::new(self.cfg.retry_ratio, self.cfg.retry_window, free);
+        let new = || {
+            let (ratio, window) = (self.cfg.retry_ratio, self.cfg.retry_window);
+            RetryAllowance::new(ratio, window, self.free_sends())
+        };
         act(allowances.entry(service.to_string()).or_insert_with(new))
     }
 
--- a/laburnumlug-forward/src/plain.rs
+++ b/laburnumlug-forward/src/plain.rs
@@ -26,6 +26,12 @@
 /// Multiple of a route's aim after which a silent target is suspected.
 const SUSPECT_FACTOR: u32 = 3;
 
+/// When a caller may try again where no target is known; an estimate.
+const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// When a caller may try again where targets refused or were not reached; an estimate.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Load that another availability zone must be below the own one to be preferred; it costs latency and traffic.
 const FAR_PENALTY: f64 = 0.4;
 
@@ -80,14 +86,14 @@
         }
         Err(match last {
             None => Refusal::new(Cause::NoTarget, "no target of the service is known")
-                .retry_after(Duration::from_millis(200)),
+                .retry_after(NO_TARGET_RETRY_AFTER),
             // An earlier send may have run, so a later refusal promises nothing.
             Some(failure)
                 if failure.verdict != Verdict::NotRun && failure.cause.status() == 503 =>
             {
                 Refusal::new(Cause::AnswerLost, failure.detail)
             }
-            Some(failure) => failure.refusal().retry_after(Duration::from_millis(100)),
+            Some(failure) => failure.refusal().retry_after(RETRY_AFTER),
         })
     }
 
@@ -129,10 +135,7 @@
             Ok(exchanged) => exchanged?,
             Err(_) => {
                 self.note_failure(Instant::now(), target);
-                return Err(SendFailure {
-                    cause: Cause::TimedOut,
-                    ..SendFailure::lost("no whole answer in time".to_string())
-                });
+                return Err(SendFailure::timed_out("no whole answer in time"));
             }
         };
         let status = answer.status();
--- a/laburnumlug-forward/src/stream.rs
+++ b/laburnumlug-forward/src/stream.rs
@@ -27,6 +27,9 @@
 /// Multiple of the predicted time to the first event after which a silent engine is suspected.
 const SILENCE_FACTOR: u32 = 2;
 
+/// When a caller may try again; an estimate of the time to read a prompt.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+
 /// Time on top of that; predictions are uncertain by some hundred milliseconds.
 const SILENCE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -109,7 +112,7 @@
             }
             return Err(match failure.cause.status() {
                 503 if unknown => Refusal::new(Cause::AnswerLost, failure.detail),
-                _ => failure.refusal().retry_after(Duration::from_millis(200)),
+                _ => failure.refusal().retry_after(RETRY_AFTER),
             });
         }
     }
@@ -157,17 +160,15 @@
             ) => reader,
             (_, (target, _)) => target,
         });
-        if let Err(failure) = &result {
-            match failure.at_reader {
-                true => {}
-                false => stream.sends += u32::from(failure.arrived),
+        match &result {
+            Ok(_) => stream.sends += 1,
+            Err(failure) => {
+                stream.sends += u32::from(failure.arrived && !failure.at_reader);
+                log::info!(
+                    request_id = stream.call.facts.id.as_str(), target = target.instance.as_str(),
+                    cause = failure.cause.as_str(); "a send failed: {}", failure.detail
+                );
             }
-            log::info!(
-                request_id = stream.call.facts.id.as_str(), target = target.instance.as_str(),
-                cause = failure.cause.as_str(); "a send failed: {}", failure.detail
-            );
-        } else {
-            stream.sends += 1;
         }
         result
     }
@@ -194,12 +195,8 @@
                 })
             }
         };
-        chosen.ok_or_else(|| SendFailure {
-            verdict: Verdict::NotRun,
-            cause: Cause::NoTarget,
-            detail: "no engine of the service has room".to_string(),
-            arrived: false,
-            at_reader: false,
+        chosen.ok_or_else(|| {
+            SendFailure::unsent(Cause::NoTarget, "no engine of the service has room")
         })
     }
 
@@ -290,10 +287,7 @@
                     return Err(SendFailure::lost(err.to_string()));
                 }
                 Err(_) => {
-                    return Err(SendFailure {
-                        cause: Cause::TimedOut,
-                        ..SendFailure::lost("no event in time".to_string())
-                    });
+                    return Err(SendFailure::timed_out("no event in time"));
                 }
             };
             if let Some(first) = splitter.push(&chunk) {
