Bind listeners and accept mesh connections in one place

bind stood in control.rs and gateway.rs and was written out in four more files of the daemon; the loop that accepts mesh connections stood in the control replica, the target process and the gateway. They are listener::bind and laburnumlug_mesh::accept_each now. No change of behaviour.

--- a/laburnumlug-control/src/mesh.rs
+++ b/laburnumlug-control/src/mesh.rs
@@ -6,7 +6,9 @@
 
 use compio::net::{TcpListener, TcpStream};
 use laburnumlug::{FencingNumber, FleetVersion, Verdict};
-use laburnumlug_mesh::{Connection, ControlMessage, MeshKey, Message, NodeCommand, PackedText};
+use laburnumlug_mesh::{
+    Connection, ControlMessage, MeshKey, Message, NodeCommand, PackedText, accept_each,
+};
 
 use crate::command::{Command, Outcome};
 use crate::replica::Replica;
@@ -17,21 +19,11 @@
 /// The newest document that was sent, so that it is compressed once for all who ask.
 type LastDocument = Rc<RefCell<Option<(FleetVersion, PackedText)>>>;
 
-/// Serves the system's other processes until the listener fails.
+/// Serves the system's other processes for as long as its task runs.
 pub async fn serve_mesh(listener: TcpListener, key: MeshKey, replica: Rc<Replica>) {
     let last = LastDocument::default();
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let task = serve_connection(stream, key.clone(), replica.clone(), last.clone());
-                compio::runtime::spawn(task).detach();
-            }
-            Err(err) => {
-                log::warn!("accept failed: {err}");
-                compio::time::sleep(Duration::from_millis(10)).await;
-            }
-        }
-    }
+    let serve = |stream| serve_connection(stream, key.clone(), replica.clone(), last.clone());
+    accept_each(listener, serve).await;
 }
 
 async fn serve_connection(
--- a/laburnumlug-daemon/src/control.rs
+++ b/laburnumlug-daemon/src/control.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use compio::net::TcpListener;
 use laburnumlug_control::{OperatorInterface, Replica, serve_mesh};
 use laburnumlug_http::Server;
 use laburnumlug_platform::{InstanceListClient, PlatformOperator, PlatformOrders};
@@ -13,6 +12,7 @@
 use crate::control_metrics::ControlMetrics;
 use crate::error::Error;
 use crate::fleet_store::ControlStore;
+use crate::listener::bind;
 use crate::metrics::{self, Metrics};
 use crate::role_planner::RolePlanner;
 use crate::settings::ControlSettings;
@@ -122,9 +122,3 @@
         operators,
     })
 }
-
-async fn bind(addr: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|err| Error::bind(addr, err))
-}
--- a/laburnumlug-daemon/src/entry/mod.rs
+++ b/laburnumlug-daemon/src/entry/mod.rs
@@ -18,7 +18,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use compio::net::TcpListener;
 use laburnumlug_http::{Limits, Server, ShutdownHandle};
 use laburnumlug_mesh::Pool;
 
@@ -30,6 +29,7 @@
 use crate::control_client::ControlClient;
 use crate::error::Error;
 use crate::fleet_watch::FleetWatch;
+use crate::listener::bind;
 use crate::metrics::{self, Metrics};
 use crate::settings::EntrySettings;
 use crate::{logging, registration, signal};
@@ -106,9 +106,7 @@
     metrics: Rc<Metrics>,
 ) -> Result<EntryServer, Error> {
     let addr = settings.listen;
-    let listener = TcpListener::bind(addr)
-        .await
-        .map_err(|err| Error::bind(addr, err))?;
+    let listener = bind(addr).await?;
     let limits = Limits::default().connections(settings.max_connections);
     let control = Rc::new(ControlClient::new(&settings.mesh));
     let entry = Rc::new(Entry {
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use compio::net::TcpListener;
 use laburnumlug::{CallerLimits, TargetList};
 use laburnumlug_forward::{ForwardConfig, ForwardHandler, Forwarder};
 use laburnumlug_http::{Limits, LimitsHandle, Request, Server, text_response};
@@ -17,6 +16,7 @@
 use crate::fleet_watch::{FleetView, FleetWatch, ViewObserver};
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_peers::GatewayPeers;
+use crate::listener::bind;
 use crate::metrics::{self, Metrics};
 use crate::settings::GatewaySettings;
 use crate::{logging, settings_watch, signal};
@@ -194,9 +194,3 @@
         .header_bytes(usize::try_from(header_bytes).unwrap_or(usize::MAX))
         .header_timeout(Duration::from_millis(idle_ms))
 }
-
-async fn bind(addr: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|err| Error::bind(addr, err))
-}
--- a/laburnumlug-daemon/src/gateway_peers.rs
+++ b/laburnumlug-daemon/src/gateway_peers.rs
@@ -10,7 +10,7 @@
 use event_listener::Event;
 use laburnumlug::EngineEvent;
 use laburnumlug_forward::{EventSink, Forwarder};
-use laburnumlug_mesh::{Connection, GatewayMessage, MeshKey, Message};
+use laburnumlug_mesh::{Connection, GatewayMessage, MeshKey, Message, accept_each};
 
 /// How long a connection to another gateway may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -61,7 +61,9 @@
             outboxes: RefCell::default(),
         });
         forwarder.set_event_sink(peers.clone());
-        compio::runtime::spawn(peers.clone().accept(listener)).detach();
+        let hearing = peers.clone();
+        let accepting = accept_each(listener, move |stream| hearing.clone().hear(stream));
+        compio::runtime::spawn(accepting).detach();
         peers
     }
 
@@ -136,20 +138,6 @@
         Ok(())
     }
 
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    compio::runtime::spawn(self.clone().hear(stream)).detach();
-                }
-                Err(err) => {
-                    log::warn!("accept failed: {err}");
-                    compio::time::sleep(Duration::from_millis(10)).await;
-                }
-            }
-        }
-    }
-
     /// Takes the events of one gateway until its connection ends.
     async fn hear(self: Rc<Self>, stream: TcpStream) {
         let mut conn = match Connection::accept(stream, &self.key).await {
--- a/laburnumlug-daemon/src/lib.rs
+++ b/laburnumlug-daemon/src/lib.rs
@@ -24,6 +24,7 @@
 mod gateway;
 mod gateway_metrics;
 mod gateway_peers;
+mod listener;
 mod log_writer;
 mod logging;
 mod metrics;
--- a/laburnumlug-daemon/src/metrics.rs
+++ b/laburnumlug-daemon/src/metrics.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use compio::net::TcpListener;
 use laburnumlug_http::{Limits, Request, Response, Server, full_body, text_response};
 use laburnumlug_mesh::sent_traffic;
 use opentelemetry::KeyValue;
@@ -13,6 +12,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::error::Error;
+use crate::listener::bind;
 
 /// Upper bounds of the latency histogram's buckets, in seconds.
 const LATENCY_BOUNDS_SECONDS: [f64; 12] = [
@@ -226,9 +226,7 @@
     F: Fn() + 'static,
 {
     let Some(addr) = addr else { return Ok(()) };
-    let listener = TcpListener::bind(addr)
-        .await
-        .map_err(|err| Error::bind(addr, err))?;
+    let listener = bind(addr).await?;
     let handler = Rc::new(move |req: Request| {
         let metrics = metrics.clone();
         refresh();
--- a/laburnumlug-daemon/src/referral.rs
+++ b/laburnumlug-daemon/src/referral.rs
@@ -5,11 +5,11 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 
-use compio::net::TcpListener;
 use laburnumlug_control::OperatorInterface;
 use laburnumlug_http::{Request, Response, Server, text_response};
 
 use crate::error::Error;
+use crate::listener::bind;
 use crate::settings::ReferralSettings;
 use crate::{logging, settings_watch, signal};
 
@@ -17,9 +17,7 @@
 pub(crate) async fn run(settings: ReferralSettings, path: PathBuf) -> Result<(), Error> {
     logging::start("control", &settings.process, &settings.log)?;
     let addr = settings.operators;
-    let listener = TcpListener::bind(addr)
-        .await
-        .map_err(|err| Error::bind(addr, err))?;
+    let listener = bind(addr).await?;
     let server = Server::new(listener, OperatorInterface::limits());
     let shutdown = server.shutdown_handle();
     compio::runtime::spawn(settings_watch::run(path, || {
--- a/laburnumlug-daemon/src/target/connection.rs
+++ b/laburnumlug-daemon/src/target/connection.rs
@@ -7,7 +7,7 @@
 use compio::net::{TcpListener, TcpStream};
 use futures_util::future::{Either, select};
 use laburnumlug::RequestId;
-use laburnumlug_mesh::{Connection, Message, WorkMessage, WorkRequest};
+use laburnumlug_mesh::{Connection, Message, WorkMessage, WorkRequest, accept_each};
 
 use super::TargetProcess;
 use super::admission::Declined;
@@ -18,19 +18,9 @@
 /// How long an entry may leave a message unread before its request is given up.
 const SEND_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Serves entries until the listener fails.
+/// Serves entries for as long as its task runs.
 pub(super) async fn serve(listener: TcpListener, process: Rc<TargetProcess>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                compio::runtime::spawn(serve_connection(stream, process.clone())).detach();
-            }
-            Err(err) => {
-                log::warn!("accept failed: {err}");
-                compio::time::sleep(Duration::from_millis(10)).await;
-            }
-        }
-    }
+    accept_each(listener, |stream| serve_connection(stream, process.clone())).await;
 }
 
 async fn serve_connection(stream: TcpStream, process: Rc<TargetProcess>) {
--- a/laburnumlug-daemon/src/target/mod.rs
+++ b/laburnumlug-daemon/src/target/mod.rs
@@ -20,7 +20,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use compio::net::TcpListener;
 use laburnumlug::TargetState;
 use laburnumlug_engine::EngineClient;
 use laburnumlug_mesh::{LoadReport, RefusalReason, WorkPayload, WorkRequest};
@@ -33,6 +32,7 @@
 use crate::control_client::ControlClient;
 use crate::error::Error;
 use crate::fleet_watch::{FleetView, FleetWatch};
+use crate::listener::bind;
 use crate::metrics::{self, Metrics};
 use crate::settings::{PeerKind, TargetSettings};
 use crate::{logging, registration, signal};
@@ -93,9 +93,7 @@
 ) -> Result<Rc<TargetProcess>, Error> {
     let slot = Slot::take(settings.slot)?;
     let addr = settings.listen;
-    let listener = TcpListener::bind(addr)
-        .await
-        .map_err(|err| Error::bind(addr, err))?;
+    let listener = bind(addr).await?;
     let addr = listener
         .local_addr()
         .map_err(|err| Error::bind(addr, err))?;
--- a/laburnumlug-mesh/src/lib.rs
+++ b/laburnumlug-mesh/src/lib.rs
@@ -23,6 +23,7 @@
 is also how a request is cancelled.
 */
 
+mod accept;
 mod claim;
 mod connection;
 mod error;
@@ -34,6 +35,7 @@
 mod pool;
 mod traffic;
 
+pub use crate::accept::accept_each;
 pub use crate::claim::{
     ClaimCommand, ClaimHolder, ClaimId, ClaimOutcome, ClaimResult, ClaimTurn, Fingerprint,
     RecordedAnswer,
