Parse the configuration in force once for a version

Each try of a change, and each read by the platform's operator, parsed the whole document, 0.66 MB with 1,520 routes, to get at its number or its text. The origin of the newest version is kept. A document that cannot be parsed was passed over in silence on the way of a change; it has a log line now, and the change goes on as before.

--- a/laburnumlug-daemon/src/fleet_store.rs
+++ b/laburnumlug-daemon/src/fleet_store.rs
@@ -1,13 +1,14 @@
 //! The control log as the store behind the platform's operator.
 
+use std::cell::RefCell;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
-use laburnumlug::FleetVersion;
-use laburnumlug_control::{Command, FleetChange, FleetRefusal, Outcome, Replica};
-use laburnumlug_operator::parse_document;
+use laburnumlug::{FleetVersion, Origin};
+use laburnumlug_control::{Command, FleetChange, FleetRefusal, FleetSnapshot, Outcome, Replica};
+use laburnumlug_operator::{Fault, parse_document};
 use laburnumlug_platform::FleetStore;
 
 /// Operator that stands in the audit trail for the platform's.
@@ -25,19 +26,42 @@
 /// The control log as a store of numbered documents.
 pub(crate) struct ControlStore {
     replica: Rc<Replica>,
+    /// Origin of the document of a version, which never changes; parsing a large document takes many milliseconds.
+    last_origin: RefCell<Option<(FleetVersion, Option<Rc<Origin>>)>>,
 }
 
 impl ControlStore {
     pub(crate) fn new(replica: Rc<Replica>) -> ControlStore {
-        ControlStore { replica }
+        ControlStore {
+            replica,
+            last_origin: RefCell::default(),
+        }
+    }
+
+    /// Returns what a document was translated from; `None` before the first, and for one of another interface.
+    fn origin(&self, fleet: &FleetSnapshot) -> Result<Option<Rc<Origin>>, Fault> {
+        if fleet.version == 0 {
+            return Ok(None);
+        }
+        let mut last = self.last_origin.borrow_mut();
+        match &*last {
+            Some((version, origin)) if *version == fleet.version => Ok(origin.clone()),
+            _ => {
+                let origin = parse_document(&fleet.document)?.origin.map(Rc::new);
+                *last = Some((fleet.version, origin.clone()));
+                Ok(origin)
+            }
+        }
     }
 
     /// Returns the version in force here and the number of the document it was translated from.
     fn held(&self) -> (FleetVersion, Option<u64>) {
         let fleet = self.replica.fleet();
-        let document = parse_document(&fleet.document).ok();
-        let number = document.and_then(|document| document.origin.map(|origin| origin.number));
-        (fleet.version, number)
+        let origin = self.origin(&fleet).unwrap_or_else(|fault| {
+            log::error!(version = fleet.version; "the document in force is not understood: {fault}");
+            None
+        });
+        (fleet.version, origin.map(|origin| origin.number))
     }
 
     async fn replace_document(&self, number: u64, document: String) -> Result<(), String> {
@@ -92,11 +116,8 @@
         Box::pin(async {
             let read = self.replica.read_fleet(READ_TIMEOUT).await;
             let fleet = read.map_err(|err| err.to_string())?;
-            if fleet.version == 0 {
-                return Ok(None);
-            }
-            let document = parse_document(&fleet.document).map_err(|fault| fault.to_string())?;
-            Ok(document.origin.map(|origin| origin.text))
+            let origin = self.origin(&fleet).map_err(|fault| fault.to_string())?;
+            Ok(origin.map(|origin| origin.text.clone()))
         })
     }
 }
