--- a/laburnumlug-daemon/tests/gateways/injector.rs
+++ b/laburnumlug-daemon/tests/gateways/injector.rs
@@ -79,13 +79,13 @@
             let is_free = ill.iter().all(|f| f.0.gateway() != Some(gateway));
             let until = now + Duration::from_millis(rng.random_range(LENGTH_MS));
             // Until a process that starts has set up its handlers, the signals end it, as the system's default is.
-            let is_ready = readiness(site.gateways[gateway].ready).await == Some(200);
+            let is_ready = is_free && readiness(site.gateways[gateway].ready).await == Some(200);
             match rng.random_range(0..8) {
                 draw @ 0..=2 if may_replica => {
                     let replica = rng.random_range(0..site.cluster.replicas.len());
                     ill.push((harm_replica(site, replica, draw), now, until));
                 }
-                3 if is_free && is_ready => site.gateways[gateway].process.signal(Signal::HUP),
+                3 if is_ready => site.gateways[gateway].process.signal(Signal::HUP),
                 4 | 5 if is_free => stop(site, run, gateway).await,
                 draw if is_free => {
                     let process = &mut site.gateways[gateway].process;
