--- a/laburnumlug-daemon/tests/gateways/callers.rs
+++ b/laburnumlug-daemon/tests/gateways/callers.rs
@@ -4,15 +4,18 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use http_body_util::Full;
 use rand::Rng;
 use rand::rngs::StdRng;
 
 use crate::Run;
+use crate::caller::{read_body, request};
 
 /// Longest wait for an answer; beyond it the caller hangs up.
 const PATIENCE: Duration = Duration::from_secs(8);
 
+/// Time that the caller states, in milliseconds.
+const DEADLINE_MS: u32 = 6000;
+
 /// Pause between two requests of one caller.
 const PAUSE: Duration = Duration::from_millis(15);
 
@@ -54,26 +57,11 @@
 }
 
 async fn exchange(addr: SocketAddr, called: &mut Called) {
-    let req = hyper::Request::post(format!("/{}/x", called.route))
-        .header("host", "h.example")
-        .header("x-request-id", &called.id)
-        .header("x-deadline-ms", 6000)
-        .header("x-model", "m")
-        .header("x-token-counts", "1460,80")
-        .header("x-prompt-prefix", "5c1e:800,91bd:410,e440:250")
-        .body(Full::new(bytes::Bytes::from_static(b"body")))
-        .unwrap();
+    let req = request(&called.id, &format!("/{}/x", called.route), DEADLINE_MS);
     let Ok(mut incoming) = laburnumlug_http::send(addr, req, PATIENCE).await else {
         return;
     };
     called.status = Some(incoming.status());
-    let mut body = Vec::new();
-    loop {
-        match incoming.chunk().await {
-            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
-            Ok(None) => break,
-            Err(_) => return,
-        }
-    }
-    called.body = Some(String::from_utf8_lossy(&body).into_owned());
+    let (body, is_whole) = read_body(&mut incoming).await;
+    called.body = is_whole.then_some(body);
 }
--- a/laburnumlug-daemon/tests/gateways/main.rs
+++ b/laburnumlug-daemon/tests/gateways/main.rs
@@ -8,6 +8,8 @@
 //! The seed settles the faults and the callers' choices; how the processes interleave is not repeatable. Seeds that ever
 //! failed stand in [`REGRESSION_SEEDS`].
 
+#[path = "../../../platform/tests/it/caller.rs"]
+mod caller;
 #[path = "../it/client.rs"]
 mod client;
 #[path = "../it/harness.rs"]
