--- a/laburnumlug-control/src/replica/mod.rs
+++ b/laburnumlug-control/src/replica/mod.rs
@@ -161,7 +161,7 @@
         let req: PeerRequest = ciborium::from_reader(body).ok()?;
         let answer = match req {
             PeerRequest::Hello { from } => {
-                self.learn_peer(&from.name);
+                self.add_peer(&from.name);
                 PeerAnswer::Hello(self.hello(&from))
             }
             PeerRequest::Standing => PeerAnswer::Standing(self.fleet_standing()),
--- a/laburnumlug-control/src/replica/peers.rs
+++ b/laburnumlug-control/src/replica/peers.rs
@@ -11,15 +11,10 @@
         self.peers.borrow().clone()
     }
 
-    /// Adds a replica whose name is its mesh address, as changed settings name it.
-    pub fn add_peer(self: &Rc<Self>, name: &str) {
-        self.learn_peer(name);
-    }
-
     /// Adds a replica whose name is its mesh address, unless it is known.
     ///
     /// A replica of another name can only be reached where the settings give its address.
-    pub(super) fn learn_peer(self: &Rc<Self>, name: &str) {
+    pub fn add_peer(self: &Rc<Self>, name: &str) {
         let is_known = name == self.cfg.name || self.peers.borrow().iter().any(|p| p.name == name);
         match name.parse::<SocketAddr>() {
             Ok(addr) if !is_known => {
@@ -49,7 +44,7 @@
             if membership.index != known {
                 known = membership.index;
                 for voter in membership.voters.iter() {
-                    self.learn_peer(&voter.name);
+                    self.add_peer(&voter.name);
                 }
             }
             changed.await;
--- a/laburnumlug-policy/src/prompt_cache.rs
+++ b/laburnumlug-policy/src/prompt_cache.rs
@@ -144,13 +144,6 @@
             self.tokens += tokens;
         }
     }
-
-    /// Forgets everything, as after a restart of the engine.
-    pub fn clear(&mut self) {
-        self.parts.clear();
-        self.by_use.clear();
-        self.tokens = 0;
-    }
 }
 
 #[cfg(test)]
