Log the prompt parts of requests that their engine failed

Cause: the logs could not tell whether requests that crash engines have a part of their prompts in common.

Change: lines on failed stream attempts and broken streams have the ids of the parts that other requests may share.

--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -41,6 +41,15 @@
     prefills_made: u32,
 }
 
+impl StreamRequest {
+    /// Returns the prompt parts that other requests may share, as hexadecimal ids separated by spaces.
+    fn shareable_parts(&self) -> String {
+        let parts = self.prompt_parts.shareable();
+        let parts: Vec<String> = parts.map(|part| format!("{part:x}")).collect();
+        parts.join(" ")
+    }
+}
+
 /// A stream whose first event has arrived.
 struct OpenStream {
     response: PooledResponse,
@@ -162,7 +171,8 @@
                 stream.attempts_made += u32::from(failure.reached_target && !failure.at_prefill);
                 log::info!(
                     request_id = stream.request.metadata.id.as_str(), target = target.instance.as_str(),
-                    cause = failure.cause.as_str(); "attempt failed: {}", failure.detail
+                    cause = failure.cause.as_str(), prompt_parts = stream.shareable_parts().as_str();
+                    "attempt failed: {}", failure.detail
                 );
             }
         }
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -72,7 +72,8 @@
             let resumed = self.resume(&mut stream, &splitter).await;
             log::info!(
                 request_id = id.as_str(), target = target.instance.as_str(),
-                resumed = resumed.is_some(); "the stream from the target broke: {break_reason}"
+                prompt_parts = stream.shareable_parts().as_str(), resumed = resumed.is_some();
+                "the stream from the target broke: {break_reason}"
             );
             let Some(next) = resumed else {
                 self.observe(|observer| observer.stream_aborted());
--- a/laburnumlug-policy/src/kv_cache.rs
+++ b/laburnumlug-policy/src/kv_cache.rs
@@ -55,6 +55,12 @@
         self.parts.get(last_shared).map(|part| part.0)
     }
 
+    /// Returns the ids of the parts that other requests may share: all but the last.
+    pub fn shareable(&self) -> impl Iterator<Item = PartId> + '_ {
+        let count = self.parts.len().saturating_sub(1);
+        self.parts[..count].iter().map(|part| part.0)
+    }
+
     /// Returns the number of tokens in the whole prompt.
     pub fn tokens(&self) -> u64 {
         self.parts.iter().map(|part| part.1).sum()
