Block prompt parts that crash engines

Cause: a request that kills the process that serves it (a query of death). Crashes were handled as failures of engines only: an engine was ejected, its requests and all later ones with the same content went to the next.

Change: a broken connection at the start of decoding is followed by a new one to the engine; if that is refused, the gateway suspends the engine and reports a crash with the parts of the prompts that the engine was beginning. CrashAttribution, without network, finds the parts that explain two crashes and that no completed request has, and blocks them for 30 s, doubling. Requests with a blocked part are refused at once, also between prefill and decoding. Gateways exchange crashes and completions, and send the crashes they know to a gateway that connects. The state is bounded: 64 crashes of 64 parts, 16,384 completed parts.

Gateways of earlier versions cannot decode the event of a crash and close the connection that brings it.

--- a/laburnumlug-daemon/src/gateway_exchange/tests.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/tests.rs
@@ -39,7 +39,7 @@
                 self.repeated
                     .set(self.repeated.get() + usize::from(is_repeated));
             }
-            EngineEvent::RequestEnded { number } => {
+            EngineEvent::RequestEnded { number, .. } => {
                 requests.remove(&number);
             }
             _ => {}
@@ -87,7 +87,10 @@
 
     fn end(&self, number: u64) {
         self.state.own.borrow_mut().remove(&number);
-        self.exchange.publish(EngineEvent::RequestEnded { number });
+        self.exchange.publish(EngineEvent::RequestEnded {
+            number,
+            is_complete: true,
+        });
     }
 }
 
--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -58,6 +58,8 @@
     pub(crate) detail: String,
     /// Whether the target may have received the request.
     pub(crate) reached_target: bool,
+    /// Whether the connection broke before the response was complete.
+    pub(crate) is_connection_broken: bool,
     /// Whether the failed attempt was a prefill on behalf of another engine.
     pub(crate) at_prefill: bool,
     /// Predicted time until a retry can succeed, if known.
@@ -75,6 +77,7 @@
             cause: FailureCause::AnswerLost,
             detail: detail.into(),
             reached_target: true,
+            is_connection_broken: false,
             at_prefill: false,
             retry_after: None,
         }
@@ -110,6 +113,14 @@
         }
     }
 
+    /// Returns whether another attempt would fail for the same reason.
+    pub(crate) fn is_final(&self) -> bool {
+        matches!(
+            self.cause,
+            FailureCause::NoTarget | FailureCause::PromptBlocked
+        )
+    }
+
     pub(crate) fn expired() -> AttemptFailure {
         AttemptFailure::unsent(FailureCause::Expired, "no time is left")
     }
@@ -221,7 +232,10 @@
             }
             Some(Err(SendError::Sent(err))) => {
                 self.record_failure(now, target);
-                Err(AttemptFailure::answer_lost(err.to_string()))
+                Err(AttemptFailure {
+                    is_connection_broken: true,
+                    ..AttemptFailure::answer_lost(err.to_string())
+                })
             }
             None => {
                 self.record_failure(now, target);
--- /dev/null
+++ b/laburnumlug-forward/src/engine_crashes.rs
@@ -0,0 +1,118 @@
+//! Detection of crashed engines from broken connections, and refusal of the prompts that crash engines.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use laburnumlug::{EngineEvent, TargetName};
+use laburnumlug_policy::{EngineCrash, PartId, PromptParts};
+
+use crate::attempt::AttemptFailure;
+use crate::forwarder::Forwarder;
+use crate::refusal::FailureCause;
+use crate::registry::TargetHandle;
+
+/// Time after its first event within which a stream still counts as beginning to be decoded.
+const DECODE_START_TIME: Duration = Duration::from_millis(200);
+
+/// Returns whether a request that breaks now may have crashed its engine, by beginning to be decoded.
+pub(crate) fn is_decode_start(now: Instant, first_event_at: Option<Instant>) -> bool {
+    first_event_at.is_none_or(|at| now.saturating_duration_since(at) < DECODE_START_TIME)
+}
+
+impl Forwarder {
+    /// Checks whether an engine has crashed after the connection of a request broke that it was beginning to decode.
+    ///
+    /// A crashed engine refuses connections, unlike one that dropped a single connection or that is out of reach. Requests
+    /// that break while a check is running are part of its result.
+    pub(crate) fn check_for_crash(
+        self: &Rc<Self>,
+        target: &Rc<TargetHandle>,
+        prompt_parts: &PromptParts,
+    ) {
+        let is_checking = {
+            let mut broken_prompts = target.broken_prompts.borrow_mut();
+            let is_checking = broken_prompts.is_some();
+            let parts = broken_prompts.get_or_insert_default();
+            parts.extend(prompt_parts.shareable());
+            is_checking
+        };
+        if is_checking {
+            return;
+        }
+        let (forwarder, target) = (self.clone(), target.clone());
+        compio::runtime::spawn(async move {
+            let broken_at = Instant::now();
+            let addr = target.listing.borrow().addr;
+            let connected = forwarder.pool.connect_idle(broken_at, addr).await;
+            let parts = target.broken_prompts.take().unwrap_or_default();
+            match connected {
+                Err(err) if err.is_connection_refused() => {
+                    let reason = "its connections broke and it refuses new ones";
+                    forwarder.suspect(Instant::now(), &target, reason);
+                    forwarder.report_crash(broken_at, &target.instance, parts);
+                }
+                _ => {}
+            }
+        })
+        .detach();
+    }
+
+    /// Records a crash and reports it to the other gateways.
+    fn report_crash(&self, now: Instant, engine: &TargetName, parts: Vec<PartId>) {
+        self.engine_requests.publish(EngineEvent::EngineCrashed {
+            engine: engine.clone(),
+            age_ms: 0,
+            parts: parts.clone(),
+        });
+        self.record_crash(now, engine.clone(), Duration::ZERO, parts);
+    }
+
+    /// Records a crash `age` ago, and logs the prompt parts that are blocked because of it.
+    pub(crate) fn record_crash(
+        &self,
+        now: Instant,
+        engine: TargetName,
+        age: Duration,
+        parts: Vec<PartId>,
+    ) {
+        let at = now.checked_sub(age).unwrap_or(now);
+        let crash = EngineCrash { engine, at, parts };
+        let blocked = self.crash_attribution.borrow_mut().record_crash(now, crash);
+        for blocked in blocked {
+            let time = blocked.until.saturating_duration_since(now);
+            log::warn!(
+                prompt_part = format!("{:x}", blocked.part).as_str(), crashes = blocked.crashes,
+                blocked_ms = time.as_millis() as u64;
+                "blocked a prompt part: engines crashed that began to decode it"
+            );
+        }
+    }
+
+    /// Returns the events that describe the known crashes.
+    pub(crate) fn crash_events(&self, now: Instant) -> Vec<EngineEvent> {
+        let crash_attribution = self.crash_attribution.borrow();
+        let event = |crash: &EngineCrash| EngineEvent::EngineCrashed {
+            engine: crash.engine.clone(),
+            age_ms: now.saturating_duration_since(crash.at).as_millis() as u64,
+            parts: crash.parts.clone(),
+        };
+        crash_attribution.crashes().map(event).collect()
+    }
+
+    /// Checks that no part of a prompt is blocked.
+    pub(crate) fn check_prompt(
+        &self,
+        now: Instant,
+        prompt_parts: &PromptParts,
+    ) -> Result<(), AttemptFailure> {
+        let crash_attribution = self.crash_attribution.borrow();
+        let Some(blocked) = crash_attribution.blocked_part(now, prompt_parts) else {
+            return Ok(());
+        };
+        let detail = format!("part {:x} of the prompt has crashed engines", blocked.part);
+        Err(AttemptFailure {
+            retry_after: Some(blocked.until.saturating_duration_since(now)),
+            ..AttemptFailure::unsent(FailureCause::PromptBlocked, detail)
+        })
+    }
+}
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -81,6 +81,8 @@
     sent_at: Instant,
     predicted_prefill: Duration,
     is_prefilled: bool,
+    first_event_at: Option<Instant>,
+    is_complete: bool,
     /// Share of the engine's slots or memory that the request holds while it decodes; 0 if it does not decode there.
     decode_share: f64,
 }
@@ -131,6 +133,8 @@
             sent_at: now,
             predicted_prefill,
             is_prefilled: false,
+            first_event_at: None,
+            is_complete: false,
             decode_share,
         }
     }
@@ -149,11 +153,29 @@
             .engine_requests
             .publish(EngineEvent::PrefillDone { number });
     }
+
+    /// Records that the first event of the answer has arrived, for which the prompt was prefilled.
+    pub(crate) fn mark_decoding(&mut self, now: Instant) {
+        self.first_event_at = Some(now);
+        self.mark_prefilled(now);
+    }
+
+    /// Returns when the first event of the answer arrived, or `None` if it has not.
+    pub(crate) fn first_event_at(&self) -> Option<Instant> {
+        self.first_event_at
+    }
+
+    /// Records that the answer is complete.
+    pub(crate) fn mark_complete(&mut self, now: Instant) {
+        self.is_complete = true;
+        let mut crash_attribution = self.forwarder.crash_attribution.borrow_mut();
+        crash_attribution.record_completion(now, &self.prompt_parts);
+    }
 }
 
 impl Drop for EngineRequestGuard {
     fn drop(&mut self) {
-        let number = self.number;
+        let (number, is_complete) = (self.number, self.is_complete);
         if !self.is_prefilled {
             let mut prefill_queue = self.target.prefill_queue.borrow_mut();
             prefill_queue.cancel(Instant::now(), (LOCAL_SENDER, number));
@@ -166,7 +188,10 @@
             .demand
             .release(now, service, self.decode_share, held_for);
         engine_requests.local.borrow_mut().remove(&number);
-        engine_requests.publish(EngineEvent::RequestEnded { number });
+        engine_requests.publish(EngineEvent::RequestEnded {
+            number,
+            is_complete,
+        });
     }
 }
 
@@ -181,7 +206,8 @@
         self.engine_requests.demand.report(now)
     }
 
-    /// Returns the events that bring a newly connected gateway up to date about the requests of this one.
+    /// Returns the events that bring a newly connected gateway up to date about the requests of this one and the crashes
+    /// of engines.
     ///
     /// Includes the cached prompts of all engines if `includes_cache_contents`, else those of recently inspected engines.
     pub fn engine_snapshot(&self, now: Instant, includes_cache_contents: bool) -> Vec<EngineEvent> {
@@ -194,7 +220,10 @@
             parts: target.kv_cache.borrow().parts(),
         });
         let local = self.engine_requests.local.borrow();
-        cache_contents.chain(local.values().cloned()).collect()
+        cache_contents
+            .chain(self.crash_events(now))
+            .chain(local.values().cloned())
+            .collect()
     }
 
     /// Returns the events that announced the unfinished requests of another gateway.
@@ -247,8 +276,15 @@
                         .insert(&request.prompt_parts);
                 }
             }
-            EngineEvent::RequestEnded { number } => {
+            EngineEvent::RequestEnded {
+                number,
+                is_complete,
+            } => {
                 if let Some(request) = remote.remove(&(sender, number)) {
+                    if is_complete {
+                        let mut crash_attribution = self.crash_attribution.borrow_mut();
+                        crash_attribution.record_completion(now, &request.prompt_parts);
+                    }
                     request
                         .target
                         .prefill_queue
@@ -275,6 +311,11 @@
                     }
                 }
             }
+            EngineEvent::EngineCrashed {
+                engine,
+                age_ms,
+                parts,
+            } => self.record_crash(now, engine, Duration::from_millis(age_ms), parts),
             EngineEvent::CacheContents { engine, parts } => {
                 if let Some(target) = self.live_target(&engine) {
                     target.is_cache_known.set(true);
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -8,7 +8,7 @@
 
 use laburnumlug::{FleetDocument, FleetVersion, ServiceName, TargetList};
 use laburnumlug_http::ConnectionPool;
-use laburnumlug_policy::{NoRoom, RetryBudget, RetrySchedule, rendezvous_rank};
+use laburnumlug_policy::{CrashAttribution, NoRoom, RetryBudget, RetrySchedule, rendezvous_rank};
 
 use crate::config::ForwardConfig;
 use crate::engine_requests::EngineRequests;
@@ -53,6 +53,7 @@
     close_after_response: Cell<bool>,
     observer: RefCell<Option<Rc<dyn ForwardObserver>>>,
     pub(crate) engine_requests: EngineRequests,
+    pub(crate) crash_attribution: RefCell<CrashAttribution>,
 }
 
 impl Forwarder {
@@ -74,6 +75,7 @@
             close_after_response: Cell::new(false),
             observer: RefCell::default(),
             engine_requests: EngineRequests::new(),
+            crash_attribution: RefCell::default(),
         })
     }
 
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -30,6 +30,7 @@
 mod buffered;
 mod config;
 mod demand;
+mod engine_crashes;
 mod engine_requests;
 mod engine_selection;
 mod events;
--- a/laburnumlug-forward/src/refusal.rs
+++ b/laburnumlug-forward/src/refusal.rs
@@ -17,6 +17,8 @@
     NoRoute,
     NoConfiguration,
     NoTarget,
+    /// A part of the prompt has crashed engines.
+    PromptBlocked,
     /// A target stated that it did not execute the request.
     TargetRefused,
     /// No connection to a target could be established.
@@ -41,6 +43,7 @@
             FailureCause::NoRoute => 404,
             FailureCause::NoConfiguration
             | FailureCause::NoTarget
+            | FailureCause::PromptBlocked
             | FailureCause::TargetRefused
             | FailureCause::Unreachable
             | FailureCause::Expired => 503,
@@ -58,6 +61,7 @@
             FailureCause::NoRoute => "no-route",
             FailureCause::NoConfiguration => "no-configuration",
             FailureCause::NoTarget => "no-target",
+            FailureCause::PromptBlocked => "prompt-blocked",
             FailureCause::TargetRefused => "target-refused",
             FailureCause::Unreachable => "unreachable",
             FailureCause::AnswerLost => "answer-lost",
@@ -97,7 +101,11 @@
     /// Builds the HTTP response for a caller whose deadline is `time_left` away; only a 503 gets a `retry-after`.
     pub(crate) fn response(&self, time_left: Duration) -> Response {
         let mut resp = text_response(self.cause.status(), &self.detail);
-        let longest = time_left.mul_f64(MAX_RETRY_AFTER_SHARE);
+        let longest = match self.cause {
+            // An earlier retry would be refused, too.
+            FailureCause::PromptBlocked => Duration::MAX,
+            _ => time_left.mul_f64(MAX_RETRY_AFTER_SHARE),
+        };
         let retry_after = self.retry_after.map(|time| time.min(longest).as_secs_f64());
         let value = retry_after.map(|seconds| HeaderValue::from_str(&format!("{seconds:.3}")));
         if let (503, Some(Ok(value))) = (self.cause.status(), value) {
@@ -119,6 +127,14 @@
         assert_eq!(resp.headers()["retry-after"], "0.200");
     }
 
+    #[test]
+    fn response_retry_after_of_blocked_prompt() {
+        let refusal =
+            Refusal::new(FailureCause::PromptBlocked, "").retry_after(Duration::from_secs(30));
+        let resp = refusal.response(Duration::from_millis(600));
+        assert_eq!(resp.headers()["retry-after"], "30.000");
+    }
+
     #[test]
     fn response_without_promise_has_no_retry_after() {
         let refusal =
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{LiveTarget, Role, ServiceName, TargetList, TargetName};
-use laburnumlug_policy::{KvCacheEstimate, PrefillQueue, TargetHealth};
+use laburnumlug_policy::{KvCacheEstimate, PartId, PrefillQueue, TargetHealth};
 
 /// Initial estimate of an engine's prefill rate, until measurements replace it; about the rate of a current
 /// accelerator node with a model of 70 billion parameters.
@@ -41,6 +41,8 @@
     pub(crate) is_cache_known: Cell<bool>,
     /// When this process fetched the cached prompts, or `None` if it did not.
     pub(crate) inspected_at: Cell<Option<Instant>>,
+    /// Prompt parts of the requests that broke since a check for a crash began, or `None` if no check is running.
+    pub(crate) broken_prompts: RefCell<Option<Vec<PartId>>>,
 }
 
 impl TargetHandle {
@@ -55,6 +57,7 @@
             kv_cache: RefCell::new(KvCacheEstimate::new(DEFAULT_KV_CACHE_TOKENS)),
             is_cache_known: Cell::new(false),
             inspected_at: Cell::default(),
+            broken_prompts: RefCell::default(),
         }
     }
 
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -55,6 +55,8 @@
             None => AttemptStage::Full,
         };
         let stream = &*stream;
+        // An engine may have crashed while another one prefilled the prompt.
+        self.check_prompt(Instant::now(), &stream.prompt_parts)?;
         let request = &stream.request;
         let target = selection.decode_engine.clone();
         let uncached_tokens = match stage {
@@ -87,7 +89,7 @@
         let sent = self
             .send_attempt(request, &target, stage, last_event_id.clone(), options)
             .await;
-        let mut response = match sent {
+        let sent = match sent {
             // The prefill engine no longer holds the prompt; the decode engine can prefill it itself.
             Err(failure)
                 if uses_remote_prompt
@@ -102,7 +104,14 @@
                     ..options
                 };
                 self.send_attempt(request, &target, AttemptStage::Full, last_event_id, options)
-                    .await?
+                    .await
+            }
+            sent => sent,
+        };
+        let mut response = match sent {
+            Err(failure) if failure.is_connection_broken => {
+                self.check_for_crash(&target, &stream.prompt_parts);
+                return Err(failure);
             }
             Err(failure) => {
                 if !uses_remote_prompt {
@@ -124,6 +133,7 @@
             let chunk = match compio::time::timeout(time_left, response.chunk()).await {
                 Ok(Ok(Some(chunk))) => chunk,
                 Ok(Ok(None)) => {
+                    engine_request.mark_complete(Instant::now());
                     let body = splitter.finish();
                     let resp = self.caller_response(response.status(), response.headers(), body);
                     self.pool.recycle(Instant::now(), response);
@@ -131,6 +141,7 @@
                 }
                 Ok(Err(err)) => {
                     self.record_failure(Instant::now(), &target);
+                    self.check_for_crash(&target, &stream.prompt_parts);
                     return Err(AttemptFailure::answer_lost(err.to_string()));
                 }
                 Err(_) => {
@@ -138,7 +149,7 @@
                 }
             };
             if let Some(first_events) = splitter.push(&chunk) {
-                engine_request.mark_prefilled(Instant::now());
+                engine_request.mark_decoding(Instant::now());
                 target.health.borrow_mut().record_success();
                 return Ok(StreamAttempt::Stream(Box::new(OpenStream {
                     response,
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -106,9 +106,8 @@
                 Err(failure) => failure,
             };
             may_have_run |= failure.verdict != Verdict::NotRun;
-            // Without an available target, a retry is pointless.
-            let may_repeat = failure.cause != FailureCause::NoTarget
-                && (!may_have_run || stream.request.route.is_repeatable());
+            let may_repeat =
+                !failure.is_final() && (!may_have_run || stream.request.route.is_repeatable());
             if may_repeat && self.try_acquire_attempt(&stream) {
                 continue;
             }
@@ -136,6 +135,7 @@
         last_event_id: Option<String>,
     ) -> Result<StreamAttempt, AttemptFailure> {
         let now = Instant::now();
+        self.check_prompt(now, &stream.prompt_parts)?;
         let selection = self.choose_targets(now, stream)?;
         let target = selection.decode_engine.clone();
         let tried = (target.clone(), selection.prefill_engine.clone());
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -7,6 +7,7 @@
 use laburnumlug_http::BodySender;
 
 use super::{OpenStream, StreamAttempt, StreamRequest};
+use crate::engine_crashes::is_decode_start;
 use crate::events::EventSplitter;
 use crate::forwarder::Forwarder;
 use crate::refusal::FailureCause;
@@ -52,6 +53,7 @@
                 }
                 Some(Ok(None)) => {
                     let rest = splitter.finish();
+                    engine_request.mark_complete(Instant::now());
                     drop(engine_request);
                     if rest.is_empty() || tx.send(rest).await.is_ok() {
                         self.pool.recycle(Instant::now(), response);
@@ -67,7 +69,11 @@
                 }
             };
             let target = in_flight.target.clone();
-            self.record_failure(Instant::now(), &target);
+            let now = Instant::now();
+            self.record_failure(now, &target);
+            if is_decode_start(now, engine_request.first_event_at()) {
+                self.check_for_crash(&target, &stream.prompt_parts);
+            }
             splitter.drop_partial();
             let resumed = self.resume(&mut stream, &splitter).await;
             log::info!(
@@ -106,7 +112,7 @@
                 Ok(StreamAttempt::Stream(open)) => return Some(*open),
                 // A response that is not a stream cannot continue one.
                 Ok(StreamAttempt::Buffered(_)) => return None,
-                Err(failure) if failure.cause == FailureCause::NoTarget => return None,
+                Err(failure) if failure.is_final() => return None,
                 Err(_) => {}
             }
         }
--- a/laburnumlug-http/src/error.rs
+++ b/laburnumlug-http/src/error.rs
@@ -40,6 +40,14 @@
         matches!(self.kind, ErrorKind::Connect(_))
     }
 
+    /// Returns whether the peer refused the connection, as a host does on which no process listens.
+    pub fn is_connection_refused(&self) -> bool {
+        match &self.kind {
+            ErrorKind::Connect(err) => err.kind() == io::ErrorKind::ConnectionRefused,
+            _ => false,
+        }
+    }
+
     /// Returns whether a body exceeded its size limit.
     pub fn is_body_too_large(&self) -> bool {
         matches!(self.kind, ErrorKind::BodyTooLarge { .. })
--- a/laburnumlug-http/src/pool.rs
+++ b/laburnumlug-http/src/pool.rs
@@ -133,10 +133,25 @@
             + keep_alive
                 .unwrap_or(self.idle_timeout)
                 .mul_f64(IDLE_TIMEOUT_FRACTION);
+        self.add_idle(now, response.addr, response.conn, expires_at);
+    }
+
+    /// Opens a connection and adds it to the pool.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be established.
+    pub async fn connect_idle(&self, now: Instant, addr: SocketAddr) -> Result<(), Error> {
+        let conn = self.connect(addr).await?;
+        let expires_at = now + self.idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION);
+        self.add_idle(now, addr, conn, expires_at);
+        Ok(())
+    }
+
+    fn add_idle(&self, now: Instant, addr: SocketAddr, conn: Connection, expires_at: Instant) {
         let mut idle = self.idle.borrow_mut();
-        let conns = idle.entry(response.addr).or_default();
+        let conns = idle.entry(addr).or_default();
         if conns.len() < MAX_IDLE_PER_PEER {
-            let conn = response.conn;
             conns.push(IdleConnection {
                 conn,
                 idle_since: now,
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -45,12 +45,13 @@
 
 [`OutputPredictor`] predicts the length of answers by caller, [`PrefixIndex`] tracks what an engine has cached, and
 [`RateMeter`] measures an engine's rates from its answers. [`TargetHealth`] ejects failing targets, [`RetryBudget`]
-limits retries, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
+limits retries, [`CrashAttribution`] blocks prompt parts that crash engines, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
 processes without coordination. [`select_exchange_links`] and [`event_batch_interval`] bound the messages that gateways
 exchange about prompts sent to engines, and [`inspection_delay`] divides the inspections of engines among them.
 */
 
 mod admission;
+mod crash_attribution;
 mod engine_demand;
 mod event_batch;
 mod exchange;
@@ -64,6 +65,7 @@
 mod prefill_queue;
 mod prefix;
 mod rates;
+mod recent_parts;
 mod rendezvous;
 mod retry_budget;
 mod retry_schedule;
@@ -75,6 +77,7 @@
 pub use crate::admission::{
     Admission, CapacityAdmission, DeadlineAdmission, QueueView, Refusal, RefusalCause, admission,
 };
+pub use crate::crash_attribution::{BlockedPart, CrashAttribution, EngineCrash};
 pub use crate::engine_demand::{Demand, DemandMeter, PhaseDemand};
 pub use crate::event_batch::event_batch_interval;
 pub use crate::exchange::{
--- a/src/engine_event.rs
+++ b/src/engine_event.rs
@@ -35,6 +35,9 @@
     RequestEnded {
         /// Sequence number of the prompt.
         number: SendNumber,
+        /// Whether the answer is complete.
+        #[serde(default)]
+        is_complete: bool,
     },
     /// The sender has ejected a target for a while after several requests failed there.
     #[serde(rename = "Failing")]
@@ -50,6 +53,16 @@
         /// Whether the sender sends requests to the target.
         serves: bool,
     },
+    /// An engine has crashed.
+    #[serde(rename = "Crashed")]
+    EngineCrashed {
+        /// The engine.
+        engine: TargetName,
+        /// Time since the crash in milliseconds.
+        age_ms: u64,
+        /// Parts of the prompts that the engine was beginning to decode.
+        parts: Vec<u64>,
+    },
     /// Prompt parts that the sender expects in the engine's prefix cache, least recently used first.
     #[serde(rename = "Holds")]
     CacheContents {
