Cancel prompts whose part is blocked while they wait at an engine

Change: an attempt ends once a part of its prompt is blocked, also the prefill at another engine. A cancelled prefill counts as not run, a cancelled request as one that may have run.

--- a/laburnumlug-forward/src/engine_crashes.rs
+++ b/laburnumlug-forward/src/engine_crashes.rs
@@ -1,9 +1,11 @@
 //! Detection of crashed engines from broken connections, and refusal of the prompts that crash engines.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use laburnumlug::{EngineEvent, TargetName};
+use futures_util::future::{Either, select};
+use laburnumlug::{EngineEvent, TargetName, Verdict};
 use laburnumlug_policy::{EngineCrash, PartId, PromptParts};
 
 use crate::attempt::AttemptFailure;
@@ -78,6 +80,9 @@
         let at = now.checked_sub(age).unwrap_or(now);
         let crash = EngineCrash { engine, at, parts };
         let blocked = self.crash_attribution.borrow_mut().record_crash(now, crash);
+        if !blocked.is_empty() {
+            self.part_blocked.notify(usize::MAX);
+        }
         for blocked in blocked {
             let time = blocked.until.saturating_duration_since(now);
             log::warn!(
@@ -88,6 +93,38 @@
         }
     }
 
+    /// Waits for an attempt, but cancels it once a part of its prompt is blocked; `verdict` states whether a cancelled
+    /// attempt may have been executed.
+    ///
+    /// A prompt that waits at an engine when its part is blocked would crash that engine as well.
+    pub(crate) async fn unless_blocked<T, F>(
+        &self,
+        verdict: Verdict,
+        prompt_parts: &PromptParts,
+        attempt: F,
+    ) -> Result<T, AttemptFailure>
+    where
+        F: Future<Output = Result<T, AttemptFailure>>,
+    {
+        let blocked = async {
+            loop {
+                let part_blocked = self.part_blocked.listen();
+                if let Err(failure) = self.check_prompt(Instant::now(), prompt_parts) {
+                    return failure;
+                }
+                part_blocked.await;
+            }
+        };
+        match select(pin!(attempt), pin!(blocked)).await {
+            Either::Left((result, _)) => result,
+            Either::Right((failure, _)) => Err(AttemptFailure {
+                verdict,
+                reached_target: true,
+                ..failure
+            }),
+        }
+    }
+
     /// Returns the events that describe the known crashes.
     pub(crate) fn crash_events(&self, now: Instant) -> Vec<EngineEvent> {
         let crash_attribution = self.crash_attribution.borrow();
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use event_listener::Event;
 use laburnumlug::{FleetDocument, FleetVersion, ServiceName, TargetList};
 use laburnumlug_http::ConnectionPool;
 use laburnumlug_policy::{CrashAttribution, NoRoom, RetryBudget, RetrySchedule, rendezvous_rank};
@@ -54,6 +55,8 @@
     observer: RefCell<Option<Rc<dyn ForwardObserver>>>,
     pub(crate) engine_requests: EngineRequests,
     pub(crate) crash_attribution: RefCell<CrashAttribution>,
+    /// Notified whenever a prompt part is blocked.
+    pub(crate) part_blocked: Event,
 }
 
 impl Forwarder {
@@ -76,6 +79,7 @@
             observer: RefCell::default(),
             engine_requests: EngineRequests::new(),
             crash_attribution: RefCell::default(),
+            part_blocked: Event::new(),
         })
     }
 
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use laburnumlug::Verdict;
 use laburnumlug_http::{PooledResponse, Response};
 
 use super::{OpenStream, StreamAttempt, StreamRequest};
@@ -44,7 +45,10 @@
         }
         let stage = match &selection.prefill_engine {
             Some(prefill_engine) => {
-                let prefilled = self.prefill(stream, prefill_engine, &selection).await;
+                let prefill = self.prefill(stream, prefill_engine, &selection);
+                let prefilled = self
+                    .unless_blocked(Verdict::NotRun, &stream.prompt_parts, prefill)
+                    .await;
                 let reached_engine = prefilled
                     .as_ref()
                     .err()
@@ -54,9 +58,22 @@
             }
             None => AttemptStage::Full,
         };
-        let stream = &*stream;
         // An engine may have crashed while another one prefilled the prompt.
         self.check_prompt(Instant::now(), &stream.prompt_parts)?;
+        let stream = &*stream;
+        let decode = self.decode(stream, selection, stage, last_event_id);
+        self.unless_blocked(Verdict::MayHaveRun, &stream.prompt_parts, decode)
+            .await
+    }
+
+    /// Sends a request to the selected decode engine and waits for its first event.
+    async fn decode(
+        self: &Rc<Self>,
+        stream: &StreamRequest,
+        selection: EngineSelection,
+        stage: AttemptStage,
+        last_event_id: Option<String>,
+    ) -> Result<StreamAttempt, AttemptFailure> {
         let request = &stream.request;
         let target = selection.decode_engine.clone();
         let uncached_tokens = match stage {
