Count cancelled and abandoned prompts among those that may crash an engine

Change: each engine keeps the prompts of requests that ended in the last 500 ms while it was beginning to decode them, for whatever reason. They are reported with a crash, also with one that another gateway found. Crashes at the same time count one by one for a part that is in most of them, instead of all.

--- a/laburnumlug-forward/src/engine_crashes.rs
+++ b/laburnumlug-forward/src/engine_crashes.rs
@@ -16,42 +16,33 @@
 /// Time after its first event within which a stream still counts as beginning to be decoded.
 const DECODE_START_TIME: Duration = Duration::from_millis(200);
 
+/// Maximum age of a reported crash to which a gateway adds its own prompts.
+const UNFINISHED_REPORT_TIME: Duration = Duration::from_millis(500);
+
 /// Returns whether a request that breaks now may have crashed its engine, by beginning to be decoded.
 pub(crate) fn is_decode_start(now: Instant, first_event_at: Option<Instant>) -> bool {
     first_event_at.is_none_or(|at| now.saturating_duration_since(at) < DECODE_START_TIME)
 }
 
 impl Forwarder {
-    /// Checks whether an engine has crashed after the connection of a request broke that it was beginning to decode.
+    /// Checks whether an engine has crashed, after the connection of a request broke that it was beginning to decode.
     ///
-    /// A crashed engine refuses connections, unlike one that dropped a single connection or that is out of reach. Requests
-    /// that break while a check is running are part of its result.
-    pub(crate) fn check_for_crash(
-        self: &Rc<Self>,
-        target: &Rc<TargetHandle>,
-        prompt_parts: &PromptParts,
-    ) {
-        let is_checking = {
-            let mut broken_prompts = target.broken_prompts.borrow_mut();
-            let is_checking = broken_prompts.is_some();
-            let parts = broken_prompts.get_or_insert_default();
-            parts.extend(prompt_parts.shareable());
-            is_checking
-        };
-        if is_checking {
+    /// A crashed engine refuses connections, unlike one that dropped a single connection or that is out of reach.
+    pub(crate) fn check_for_crash(self: &Rc<Self>, target: &Rc<TargetHandle>) {
+        if target.is_checked_for_crash.replace(true) {
             return;
         }
         let (forwarder, target) = (self.clone(), target.clone());
         compio::runtime::spawn(async move {
-            let broken_at = Instant::now();
             let addr = target.listing.borrow().addr;
-            let connected = forwarder.pool.connect_idle(broken_at, addr).await;
-            let parts = target.broken_prompts.take().unwrap_or_default();
+            let connected = forwarder.pool.connect_idle(Instant::now(), addr).await;
+            target.is_checked_for_crash.set(false);
             match connected {
                 Err(err) if err.is_connection_refused() => {
+                    let now = Instant::now();
                     let reason = "its connections broke and it refuses new ones";
-                    forwarder.suspect(Instant::now(), &target, reason);
-                    forwarder.report_crash(broken_at, &target.instance, parts);
+                    forwarder.suspect(now, &target, reason);
+                    forwarder.report_crash(now, &target);
                 }
                 _ => {}
             }
@@ -60,13 +51,39 @@
     }
 
     /// Records a crash and reports it to the other gateways.
-    fn report_crash(&self, now: Instant, engine: &TargetName, parts: Vec<PartId>) {
+    fn report_crash(&self, now: Instant, target: &TargetHandle) {
+        let parts = target.unfinished_prompts.borrow_mut().take(now);
+        self.publish_crash(now, target, parts);
+    }
+
+    /// Reports the prompts of this process that an engine was beginning to decode when it crashed, as another gateway
+    /// reported `age` ago.
+    ///
+    /// Their requests may have ended otherwise, for instance because their callers had left, so that this process does
+    /// not check the engine itself.
+    pub(crate) fn report_unfinished_prompts(
+        &self,
+        now: Instant,
+        target: &TargetHandle,
+        age: Duration,
+    ) {
+        if age >= UNFINISHED_REPORT_TIME {
+            return;
+        }
+        let parts = target.unfinished_prompts.borrow_mut().take(now);
+        if !parts.is_empty() {
+            self.publish_crash(now, target, parts);
+        }
+    }
+
+    fn publish_crash(&self, now: Instant, target: &TargetHandle, parts: Vec<PartId>) {
+        let engine = target.instance.clone();
         self.engine_requests.publish(EngineEvent::EngineCrashed {
             engine: engine.clone(),
             age_ms: 0,
             parts: parts.clone(),
         });
-        self.record_crash(now, engine.clone(), Duration::ZERO, parts);
+        self.record_crash(now, engine, Duration::ZERO, parts);
     }
 
     /// Records a crash `age` ago, and logs the prompt parts that are blocked because of it.
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -9,6 +9,7 @@
 use laburnumlug_policy::{FIRST_TOKEN_OVERHEAD, PromptParts, prefill_work};
 
 use crate::demand::DemandTotals;
+use crate::engine_crashes::is_decode_start;
 use crate::forwarder::Forwarder;
 use crate::registry::TargetHandle;
 
@@ -182,6 +183,11 @@
         }
         let engine_requests = &self.forwarder.engine_requests;
         let now = Instant::now();
+        let is_decoding = self.decode_share > 0.0;
+        if is_decoding && !is_complete && is_decode_start(now, self.first_event_at) {
+            let mut unfinished = self.target.unfinished_prompts.borrow_mut();
+            unfinished.push(now, &self.prompt_parts);
+        }
         let held_for = now.saturating_duration_since(self.sent_at);
         let service = &self.target.listing.borrow().service;
         engine_requests
@@ -315,7 +321,13 @@
                 engine,
                 age_ms,
                 parts,
-            } => self.record_crash(now, engine, Duration::from_millis(age_ms), parts),
+            } => {
+                let age = Duration::from_millis(age_ms);
+                self.record_crash(now, engine.clone(), age, parts);
+                if let Some(target) = self.live_target(&engine) {
+                    self.report_unfinished_prompts(now, &target, age);
+                }
+            }
             EngineEvent::CacheContents { engine, parts } => {
                 if let Some(target) = self.live_target(&engine) {
                     target.is_cache_known.set(true);
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{LiveTarget, Role, ServiceName, TargetList, TargetName};
-use laburnumlug_policy::{KvCacheEstimate, PartId, PrefillQueue, TargetHealth};
+use laburnumlug_policy::{KvCacheEstimate, PrefillQueue, RecentPrompts, TargetHealth};
 
 /// Initial estimate of an engine's prefill rate, until measurements replace it; about the rate of a current
 /// accelerator node with a model of 70 billion parameters.
@@ -41,8 +41,10 @@
     pub(crate) is_cache_known: Cell<bool>,
     /// When this process fetched the cached prompts, or `None` if it did not.
     pub(crate) inspected_at: Cell<Option<Instant>>,
-    /// Prompt parts of the requests that broke since a check for a crash began, or `None` if no check is running.
-    pub(crate) broken_prompts: RefCell<Option<Vec<PartId>>>,
+    /// Whether a check for a crash is running.
+    pub(crate) is_checked_for_crash: Cell<bool>,
+    /// Prompts of requests that ended while the engine was beginning to decode them, and when.
+    pub(crate) unfinished_prompts: RefCell<RecentPrompts>,
 }
 
 impl TargetHandle {
@@ -57,7 +59,8 @@
             kv_cache: RefCell::new(KvCacheEstimate::new(DEFAULT_KV_CACHE_TOKENS)),
             is_cache_known: Cell::new(false),
             inspected_at: Cell::default(),
-            broken_prompts: RefCell::default(),
+            is_checked_for_crash: Cell::new(false),
+            unfinished_prompts: RefCell::default(),
         }
     }
 
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -127,7 +127,7 @@
         };
         let mut response = match sent {
             Err(failure) if failure.is_connection_broken => {
-                self.check_for_crash(&target, &stream.prompt_parts);
+                self.check_for_crash(&target);
                 return Err(failure);
             }
             Err(failure) => {
@@ -158,7 +158,7 @@
                 }
                 Ok(Err(err)) => {
                     self.record_failure(Instant::now(), &target);
-                    self.check_for_crash(&target, &stream.prompt_parts);
+                    self.check_for_crash(&target);
                     return Err(AttemptFailure::answer_lost(err.to_string()));
                 }
                 Err(_) => {
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -72,8 +72,9 @@
             let now = Instant::now();
             self.record_failure(now, &target);
             if is_decode_start(now, engine_request.first_event_at()) {
-                self.check_for_crash(&target, &stream.prompt_parts);
+                self.check_for_crash(&target);
             }
+            drop(engine_request);
             splitter.drop_partial();
             let resumed = self.resume(&mut stream, &splitter).await;
             log::info!(
--- a/laburnumlug-policy/src/crash_attribution.rs
+++ b/laburnumlug-policy/src/crash_attribution.rs
@@ -177,8 +177,8 @@
             *in_group.entry(*part).or_default() += 1;
         }
         for (part, count) in in_group {
-            // Crashes at the same time count as one unless the part is in all of them.
-            let count = if count == group.len() { count } else { 1 };
+            // Crashes at the same time count as one unless the part is in most of them.
+            let count = if 2 * count > group.len() { count } else { 1 };
             *counts.entry(part).or_default() += count;
         }
     }
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -66,6 +66,7 @@
 mod prefix;
 mod rates;
 mod recent_parts;
+mod recent_prompts;
 mod rendezvous;
 mod retry_budget;
 mod retry_schedule;
@@ -97,6 +98,7 @@
 };
 pub use crate::prefix::{PrefixHashes, PrefixIndex};
 pub use crate::rates::{EngineRates, RateMeter};
+pub use crate::recent_prompts::RecentPrompts;
 pub use crate::rendezvous::rendezvous_rank;
 pub use crate::retry_budget::RetryBudget;
 pub use crate::retry_schedule::RetrySchedule;
