Treat streams that end inside an event as broken

Callers saw: a stream whose engine had gone away in the middle of an event as complete, with half an event at its end.

Cause: an answer with neither a length nor chunks ends with its connection, so its end reads as the end of the body; the bytes after the last whole event were passed on and the stream was completed.

Change: such a stream is resumed where its route allows it and aborted otherwise, and counts as a failure of its engine. So does one without framing that ends before its first event. Further blank lines after an event are passed on as before.

--- a/laburnumlug-forward/src/events.rs
+++ b/laburnumlug-forward/src/events.rs
@@ -57,10 +57,11 @@
         self.last_id = id;
     }
 
-    /// Returns the bytes after the last complete event, at the end of a complete stream.
-    pub(crate) fn finish(&mut self) -> Bytes {
-        self.searched = 0;
-        self.buf.split().freeze()
+    /// Returns whether the bytes so far end inside an event, so that a stream that ends here has been broken off.
+    ///
+    /// Further blank lines after an event are not part of one.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        self.buf.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
     }
 
     /// Discards the bytes after the last complete event of a broken stream.
@@ -68,6 +69,12 @@
         self.searched = 0;
         self.buf.clear();
     }
+
+    /// Removes and returns the bytes that form no event.
+    pub(crate) fn take_partial(&mut self) -> Bytes {
+        self.searched = 0;
+        self.buf.split().freeze()
+    }
 }
 
 /// Returns the last `id` field in these complete events.
@@ -107,7 +114,18 @@
             splitter.push(b"id: 2\ndata: b\n\n").unwrap(),
             "id: 2\ndata: b\n\n"
         );
-        assert!(splitter.finish().is_empty());
+        assert!(!splitter.is_inside_event());
+    }
+
+    #[test]
+    fn is_inside_event_blank_lines() {
+        let mut splitter = EventSplitter::default();
+        assert!(splitter.push(b"data: a\n\n").is_some());
+        splitter.push(b"\n");
+        assert!(!splitter.is_inside_event());
+        assert_eq!(splitter.take_partial(), "\n");
+        splitter.push(b"d");
+        assert!(splitter.is_inside_event());
     }
 
     #[test]
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -30,6 +30,22 @@
     expected * PROBE_TIME_MULTIPLE + PROBE_MARGIN
 }
 
+/// Reason why a stream is broken whose body has ended without an error.
+pub(super) const ENDED_INSIDE_EVENT: &str = "the stream ended inside an event";
+
+/// Returns whether a response has a length or chunks, so that its end is told from the end of its connection.
+fn is_framed(response: &PooledResponse) -> bool {
+    let headers = response.headers();
+    headers.contains_key(hyper::header::CONTENT_LENGTH)
+        || headers.contains_key(hyper::header::TRANSFER_ENCODING)
+}
+
+/// Returns whether a response is an event stream, as engines send unless they state another type.
+fn is_event_stream(response: &PooledResponse) -> bool {
+    let content_type = response.headers().get(hyper::header::CONTENT_TYPE);
+    content_type.is_none_or(|value| value.as_bytes().starts_with(b"text/event-stream"))
+}
+
 impl Forwarder {
     /// Makes one attempt at the selected engines until its first event arrives.
     pub(super) async fn attempt_stream_at(
@@ -149,9 +165,17 @@
             let time_left = request.time_left(Instant::now());
             let chunk = match compio::time::timeout(time_left, response.chunk()).await {
                 Ok(Ok(Some(chunk))) => chunk,
+                Ok(Ok(None))
+                    if is_event_stream(&response)
+                        && (splitter.is_inside_event() || !is_framed(&response)) =>
+                {
+                    self.record_failure(Instant::now(), &target);
+                    self.check_for_crash(&target);
+                    return Err(AttemptFailure::answer_lost(ENDED_INSIDE_EVENT));
+                }
                 Ok(Ok(None)) => {
                     engine_request.mark_complete(Instant::now());
-                    let body = splitter.finish();
+                    let body = splitter.take_partial();
                     let resp = self.caller_response(response.status(), response.headers(), body);
                     self.pool.recycle(Instant::now(), response);
                     return Ok(StreamAttempt::Buffered(resp));
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -6,6 +6,7 @@
 use futures_util::FutureExt;
 use laburnumlug_http::BodySender;
 
+use super::attempt::ENDED_INSIDE_EVENT;
 use super::{OpenStream, StreamAttempt, StreamRequest};
 use crate::engine_crashes::is_decode_start;
 use crate::events::EventSplitter;
@@ -51,13 +52,15 @@
                     }
                     continue;
                 }
+                Some(Ok(None)) if splitter.is_inside_event() => ENDED_INSIDE_EVENT.to_string(),
                 Some(Ok(None)) => {
-                    let rest = splitter.finish();
                     engine_request.mark_complete(Instant::now());
                     drop(engine_request);
-                    if rest.is_empty() || tx.send(rest).await.is_ok() {
-                        self.pool.recycle(Instant::now(), response);
+                    let blank_lines = splitter.take_partial();
+                    if !blank_lines.is_empty() && tx.send(blank_lines).await.is_err() {
+                        return;
                     }
+                    self.pool.recycle(Instant::now(), response);
                     return;
                 }
                 Some(Err(err)) => err.to_string(),
