Log the limits on requests that targets state

Cause: logs could not tell whether gateways learn of Server-Limit, nor when.

Change: the adapter decodes the limit into TargetStatements; a gateway logs it when it changes. Several values count as the lowest; a value that is no decimal number, negative or not finite is no statement. Nothing obeys the limit yet.

--- a/laburnumlug-forward/src/header_codec.rs
+++ b/laburnumlug-forward/src/header_codec.rs
@@ -61,6 +61,15 @@
     pub last_event_id: Option<String>,
 }
 
+/// Statements of a target about itself, from the head of a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TargetStatements {
+    /// Number of requests per second that the target accepts from all gateways together, or `None` without a limit.
+    ///
+    /// It is finite and not negative.
+    pub request_limit: Option<f64>,
+}
+
 /// Metadata from the head of a response.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ResponseMetadata {
@@ -70,6 +79,8 @@
     pub not_run: bool,
     /// Whether the response comes from another target than the one addressed.
     pub wrong_target: bool,
+    /// Statements of the target about itself.
+    pub statements: TargetStatements,
 }
 
 /// Parses and writes the headers of requests and responses.
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -8,6 +8,8 @@
 use laburnumlug::{LiveTarget, Role, ServiceName, TargetList, TargetName};
 use laburnumlug_policy::{KvCacheEstimate, PrefillQueue, RecentPrompts, TargetHealth};
 
+use crate::header_codec::TargetStatements;
+
 /// Initial estimate of an engine's prefill rate, until measurements replace it; about the rate of a current
 /// accelerator node with a model of 70 billion parameters.
 const INITIAL_PREFILL_TOKENS_PER_SECOND: f64 = 45_000.0;
@@ -41,6 +43,8 @@
     pub(crate) is_cache_known: Cell<bool>,
     /// When this process fetched the cached prompts, or `None` if it did not.
     pub(crate) inspected_at: Cell<Option<Instant>>,
+    /// Statements in the latest response of the target.
+    pub(crate) statements: Cell<TargetStatements>,
     /// Whether a check for a crash is running.
     pub(crate) is_checked_for_crash: Cell<bool>,
     /// Prompts of requests that ended while the engine was beginning to decode them, and when.
@@ -59,6 +63,7 @@
             kv_cache: RefCell::new(KvCacheEstimate::new(DEFAULT_KV_CACHE_TOKENS)),
             is_cache_known: Cell::new(false),
             inspected_at: Cell::default(),
+            statements: Cell::default(),
             is_checked_for_crash: Cell::new(false),
             unfinished_prompts: RefCell::default(),
         }
