Keep the limits on requests that targets state, over all gateways

Callers saw: nothing yet.

Cause: a limit on the sum over all clients, which no client knew of nor can keep alone. No code read Server-Limit, and gateways share what they send to engines but not what they send to plain services.

Change: RequestLimit, without network, spaces the requests to a target at the stated rate (GCRA), counting those that other gateways report. A change of a limit and each request reserved under one are exchanged; limits are sent to a gateway that connects. Placement adds the wait to the predicted time to first token; a request waits for at most its latency objective and is refused otherwise, with a Retry-After of when the limit allows it. Plain services are limited alike. A limit counts the requests that a target runs, so separate prefills go to limited engines if none is about as near. Zero counts as one request in 4 s, as only responses tell when a limit ends.

--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -10,7 +10,7 @@
 use laburnumlug_http::{PooledResponse, SendError};
 
 use crate::forwarder::Forwarder;
-use crate::header_codec::{AttemptHeaders, AttemptStage, RequestMetadata, TargetStatements};
+use crate::header_codec::{AttemptHeaders, AttemptStage, RequestMetadata};
 use crate::refusal::{FailureCause, Refusal};
 use crate::registry::TargetHandle;
 use crate::routes::RouteEntry;
@@ -262,7 +262,7 @@
             ));
         }
         if !metadata.wrong_target {
-            record_statements(target, metadata.statements);
+            self.record_statements(Instant::now(), target, metadata.statements);
         }
         if !metadata.not_run && !metadata.wrong_target {
             return Ok(response);
@@ -281,19 +281,3 @@
         Err(AttemptFailure::refused(status))
     }
 }
-
-/// Records what a target states about itself, and logs a change.
-fn record_statements(target: &TargetHandle, statements: TargetStatements) {
-    let before = target.statements.replace(statements);
-    match (before.request_limit, statements.request_limit) {
-        (before, now) if before == now => {}
-        (_, Some(limit)) => log::info!(
-            target = target.instance.as_str(), request_limit = limit;
-            "the target limits its requests per second"
-        ),
-        (_, None) => log::info!(
-            target = target.instance.as_str();
-            "the target no longer limits its requests"
-        ),
-    }
-}
--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -55,7 +55,8 @@
             if attempts_made >= request.route.max_attempts {
                 break;
             }
-            let Some(target) = self.least_loaded_target(now, service, &tried) else {
+            let max_wait = request.route.latency_objective;
+            let Some(target) = self.least_loaded_target(now, service, &tried, max_wait) else {
                 break;
             };
             if attempts_made > 0 && !self.try_acquire_retry(now, service) {
@@ -63,6 +64,7 @@
             }
             let is_last_attempt = attempts_made + 1 >= request.route.max_attempts;
             tried.push(target.clone());
+            compio::time::sleep_until(self.reserve_request(now, &target)).await;
             let failure = match self
                 .attempt_buffered(request, &target, is_last_attempt)
                 .await
@@ -91,8 +93,15 @@
             }
         }
         Err(match last_failure {
-            None => Refusal::new(FailureCause::NoTarget, "no target of the service is known")
-                .retry_after(NO_TARGET_RETRY_AFTER),
+            None => {
+                let limit_wait = self.shortest_limit_wait(Instant::now(), service);
+                let detail = match limit_wait {
+                    Some(_) => "all targets of the service have reached their limits",
+                    None => "no target of the service is known",
+                };
+                Refusal::new(FailureCause::NoTarget, detail)
+                    .retry_after(limit_wait.unwrap_or(NO_TARGET_RETRY_AFTER))
+            }
             // An earlier attempt may have been executed, so a 503 would make a false guarantee.
             Some(failure)
                 if failure.verdict != Verdict::NotRun && failure.cause.status() == 503 =>
@@ -201,16 +210,18 @@
         selectable_targets(now, targets)
     }
 
-    /// Returns the least loaded target of a service that was not tried yet.
+    /// Returns the least loaded target of a service that was not tried yet and accepts a request within `max_wait`.
     ///
-    /// The load is the share of slots in use, plus penalties for failures and for another availability zone, plus a
-    /// random value below 0.01 that breaks ties.
+    /// The load is the share of slots in use, plus penalties for failures, for another availability zone and for waiting
+    /// until the target's own limit allows a request, plus a random value below 0.01 that breaks ties.
     pub(crate) fn least_loaded_target(
         &self,
         now: Instant,
         service: &str,
         tried: &[Rc<TargetHandle>],
+        max_wait: Duration,
     ) -> Option<Rc<TargetHandle>> {
+        let limit_wait = |target: &Rc<TargetHandle>| target.request_limit.borrow().wait(now);
         let load = |target: &Rc<TargetHandle>| {
             let listing = target.listing.borrow();
             let zone_penalty = if listing.zone == self.cfg.zone {
@@ -219,15 +230,18 @@
                 REMOTE_ZONE_LOAD_PENALTY
             };
             let failure_penalty = target.health.borrow().failure_rate() * FAILURE_LOAD_PENALTY;
+            let limit_penalty = limit_wait(target).div_duration_f64(max_wait);
             let jitter = rand::rng().random_range(0.0..0.01);
             f64::from(target.in_flight.get()) / f64::from(listing.slots.max(1))
                 + zone_penalty
                 + failure_penalty
+                + limit_penalty
                 + jitter
         };
         let loads = self
             .untried_targets(now, service, tried)
             .into_iter()
+            .filter(|target| limit_wait(target) <= max_wait)
             .map(|target| (load(&target), target));
         loads
             .min_by(|a, b| a.0.total_cmp(&b.0))
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -212,8 +212,8 @@
         self.engine_requests.demand.report(now)
     }
 
-    /// Returns the events that bring a newly connected gateway up to date about the requests of this one and the crashes
-    /// of engines.
+    /// Returns the events that bring a newly connected gateway up to date about the requests of this one, the crashes
+    /// of engines and the limits of targets.
     ///
     /// Includes the cached prompts of all engines if `includes_cache_contents`, else those of recently inspected engines.
     pub fn engine_snapshot(&self, now: Instant, includes_cache_contents: bool) -> Vec<EngineEvent> {
@@ -228,6 +228,7 @@
         let local = self.engine_requests.local.borrow();
         cache_contents
             .chain(self.crash_events(now))
+            .chain(self.limit_events(now))
             .chain(local.values().cloned())
             .collect()
     }
@@ -317,6 +318,22 @@
                     }
                 }
             }
+            EngineEvent::RequestLimit {
+                target,
+                requests_per_1000_s,
+                age_ms,
+            } => {
+                if let Some(target) = self.live_target(&target) {
+                    let age = Duration::from_millis(age_ms);
+                    let stated_at = now.checked_sub(age).unwrap_or(now);
+                    self.apply_limit(stated_at, &target, requests_per_1000_s);
+                }
+            }
+            EngineEvent::RequestReserved { target } => {
+                if let Some(target) = self.live_target(&target) {
+                    target.request_limit.borrow_mut().reserve(now);
+                }
+            }
             EngineEvent::EngineCrashed {
                 engine,
                 age_ms,
--- a/laburnumlug-forward/src/engine_selection.rs
+++ b/laburnumlug-forward/src/engine_selection.rs
@@ -34,6 +34,8 @@
     pub(crate) uncached_tokens: u64,
     /// Predicted time to first token.
     pub(crate) time_to_first_token: Duration,
+    /// When the decode engine accepts the request within the rate limit that it states.
+    pub(crate) send_at: Instant,
     /// Priority at the engine that prefills the prompt; 0 is the most urgent.
     pub(crate) priority: u8,
 }
@@ -77,6 +79,7 @@
                     running: target.in_flight.get(),
                     slots: listing.slots.max(1),
                     slot_time,
+                    limit_wait: target.request_limit.borrow().wait(now),
                     jitter: rand::rng().random_range(Duration::ZERO..MAX_PLACEMENT_JITTER),
                 }
             })
@@ -96,9 +99,15 @@
             true => LATE_PRIORITY,
             false => prefill_priority(route.rank, work),
         };
+        let decode_engine = targets[placement.decode_engine].clone();
+        let prefill_engine = placement.prefill_engine.map(|i| targets[i].clone());
+        if let Some(prefill_engine) = &prefill_engine {
+            self.reserve_request(now, prefill_engine);
+        }
         Ok(EngineSelection {
-            decode_engine: targets[placement.decode_engine].clone(),
-            prefill_engine: placement.prefill_engine.map(|i| targets[i].clone()),
+            send_at: self.reserve_request(now, &decode_engine),
+            decode_engine,
+            prefill_engine,
             uncached_tokens: placement.uncached_tokens,
             time_to_first_token: placement.time_to_first_token,
             priority,
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -208,6 +208,11 @@
         self.view.borrow().registry.find(instance)
     }
 
+    /// Returns all targets of the newest target list.
+    pub(crate) fn live_targets(&self) -> Vec<Rc<TargetHandle>> {
+        self.view.borrow().registry.all()
+    }
+
     /// Returns the live targets that have a role, as only engines do.
     pub(crate) fn engines(&self) -> Vec<Rc<TargetHandle>> {
         self.view.borrow().registry.engines()
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -43,6 +43,7 @@
 mod registry;
 mod routes;
 mod stream;
+mod target_limits;
 
 pub use crate::config::ForwardConfig;
 pub use crate::engine_requests::EventSink;
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -6,9 +6,9 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{LiveTarget, Role, ServiceName, TargetList, TargetName};
-use laburnumlug_policy::{KvCacheEstimate, PrefillQueue, RecentPrompts, TargetHealth};
-
-use crate::header_codec::TargetStatements;
+use laburnumlug_policy::{
+    KvCacheEstimate, PrefillQueue, RecentPrompts, RequestLimit, TargetHealth,
+};
 
 /// Initial estimate of an engine's prefill rate, until measurements replace it; about the rate of a current
 /// accelerator node with a model of 70 billion parameters.
@@ -43,8 +43,7 @@
     pub(crate) is_cache_known: Cell<bool>,
     /// When this process fetched the cached prompts, or `None` if it did not.
     pub(crate) inspected_at: Cell<Option<Instant>>,
-    /// Statements in the latest response of the target.
-    pub(crate) statements: Cell<TargetStatements>,
+    pub(crate) request_limit: RefCell<RequestLimit>,
     /// Whether a check for a crash is running.
     pub(crate) is_checked_for_crash: Cell<bool>,
     /// Prompts of requests that ended while the engine was beginning to decode them, and when.
@@ -63,7 +62,7 @@
             kv_cache: RefCell::new(KvCacheEstimate::new(DEFAULT_KV_CACHE_TOKENS)),
             is_cache_known: Cell::new(false),
             inspected_at: Cell::default(),
-            statements: Cell::default(),
+            request_limit: RefCell::default(),
             is_checked_for_crash: Cell::new(false),
             unfinished_prompts: RefCell::default(),
         }
@@ -193,6 +192,11 @@
         self.by_instance.get(instance).cloned()
     }
 
+    /// Returns all listed targets.
+    pub(crate) fn all(&self) -> Vec<Rc<TargetHandle>> {
+        self.by_instance.values().cloned().collect()
+    }
+
     /// Returns the targets that have a role, as only engines do.
     pub(crate) fn engines(&self) -> Vec<Rc<TargetHandle>> {
         let is_engine = |target: &&Rc<TargetHandle>| target.listing.borrow().role.is_some();
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -92,6 +92,7 @@
     ) -> Result<StreamAttempt, AttemptFailure> {
         let request = &stream.request;
         let target = selection.decode_engine.clone();
+        compio::time::sleep_until(selection.send_at).await;
         let uncached_tokens = match stage {
             AttemptStage::Full => selection.uncached_tokens,
             _ => 0,
@@ -136,6 +137,8 @@
                     probe_after: probe_delay(request.route.latency_objective),
                     ..options
                 };
+                let send_at = self.reserve_request(Instant::now(), &target);
+                compio::time::sleep_until(send_at).await;
                 self.send_attempt(request, &target, AttemptStage::Full, last_event_id, options)
                     .await
             }
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -195,15 +195,23 @@
                 &stream.prompt_parts,
             ),
             _ => {
-                let target = self.least_loaded_target(now, &stream.service, &stream.tried);
+                let max_wait = stream.request.route.latency_objective;
+                let target =
+                    self.least_loaded_target(now, &stream.service, &stream.tried, max_wait);
                 let selection = target.map(|decode_engine| EngineSelection {
+                    send_at: self.reserve_request(now, &decode_engine),
                     decode_engine,
                     prefill_engine: None,
                     uncached_tokens: 0,
                     time_to_first_token: Duration::ZERO,
                     priority: 0,
                 });
-                selection.ok_or(NoRoom::default())
+                selection.ok_or_else(|| NoRoom {
+                    room_after: self
+                        .shortest_limit_wait(now, &stream.service)
+                        .unwrap_or_default(),
+                    ..NoRoom::default()
+                })
             }
         };
         selection.map_err(|no_room| {
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -45,7 +45,7 @@
 
 [`OutputPredictor`] predicts the length of answers by caller, [`PrefixIndex`] tracks what an engine has cached, and
 [`RateMeter`] measures an engine's rates from its answers. [`TargetHealth`] ejects failing targets, [`RetryBudget`]
-limits retries, [`CrashAttribution`] blocks prompt parts that crash engines, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
+limits retries, [`RequestLimit`] spaces the requests to a target that limits them, [`CrashAttribution`] blocks prompt parts that crash engines, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
 processes without coordination. [`select_exchange_links`] and [`event_batch_interval`] bound the messages that gateways
 exchange about prompts sent to engines, and [`inspection_delay`] divides the inspections of engines among them.
 */
@@ -68,6 +68,7 @@
 mod recent_parts;
 mod recent_prompts;
 mod rendezvous;
+mod request_limit;
 mod retry_budget;
 mod retry_schedule;
 mod role_plan;
@@ -100,6 +101,7 @@
 pub use crate::rates::{EngineRates, RateMeter};
 pub use crate::recent_prompts::RecentPrompts;
 pub use crate::rendezvous::rendezvous_rank;
+pub use crate::request_limit::RequestLimit;
 pub use crate::retry_budget::RetryBudget;
 pub use crate::retry_schedule::RetrySchedule;
 pub use crate::role_plan::{RoleChange, plan_roles};
--- a/laburnumlug-policy/src/placement.rs
+++ b/laburnumlug-policy/src/placement.rs
@@ -29,6 +29,9 @@
 /// Maximum number of requests that wait at an engine for a slot, relative to its slots.
 const MAX_QUEUED_SHARE: f64 = 1.0;
 
+/// Maximum time by which a separate prefill is assumed to be delayed by an engine's rate limit.
+const MAX_PREFILL_LIMIT_WAIT: Duration = Duration::from_millis(100);
+
 /// State of an engine as an input of [`place_prompt`].
 #[derive(Clone, Debug)]
 pub struct EngineView {
@@ -50,6 +53,8 @@
     pub slots: u32,
     /// Mean time that a request holds a slot.
     pub slot_time: Duration,
+    /// Time until the engine accepts a request within the rate limit that it states, if it does.
+    pub limit_wait: Duration,
     /// Random addition to the predicted TTFT at this engine, with a new sample for each placement.
     ///
     /// It spreads prompts over equal engines, as several processes place prompts concurrently and learn of each other's
@@ -133,30 +138,47 @@
 /// tokens cached. Requests with the same shared parts thus reach the same engine without coordination between the
 /// processes that send them. If the affinity engine has a long queue, another engine has a lower cost.
 pub fn place_prompt(prompt: &PromptView, engines: &[EngineView]) -> Result<Placement, NoRoom> {
+    let is_within_limit = |engine: &EngineView| engine.limit_wait <= prompt.ttft_objective;
     let has_free_slot = |engine: &EngineView| engine.running < engine.slots;
-    place_at(prompt, engines, has_free_slot)
-        .or_else(|| place_at(prompt, engines, |engine| may_wait_at(prompt, engine)))
+    place_at(prompt, engines, has_free_slot, is_within_limit)
+        .or_else(|| {
+            let has_room = |engine: &EngineView| may_wait_at(prompt, engine);
+            place_at(prompt, engines, has_room, is_within_limit)
+        })
         .ok_or_else(|| NoRoom::new(prompt, engines))
 }
 
-/// Selects the engines with the lowest cost among those that `has_room` admits.
-fn place_at<F>(prompt: &PromptView, engines: &[EngineView], has_room: F) -> Option<Placement>
+/// Selects the engines with the lowest cost among those that `has_room` admits and, to decode, `may_decode`.
+///
+/// The limits of engines apply to the requests that they run. A separate prefill avoids engines that have reached theirs
+/// only if that costs less than [`MAX_PREFILL_LIMIT_WAIT`].
+fn place_at<F, G>(
+    prompt: &PromptView,
+    engines: &[EngineView],
+    has_room: F,
+    may_decode: G,
+) -> Option<Placement>
 where
     F: Fn(&EngineView) -> bool,
+    G: Fn(&EngineView) -> bool,
 {
+    let may_decode = |engine: &EngineView| has_room(engine) && may_decode(engine);
     let affinity_index = prompt
         .affinity_part
         .and_then(|part| affinity_engine(part, engines));
     let single_engine = engines
         .iter()
         .enumerate()
-        .filter(|(_, engine)| engine.role != Role::Prefill && has_room(engine))
+        .filter(|(_, engine)| engine.role != Role::Prefill && may_decode(engine))
         .map(|(i, engine)| {
             let uncached = uncached_tokens(prompt, engine, affinity_index == Some(i));
             Placement {
                 decode_engine: i,
                 prefill_engine: None,
-                time_to_first_token: engine.queue_wait.max(slot_wait(engine))
+                time_to_first_token: engine
+                    .queue_wait
+                    .max(slot_wait(engine))
+                    .max(engine.limit_wait)
                     + prefill_time(uncached, prompt, engine)
                     + FIRST_TOKEN_OVERHEAD
                     + engine.jitter,
@@ -171,12 +193,14 @@
         .filter_map(|(i, engine)| {
             let uncached = uncached_tokens(prompt, engine, affinity_index == Some(i));
             let (decode_engine, transfer_time) =
-                select_decode_engine(prompt, engine, engines, &has_room)?;
+                select_decode_engine(prompt, engine, engines, may_decode)?;
             let prefill = prefill_time(uncached, prompt, engine);
             Some(Placement {
                 decode_engine,
                 prefill_engine: Some(i),
-                time_to_first_token: engine.queue_wait
+                time_to_first_token: engine
+                    .queue_wait
+                    .max(engine.limit_wait.min(MAX_PREFILL_LIMIT_WAIT))
                     + engine.jitter
                     + prefill
                     + FIRST_TOKEN_OVERHEAD
@@ -233,6 +257,7 @@
                 per_token * tokens * transfer_factor
                     + interference
                     + slot_wait(engine)
+                    + engine.limit_wait
                     + engine.jitter,
             )
         })
@@ -254,7 +279,10 @@
     let excess = (engine.running + 1).saturating_sub(max_running(engine));
     let until_queue_has_room = engine.slot_time * excess / engine.slots.max(1);
     let until_turn_is_in_time = slot_wait(engine).saturating_sub(prompt.time_left);
-    until_queue_has_room.max(until_turn_is_in_time)
+    let until_limit_allows = engine.limit_wait.saturating_sub(prompt.ttft_objective);
+    until_queue_has_room
+        .max(until_turn_is_in_time)
+        .max(until_limit_allows)
 }
 
 /// Predicts how long a request waits for a slot: until as many requests have ended as are ahead of it.
--- a/laburnumlug-policy/src/placement_tests.rs
+++ b/laburnumlug-policy/src/placement_tests.rs
@@ -16,6 +16,7 @@
         running: 0,
         slots: 64,
         slot_time: Duration::from_millis(400),
+        limit_wait: Duration::ZERO,
         jitter: Duration::ZERO,
     }
 }
@@ -183,3 +184,40 @@
         engines.is_empty() || place_prompt(&prompt, &engines).is_ok()
     }
 }
+
+/// A request goes to an engine without a limit as long as one is near; if all have reached theirs, it waits for at most its
+/// objective, and is refused otherwise.
+#[test]
+fn place_prompt_limited_engines() {
+    let mut fleet = fleet();
+    let ms = Duration::from_millis;
+    for engine in &mut fleet[3..8] {
+        engine.limit_wait = ms(300);
+    }
+    for part in 0..20 {
+        let placement = place_prompt(&prompt(part, 13_000, 1_000), &fleet).unwrap();
+        assert_eq!(placement.decode_engine, 8);
+    }
+    fleet[8].limit_wait = ms(400);
+    let placement = place_prompt(&prompt(1, 13_000, 1_000), &fleet).unwrap();
+    assert!((3..8).contains(&placement.decode_engine));
+    for engine in &mut fleet {
+        engine.limit_wait = ms(1000);
+    }
+    let refused = place_prompt(&prompt(1, 13_000, 1_000), &fleet).unwrap_err();
+    assert_eq!(refused.room_after, ms(400));
+}
+
+/// Limits count the requests that an engine runs, so a separate prefill still goes to prefill engines.
+#[test]
+fn place_prompt_limited_prefill_engines() {
+    let mut fleet = fleet();
+    for engine in &mut fleet[..3] {
+        engine.limit_wait = Duration::from_secs(2);
+    }
+    let placement = place_prompt(&prompt(1, 13_000, 1_000), &fleet).unwrap();
+    assert!(
+        placement.prefill_engine.is_some_and(|i| i < 3),
+        "{placement:?}"
+    );
+}
--- a/laburnumlug-policy/src/prefill_queue_tests.rs
+++ b/laburnumlug-policy/src/prefill_queue_tests.rs
@@ -157,6 +157,7 @@
             slots: 64,
             slot_time: Duration::ZERO,
             // A different order of the engines for each prompt.
+            limit_wait: Duration::ZERO,
             jitter: Duration::from_micros((number * 5 + i as u64 * 3) % 8 * 100),
         });
         let chosen = place_prompt(&prompt, &views.collect::<Vec<_>>())
--- a/src/engine_event.rs
+++ b/src/engine_event.rs
@@ -53,6 +53,22 @@
         /// Whether the sender sends requests to the target.
         serves: bool,
     },
+    /// A target states how many requests it accepts from all gateways together, or no longer does.
+    #[serde(rename = "Limit")]
+    RequestLimit {
+        /// The target, which need not be an engine.
+        target: TargetName,
+        /// Number of requests per 1,000 seconds, or `None` without a limit.
+        requests_per_1000_s: Option<u64>,
+        /// Time since the statement in milliseconds.
+        age_ms: u64,
+    },
+    /// The sender is about to send a request to a target that limits its requests.
+    #[serde(rename = "Reserved")]
+    RequestReserved {
+        /// The target, which need not be an engine.
+        target: TargetName,
+    },
     /// An engine has crashed.
     #[serde(rename = "Crashed")]
     EngineCrashed {
