Break off answers whose events have no end

Cause: bytes without end that a server in trouble sends after a proper head were passed on to the caller in pieces of 1 MiB until the deadline.

Change: an event of more than 1 MiB breaks its stream, which is then resumed or aborted.

--- a/laburnumlug-forward/src/events.rs
+++ b/laburnumlug-forward/src/events.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Maximum size, in bytes, of an incomplete event that is buffered; a larger one is passed on in pieces.
+/// Maximum size, in bytes, of an incomplete event that is buffered; a stream with a larger one is broken.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Splits a stream at event boundaries, so that a caller does not receive a partial event of a broken stream.
@@ -18,12 +18,7 @@
     /// Appends a chunk and returns the events that it completes, if any.
     pub(crate) fn push(&mut self, chunk: &[u8]) -> Option<Bytes> {
         self.buf.extend_from_slice(chunk);
-        let end = self.last_event_end();
-        let end = match end {
-            None if self.buf.len() > MAX_EVENT_BYTES => self.buf.len(),
-            None => return None,
-            Some(end) => end,
-        };
+        let end = self.last_event_end()?;
         let events = self.buf.split_to(end).freeze();
         self.searched = 0;
         if let Some(id) = last_id(&events) {
@@ -64,6 +59,11 @@
         self.buf.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
     }
 
+    /// Returns whether the incomplete event has exceeded its maximum size, as bytes without end do.
+    pub(crate) fn has_overflowed(&self) -> bool {
+        self.buf.len() > MAX_EVENT_BYTES
+    }
+
     /// Discards the bytes after the last complete event of a broken stream.
     pub(crate) fn drop_partial(&mut self) {
         self.searched = 0;
@@ -128,6 +128,15 @@
         assert!(splitter.is_inside_event());
     }
 
+    #[test]
+    fn has_overflowed_without_end_of_event() {
+        let mut splitter = EventSplitter::default();
+        splitter.push(&[b'a'; MAX_EVENT_BYTES]);
+        assert!(!splitter.has_overflowed());
+        splitter.push(b"a");
+        assert!(splitter.has_overflowed());
+    }
+
     #[test]
     fn push_carriage_returns() {
         let mut splitter = EventSplitter::default();
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -33,6 +33,9 @@
 /// Reason why a stream is broken whose body has ended without an error.
 pub(super) const ENDED_INSIDE_EVENT: &str = "the stream ended inside an event";
 
+/// Reason why a stream is broken whose event has no end.
+pub(super) const EVENT_TOO_LONG: &str = "an event of the stream is too long";
+
 /// Returns whether a response has a length or chunks, so that its end is told from the end of its connection.
 fn is_framed(response: &PooledResponse) -> bool {
     let headers = response.headers();
@@ -192,6 +195,10 @@
                     return Err(AttemptFailure::timed_out("no event in time"));
                 }
             };
+            if splitter.has_overflowed() {
+                self.record_failure(Instant::now(), &target);
+                return Err(AttemptFailure::answer_lost(EVENT_TOO_LONG));
+            }
             if let Some(first_events) = splitter.push(&chunk) {
                 engine_request.mark_decoding(Instant::now());
                 target.health.borrow_mut().record_success();
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -6,7 +6,7 @@
 use futures_util::FutureExt;
 use laburnumlug_http::BodySender;
 
-use super::attempt::ENDED_INSIDE_EVENT;
+use super::attempt::{ENDED_INSIDE_EVENT, EVENT_TOO_LONG};
 use super::{OpenStream, StreamAttempt, StreamRequest};
 use crate::engine_crashes::is_decode_start;
 use crate::events::EventSplitter;
@@ -50,7 +50,10 @@
                     if !events.is_empty() && tx.send(events).await.is_err() {
                         return;
                     }
-                    continue;
+                    if !splitter.has_overflowed() {
+                        continue;
+                    }
+                    EVENT_TOO_LONG.to_string()
                 }
                 Some(Ok(None)) if splitter.is_inside_event() => ENDED_INSIDE_EVENT.to_string(),
                 Some(Ok(None)) => {
