Draw on the retry budget for refused prefills, and send nothing again to refusing engines

Cause: a separate prefill that an engine refuses is an arrival like any other, but an attempt after it was taken for the first. And a decode engine that refused a request with a prompt of another engine got it again at once to prefill it itself, however many requests it had refused, without that counting against the engine.

Change: all arrivals but the first draw on the budget, failed separate prefills included. A request goes again to the engine that refused it only if that engine refuses hardly any, so that the prompt is likely to be lost at the prefill engine; which of the two is blamed depends on the outcome.

Both new tests failed before: 26 arrivals for 12 requests, 14 allowed; repeated requests at a refusing engine.

--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -30,6 +30,10 @@
     expected * PROBE_TIME_MULTIPLE + PROBE_MARGIN
 }
 
+/// Failure rate of a decode engine from which a refusal is attributed to the engine, not to a prompt that another engine no
+/// longer holds.
+const MAX_RESEND_FAILURE_RATE: f64 = 0.05;
+
 /// Reason why a stream is broken whose body has ended without an error.
 pub(super) const ENDED_INSIDE_EVENT: &str = "the stream ended inside an event";
 
@@ -127,23 +131,27 @@
             .send_attempt(request, &target, stage, last_event_id.clone(), options)
             .await;
         let sent = match sent {
-            // The prefill engine no longer holds the prompt; the decode engine can prefill it itself.
+            // The prefill engine may no longer hold the prompt; then the decode engine can prefill it itself.
             Err(failure)
                 if uses_remote_prompt
                     && failure.cause == FailureCause::TargetRefused
+                    && target.health.borrow().failure_rate() < MAX_RESEND_FAILURE_RATE
                     && self.try_acquire_retry(Instant::now(), &stream.service) =>
             {
-                if let Some(prefill_engine) = &selection.prefill_engine {
-                    self.record_failure(Instant::now(), prefill_engine);
-                }
                 let options = AttemptOptions {
                     probe_after: probe_delay(request.route.latency_objective),
                     ..options
                 };
                 let send_at = self.reserve_request(Instant::now(), &target);
                 compio::time::sleep_until(send_at).await;
-                self.send_attempt(request, &target, AttemptStage::Full, last_event_id, options)
-                    .await
+                let stage = AttemptStage::Full;
+                let resent = self
+                    .send_attempt(request, &target, stage, last_event_id, options)
+                    .await;
+                if let (Ok(_), Some(prefill_engine)) = (&resent, &selection.prefill_engine) {
+                    self.record_failure(Instant::now(), prefill_engine);
+                }
+                resent
             }
             sent => sent,
         };
@@ -153,9 +161,7 @@
                 return Err(failure);
             }
             Err(failure) => {
-                if !uses_remote_prompt {
-                    self.record_refusal(Instant::now(), &target, &failure);
-                }
+                self.record_refusal(Instant::now(), &target, &failure);
                 return Err(failure);
             }
             Ok(response) => response,
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -39,6 +39,8 @@
     attempts_made: u32,
     /// Separate prefills that reached an engine.
     prefills_made: u32,
+    /// Arrivals at engines of which all but the first draw on the retry budget: attempts and failed separate prefills.
+    counted_arrivals: u32,
 }
 
 impl StreamRequest {
@@ -87,6 +89,7 @@
             tried: Vec::new(),
             attempts_made: 0,
             prefills_made: 0,
+            counted_arrivals: 0,
         };
         let mut may_have_run = false;
         loop {
@@ -125,7 +128,7 @@
         stream.attempts_made < max_attempts
             && (stream.tried.len() as u32) < max_attempts + MAX_EXTRA_TARGETS
             && !stream.request.time_left(now).is_zero()
-            && (stream.attempts_made == 0 || self.try_acquire_retry(now, &stream.service))
+            && (stream.counted_arrivals == 0 || self.try_acquire_retry(now, &stream.service))
     }
 
     /// Selects targets, makes one attempt there until its first event arrives, and logs the outcome.
@@ -166,8 +169,12 @@
             (_, (target, _)) => target,
         });
         match &result {
-            Ok(_) => stream.attempts_made += 1,
+            Ok(_) => {
+                stream.attempts_made += 1;
+                stream.counted_arrivals += 1;
+            }
             Err(failure) => {
+                stream.counted_arrivals += u32::from(failure.reached_target);
                 stream.attempts_made += u32::from(failure.reached_target && !failure.at_prefill);
                 log::info!(
                     request_id = stream.request.metadata.id.as_str(), target = target.instance.as_str(),
