Send nothing to targets that say they are leaving or want no requests

Change: TargetStatus, without network, keeps what each target states, together with its limit. A target that declines is not selected, and each send checks again, so that attempts after a separate prefill, a wait or a refusal keep to it as well; health checks and inspections are left out meanwhile. That a target is leaving is exchanged between gateways and sent to one that connects; a Retry-After concerns only the gateway that got it. If all targets decline, callers are refused at once and told when the first accepts requests. The state of a target outlives its absence from the list for 60 s.

--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -151,6 +151,7 @@
         let result = match time_left.is_zero() {
             true => Err(AttemptFailure::expired()),
             false => {
+                self.check_accepted(now, &request.metadata.id, target)?;
                 target.health.borrow_mut().record_selection(now);
                 let attempt = AttemptHeaders {
                     instance: target.instance.clone(),
--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -94,13 +94,13 @@
         }
         Err(match last_failure {
             None => {
-                let limit_wait = self.shortest_limit_wait(Instant::now(), service);
-                let detail = match limit_wait {
-                    Some(_) => "all targets of the service have reached their limits",
+                let wait = self.shortest_wait(Instant::now(), service);
+                let detail = match wait {
+                    Some(_) => "all targets of the service decline requests",
                     None => "no target of the service is known",
                 };
                 Refusal::new(FailureCause::NoTarget, detail)
-                    .retry_after(limit_wait.unwrap_or(NO_TARGET_RETRY_AFTER))
+                    .retry_after(wait.unwrap_or(NO_TARGET_RETRY_AFTER))
             }
             // An earlier attempt may have been executed, so a 503 would make a false guarantee.
             Some(failure)
@@ -205,7 +205,7 @@
         service: &str,
         tried: &[Rc<TargetHandle>],
     ) -> Vec<Rc<TargetHandle>> {
-        let mut targets = self.available_targets(service);
+        let mut targets = self.available_targets(now, service);
         targets.retain(|target| !tried.iter().any(|t| Rc::ptr_eq(t, target)));
         selectable_targets(now, targets)
     }
@@ -221,7 +221,7 @@
         tried: &[Rc<TargetHandle>],
         max_wait: Duration,
     ) -> Option<Rc<TargetHandle>> {
-        let limit_wait = |target: &Rc<TargetHandle>| target.request_limit.borrow().wait(now);
+        let limit_wait = |target: &Rc<TargetHandle>| target.status.borrow().limit.wait(now);
         let load = |target: &Rc<TargetHandle>| {
             let listing = target.listing.borrow();
             let zone_penalty = if listing.zone == self.cfg.zone {
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -213,7 +213,7 @@
     }
 
     /// Returns the events that bring a newly connected gateway up to date about the requests of this one, the crashes
-    /// of engines and the limits of targets.
+    /// of engines and the statements of targets.
     ///
     /// Includes the cached prompts of all engines if `includes_cache_contents`, else those of recently inspected engines.
     pub fn engine_snapshot(&self, now: Instant, includes_cache_contents: bool) -> Vec<EngineEvent> {
@@ -228,7 +228,7 @@
         let local = self.engine_requests.local.borrow();
         cache_contents
             .chain(self.crash_events(now))
-            .chain(self.limit_events(now))
+            .chain(self.statement_events(now))
             .chain(local.values().cloned())
             .collect()
     }
@@ -331,7 +331,12 @@
             }
             EngineEvent::RequestReserved { target } => {
                 if let Some(target) = self.live_target(&target) {
-                    target.request_limit.borrow_mut().reserve(now);
+                    target.status.borrow_mut().limit.reserve(now);
+                }
+            }
+            EngineEvent::TargetLeaving { target } => {
+                if let Some(target) = self.live_target(&target) {
+                    self.record_leaving(now, &target);
                 }
             }
             EngineEvent::EngineCrashed {
--- a/laburnumlug-forward/src/engine_selection.rs
+++ b/laburnumlug-forward/src/engine_selection.rs
@@ -79,7 +79,7 @@
                     running: target.in_flight.get(),
                     slots: listing.slots.max(1),
                     slot_time,
-                    limit_wait: target.request_limit.borrow().wait(now),
+                    limit_wait: target.status.borrow().limit.wait(now),
                     jitter: rand::rng().random_range(Duration::ZERO..MAX_PLACEMENT_JITTER),
                 }
             })
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -218,7 +218,14 @@
         self.view.borrow().registry.engines()
     }
 
-    pub(crate) fn available_targets(&self, service: &str) -> Vec<Rc<TargetHandle>> {
+    pub(crate) fn available_targets(&self, now: Instant, service: &str) -> Vec<Rc<TargetHandle>> {
+        let mut targets = self.staying_targets(service);
+        targets.retain(|target| target.status.borrow().decline(now).is_none());
+        targets
+    }
+
+    /// Returns the targets of a service that accept new requests by the newest target list.
+    pub(crate) fn staying_targets(&self, service: &str) -> Vec<Rc<TargetHandle>> {
         self.view.borrow().registry.available_targets(service)
     }
 
--- a/laburnumlug-forward/src/header_codec.rs
+++ b/laburnumlug-forward/src/header_codec.rs
@@ -68,6 +68,10 @@
     ///
     /// It is finite and not negative.
     pub request_limit: Option<f64>,
+    /// Whether the target is leaving and wants no further requests.
+    pub leaving: bool,
+    /// How long the target wants no further requests of this gateway, after it has refused one.
+    pub retry_after: Option<Duration>,
 }
 
 /// Metadata from the head of a response.
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -43,7 +43,7 @@
 mod registry;
 mod routes;
 mod stream;
-mod target_limits;
+mod target_statements;
 
 pub use crate::config::ForwardConfig;
 pub use crate::engine_requests::EventSink;
--- a/laburnumlug-forward/src/probe.rs
+++ b/laburnumlug-forward/src/probe.rs
@@ -87,7 +87,12 @@
     }
 
     /// Returns whether a target passes a health check within the probe timeout.
+    ///
+    /// One that has declined requests is not probed, as it has answered just before.
     pub(crate) async fn is_healthy(&self, target: &TargetHandle) -> bool {
+        if target.status.borrow().decline(Instant::now()).is_some() {
+            return true;
+        }
         let listing = target.listing.borrow().clone();
         let path = self.health_path(&listing.service);
         let probe = self
@@ -123,7 +128,8 @@
         let forwarder = self.clone();
         compio::runtime::spawn(async move {
             forwarder.wait_for_inspection_turn(&target.instance).await;
-            if target.is_cache_known.get() {
+            let declines = target.status.borrow().decline(Instant::now()).is_some();
+            if target.is_cache_known.get() || declines {
                 return;
             }
             let listing = target.listing.borrow().clone();
--- a/laburnumlug-forward/src/refusal.rs
+++ b/laburnumlug-forward/src/refusal.rs
@@ -21,6 +21,8 @@
     PromptBlocked,
     /// A target stated that it did not execute the request.
     TargetRefused,
+    /// A target has stated before that it wants no requests.
+    TargetDeclined,
     /// No connection to a target could be established.
     Unreachable,
     /// The request may have been executed, but its response was lost.
@@ -45,6 +47,7 @@
             | FailureCause::NoTarget
             | FailureCause::PromptBlocked
             | FailureCause::TargetRefused
+            | FailureCause::TargetDeclined
             | FailureCause::Unreachable
             | FailureCause::Expired => 503,
             FailureCause::AnswerLost => 502,
@@ -63,6 +66,7 @@
             FailureCause::NoTarget => "no-target",
             FailureCause::PromptBlocked => "prompt-blocked",
             FailureCause::TargetRefused => "target-refused",
+            FailureCause::TargetDeclined => "target-declined",
             FailureCause::Unreachable => "unreachable",
             FailureCause::AnswerLost => "answer-lost",
             FailureCause::TimedOut => "timed-out",
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -7,7 +7,7 @@
 
 use laburnumlug::{LiveTarget, Role, ServiceName, TargetList, TargetName};
 use laburnumlug_policy::{
-    KvCacheEstimate, PrefillQueue, RecentPrompts, RequestLimit, TargetHealth,
+    KvCacheEstimate, PrefillQueue, RecentPrompts, TargetHealth, TargetStatus,
 };
 
 /// Initial estimate of an engine's prefill rate, until measurements replace it; about the rate of a current
@@ -26,6 +26,9 @@
     }
 }
 
+/// How long the state of a target is kept after it was last listed.
+const UNLISTED_RETENTION: Duration = Duration::from_secs(60);
+
 /// Assumed KV cache capacity of an engine until the service's configured memory is applied, in tokens.
 const DEFAULT_KV_CACHE_TOKENS: u64 = 500_000;
 
@@ -43,7 +46,8 @@
     pub(crate) is_cache_known: Cell<bool>,
     /// When this process fetched the cached prompts, or `None` if it did not.
     pub(crate) inspected_at: Cell<Option<Instant>>,
-    pub(crate) request_limit: RefCell<RequestLimit>,
+    /// Statements of the target about the requests that it accepts.
+    pub(crate) status: RefCell<TargetStatus>,
     /// Whether a check for a crash is running.
     pub(crate) is_checked_for_crash: Cell<bool>,
     /// Prompts of requests that ended while the engine was beginning to decode them, and when.
@@ -62,7 +66,7 @@
             kv_cache: RefCell::new(KvCacheEstimate::new(DEFAULT_KV_CACHE_TOKENS)),
             is_cache_known: Cell::new(false),
             inspected_at: Cell::default(),
-            request_limit: RefCell::default(),
+            status: RefCell::default(),
             is_checked_for_crash: Cell::new(false),
             unfinished_prompts: RefCell::default(),
         }
@@ -103,6 +107,8 @@
     read_at: Option<Instant>,
     by_instance: HashMap<TargetName, Rc<TargetHandle>>,
     services: HashMap<ServiceName, Vec<Rc<TargetHandle>>>,
+    /// Targets that are no longer listed, and since when; a list may lack a target by mistake.
+    unlisted: HashMap<TargetName, (Instant, Rc<TargetHandle>)>,
 }
 
 impl TargetRegistry {
@@ -121,7 +127,9 @@
         }
         let mut by_instance = HashMap::new();
         for mut listing in list.targets {
-            let handle = match self.by_instance.remove(&listing.instance) {
+            let unlisted = self.unlisted.remove(&listing.instance);
+            let known = self.by_instance.remove(&listing.instance);
+            let handle = match known.or(unlisted.map(|(_, handle)| handle)) {
                 Some(handle) if handle.listing.borrow().addr == listing.addr => {
                     // Leaving is final, although an older page of the list may still show the target as ready.
                     listing.leaving |= handle.listing.borrow().leaving;
@@ -151,9 +159,12 @@
             };
             by_instance.insert(handle.instance.clone(), handle);
         }
-        for removed in self.by_instance.keys() {
+        for (removed, handle) in self.by_instance.drain() {
             log::info!(target = removed.as_str(); "removed the target: it is no longer listed");
+            self.unlisted.insert(removed, (read_at, handle));
         }
+        self.unlisted
+            .retain(|_, (since, _)| read_at.saturating_duration_since(*since) < UNLISTED_RETENTION);
         let mut services: HashMap<ServiceName, Vec<Rc<TargetHandle>>> = HashMap::new();
         for handle in by_instance.values() {
             let service = handle.listing.borrow().service.clone();
@@ -289,6 +300,25 @@
         assert_eq!(available[0].instance, "b");
     }
 
+    /// A list lacks a target for a moment. What the target has stated still holds.
+    #[test]
+    fn update_missing_target_keeps_its_status() {
+        let now = Instant::now();
+        let mut registry = TargetRegistry::default();
+        registry.update(now, list(&[live_target("a", false)]));
+        let target = registry.find("a").unwrap();
+        target.status.borrow_mut().record_leaving(now);
+        let at = |seconds| now + Duration::from_secs(seconds);
+        registry.update(at(1), list(&[]));
+        assert!(registry.find("a").is_none());
+        registry.update(at(2), list(&[live_target("a", false)]));
+        assert!(registry.find("a").unwrap().status.borrow().is_leaving());
+        registry.update(at(3), list(&[]));
+        registry.update(at(3) + UNLISTED_RETENTION, list(&[]));
+        registry.update(at(4) + UNLISTED_RETENTION, list(&[live_target("a", false)]));
+        assert!(!registry.find("a").unwrap().status.borrow().is_leaving());
+    }
+
     #[test]
     fn update_older_list() {
         let now = Instant::now();
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -213,15 +213,14 @@
                     time_to_first_token: Duration::ZERO,
                     priority: 0,
                 });
-                selection.ok_or_else(|| NoRoom {
-                    room_after: self
-                        .shortest_limit_wait(now, &stream.service)
-                        .unwrap_or_default(),
-                    ..NoRoom::default()
-                })
+                selection.ok_or(NoRoom::default())
             }
         };
-        selection.map_err(|no_room| {
+        selection.map_err(|mut no_room| {
+            if no_room.room_after.is_zero() {
+                let wait = self.shortest_wait(now, &stream.service);
+                no_room.room_after = wait.unwrap_or_default();
+            }
             let demand = &self.engine_requests.demand;
             demand.add_refused(now, &stream.service);
             AttemptFailure {
--- /dev/null
+++ b/laburnumlug-forward/src/target_statements.rs
@@ -0,0 +1,154 @@
+//! Statements of targets about the requests that they accept, and their exchange between gateways.
+
+use std::time::{Duration, Instant};
+
+use laburnumlug::{EngineEvent, RequestId};
+
+use crate::attempt::AttemptFailure;
+use crate::forwarder::Forwarder;
+use crate::header_codec::TargetStatements;
+use crate::refusal::FailureCause;
+use crate::registry::TargetHandle;
+
+/// Unit of rates in events: requests per 1,000 seconds, which are whole numbers.
+const EVENT_RATE_SECONDS: f64 = 1000.0;
+
+impl Forwarder {
+    /// Records what a target states about itself, and reports a change to the other gateways.
+    ///
+    /// How long a target wants no requests concerns only the gateway that it has told.
+    pub(crate) fn record_statements(
+        &self,
+        now: Instant,
+        target: &TargetHandle,
+        statements: TargetStatements,
+    ) {
+        if self.record_limit(now, target, statements.request_limit) {
+            self.engine_requests.publish(limit_event(now, target));
+        }
+        if statements.leaving && self.record_leaving(now, target) {
+            self.engine_requests.publish(leaving_event(target));
+        }
+        if let Some(time) = statements.retry_after.filter(|time| !time.is_zero()) {
+            log::info!(
+                target = target.instance.as_str(), retry_after_ms = time.as_millis() as u64;
+                "the target wants no requests of this gateway"
+            );
+            target.status.borrow_mut().record_retry_after(now, time);
+        }
+    }
+
+    /// Records that a target is leaving, by its own statement, and logs and returns whether that is new.
+    pub(crate) fn record_leaving(&self, now: Instant, target: &TargetHandle) -> bool {
+        let is_new = target.status.borrow_mut().record_leaving(now);
+        if is_new {
+            log::info!(
+                target = target.instance.as_str();
+                "the target states that it is leaving: it gets no new requests"
+            );
+        }
+        is_new
+    }
+
+    /// Checks that a target accepts requests, by its own statements.
+    pub(crate) fn check_accepted(
+        &self,
+        now: Instant,
+        request_id: &RequestId,
+        target: &TargetHandle,
+    ) -> Result<(), AttemptFailure> {
+        let Some((decline, age)) = target.status.borrow().decline(now) else {
+            return Ok(());
+        };
+        log::info!(
+            request_id = request_id.as_str(), target = target.instance.as_str(),
+            statement = decline.as_str(), age_ms = age.as_millis() as u64;
+            "the request is not sent: the target declines requests"
+        );
+        let detail = "the target declines requests";
+        Err(AttemptFailure::unsent(FailureCause::TargetDeclined, detail))
+    }
+
+    /// Records a limit that a target stated at `stated_at`, and logs and returns whether it has changed.
+    fn record_limit(&self, stated_at: Instant, target: &TargetHandle, limit: Option<f64>) -> bool {
+        let limit_state = &mut target.status.borrow_mut().limit;
+        let is_changed = limit_state.record_statement(stated_at, limit);
+        match (is_changed, limit_state.requests_per_second()) {
+            (false, _) => {}
+            (true, Some(limit)) => log::info!(
+                target = target.instance.as_str(), request_limit = limit;
+                "the target limits its requests per second"
+            ),
+            (true, None) => log::info!(
+                target = target.instance.as_str();
+                "the target no longer limits its requests"
+            ),
+        }
+        is_changed
+    }
+
+    /// Applies a limit that another gateway reported.
+    pub(crate) fn apply_limit(
+        &self,
+        stated_at: Instant,
+        target: &TargetHandle,
+        requests_per_1000_s: Option<u64>,
+    ) {
+        let limit = requests_per_1000_s.map(|requests| requests as f64 / EVENT_RATE_SECONDS);
+        self.record_limit(stated_at, target, limit);
+    }
+
+    /// Counts a request against the limit of its target, if that has one, and returns when it may be sent.
+    pub(crate) fn reserve_request(&self, now: Instant, target: &TargetHandle) -> Instant {
+        let limit = &mut target.status.borrow_mut().limit;
+        if limit.requests_per_second().is_some() {
+            let target = target.instance.clone();
+            self.engine_requests
+                .publish(EngineEvent::RequestReserved { target });
+        }
+        limit.reserve(now)
+    }
+
+    /// Returns the shortest time until a target of a service accepts a request, or `None` if one does now or all are
+    /// leaving.
+    pub(crate) fn shortest_wait(&self, now: Instant, service: &str) -> Option<Duration> {
+        let targets = self.staying_targets(service);
+        let waits = targets
+            .iter()
+            .filter_map(|target| target.status.borrow().wait(now));
+        waits.min().filter(|wait| !wait.is_zero())
+    }
+
+    /// Returns the events that describe the statements of all targets.
+    pub(crate) fn statement_events(&self, now: Instant) -> Vec<EngineEvent> {
+        let mut events = Vec::new();
+        for target in self.live_targets() {
+            let status = *target.status.borrow();
+            if status.limit.requests_per_second().is_some() {
+                events.push(limit_event(now, &target));
+            }
+            if status.is_leaving() {
+                events.push(leaving_event(&target));
+            }
+        }
+        events
+    }
+}
+
+fn leaving_event(target: &TargetHandle) -> EngineEvent {
+    EngineEvent::TargetLeaving {
+        target: target.instance.clone(),
+    }
+}
+
+fn limit_event(now: Instant, target: &TargetHandle) -> EngineEvent {
+    let limit = target.status.borrow().limit;
+    let stated_at = limit.stated_at().unwrap_or(now);
+    EngineEvent::RequestLimit {
+        target: target.instance.clone(),
+        requests_per_1000_s: limit
+            .requests_per_second()
+            .map(|limit| (limit * EVENT_RATE_SECONDS) as u64),
+        age_ms: now.saturating_duration_since(stated_at).as_millis() as u64,
+    }
+}
--- a/src/engine_event.rs
+++ b/src/engine_event.rs
@@ -69,6 +69,12 @@
         /// The target, which need not be an engine.
         target: TargetName,
     },
+    /// A target states that it is leaving.
+    #[serde(rename = "Leaving")]
+    TargetLeaving {
+        /// The target, which need not be an engine.
+        target: TargetName,
+    },
     /// An engine has crashed.
     #[serde(rename = "Crashed")]
     EngineCrashed {
