Bound the wait for a target's limit to two fifths of the latency objective

Refusals for lack of room did not say that limits were the reason.

Change: a request may wait for two fifths of its objective and is refused otherwise. The refusal says how many targets decline or limit requests.

--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use laburnumlug::Verdict;
 use laburnumlug_http::{Response, full_body};
+use laburnumlug_policy::max_limit_wait;
 use rand::Rng;
 
 use crate::attempt::{AttemptFailure, AttemptOptions, CallerRequest};
@@ -55,7 +56,7 @@
             if attempts_made >= request.route.max_attempts {
                 break;
             }
-            let max_wait = request.route.latency_objective;
+            let max_wait = max_limit_wait(request.route.latency_objective);
             let Some(target) = self.least_loaded_target(now, service, &tried, max_wait) else {
                 break;
             };
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use laburnumlug::Verdict;
 use laburnumlug_http::{PooledResponse, Response, channel_body};
-use laburnumlug_policy::{NoRoom, PromptParts};
+use laburnumlug_policy::{NoRoom, PromptParts, max_limit_wait};
 
 use crate::attempt::{AttemptFailure, CallerRequest};
 use crate::engine_requests::EngineRequestGuard;
@@ -202,7 +202,7 @@
                 &stream.prompt_parts,
             ),
             _ => {
-                let max_wait = stream.request.route.latency_objective;
+                let max_wait = max_limit_wait(stream.request.route.latency_objective);
                 let target =
                     self.least_loaded_target(now, &stream.service, &stream.tried, max_wait);
                 let selection = target.map(|decode_engine| EngineSelection {
@@ -227,7 +227,10 @@
                 retry_after: self.schedule_retry(now, &stream.service, no_room),
                 ..AttemptFailure::unsent(
                     FailureCause::NoTarget,
-                    "no engine of the service has room",
+                    format!(
+                        "no engine of the service has room{}",
+                        self.describe_statements(now, &stream.service)
+                    ),
                 )
             }
         })
--- a/laburnumlug-forward/src/target_statements.rs
+++ b/laburnumlug-forward/src/target_statements.rs
@@ -119,6 +119,24 @@
         waits.min().filter(|wait| !wait.is_zero())
     }
 
+    /// Describes how many targets of a service decline or limit requests, for the text of a refusal; empty if none does.
+    pub(crate) fn describe_statements(&self, now: Instant, service: &str) -> String {
+        let targets = self.staying_targets(service);
+        let statuses = targets.iter().map(|target| *target.status.borrow());
+        let (mut declining, mut limiting) = (0, 0);
+        for status in statuses {
+            declining += usize::from(status.decline(now).is_some());
+            limiting += usize::from(!status.limit.wait(now).is_zero());
+        }
+        match (declining, limiting) {
+            (0, 0) => String::new(),
+            _ => format!(
+                ": of {} engines, {declining} decline requests and {limiting} have reached their limits",
+                targets.len()
+            ),
+        }
+    }
+
     /// Returns the events that describe the statements of all targets.
     pub(crate) fn statement_events(&self, now: Instant) -> Vec<EngineEvent> {
         let mut events = Vec::new();
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -102,7 +102,7 @@
 pub use crate::rates::{EngineRates, RateMeter};
 pub use crate::recent_prompts::RecentPrompts;
 pub use crate::rendezvous::rendezvous_rank;
-pub use crate::request_limit::RequestLimit;
+pub use crate::request_limit::{RequestLimit, max_limit_wait};
 pub use crate::retry_budget::RetryBudget;
 pub use crate::retry_schedule::RetrySchedule;
 pub use crate::role_plan::{RoleChange, plan_roles};
--- a/laburnumlug-policy/src/placement.rs
+++ b/laburnumlug-policy/src/placement.rs
@@ -7,6 +7,7 @@
 
 use crate::kv_cache::PartId;
 use crate::prefill_queue::prefill_work;
+use crate::request_limit::max_limit_wait;
 
 /// Time from the end of prefill until the caller receives the first token.
 pub const FIRST_TOKEN_OVERHEAD: Duration = Duration::from_millis(20);
@@ -138,7 +139,8 @@
 /// tokens cached. Requests with the same shared parts thus reach the same engine without coordination between the
 /// processes that send them. If the affinity engine has a long queue, another engine has a lower cost.
 pub fn place_prompt(prompt: &PromptView, engines: &[EngineView]) -> Result<Placement, NoRoom> {
-    let is_within_limit = |engine: &EngineView| engine.limit_wait <= prompt.ttft_objective;
+    let max_wait = max_limit_wait(prompt.ttft_objective);
+    let is_within_limit = |engine: &EngineView| engine.limit_wait <= max_wait;
     let has_free_slot = |engine: &EngineView| engine.running < engine.slots;
     place_at(prompt, engines, has_free_slot, is_within_limit)
         .or_else(|| {
@@ -279,7 +281,9 @@
     let excess = (engine.running + 1).saturating_sub(max_running(engine));
     let until_queue_has_room = engine.slot_time * excess / engine.slots.max(1);
     let until_turn_is_in_time = slot_wait(engine).saturating_sub(prompt.time_left);
-    let until_limit_allows = engine.limit_wait.saturating_sub(prompt.ttft_objective);
+    let until_limit_allows = engine
+        .limit_wait
+        .saturating_sub(max_limit_wait(prompt.ttft_objective));
     until_queue_has_room
         .max(until_turn_is_in_time)
         .max(until_limit_allows)
--- a/laburnumlug-policy/src/placement_tests.rs
+++ b/laburnumlug-policy/src/placement_tests.rs
@@ -185,27 +185,27 @@
     }
 }
 
-/// A request goes to an engine without a limit as long as one is near; if all have reached theirs, it waits for at most its
-/// objective, and is refused otherwise.
+/// A request goes to an engine without a limit as long as one is near; if all have reached theirs, it waits for at most a
+/// share of its objective, and is refused otherwise.
 #[test]
 fn place_prompt_limited_engines() {
     let mut fleet = fleet();
     let ms = Duration::from_millis;
     for engine in &mut fleet[3..8] {
-        engine.limit_wait = ms(300);
+        engine.limit_wait = ms(100);
     }
     for part in 0..20 {
         let placement = place_prompt(&prompt(part, 13_000, 1_000), &fleet).unwrap();
         assert_eq!(placement.decode_engine, 8);
     }
-    fleet[8].limit_wait = ms(400);
+    fleet[8].limit_wait = ms(200);
     let placement = place_prompt(&prompt(1, 13_000, 1_000), &fleet).unwrap();
     assert!((3..8).contains(&placement.decode_engine));
     for engine in &mut fleet {
         engine.limit_wait = ms(1000);
     }
     let refused = place_prompt(&prompt(1, 13_000, 1_000), &fleet).unwrap_err();
-    assert_eq!(refused.room_after, ms(400));
+    assert_eq!(refused.room_after, ms(760));
 }
 
 /// Limits count the requests that an engine runs, so a separate prefill still goes to prefill engines.
--- a/laburnumlug-policy/src/request_limit.rs
+++ b/laburnumlug-policy/src/request_limit.rs
@@ -12,6 +12,15 @@
 /// Time by which requests may be ahead of an even spacing at the stated rate.
 const MAX_BURST_TIME: Duration = Duration::from_millis(500);
 
+/// Share of a request's latency objective for which it may wait until the limit of a target allows it. While the limits of
+/// all targets are exceeded, each request that is not refused waits that long, and has to be on time all the same.
+const MAX_WAIT_SHARE: f64 = 0.4;
+
+/// Returns how long a request with this latency objective may wait until the limit of a target allows it.
+pub fn max_limit_wait(objective: Duration) -> Duration {
+    objective.mul_f64(MAX_WAIT_SHARE)
+}
+
 /// Requests to a target that states how many per second it accepts from all gateways together.
 ///
 /// Each gateway counts its own requests and those that its peers report, and spaces them evenly (GCRA). Reports arrive
