--- a/laburnumlug-policy/src/crash_attribution.rs
+++ b/laburnumlug-policy/src/crash_attribution.rs
@@ -85,7 +85,7 @@
         }
     }
 
-    /// Records a crash, or further parts of a crash that is already known, and returns the parts that it blocks anew.
+    /// Records a crash, or further parts of a crash that is already known, and returns the newly blocked parts.
     pub fn record_crash(&mut self, now: Instant, crash: EngineCrash) -> Vec<BlockedPart> {
         let is_expired = |at: Instant| now.saturating_duration_since(at) >= CRASH_RETENTION;
         if is_expired(crash.at) {
