Log the content of requests that fail at targets

Cause: the logs did not tell whether requests that break at several servers ask for the same thing, as each repeat has another id. Lines on failed attempts and broken streams hold it. No decision depends on it yet.

--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -13,6 +13,7 @@
 use crate::header_codec::{AttemptHeaders, AttemptStage, RequestMetadata};
 use crate::refusal::{FailureCause, Refusal};
 use crate::registry::TargetHandle;
+use crate::request_content::ContentId;
 use crate::routes::RouteEntry;
 
 /// Maximum size, in bytes, of a response body that is read and discarded so that the connection can be reused.
@@ -27,6 +28,7 @@
     /// Headers to forward.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) content: ContentId,
     pub(crate) arrived_at: Instant,
     /// When the timeout of the caller or of the route expires, whichever is earlier.
     pub(crate) deadline: Instant,
--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -78,7 +78,8 @@
             };
             log::info!(
                 request_id = request.metadata.id.as_str(), target = target.instance.as_str(),
-                cause = failure.cause.as_str(); "attempt failed: {}", failure.detail
+                cause = failure.cause.as_str(), content = format!("{:x}", request.content).as_str();
+                "attempt failed: {}", failure.detail
             );
             attempts_made += u32::from(failure.reached_target);
             let may_repeat = failure.verdict == Verdict::NotRun || request.route.is_repeatable();
--- a/laburnumlug-forward/src/handler.rs
+++ b/laburnumlug-forward/src/handler.rs
@@ -14,6 +14,7 @@
 use crate::forwarder::Forwarder;
 use crate::header_codec::RequestMetadata;
 use crate::refusal::{FailureCause, Refusal};
+use crate::request_content::content_id;
 use crate::routes::{RouteEntry, RouteTable};
 
 /// Timeout for a caller to send the request body.
@@ -141,11 +142,13 @@
             .unwrap_or(DEFAULT_DEADLINE)
             .min(route.timeout);
         let path = parts.uri.path_and_query().cloned();
+        let path = path.map_or(parts.uri, hyper::Uri::from);
         let request = CallerRequest {
             headers: self.header_codec.forwarded_request_headers(&parts.headers),
             metadata,
+            content: content_id(&parts.method, &path, &parts.headers, &body),
             method: parts.method,
-            path: path.map_or(parts.uri, hyper::Uri::from),
+            path,
             body,
             arrived_at,
             deadline: arrived_at + timeout,
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -41,6 +41,7 @@
 mod probe;
 mod refusal;
 mod registry;
+mod request_content;
 mod routes;
 mod stream;
 mod target_statements;
--- /dev/null
+++ b/laburnumlug-forward/src/request_content.rs
@@ -0,0 +1,42 @@
+//! Identity of what a request asks for, which is the same for repeats with another request id.
+
+use hyper::header::{AUTHORIZATION, HOST};
+use hyper::{HeaderMap, Method, Uri};
+use sha2::{Digest, Sha256};
+
+/// Hash of a method, a host, a path with its query, the caller's credentials and a body.
+pub(crate) type ContentId = u64;
+
+/// Returns the id of what a request asks for.
+///
+/// The hash is cryptographic, so that no caller can choose a content with the id of another caller's.
+pub(crate) fn content_id(
+    method: &Method,
+    path: &Uri,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> ContentId {
+    let header = |name| headers.get(name).map_or(&[][..], |value| value.as_bytes());
+    let path = path.to_string();
+    let fields = [
+        method.as_str().as_bytes(),
+        header(HOST),
+        path.as_bytes(),
+        header(AUTHORIZATION),
+        body,
+    ];
+    let mut hasher = Sha256::new();
+    for field in fields {
+        // The length separates a field from the next one.
+        hasher.update((field.len() as u64).to_be_bytes());
+        hasher.update(field);
+    }
+    let hash = hasher.finalize();
+    hash.iter()
+        .take(size_of::<ContentId>())
+        .fold(0, |id, byte| id << 8 | ContentId::from(*byte))
+}
+
+#[cfg(test)]
+#[path = "request_content_tests.rs"]
+mod tests;
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -178,7 +178,8 @@
                 stream.attempts_made += u32::from(failure.reached_target && !failure.at_prefill);
                 log::info!(
                     request_id = stream.request.metadata.id.as_str(), target = target.instance.as_str(),
-                    cause = failure.cause.as_str(), prompt_parts = stream.shareable_parts().as_str();
+                    cause = failure.cause.as_str(), content = format!("{:x}", stream.request.content).as_str(),
+                    prompt_parts = stream.shareable_parts().as_str();
                     "attempt failed: {}", failure.detail
                 );
             }
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -85,6 +85,7 @@
             let resumed = self.resume(&mut stream, &splitter).await;
             log::info!(
                 request_id = id.as_str(), target = target.instance.as_str(),
+                content = format!("{:x}", stream.request.content).as_str(),
                 prompt_parts = stream.shareable_parts().as_str(), resumed = resumed.is_some();
                 "the stream from the target broke: {break_reason}"
             );
