Block requests whose repeats crash the targets that run them

Callers saw: while one read came again and again, all servers of its service were away most of the time, and every other request for the service was refused or lost. Cause: a request that kills the process that serves it. A crash was attributed only to prompt parts that requests share; plain requests have none, and the content of a single request was not looked at. Each repeat, with another id and at any gateway, counted as new, and the gateway's own retry carried it to a second server within 0.1 s. Change: crash attribution takes the content of a request as a suspect beside prompt parts, for plain requests and streams. A crash that only one request can explain blocks that request for 30 s, else the second crash blocks it for 4 min; a completed request is cleared. After a crash, a retry waits until the reports of other gateways are in. Blocked requests are refused before they are sent, and cancelled while they run. Gateways exchange the contents with the crashes, also with one that starts later. Requests that ended more than 200 ms before a crash are no longer suspected. This works because all repeats have the same content, whatever id or gateway they have, and no sound request shares it.

--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -8,12 +8,12 @@
 use hyper::HeaderMap;
 use laburnumlug::Verdict;
 use laburnumlug_http::{PooledResponse, SendError};
+use laburnumlug_policy::{ContentId, PromptParts, Suspect};
 
 use crate::forwarder::Forwarder;
 use crate::header_codec::{AttemptHeaders, AttemptStage, RequestMetadata};
 use crate::refusal::{FailureCause, Refusal};
 use crate::registry::TargetHandle;
-use crate::request_content::ContentId;
 use crate::routes::RouteEntry;
 
 /// Maximum size, in bytes, of a response body that is read and discarded so that the connection can be reused.
@@ -29,6 +29,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) content: ContentId,
+    /// Parts of the prompt; a request without a prompt has none.
+    pub(crate) prompt_parts: PromptParts,
     pub(crate) arrived_at: Instant,
     /// When the timeout of the caller or of the route expires, whichever is earlier.
     pub(crate) deadline: Instant,
@@ -38,6 +40,13 @@
     pub(crate) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
     }
+
+    /// Returns what the request has that may crash the target that runs it.
+    pub(crate) fn suspects(&self) -> Vec<Suspect> {
+        let mut suspects = self.prompt_parts.suspects();
+        suspects.push(Suspect::Content(self.content));
+        suspects
+    }
 }
 
 /// Timeout and priority settings of one attempt.
@@ -85,6 +94,17 @@
         }
     }
 
+    /// Creates the failure of an attempt whose connection broke before the response was complete.
+    pub(crate) fn connection_broken<D>(detail: D) -> AttemptFailure
+    where
+        D: Into<String>,
+    {
+        AttemptFailure {
+            is_connection_broken: true,
+            ..AttemptFailure::answer_lost(detail)
+        }
+    }
+
     /// Creates the failure of an attempt to which the target did not respond in time, although it may have run it.
     pub(crate) fn timed_out(detail: &str) -> AttemptFailure {
         AttemptFailure {
@@ -115,11 +135,20 @@
         }
     }
 
+    /// Returns the failure of a request whose attempt before this one failed as well.
+    pub(crate) fn after(self, previous: Option<AttemptFailure>) -> AttemptFailure {
+        let verdict = previous.map_or(Verdict::NotRun, |previous| previous.verdict);
+        AttemptFailure {
+            verdict: verdict.combine(self.verdict),
+            ..self
+        }
+    }
+
     /// Returns whether another attempt would fail for the same reason.
     pub(crate) fn is_final(&self) -> bool {
         matches!(
             self.cause,
-            FailureCause::NoTarget | FailureCause::PromptBlocked
+            FailureCause::NoTarget | FailureCause::PromptBlocked | FailureCause::RequestBlocked
         )
     }
 
@@ -235,10 +264,7 @@
             }
             Some(Err(SendError::Sent(err))) => {
                 self.record_failure(now, target);
-                Err(AttemptFailure {
-                    is_connection_broken: true,
-                    ..AttemptFailure::answer_lost(err.to_string())
-                })
+                Err(AttemptFailure::connection_broken(err.to_string()))
             }
             None => {
                 self.record_failure(now, target);
--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 
 use crate::attempt::{AttemptFailure, AttemptOptions, CallerRequest};
+use crate::crashes::RunGuard;
 use crate::forwarder::Forwarder;
 use crate::header_codec::AttemptStage;
 use crate::refusal::{FailureCause, Refusal};
@@ -56,6 +57,10 @@
             if attempts_made >= request.route.max_attempts {
                 break;
             }
+            if let Err(failure) = self.check_not_blocked(now, request) {
+                last_failure = Some(failure.after(last_failure));
+                break;
+            }
             let max_wait = max_limit_wait(request.route.latency_objective);
             let Some(target) = self.least_loaded_target(now, service, &tried, max_wait) else {
                 break;
@@ -66,10 +71,11 @@
             let is_last_attempt = attempts_made + 1 >= request.route.max_attempts;
             tried.push(target.clone());
             compio::time::sleep_until(self.reserve_request(now, &target)).await;
-            let failure = match self
-                .attempt_buffered(request, &target, is_last_attempt)
-                .await
-            {
+            let attempt = self.attempt_buffered(request, &target, is_last_attempt);
+            let result = self
+                .unless_blocked(Verdict::MayHaveRun, request, attempt)
+                .await;
+            let failure = match result {
                 Ok(resp) => {
                     self.log_late_response(request, &target);
                     return Ok(resp);
@@ -83,16 +89,15 @@
             );
             attempts_made += u32::from(failure.reached_target);
             let may_repeat = failure.verdict == Verdict::NotRun || request.route.is_repeatable();
-            let verdict = last_failure
-                .as_ref()
-                .map_or(Verdict::NotRun, |last_failure| last_failure.verdict);
-            last_failure = Some(AttemptFailure {
-                verdict: verdict.combine(failure.verdict),
-                ..failure
-            });
-            if !may_repeat {
+            if failure.is_connection_broken {
+                self.check_for_crash(&target);
+            }
+            let is_final = failure.is_final();
+            last_failure = Some(failure.after(last_failure));
+            if !may_repeat || is_final {
                 break;
             }
+            self.await_crash_check(&target).await;
         }
         Err(match last_failure {
             None => {
@@ -121,22 +126,31 @@
         is_last_attempt: bool,
     ) -> Result<Response, AttemptFailure> {
         let _in_flight = target.track_request();
+        let mut run = RunGuard::start(target, request);
         let exchange = async {
             let options = AttemptOptions {
                 probe_after: request.route.latency_objective * PROBE_OBJECTIVE_MULTIPLE,
                 abandon_if_silent: false,
                 priority: None,
             };
-            let mut response = self
+            let sent = self
                 .send_attempt(request, target, AttemptStage::Full, None, options)
-                .await?;
+                .await;
+            let mut response = match sent {
+                Err(failure) if failure.verdict == Verdict::NotRun => {
+                    run.mark_not_run();
+                    return Err(failure);
+                }
+                sent => sent?,
+            };
             let body = match response.bytes(MAX_RESPONSE_BYTES).await {
                 Ok(body) => body,
                 Err(err) => {
                     self.record_failure(Instant::now(), target);
-                    return Err(AttemptFailure::answer_lost(err.to_string()));
+                    return Err(AttemptFailure::connection_broken(err.to_string()));
                 }
             };
+            run.mark_complete(Instant::now(), self);
             Ok((response, body))
         };
         let resend_after = match request.route.is_repeatable() && !is_last_attempt {
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -6,10 +6,11 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{DemandReport, EngineEvent, SendNumber};
-use laburnumlug_policy::{FIRST_TOKEN_OVERHEAD, PromptParts, prefill_work};
+use laburnumlug_policy::{FIRST_TOKEN_OVERHEAD, PromptParts, Suspect, prefill_work};
 
+use crate::attempt::CallerRequest;
+use crate::crashes::is_decode_start;
 use crate::demand::DemandTotals;
-use crate::engine_crashes::is_decode_start;
 use crate::forwarder::Forwarder;
 use crate::registry::TargetHandle;
 
@@ -79,6 +80,7 @@
     target: Rc<TargetHandle>,
     number: SendNumber,
     prompt_parts: PromptParts,
+    suspects: Vec<Suspect>,
     sent_at: Instant,
     predicted_prefill: Duration,
     is_prefilled: bool,
@@ -95,11 +97,12 @@
         forwarder: &Rc<Forwarder>,
         now: Instant,
         target: &Rc<TargetHandle>,
-        prompt_parts: &PromptParts,
+        request: &CallerRequest,
         uncached_tokens: u64,
         priority: u8,
         decode_share: f64,
     ) -> EngineRequestGuard {
+        let prompt_parts = &request.prompt_parts;
         let engine_requests = &forwarder.engine_requests;
         let number = engine_requests.last_number.get() + 1;
         engine_requests.last_number.set(number);
@@ -131,6 +134,7 @@
             target: target.clone(),
             number,
             prompt_parts: prompt_parts.clone(),
+            suspects: request.suspects(),
             sent_at: now,
             predicted_prefill,
             is_prefilled: false,
@@ -166,11 +170,15 @@
         self.first_event_at
     }
 
+    /// Records that the engine has not run the request.
+    pub(crate) fn mark_not_run(&mut self) {
+        self.suspects.clear();
+    }
+
     /// Records that the answer is complete.
     pub(crate) fn mark_complete(&mut self, now: Instant) {
         self.is_complete = true;
-        let mut crash_attribution = self.forwarder.crash_attribution.borrow_mut();
-        crash_attribution.record_completion(now, &self.prompt_parts);
+        self.forwarder.record_completion(now, &self.suspects);
     }
 }
 
@@ -184,9 +192,10 @@
         let engine_requests = &self.forwarder.engine_requests;
         let now = Instant::now();
         let is_decoding = self.decode_share > 0.0;
-        if is_decoding && !is_complete && is_decode_start(now, self.first_event_at) {
-            let mut unfinished = self.target.unfinished_prompts.borrow_mut();
-            unfinished.push(now, &self.prompt_parts);
+        let may_have_run = is_decoding && !self.suspects.is_empty();
+        if may_have_run && !is_complete && is_decode_start(now, self.first_event_at) {
+            let mut unfinished = self.target.unfinished_requests.borrow_mut();
+            unfinished.push(now, std::mem::take(&mut self.suspects));
         }
         let held_for = now.saturating_duration_since(self.sent_at);
         let service = &self.target.listing.borrow().service;
@@ -289,8 +298,7 @@
             } => {
                 if let Some(request) = remote.remove(&(sender, number)) {
                     if is_complete {
-                        let mut crash_attribution = self.crash_attribution.borrow_mut();
-                        crash_attribution.record_completion(now, &request.prompt_parts);
+                        self.record_completion(now, &request.prompt_parts.suspects());
                     }
                     request
                         .target
@@ -339,15 +347,16 @@
                     self.record_leaving(now, &target);
                 }
             }
-            EngineEvent::EngineCrashed {
-                engine,
+            EngineEvent::TargetCrashed {
+                target,
                 age_ms,
                 parts,
+                contents,
             } => {
                 let age = Duration::from_millis(age_ms);
-                self.record_crash(now, engine.clone(), age, parts);
-                if let Some(target) = self.live_target(&engine) {
-                    self.report_unfinished_prompts(now, &target, age);
+                self.record_remote_crash(now, target.clone(), age, parts, contents);
+                if let Some(target) = self.live_target(&target) {
+                    self.report_unfinished_requests(now, &target, age);
                 }
             }
             EngineEvent::CacheContents { engine, parts } => {
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -55,8 +55,8 @@
     observer: RefCell<Option<Rc<dyn ForwardObserver>>>,
     pub(crate) engine_requests: EngineRequests,
     pub(crate) crash_attribution: RefCell<CrashAttribution>,
-    /// Notified whenever a prompt part is blocked.
-    pub(crate) part_blocked: Event,
+    /// Notified whenever a prompt part or the content of a request is blocked.
+    pub(crate) request_blocked: Event,
 }
 
 impl Forwarder {
@@ -79,7 +79,7 @@
             observer: RefCell::default(),
             engine_requests: EngineRequests::new(),
             crash_attribution: RefCell::default(),
-            part_blocked: Event::new(),
+            request_blocked: Event::new(),
         })
     }
 
--- a/laburnumlug-forward/src/handler.rs
+++ b/laburnumlug-forward/src/handler.rs
@@ -8,6 +8,7 @@
 use hyper::body::Body;
 use laburnumlug::Repetition;
 use laburnumlug_http::{Handler, Request, Response, discard_body, read_body};
+use laburnumlug_policy::PromptParts;
 use rand::Rng;
 
 use crate::attempt::CallerRequest;
@@ -143,10 +144,15 @@
             .min(route.timeout);
         let path = parts.uri.path_and_query().cloned();
         let path = path.map_or(parts.uri, hyper::Uri::from);
+        let prompt_parts = match &metadata.prompt {
+            Some(prompt) => PromptParts::new(&prompt.model, prompt.parts.iter().copied()),
+            None => PromptParts::default(),
+        };
         let request = CallerRequest {
             headers: self.header_codec.forwarded_request_headers(&parts.headers),
             metadata,
             content: content_id(&parts.method, &path, &parts.headers, &body),
+            prompt_parts,
             method: parts.method,
             path,
             body,
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -29,8 +29,8 @@
 mod attempt;
 mod buffered;
 mod config;
+mod crashes;
 mod demand;
-mod engine_crashes;
 mod engine_requests;
 mod engine_selection;
 mod events;
--- a/laburnumlug-forward/src/refusal.rs
+++ b/laburnumlug-forward/src/refusal.rs
@@ -19,6 +19,8 @@
     NoTarget,
     /// A part of the prompt has crashed engines.
     PromptBlocked,
+    /// Targets have crashed that ran the same request.
+    RequestBlocked,
     /// A target stated that it did not execute the request.
     TargetRefused,
     /// A target has stated before that it wants no requests.
@@ -46,6 +48,7 @@
             FailureCause::NoConfiguration
             | FailureCause::NoTarget
             | FailureCause::PromptBlocked
+            | FailureCause::RequestBlocked
             | FailureCause::TargetRefused
             | FailureCause::TargetDeclined
             | FailureCause::Unreachable
@@ -65,6 +68,7 @@
             FailureCause::NoConfiguration => "no-configuration",
             FailureCause::NoTarget => "no-target",
             FailureCause::PromptBlocked => "prompt-blocked",
+            FailureCause::RequestBlocked => "request-blocked",
             FailureCause::TargetRefused => "target-refused",
             FailureCause::TargetDeclined => "target-declined",
             FailureCause::Unreachable => "unreachable",
@@ -107,7 +111,7 @@
         let mut resp = text_response(self.cause.status(), &self.detail);
         let longest = match self.cause {
             // An earlier retry would be refused, too.
-            FailureCause::PromptBlocked => Duration::MAX,
+            FailureCause::PromptBlocked | FailureCause::RequestBlocked => Duration::MAX,
             _ => time_left.mul_f64(MAX_RETRY_AFTER_SHARE),
         };
         let retry_after = self.retry_after.map(|time| time.min(longest).as_secs_f64());
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use event_listener::Event;
 use laburnumlug::{LiveTarget, Role, ServiceName, TargetList, TargetName};
 use laburnumlug_policy::{
-    KvCacheEstimate, PrefillQueue, RecentPrompts, TargetHealth, TargetStatus,
+    KvCacheEstimate, PrefillQueue, RecentSuspects, TargetHealth, TargetStatus,
 };
 
 /// Initial estimate of an engine's prefill rate, until measurements replace it; about the rate of a current
@@ -50,8 +51,12 @@
     pub(crate) status: RefCell<TargetStatus>,
     /// Whether a check for a crash is running.
     pub(crate) is_checked_for_crash: Cell<bool>,
-    /// Prompts of requests that ended while the engine was beginning to decode them, and when.
-    pub(crate) unfinished_prompts: RefCell<RecentPrompts>,
+    /// Notified when a check for a crash has ended.
+    pub(crate) crash_checked: Event,
+    /// Whether the last check found that the target had crashed.
+    pub(crate) has_crashed: Cell<bool>,
+    /// Suspects of requests that ended while the target was beginning to run them, and when.
+    pub(crate) unfinished_requests: RefCell<RecentSuspects>,
 }
 
 impl TargetHandle {
@@ -68,7 +73,9 @@
             inspected_at: Cell::default(),
             status: RefCell::default(),
             is_checked_for_crash: Cell::new(false),
-            unfinished_prompts: RefCell::default(),
+            crash_checked: Event::new(),
+            has_crashed: Cell::new(false),
+            unfinished_requests: RefCell::default(),
         }
     }
 
--- a/laburnumlug-forward/src/request_content.rs
+++ b/laburnumlug-forward/src/request_content.rs
@@ -2,12 +2,10 @@
 
 use hyper::header::{AUTHORIZATION, HOST};
 use hyper::{HeaderMap, Method, Uri};
+use laburnumlug_policy::ContentId;
 use sha2::{Digest, Sha256};
 
-/// Hash of a method, a host, a path with its query, the caller's credentials and a body.
-pub(crate) type ContentId = u64;
-
-/// Returns the id of what a request asks for.
+/// Returns the hash of a method, a host, a path with its query, the caller's credentials and a body.
 ///
 /// The hash is cryptographic, so that no caller can choose a content with the id of another caller's.
 pub(crate) fn content_id(
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -70,7 +70,7 @@
             Some(prefill_engine) => {
                 let prefill = self.prefill(stream, prefill_engine, &selection);
                 let prefilled = self
-                    .unless_blocked(Verdict::NotRun, &stream.prompt_parts, prefill)
+                    .unless_blocked(Verdict::NotRun, &stream.request, prefill)
                     .await;
                 let reached_engine = prefilled
                     .as_ref()
@@ -82,10 +82,10 @@
             None => AttemptStage::Full,
         };
         // An engine may have crashed while another one prefilled the prompt.
-        self.check_prompt(Instant::now(), &stream.prompt_parts)?;
+        self.check_not_blocked(Instant::now(), &stream.request)?;
         let stream = &*stream;
         let decode = self.decode(stream, selection, stage, last_event_id);
-        self.unless_blocked(Verdict::MayHaveRun, &stream.prompt_parts, decode)
+        self.unless_blocked(Verdict::MayHaveRun, &stream.request, decode)
             .await
     }
 
@@ -104,7 +104,7 @@
             AttemptStage::Full => selection.uncached_tokens,
             _ => 0,
         };
-        let tokens = stream.prompt_parts.tokens();
+        let tokens = request.prompt_parts.tokens();
         let traits = stream.table.engine_traits(&stream.service);
         let decode_share = traits.map_or(0.0, |traits| decode_share(traits, tokens));
         let in_flight = target.track_request();
@@ -112,7 +112,7 @@
             self,
             Instant::now(),
             &target,
-            &stream.prompt_parts,
+            request,
             uncached_tokens,
             selection.priority,
             decode_share,
@@ -156,11 +156,10 @@
             sent => sent,
         };
         let mut response = match sent {
-            Err(failure) if failure.is_connection_broken => {
-                self.check_for_crash(&target);
-                return Err(failure);
-            }
             Err(failure) => {
+                if failure.verdict == Verdict::NotRun {
+                    engine_request.mark_not_run();
+                }
                 self.record_refusal(Instant::now(), &target, &failure);
                 return Err(failure);
             }
@@ -182,8 +181,7 @@
                         && (splitter.is_inside_event() || !is_framed(&response)) =>
                 {
                     self.record_failure(Instant::now(), &target);
-                    self.check_for_crash(&target);
-                    return Err(AttemptFailure::answer_lost(ENDED_INSIDE_EVENT));
+                    return Err(AttemptFailure::connection_broken(ENDED_INSIDE_EVENT));
                 }
                 Ok(Ok(None)) => {
                     engine_request.mark_complete(Instant::now());
@@ -194,8 +192,7 @@
                 }
                 Ok(Err(err)) => {
                     self.record_failure(Instant::now(), &target);
-                    self.check_for_crash(&target);
-                    return Err(AttemptFailure::answer_lost(err.to_string()));
+                    return Err(AttemptFailure::connection_broken(err.to_string()));
                 }
                 Err(_) => {
                     return Err(AttemptFailure::timed_out("no event in time"));
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use laburnumlug::Verdict;
 use laburnumlug_http::{PooledResponse, Response, channel_body};
-use laburnumlug_policy::{NoRoom, PromptParts, max_limit_wait};
+use laburnumlug_policy::{NoRoom, max_limit_wait};
 
 use crate::attempt::{AttemptFailure, CallerRequest};
 use crate::engine_requests::EngineRequestGuard;
@@ -33,7 +33,6 @@
     request: CallerRequest,
     service: String,
     table: Rc<RouteTable>,
-    prompt_parts: PromptParts,
     tried: Vec<Rc<TargetHandle>>,
     /// Attempts that reached a target, without separate prefills.
     attempts_made: u32,
@@ -46,7 +45,7 @@
 impl StreamRequest {
     /// Returns the prompt parts that other requests may share, as hexadecimal ids separated by spaces.
     fn shareable_parts(&self) -> String {
-        let parts = self.prompt_parts.shareable();
+        let parts = self.request.prompt_parts.shareable();
         let parts: Vec<String> = parts.map(|part| format!("{part:x}")).collect();
         parts.join(" ")
     }
@@ -77,15 +76,10 @@
         table: Rc<RouteTable>,
     ) -> Result<Response, Refusal> {
         self.record_request(Instant::now(), service);
-        let prompt_parts = match &request.metadata.prompt {
-            Some(prompt) => PromptParts::new(&prompt.model, prompt.parts.iter().copied()),
-            None => PromptParts::default(),
-        };
         let mut stream = StreamRequest {
             request,
             service: service.to_string(),
             table,
-            prompt_parts,
             tried: Vec::new(),
             attempts_made: 0,
             prefills_made: 0,
@@ -111,7 +105,7 @@
             may_have_run |= failure.verdict != Verdict::NotRun;
             let may_repeat =
                 !failure.is_final() && (!may_have_run || stream.request.route.is_repeatable());
-            if may_repeat && self.try_acquire_attempt(&stream) {
+            if may_repeat && self.try_acquire_attempt(&stream).await {
                 continue;
             }
             return Err(match failure.cause.status() {
@@ -122,12 +116,17 @@
     }
 
     /// Returns whether another attempt may be made, and spends a retry of the service's budget if it needs one.
-    fn try_acquire_attempt(&self, stream: &StreamRequest) -> bool {
+    async fn try_acquire_attempt(&self, stream: &StreamRequest) -> bool {
         let max_attempts = stream.request.route.max_attempts;
+        let has_attempts = stream.attempts_made < max_attempts
+            && (stream.tried.len() as u32) < max_attempts + MAX_EXTRA_TARGETS;
+        if let (true, Some(target)) = (has_attempts, stream.tried.last()) {
+            self.await_crash_check(target).await;
+        }
         let now = Instant::now();
-        stream.attempts_made < max_attempts
-            && (stream.tried.len() as u32) < max_attempts + MAX_EXTRA_TARGETS
+        has_attempts
             && !stream.request.time_left(now).is_zero()
+            && self.check_not_blocked(now, &stream.request).is_ok()
             && (stream.counted_arrivals == 0 || self.try_acquire_retry(now, &stream.service))
     }
 
@@ -138,7 +137,7 @@
         last_event_id: Option<String>,
     ) -> Result<StreamAttempt, AttemptFailure> {
         let now = Instant::now();
-        self.check_prompt(now, &stream.prompt_parts)?;
+        self.check_not_blocked(now, &stream.request)?;
         let selection = self.choose_targets(now, stream)?;
         let target = selection.decode_engine.clone();
         let tried = (target.clone(), selection.prefill_engine.clone());
@@ -154,7 +153,7 @@
             .await;
         log::info!(
             request_id = stream.request.metadata.id.as_str(), target = target.instance.as_str(),
-            reader = prefill_engine_name.as_str(), unread = uncached_tokens, tokens = stream.prompt_parts.tokens(),
+            reader = prefill_engine_name.as_str(), unread = uncached_tokens, tokens = stream.request.prompt_parts.tokens(),
             waited_ms = waited.as_millis() as u64, predicted_ms = predicted.as_millis() as u64,
             taken_ms = now.elapsed().as_millis() as u64, opened = result.is_ok();
             "stream attempt finished"
@@ -182,6 +181,9 @@
                     prompt_parts = stream.shareable_parts().as_str();
                     "attempt failed: {}", failure.detail
                 );
+                if failure.is_connection_broken && !failure.at_prefill {
+                    self.check_for_crash(&target);
+                }
             }
         }
         result
@@ -200,7 +202,7 @@
                 traits,
                 &stream.request,
                 prompt,
-                &stream.prompt_parts,
+                &stream.request.prompt_parts,
             ),
             _ => {
                 let max_wait = max_limit_wait(stream.request.route.latency_objective);
--- a/laburnumlug-forward/src/stream/prefill.rs
+++ b/laburnumlug-forward/src/stream/prefill.rs
@@ -30,7 +30,7 @@
             self,
             Instant::now(),
             prefill_engine,
-            &stream.prompt_parts,
+            request,
             selection.uncached_tokens,
             selection.priority,
             0.0,
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -8,7 +8,7 @@
 
 use super::attempt::{ENDED_INSIDE_EVENT, EVENT_TOO_LONG};
 use super::{OpenStream, StreamAttempt, StreamRequest};
-use crate::engine_crashes::is_decode_start;
+use crate::crashes::is_decode_start;
 use crate::events::EventSplitter;
 use crate::forwarder::Forwarder;
 use crate::refusal::FailureCause;
@@ -77,10 +77,11 @@
             let target = in_flight.target.clone();
             let now = Instant::now();
             self.record_failure(now, &target);
-            if is_decode_start(now, engine_request.first_event_at()) {
+            let may_have_crashed = is_decode_start(now, engine_request.first_event_at());
+            drop(engine_request);
+            if may_have_crashed {
                 self.check_for_crash(&target);
             }
-            drop(engine_request);
             splitter.drop_partial();
             let resumed = self.resume(&mut stream, &splitter).await;
             log::info!(
@@ -115,7 +116,7 @@
         if !stream.request.route.is_repeatable() {
             return None;
         }
-        while self.try_acquire_attempt(stream) {
+        while self.try_acquire_attempt(stream).await {
             match self.attempt_stream(stream, Some(last_id.clone())).await {
                 Ok(StreamAttempt::Stream(open)) => return Some(*open),
                 // A response that is not a stream cannot continue one.
--- a/laburnumlug-policy/src/crash_attribution_tests.rs
+++ b/laburnumlug-policy/src/crash_attribution_tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::crash_blame::{FIRST_CONTENT_BLOCK_TIME, FIRST_PART_BLOCK_TIME};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -8,22 +9,20 @@
 /// A part that crashes engines.
 const HARMFUL: PartId = 2;
 
-fn prompt(parts: &[PartId]) -> PromptParts {
-    let last = PartId::MAX;
-    let parts = parts.iter().chain([&last]).map(|part| (*part, 100));
-    PromptParts::from_parts(parts.collect())
+fn prompt(parts: &[PartId]) -> Vec<Suspect> {
+    parts.iter().copied().map(Suspect::Part).collect()
 }
 
-fn crash(engine: &str, at: Instant, parts: &[PartId]) -> EngineCrash {
-    EngineCrash {
-        engine: engine.to_string(),
+fn crash(engine: &str, at: Instant, parts: &[PartId]) -> TargetCrash {
+    TargetCrash {
+        target: engine.to_string(),
         at,
-        parts: parts.to_vec(),
+        suspects: prompt(parts),
     }
 }
 
 fn is_blocked(attribution: &CrashAttribution, now: Instant, parts: &[PartId]) -> bool {
-    attribution.blocked_part(now, &prompt(parts)).is_some()
+    attribution.blocked(now, &prompt(parts)).is_some()
 }
 
 /// The same part is in prompts of two engines that crash; each engine was beginning other prompts as well.
@@ -37,7 +36,8 @@
     let later = now + SECOND;
     let blocked = attribution.record_crash(later, crash("b", later, &[40, COMMON, HARMFUL]));
     assert_eq!(blocked.len(), 1);
-    assert_eq!((blocked[0].part, blocked[0].crashes), (HARMFUL, 2));
+    let expected = (Suspect::Part(HARMFUL), 2);
+    assert_eq!((blocked[0].suspect, blocked[0].crashes), expected);
     assert!(is_blocked(&attribution, later, &[COMMON, HARMFUL]));
     for sound in [&[COMMON][..], &[COMMON, 30, 31], &[40], &[]] {
         assert!(!is_blocked(&attribution, later, sound), "{sound:?}");
@@ -116,11 +116,11 @@
         let at = now + SECOND * i;
         attribution.record_crash(at, crash(&format!("e-{i}"), at, &[HARMFUL]));
     }
-    let later = now + SECOND + FIRST_BLOCK_TIME;
+    let later = now + SECOND + FIRST_PART_BLOCK_TIME;
     assert!(is_blocked(&attribution, later - SECOND, &[HARMFUL]));
     assert!(!is_blocked(&attribution, later, &[HARMFUL]));
     let blocked = attribution.record_crash(later, crash("c", later, &[HARMFUL]));
-    assert_eq!(blocked[0].until, later + 2 * FIRST_BLOCK_TIME);
+    assert_eq!(blocked[0].until, later + 2 * FIRST_PART_BLOCK_TIME);
 }
 
 /// A restarted process learns of the crashes from another, in any order.
@@ -136,16 +136,16 @@
         );
     }
     let mut restarted = CrashAttribution::default();
-    let crashes: Vec<EngineCrash> = attribution.crashes().cloned().collect();
+    let crashes: Vec<TargetCrash> = attribution.crashes().cloned().collect();
     for crash in crashes.into_iter().rev() {
         restarted.record_crash(now + 4 * SECOND, crash);
     }
     let prompt = prompt(&[HARMFUL]);
     let later = now + 5 * SECOND;
-    assert!(restarted.blocked_part(later, &prompt).is_some());
+    assert!(restarted.blocked(later, &prompt).is_some());
     assert_eq!(
-        restarted.blocked_part(later, &prompt),
-        attribution.blocked_part(later, &prompt)
+        restarted.blocked(later, &prompt),
+        attribution.blocked(later, &prompt)
     );
 }
 
@@ -162,6 +162,124 @@
     assert!(
         attribution
             .crashes()
-            .all(|crash| crash.parts.len() <= MAX_SUSPECTED_PARTS)
+            .all(|crash| crash.suspects.len() <= MAX_SUSPECTS)
     );
 }
+
+/// Content of a request that crashes each target that runs it.
+const REPEATED: ContentId = 2;
+
+fn content_crash(target: &str, at: Instant, contents: &[ContentId]) -> TargetCrash {
+    let suspects = contents.iter().copied().map(Suspect::Content);
+    TargetCrash {
+        target: target.to_string(),
+        at,
+        suspects: suspects.collect(),
+    }
+}
+
+fn is_content_blocked(attribution: &CrashAttribution, now: Instant, content: ContentId) -> bool {
+    attribution
+        .blocked(now, &[Suspect::Content(content)])
+        .is_some()
+}
+
+/// A target crashes that ran only one request: its repeats are refused from the first crash on.
+#[test]
+fn record_crash_only_request() {
+    let now = Instant::now();
+    let mut attribution = CrashAttribution::default();
+    let blocked = attribution.record_crash(now, content_crash("a", now, &[REPEATED]));
+    assert_eq!(blocked[0].suspect, Suspect::Content(REPEATED));
+    assert!(!is_content_blocked(&attribution, now, 3));
+    let end = now + FIRST_CONTENT_BLOCK_TIME;
+    assert!(is_content_blocked(&attribution, end - SECOND, REPEATED));
+    assert!(!is_content_blocked(&attribution, end, REPEATED));
+    attribution.record_crash(end, content_crash("b", end, &[REPEATED]));
+    let later = end + 4 * FIRST_CONTENT_BLOCK_TIME;
+    assert!(is_content_blocked(&attribution, later, REPEATED));
+}
+
+/// Of several requests, any may have crashed the target. The second crash tells which.
+#[test]
+fn record_crash_several_requests() {
+    let now = Instant::now();
+    let mut attribution = CrashAttribution::default();
+    attribution.record_crash(now, content_crash("a", now, &[REPEATED, 20, 21]));
+    for content in [REPEATED, 20, 21] {
+        assert!(!is_content_blocked(&attribution, now, content));
+    }
+    let later = now + SECOND;
+    attribution.record_crash(later, content_crash("b", later, &[22, REPEATED]));
+    assert!(is_content_blocked(&attribution, later, REPEATED));
+    for content in [20, 21, 22] {
+        assert!(!is_content_blocked(&attribution, later, content));
+    }
+}
+
+/// Another gateway reports a second request that the target ran, so that either may have crashed it.
+#[test]
+fn record_crash_request_of_another_gateway() {
+    let now = Instant::now();
+    let mut attribution = CrashAttribution::default();
+    attribution.record_crash(now, content_crash("a", now, &[REPEATED]));
+    let later = now + Duration::from_millis(5);
+    attribution.record_crash(later, content_crash("a", later, &[30]));
+    assert!(!is_content_blocked(&attribution, later, REPEATED));
+    assert!(!is_content_blocked(&attribution, later, 30));
+}
+
+/// All requests but one of a crash complete later, so that one is the cause.
+#[test]
+fn record_completion_leaves_one_request() {
+    let now = Instant::now();
+    let mut attribution = CrashAttribution::default();
+    attribution.record_crash(now, content_crash("a", now, &[REPEATED, 40]));
+    let blocked = attribution.record_completion(now + SECOND, &[Suspect::Content(40)]);
+    assert_eq!(blocked[0].suspect, Suspect::Content(REPEATED));
+}
+
+/// A request that completes now and then is not suspected, although targets that run it crash.
+#[test]
+fn record_crash_after_completion() {
+    let now = Instant::now();
+    let mut attribution = CrashAttribution::default();
+    attribution.record_completion(now, &[Suspect::Content(50)]);
+    for i in 1..4 {
+        let at = now + SECOND * i;
+        attribution.record_crash(at, content_crash(&format!("t-{i}"), at, &[50]));
+        assert!(!is_content_blocked(&attribution, at, 50));
+    }
+}
+
+/// Targets that run one request each lose power together.
+#[test]
+fn record_crash_common_cause_of_requests() {
+    let now = Instant::now();
+    let mut attribution = CrashAttribution::default();
+    for i in 0..3 {
+        let at = now + Duration::from_millis(10) * i;
+        let crash = content_crash(&format!("t-{i}"), at, &[60 + u64::from(i)]);
+        attribution.record_crash(at, crash);
+    }
+    for content in 60..63 {
+        assert!(!is_content_blocked(&attribution, now + SECOND, content));
+    }
+}
+
+/// Crashes without a known cause do not displace those that a block rests on.
+#[test]
+fn record_crash_keeps_explained_crashes() {
+    let now = Instant::now();
+    let mut attribution = CrashAttribution::default();
+    for i in 0..3 {
+        let at = now + SECOND * i;
+        attribution.record_crash(at, content_crash(&format!("t-{i}"), at, &[REPEATED]));
+    }
+    for i in 10..1000 {
+        let at = now + SECOND * i;
+        attribution.record_crash(at, content_crash(&format!("t-{i}"), at, &[]));
+    }
+    let later = now + 1000 * SECOND;
+    assert!(is_content_blocked(&attribution, later, REPEATED));
+}
--- a/laburnumlug-policy/src/kv_cache.rs
+++ b/laburnumlug-policy/src/kv_cache.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+use crate::crash_attribution::Suspect;
+
 /// Sequence number of the first use. Lower numbers are for parts that other processes or the engine report.
 const FIRST_USE_NUMBER: u64 = 1 << 32;
 
@@ -61,6 +63,11 @@
         self.parts[..count].iter().map(|part| part.0)
     }
 
+    /// Returns the parts that other requests may share, as what may crash the engine that decodes the prompt.
+    pub fn suspects(&self) -> Vec<Suspect> {
+        self.shareable().map(Suspect::Part).collect()
+    }
+
     /// Returns the number of tokens in the whole prompt.
     pub fn tokens(&self) -> u64 {
         self.parts.iter().map(|part| part.1).sum()
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -45,13 +45,14 @@
 
 [`OutputPredictor`] predicts the length of answers by caller, [`PrefixIndex`] tracks what an engine has cached, and
 [`RateMeter`] measures an engine's rates from its answers. [`TargetHealth`] ejects failing targets, [`RetryBudget`]
-limits retries, [`TargetStatus`] keeps what a target states about itself, [`RequestLimit`] spaces the requests to one that limits them, [`CrashAttribution`] blocks prompt parts that crash engines, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
+limits retries, [`TargetStatus`] keeps what a target states about itself, [`RequestLimit`] spaces the requests to one that limits them, [`CrashAttribution`] blocks prompt parts and repeated requests that crash targets, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
 processes without coordination. [`select_exchange_links`] and [`event_batch_interval`] bound the messages that gateways
 exchange about prompts sent to engines, and [`inspection_delay`] divides the inspections of engines among them.
 */
 
 mod admission;
 mod crash_attribution;
+mod crash_blame;
 mod engine_demand;
 mod event_batch;
 mod exchange;
@@ -65,8 +66,8 @@
 mod prefill_queue;
 mod prefix;
 mod rates;
-mod recent_parts;
-mod recent_prompts;
+mod recent_set;
+mod recent_suspects;
 mod rendezvous;
 mod request_limit;
 mod retry_budget;
@@ -80,7 +81,9 @@
 pub use crate::admission::{
     Admission, CapacityAdmission, DeadlineAdmission, QueueView, Refusal, RefusalCause, admission,
 };
-pub use crate::crash_attribution::{BlockedPart, CrashAttribution, EngineCrash};
+pub use crate::crash_attribution::{
+    BlockedSuspect, ContentId, CrashAttribution, Suspect, TargetCrash,
+};
 pub use crate::engine_demand::{Demand, DemandMeter, PhaseDemand};
 pub use crate::event_batch::event_batch_interval;
 pub use crate::exchange::{
@@ -100,7 +103,7 @@
 };
 pub use crate::prefix::{PrefixHashes, PrefixIndex};
 pub use crate::rates::{EngineRates, RateMeter};
-pub use crate::recent_prompts::RecentPrompts;
+pub use crate::recent_suspects::RecentSuspects;
 pub use crate::rendezvous::rendezvous_rank;
 pub use crate::request_limit::{RequestLimit, max_limit_wait};
 pub use crate::retry_budget::RetryBudget;
--- a/src/engine_event.rs
+++ b/src/engine_event.rs
@@ -75,15 +75,19 @@
         /// The target, which need not be an engine.
         target: TargetName,
     },
-    /// An engine has crashed.
+    /// A target has crashed.
     #[serde(rename = "Crashed")]
-    EngineCrashed {
-        /// The engine.
-        engine: TargetName,
+    TargetCrashed {
+        /// The target, which need not be an engine.
+        #[serde(rename = "engine")]
+        target: TargetName,
         /// Time since the crash in milliseconds.
         age_ms: u64,
-        /// Parts of the prompts that the engine was beginning to decode.
+        /// Parts of the prompts that the target was beginning to decode.
         parts: Vec<u64>,
+        /// Hashes of what the requests asked for that the target was beginning to run.
+        #[serde(default)]
+        contents: Vec<u64>,
     },
     /// Prompt parts that the sender expects in the engine's prefix cache, least recently used first.
     #[serde(rename = "Holds")]
