Block all requests that may have crashed a target until the next crash

Cause: the same as of repeated requests: the one that crashes targets is sent on before it is known. Where a target begins to run several requests, each of them was sent again, so the harmful one always reached a second target. Change: after one isolated crash that no blocked part explains, up to 8 requests that may be the cause are blocked, until a completion or the second crash tells which of them is.

--- a/laburnumlug-policy/src/crash_attribution.rs
+++ b/laburnumlug-policy/src/crash_attribution.rs
@@ -157,7 +157,7 @@
         self.suspected = suspects.copied().collect();
         let crashes: Vec<&TargetCrash> = self.crashes.iter().collect();
         let mut blocked = blocked_parts(&crashes);
-        blocked.extend(blocked_contents(&crashes));
+        blocked.extend(blocked_contents(&crashes, &blocked));
         let before = std::mem::replace(&mut self.blocked, blocked);
         let is_new = |blocked: &&BlockedSuspect| {
             let before = before.get(&blocked.suspect);
--- a/laburnumlug-policy/src/crash_attribution_tests.rs
+++ b/laburnumlug-policy/src/crash_attribution_tests.rs
@@ -200,14 +200,14 @@
     assert!(is_content_blocked(&attribution, later, REPEATED));
 }
 
-/// Of several requests, any may have crashed the target. The second crash tells which.
+/// Any of several requests may have crashed the target. All are blocked until the second crash tells which it was.
 #[test]
 fn record_crash_several_requests() {
     let now = Instant::now();
     let mut attribution = CrashAttribution::default();
     attribution.record_crash(now, content_crash("a", now, &[REPEATED, 20, 21]));
     for content in [REPEATED, 20, 21] {
-        assert!(!is_content_blocked(&attribution, now, content));
+        assert!(is_content_blocked(&attribution, now, content));
     }
     let later = now + SECOND;
     attribution.record_crash(later, content_crash("b", later, &[22, REPEATED]));
@@ -217,26 +217,47 @@
     }
 }
 
-/// Another gateway reports a second request that the target ran, so that either may have crashed it.
+/// A target crashes under more requests than may be refused because of one crash.
+#[test]
+fn record_crash_many_requests() {
+    let now = Instant::now();
+    let mut attribution = CrashAttribution::default();
+    let contents: Vec<ContentId> = (0..20).collect();
+    attribution.record_crash(now, content_crash("a", now, &contents));
+    for content in contents {
+        assert!(!is_content_blocked(&attribution, now, content));
+    }
+    let later = now + SECOND;
+    attribution.record_crash(later, content_crash("b", later, &[REPEATED]));
+    assert!(is_content_blocked(&attribution, later, REPEATED));
+}
+
+/// Two crashes are explained by a part. The requests that have it are blocked, and those beside them are not.
 #[test]
-fn record_crash_request_of_another_gateway() {
+fn record_crash_explained_by_part() {
     let now = Instant::now();
     let mut attribution = CrashAttribution::default();
-    attribution.record_crash(now, content_crash("a", now, &[REPEATED]));
-    let later = now + Duration::from_millis(5);
-    attribution.record_crash(later, content_crash("a", later, &[30]));
-    assert!(!is_content_blocked(&attribution, later, REPEATED));
-    assert!(!is_content_blocked(&attribution, later, 30));
+    for i in 0..2 {
+        let at = now + SECOND * i;
+        let mut crash = content_crash(&format!("t-{i}"), at, &[25 + u64::from(i)]);
+        crash.suspects.push(Suspect::Part(HARMFUL));
+        attribution.record_crash(at, crash);
+    }
+    let later = now + SECOND;
+    assert!(is_blocked(&attribution, later, &[HARMFUL]));
+    assert!(!is_content_blocked(&attribution, later, 25));
+    assert!(!is_content_blocked(&attribution, later, 26));
 }
 
-/// All requests but one of a crash complete later, so that one is the cause.
+/// All requests but one of a crash complete later, so that only that one is blocked.
 #[test]
-fn record_completion_leaves_one_request() {
+fn record_completion_clears_request() {
     let now = Instant::now();
     let mut attribution = CrashAttribution::default();
     attribution.record_crash(now, content_crash("a", now, &[REPEATED, 40]));
-    let blocked = attribution.record_completion(now + SECOND, &[Suspect::Content(40)]);
-    assert_eq!(blocked[0].suspect, Suspect::Content(REPEATED));
+    attribution.record_completion(now + SECOND, &[Suspect::Content(40)]);
+    assert!(!is_content_blocked(&attribution, now + SECOND, 40));
+    assert!(is_content_blocked(&attribution, now + SECOND, REPEATED));
 }
 
 /// A request that completes now and then is not suspected, although targets that run it crash.
--- a/laburnumlug-policy/src/crash_blame.rs
+++ b/laburnumlug-policy/src/crash_blame.rs
@@ -11,7 +11,11 @@
 /// Duration of the block of a prompt part after [`MIN_CRASHES_TO_BLOCK`] crashes. It doubles with each further crash.
 pub(crate) const FIRST_PART_BLOCK_TIME: Duration = Duration::from_secs(30);
 
-/// Duration of the block of a request's content after one crash that nothing else explains.
+/// Maximum number of requests that are blocked after one crash. If there are more, the loss of another target costs less
+/// than the refusal of all.
+const MAX_CONTENTS_OF_ONE_CRASH: usize = 8;
+
+/// Duration of the block of a request's content after one crash.
 pub(crate) const FIRST_CONTENT_BLOCK_TIME: Duration = Duration::from_secs(30);
 
 /// Factor by which the block of a content grows with each further crash. It concerns only repeats of one request, so it
@@ -49,11 +53,12 @@
     blocked
 }
 
-/// Returns the contents of requests to block.
+/// Returns the contents of requests to block, where `parts` are the blocked parts.
 ///
-/// Each crash is attributed to those of its contents that are in most crashes. A crash at another time than all others, for
-/// which only one request can be the cause, is enough to block that request; otherwise, it takes two.
-pub(crate) fn blocked_contents(crashes: &[&TargetCrash]) -> Blocks {
+/// Each crash is attributed to those of its contents that are in most crashes. After a crash at another time than all
+/// others that no part explains, the few requests that can be the cause are blocked until another crash tells which of them
+/// is, as each may cost a further target.
+pub(crate) fn blocked_contents(crashes: &[&TargetCrash], parts: &Blocks) -> Blocks {
     let contents = |crash: &TargetCrash| -> Vec<Suspect> {
         let suspects = crash.suspects.iter().copied();
         suspects.filter(is_content).collect()
@@ -65,8 +70,9 @@
             let contents = contents(crash);
             let count_of = |content: &Suspect| counts.get(content).copied().unwrap_or_default();
             let max = contents.iter().map(count_of).max().unwrap_or_default();
-            let is_only_cause = contents.len() == 1 && group.len() == 1;
-            if max < MIN_CRASHES_TO_BLOCK && !is_only_cause {
+            let is_explained = crash.suspects.iter().any(|part| parts.contains_key(part));
+            let is_isolated = group.len() == 1 && contents.len() <= MAX_CONTENTS_OF_ONE_CRASH;
+            if max < MIN_CRASHES_TO_BLOCK && (is_explained || !is_isolated) {
                 continue;
             }
             for content in contents
