Log the software version of engines and the streams that callers resume

Cause: the logs did not tell at which software version a stream began and went on, nor which request a caller's resumption refers to, so that the hypotheses on streams of two versions could not be told apart. Change: the version of a target's software is read from the platform's list, and the request that a caller resumes from its headers. No decision depends on them yet.

--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -41,6 +41,12 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Returns the id of the request that began the stream which this one resumes, if the caller states it.
+    pub(crate) fn resumes(&self) -> Option<&str> {
+        let resumption = self.metadata.resumption.as_ref()?;
+        resumption.first_request.as_deref()
+    }
+
     /// Returns what the request has that may crash the target that runs it.
     pub(crate) fn suspects(&self) -> Vec<Suspect> {
         let mut suspects = self.prompt_parts.suspects();
--- a/laburnumlug-forward/src/header_codec.rs
+++ b/laburnumlug-forward/src/header_codec.rs
@@ -19,6 +19,15 @@
     pub parts: Vec<(u64, u64)>,
 }
 
+/// Resumption of a broken stream by its caller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Resumption {
+    /// Id of the last event that the caller received.
+    pub last_event_id: String,
+    /// Id of the request that brought the caller the first event of the stream, if the caller states it.
+    pub first_request: Option<RequestId>,
+}
+
 /// Metadata from the headers of a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RequestMetadata {
@@ -28,6 +37,8 @@
     pub time_left: Option<Duration>,
     /// The prompt, if the request has one.
     pub prompt: Option<PromptMetadata>,
+    /// The stream that the request resumes, if any.
+    pub resumption: Option<Resumption>,
 }
 
 /// Stage of inference that one attempt asks for.
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -52,7 +52,7 @@
 pub use crate::handler::ForwardHandler;
 pub use crate::header_codec::{
     AttemptHeaders, AttemptStage, HeaderCodec, PromptMetadata, RequestMetadata, ResponseMetadata,
-    TargetStatements,
+    Resumption, TargetStatements,
 };
 pub use crate::observer::ForwardObserver;
 pub use crate::probe::{CachedPart, Inspector};
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -276,6 +276,7 @@
             leaving,
             changing: false,
             role: None,
+            software: None,
         }
     }
 
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -155,7 +155,8 @@
             request_id = stream.request.metadata.id.as_str(), target = target.instance.as_str(),
             reader = prefill_engine_name.as_str(), unread = uncached_tokens, tokens = stream.request.prompt_parts.tokens(),
             waited_ms = waited.as_millis() as u64, predicted_ms = predicted.as_millis() as u64,
-            taken_ms = now.elapsed().as_millis() as u64, opened = result.is_ok();
+            taken_ms = now.elapsed().as_millis() as u64, opened = result.is_ok(),
+            software = target.listing.borrow().software.as_deref(), resumes = stream.request.resumes();
             "stream attempt finished"
         );
         stream.tried.push(match (&result, tried) {
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -87,7 +87,8 @@
             log::info!(
                 request_id = id.as_str(), target = target.instance.as_str(),
                 content = format!("{:x}", stream.request.content).as_str(),
-                prompt_parts = stream.shareable_parts().as_str(), resumed = resumed.is_some();
+                prompt_parts = stream.shareable_parts().as_str(), resumed = resumed.is_some(),
+                software = target.listing.borrow().software.as_deref();
                 "the stream from the target broke: {break_reason}"
             );
             let Some(next) = resumed else {
--- a/laburnumlug-policy/src/role_plan_tests.rs
+++ b/laburnumlug-policy/src/role_plan_tests.rs
@@ -12,6 +12,7 @@
         leaving: false,
         changing: false,
         role: Some(role),
+        software: None,
     }
 }
 
--- a/src/id.rs
+++ b/src/id.rs
@@ -12,6 +12,9 @@
 /// Name of a service in the fleet document.
 pub type ServiceName = String;
 
+/// Version of the software that a target runs.
+pub type SoftwareVersion = String;
+
 /// Name of a VM in the platform's VM list.
 pub type VmName = String;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,7 +54,7 @@
 };
 pub use crate::id::{
     AttemptNumber, CallerName, FencingToken, FleetVersion, IdempotencyKey, Incarnation, RequestId,
-    ServiceName, TargetName, VmName, ZoneName,
+    ServiceName, SoftwareVersion, TargetName, VmName, ZoneName,
 };
 pub use crate::listed_gateway::ListedGateway;
 pub use crate::live_target::{LiveTarget, TargetList};
--- a/src/live_target.rs
+++ b/src/live_target.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::generated::Role;
-use crate::id::{ServiceName, TargetName, ZoneName};
+use crate::id::{ServiceName, SoftwareVersion, TargetName, ZoneName};
 
 /// A running target found by service discovery.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -27,6 +27,9 @@
     pub changing: bool,
     /// Inference phases that an engine serves; `None` for plain application servers.
     pub role: Option<Role>,
+    /// Version of the software that the target runs, if discovery states it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Snapshot of all live targets.
