Generalize the bounded set of recent items to a map

Cause: the software versions at which streams began are to be remembered as recent items are, with a value each. Change: the set becomes a map with a bound of its own. Crash attribution uses it without values, with the same bound. Measured: its tests, and those of crash attribution, pass.

--- a/laburnumlug-policy/src/crash_attribution.rs
+++ b/laburnumlug-policy/src/crash_attribution.rs
@@ -7,7 +7,7 @@
 
 use crate::crash_blame::{Blocks, blocked_contents, blocked_parts};
 use crate::kv_cache::PartId;
-use crate::recent_set::RecentSet;
+use crate::recent_map::RecentMap;
 
 /// Time within which reports about the same target concern the same crash.
 const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
@@ -21,6 +21,9 @@
 /// Maximum number of suspects of one crash.
 const MAX_SUSPECTS: usize = 64;
 
+/// Maximum number of completed suspects of one generation.
+const MAX_COMPLETED: usize = 8192;
+
 /// Hash of all that a request asks for; repeats of a request have the same, although their ids differ.
 pub type ContentId = u64;
 
@@ -60,22 +63,33 @@
 /// What crashes targets is in a request of each target that crashes, but in none that completes. Suspects that have
 /// recently completed are therefore cleared, and each crash is explained by as few others as possible: requests that share
 /// only their other parts with a harmful prompt are not affected.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct CrashAttribution {
     /// Crashes, oldest first.
     crashes: VecDeque<TargetCrash>,
     /// Suspects of all crashes.
     suspected: HashSet<Suspect>,
-    completed: RecentSet<Suspect>,
+    completed: RecentMap<Suspect, ()>,
     blocked: Blocks,
 }
 
+impl Default for CrashAttribution {
+    fn default() -> CrashAttribution {
+        CrashAttribution {
+            crashes: VecDeque::new(),
+            suspected: HashSet::new(),
+            completed: RecentMap::new(MAX_COMPLETED),
+            blocked: Blocks::new(),
+        }
+    }
+}
+
 impl CrashAttribution {
     /// Records that a request has completed, which clears its suspects, and returns the suspects that are newly blocked
     /// since fewer are left.
     pub fn record_completion(&mut self, now: Instant, cleared: &[Suspect]) -> Vec<BlockedSuspect> {
         for suspect in cleared {
-            self.completed.insert(now, *suspect);
+            self.completed.insert(now, *suspect, ());
         }
         if !cleared
             .iter()
@@ -97,7 +111,7 @@
         }
         self.crashes.retain(|known| !is_expired(known.at));
         let mut suspects = crash.suspects;
-        suspects.retain(|suspect| !self.completed.contains(now, suspect));
+        suspects.retain(|suspect| self.completed.get(now, suspect).is_none());
         let is_same = |known: &&mut TargetCrash| {
             known.target == crash.target && time_between(known.at, crash.at) < SAME_CRASH_TIME
         };
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -66,7 +66,7 @@
 mod prefill_queue;
 mod prefix;
 mod rates;
-mod recent_set;
+mod recent_map;
 mod recent_suspects;
 mod rendezvous;
 mod request_limit;
