Resume streams only at the software version that began them

Callers saw: while two software versions of an engine served, streams whose first events one version had written went on at the other, in one response or after the caller had resumed them, although what two versions write does not fit together. Cause: a placement that ignores a compatibility constraint. The version of a target was not read, so that a resumption, by the gateway or by a caller through any gateway, went to whichever engine was best. Change: gateways remember the version at which each stream began, by the id of the request that began it, and tell each other with the prompt, before its first event. A gateway that starts is told of the streams that may still be resumed. A resumption is placed at engines of that version, or refused at once if there is none; one of unknown origin is refused while more than one version is or was recently listed. This works because each stream has one origin, which all gateways know before the caller has an event that it could resume after. No kind of event is new, so that earlier gateways are not disturbed.

--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::HeaderMap;
-use laburnumlug::Verdict;
+use laburnumlug::{StreamId, Verdict};
 use laburnumlug_http::{PooledResponse, SendError};
 use laburnumlug_policy::{ContentId, PromptParts, Suspect};
 
@@ -14,6 +14,7 @@
 use crate::header_codec::{AttemptHeaders, AttemptStage, RequestMetadata};
 use crate::refusal::{FailureCause, Refusal};
 use crate::registry::TargetHandle;
+use crate::request_content::stream_id;
 use crate::routes::RouteEntry;
 
 /// Maximum size, in bytes, of a response body that is read and discarded so that the connection can be reused.
@@ -47,6 +48,11 @@
         resumption.first_request.as_deref()
     }
 
+    /// Returns the id of the stream that the request begins or resumes.
+    pub(crate) fn stream_id(&self) -> StreamId {
+        stream_id(self.resumes().unwrap_or(&self.metadata.id))
+    }
+
     /// Returns what the request has that may crash the target that runs it.
     pub(crate) fn suspects(&self) -> Vec<Suspect> {
         let mut suspects = self.prompt_parts.suspects();
--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -15,6 +15,7 @@
 use crate::header_codec::AttemptStage;
 use crate::refusal::{FailureCause, Refusal};
 use crate::registry::{TargetHandle, selectable_targets};
+use crate::stream_origins::RequiredSoftware;
 
 /// Maximum size of a response body in bytes; responses are buffered until they are complete.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -62,7 +63,8 @@
                 break;
             }
             let max_wait = max_limit_wait(request.route.latency_objective);
-            let Some(target) = self.least_loaded_target(now, service, &tried, max_wait) else {
+            let Some(target) = self.least_loaded_target(now, service, &tried, None, max_wait)
+            else {
                 break;
             };
             if attempts_made > 0 && !self.try_acquire_retry(now, service) {
@@ -214,15 +216,20 @@
         resp
     }
 
-    /// Returns the selectable targets of a service that were not tried yet.
+    /// Returns the selectable targets of a service that were not tried yet and, for a resumed stream, run the required
+    /// software.
     pub(crate) fn untried_targets(
         &self,
         now: Instant,
         service: &str,
         tried: &[Rc<TargetHandle>],
+        software: Option<&RequiredSoftware>,
     ) -> Vec<Rc<TargetHandle>> {
         let mut targets = self.available_targets(now, service);
-        targets.retain(|target| !tried.iter().any(|t| Rc::ptr_eq(t, target)));
+        targets.retain(|target| {
+            let is_allowed = software.is_none_or(|software| software.allows(target));
+            is_allowed && !tried.iter().any(|t| Rc::ptr_eq(t, target))
+        });
         selectable_targets(now, targets)
     }
 
@@ -235,6 +242,7 @@
         now: Instant,
         service: &str,
         tried: &[Rc<TargetHandle>],
+        software: Option<&RequiredSoftware>,
         max_wait: Duration,
     ) -> Option<Rc<TargetHandle>> {
         let limit_wait = |target: &Rc<TargetHandle>| target.status.borrow().limit.wait(now);
@@ -255,7 +263,7 @@
                 + jitter
         };
         let loads = self
-            .untried_targets(now, service, tried)
+            .untried_targets(now, service, tried, software)
             .into_iter()
             .filter(|target| limit_wait(target) <= max_wait)
             .map(|target| (load(&target), target));
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use laburnumlug::{DemandReport, EngineEvent, SendNumber};
+use laburnumlug::{DemandReport, EngineEvent, SendNumber, StreamOrigin};
 use laburnumlug_policy::{FIRST_TOKEN_OVERHEAD, PromptParts, Suspect, prefill_work};
 
 use crate::attempt::CallerRequest;
@@ -29,6 +29,7 @@
     prompt_parts: PromptParts,
     work: u64,
     priority: u8,
+    stream: Option<StreamOrigin>,
 }
 
 impl RemoteRequest {
@@ -40,6 +41,7 @@
             work: self.work,
             priority: self.priority,
             parts: self.prompt_parts.parts().to_vec(),
+            stream: self.stream.clone(),
         }
     }
 }
@@ -86,6 +88,8 @@
     is_prefilled: bool,
     first_event_at: Option<Instant>,
     is_complete: bool,
+    /// The stream that the engine is to generate; `None` if it only prefills the prompt.
+    stream: Option<StreamOrigin>,
     /// Share of the engine's slots or memory that the request holds while it decodes; 0 if it does not decode there.
     decode_share: f64,
 }
@@ -117,12 +121,20 @@
             .demand
             .add_prefill(now, &service, prefill_time);
         engine_requests.demand.hold(now, &service, decode_share);
+        let stream = (decode_share > 0.0).then(|| StreamOrigin {
+            stream: request.stream_id(),
+            software: target.listing.borrow().software.clone(),
+        });
+        if let Some(origin) = &stream {
+            forwarder.record_stream_sent(now, origin);
+        }
         let event = EngineEvent::PromptSent {
             number,
             engine: target.instance.clone(),
             work,
             priority,
             parts: prompt_parts.parts().to_vec(),
+            stream: stream.clone(),
         };
         engine_requests
             .local
@@ -140,6 +152,7 @@
             is_prefilled: false,
             first_event_at: None,
             is_complete: false,
+            stream,
             decode_share,
         }
     }
@@ -162,6 +175,9 @@
     /// Records that the first event of the answer has arrived, for which the prompt was prefilled.
     pub(crate) fn mark_decoding(&mut self, now: Instant) {
         self.first_event_at = Some(now);
+        if let Some(origin) = &self.stream {
+            self.forwarder.record_stream_begun(now, origin);
+        }
         self.mark_prefilled(now);
     }
 
@@ -197,6 +213,9 @@
             let mut unfinished = self.target.unfinished_requests.borrow_mut();
             unfinished.push(now, std::mem::take(&mut self.suspects));
         }
+        if let Some(origin) = &self.stream {
+            self.forwarder.record_stream_end(now, origin, is_complete);
+        }
         let held_for = now.saturating_duration_since(self.sent_at);
         let service = &self.target.listing.borrow().service;
         engine_requests
@@ -222,7 +241,7 @@
     }
 
     /// Returns the events that bring a newly connected gateway up to date about the requests of this one, the crashes
-    /// of engines and the statements of targets.
+    /// of targets, their statements and the streams that callers may resume.
     ///
     /// Includes the cached prompts of all engines if `includes_cache_contents`, else those of recently inspected engines.
     pub fn engine_snapshot(&self, now: Instant, includes_cache_contents: bool) -> Vec<EngineEvent> {
@@ -238,6 +257,7 @@
         cache_contents
             .chain(self.crash_events(now))
             .chain(self.statement_events(now))
+            .chain(self.stream_events(now))
             .chain(local.values().cloned())
             .collect()
     }
@@ -261,7 +281,11 @@
                 work,
                 priority,
                 parts,
+                stream,
             } => {
+                if let Some(origin) = &stream {
+                    self.record_stream_sent(now, origin);
+                }
                 let Some(target) = self.live_target(&engine) else {
                     return;
                 };
@@ -278,6 +302,7 @@
                         prompt_parts,
                         work,
                         priority,
+                        stream,
                     },
                 );
             }
@@ -290,6 +315,9 @@
                         .kv_cache
                         .borrow_mut()
                         .insert(&request.prompt_parts);
+                    if let Some(origin) = &request.stream {
+                        self.record_stream_begun(now, origin);
+                    }
                 }
             }
             EngineEvent::RequestEnded {
@@ -300,6 +328,9 @@
                     if is_complete {
                         self.record_completion(now, &request.prompt_parts.suspects());
                     }
+                    if let Some(origin) = &request.stream {
+                        self.record_stream_end(now, origin, is_complete);
+                    }
                     request
                         .target
                         .prefill_queue
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -9,7 +9,9 @@
 use event_listener::Event;
 use laburnumlug::{FleetDocument, FleetVersion, ServiceName, TargetList};
 use laburnumlug_http::ConnectionPool;
-use laburnumlug_policy::{CrashAttribution, NoRoom, RetryBudget, RetrySchedule, rendezvous_rank};
+use laburnumlug_policy::{
+    CrashAttribution, NoRoom, RetryBudget, RetrySchedule, StreamOrigins, rendezvous_rank,
+};
 
 use crate::config::ForwardConfig;
 use crate::engine_requests::EngineRequests;
@@ -55,6 +57,7 @@
     observer: RefCell<Option<Rc<dyn ForwardObserver>>>,
     pub(crate) engine_requests: EngineRequests,
     pub(crate) crash_attribution: RefCell<CrashAttribution>,
+    pub(crate) stream_origins: RefCell<StreamOrigins>,
     /// Notified whenever a prompt part or the content of a request is blocked.
     pub(crate) request_blocked: Event,
 }
@@ -79,6 +82,7 @@
             observer: RefCell::default(),
             engine_requests: EngineRequests::new(),
             crash_attribution: RefCell::default(),
+            stream_origins: RefCell::default(),
             request_blocked: Event::new(),
         })
     }
@@ -229,6 +233,11 @@
         self.view.borrow().registry.available_targets(service)
     }
 
+    /// Returns the targets of a service that are listed, or were recently.
+    pub(crate) fn recent_targets(&self, service: &str) -> Vec<Rc<TargetHandle>> {
+        self.view.borrow().registry.recent_targets(service)
+    }
+
     /// Counts a request towards the retry budget of its service.
     pub(crate) fn record_request(&self, now: Instant, service: &str) {
         self.with_retry_budget(service, |budget| budget.record_request(now));
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -44,6 +44,7 @@
 mod request_content;
 mod routes;
 mod stream;
+mod stream_origins;
 mod target_statements;
 
 pub use crate::config::ForwardConfig;
--- a/laburnumlug-forward/src/refusal.rs
+++ b/laburnumlug-forward/src/refusal.rs
@@ -21,6 +21,8 @@
     PromptBlocked,
     /// Targets have crashed that ran the same request.
     RequestBlocked,
+    /// It is not known at which of several software versions a stream began that the request resumes.
+    OriginUnknown,
     /// A target stated that it did not execute the request.
     TargetRefused,
     /// A target has stated before that it wants no requests.
@@ -49,6 +51,7 @@
             | FailureCause::NoTarget
             | FailureCause::PromptBlocked
             | FailureCause::RequestBlocked
+            | FailureCause::OriginUnknown
             | FailureCause::TargetRefused
             | FailureCause::TargetDeclined
             | FailureCause::Unreachable
@@ -69,6 +72,7 @@
             FailureCause::NoTarget => "no-target",
             FailureCause::PromptBlocked => "prompt-blocked",
             FailureCause::RequestBlocked => "request-blocked",
+            FailureCause::OriginUnknown => "origin-unknown",
             FailureCause::TargetRefused => "target-refused",
             FailureCause::TargetDeclined => "target-declined",
             FailureCause::Unreachable => "unreachable",
--- a/laburnumlug-forward/src/request_content.rs
+++ b/laburnumlug-forward/src/request_content.rs
@@ -2,6 +2,7 @@
 
 use hyper::header::{AUTHORIZATION, HOST};
 use hyper::{HeaderMap, Method, Uri};
+use laburnumlug::StreamId;
 use laburnumlug_policy::ContentId;
 use sha2::{Digest, Sha256};
 
@@ -23,6 +24,16 @@
         header(AUTHORIZATION),
         body,
     ];
+    hash(&fields)
+}
+
+/// Returns the id of the stream that a request with this id begins.
+pub(crate) fn stream_id(request_id: &str) -> StreamId {
+    hash(&[request_id.as_bytes()])
+}
+
+/// Returns a hash that is the same in all builds, as gateways exchange it.
+fn hash(fields: &[&[u8]]) -> u64 {
     let mut hasher = Sha256::new();
     for field in fields {
         // The length separates a field from the next one.
@@ -31,8 +42,8 @@
     }
     let hash = hasher.finalize();
     hash.iter()
-        .take(size_of::<ContentId>())
-        .fold(0, |id, byte| id << 8 | ContentId::from(*byte))
+        .take(size_of::<u64>())
+        .fold(0, |id, byte| id << 8 | u64::from(*byte))
 }
 
 #[cfg(test)]
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -20,6 +20,7 @@
 use crate::refusal::{FailureCause, Refusal};
 use crate::registry::{InFlightGuard, TargetHandle};
 use crate::routes::RouteTable;
+use crate::stream_origins::RequiredSoftware;
 
 /// Maximum number of targets tried beyond the route's maximum number of attempts; a target that could not be connected
 /// to has not received the request, so it does not count as an attempt.
@@ -33,6 +34,8 @@
     request: CallerRequest,
     service: String,
     table: Rc<RouteTable>,
+    /// Software version that has begun the stream, once it has.
+    software: Option<RequiredSoftware>,
     tried: Vec<Rc<TargetHandle>>,
     /// Attempts that reached a target, without separate prefills.
     attempts_made: u32,
@@ -76,7 +79,11 @@
         table: Rc<RouteTable>,
     ) -> Result<Response, Refusal> {
         self.record_request(Instant::now(), service);
+        let software = self
+            .required_software(Instant::now(), &request, service)
+            .map_err(|failure| failure.to_refusal(RETRY_AFTER))?;
         let mut stream = StreamRequest {
+            software,
             request,
             service: service.to_string(),
             table,
@@ -169,7 +176,11 @@
             (_, (target, _)) => target,
         });
         match &result {
-            Ok(_) => {
+            Ok(attempt) => {
+                if let StreamAttempt::Stream(_) = attempt {
+                    let software = target.listing.borrow().software.clone();
+                    stream.software.get_or_insert(RequiredSoftware(software));
+                }
                 stream.attempts_made += 1;
                 stream.counted_arrivals += 1;
             }
@@ -199,7 +210,12 @@
         let selection = match (&stream.request.metadata.prompt, traits) {
             (Some(prompt), Some(traits)) => self.choose_engines(
                 now,
-                &self.untried_targets(now, &stream.service, &stream.tried),
+                &self.untried_targets(
+                    now,
+                    &stream.service,
+                    &stream.tried,
+                    stream.software.as_ref(),
+                ),
                 traits,
                 &stream.request,
                 prompt,
@@ -207,8 +223,13 @@
             ),
             _ => {
                 let max_wait = max_limit_wait(stream.request.route.latency_objective);
-                let target =
-                    self.least_loaded_target(now, &stream.service, &stream.tried, max_wait);
+                let target = self.least_loaded_target(
+                    now,
+                    &stream.service,
+                    &stream.tried,
+                    stream.software.as_ref(),
+                    max_wait,
+                );
                 let selection = target.map(|decode_engine| EngineSelection {
                     send_at: self.reserve_request(now, &decode_engine),
                     decode_engine,
--- /dev/null
+++ b/laburnumlug-forward/src/stream_origins.rs
@@ -0,0 +1,100 @@
+//! Software versions at which streams began, so that broken streams are resumed at the same version only.
+
+use std::collections::HashSet;
+use std::time::Instant;
+
+use laburnumlug::{EngineEvent, Role, SoftwareVersion, StreamOrigin};
+
+use crate::attempt::{AttemptFailure, CallerRequest};
+use crate::forwarder::Forwarder;
+use crate::refusal::FailureCause;
+use crate::registry::TargetHandle;
+
+/// Software version of the targets that may generate a stream, where `None` is that of targets that state none.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct RequiredSoftware(pub(crate) Option<SoftwareVersion>);
+
+impl RequiredSoftware {
+    /// Returns whether a target may take part in a stream: prefill engines generate no events.
+    pub(crate) fn allows(&self, target: &TargetHandle) -> bool {
+        let listing = target.listing.borrow();
+        listing.role == Some(Role::Prefill) || listing.software == self.0
+    }
+}
+
+impl Forwarder {
+    /// Records that a request for a stream was sent to an engine.
+    pub(crate) fn record_stream_sent(&self, now: Instant, origin: &StreamOrigin) {
+        let mut stream_origins = self.stream_origins.borrow_mut();
+        stream_origins.record_sent(now, origin.stream, origin.software.clone());
+    }
+
+    /// Records that the first event of a stream has arrived.
+    pub(crate) fn record_stream_begun(&self, now: Instant, origin: &StreamOrigin) {
+        let mut stream_origins = self.stream_origins.borrow_mut();
+        stream_origins.record_begun(now, origin.stream, origin.software.clone());
+    }
+
+    /// Records that the request for a stream has ended.
+    pub(crate) fn record_stream_end(&self, now: Instant, origin: &StreamOrigin, is_complete: bool) {
+        let mut stream_origins = self.stream_origins.borrow_mut();
+        match is_complete {
+            true => stream_origins.record_complete(now, origin.stream),
+            // Has no effect on a stream that has begun.
+            false => stream_origins.record_not_begun(now, origin.stream, &origin.software),
+        }
+    }
+
+    /// Returns the events that describe the streams which callers may resume.
+    ///
+    /// They are announced as prompts for no engine, which add nothing to the load of any.
+    pub(crate) fn stream_events(&self, now: Instant) -> Vec<EngineEvent> {
+        let stream_origins = self.stream_origins.borrow();
+        let event = |(stream, software): (_, &Option<SoftwareVersion>)| EngineEvent::PromptSent {
+            number: 0,
+            engine: String::new(),
+            work: 0,
+            priority: 0,
+            parts: Vec::new(),
+            stream: Some(StreamOrigin {
+                stream,
+                software: software.clone(),
+            }),
+        };
+        stream_origins.resumable(now).map(event).collect()
+    }
+
+    /// Returns the software version that a request needs because it resumes a stream, or `None` if any will do.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it is not known at which of several versions the stream began.
+    pub(crate) fn required_software(
+        &self,
+        now: Instant,
+        request: &CallerRequest,
+        service: &str,
+    ) -> Result<Option<RequiredSoftware>, AttemptFailure> {
+        if request.metadata.resumption.is_none() {
+            return Ok(None);
+        }
+        let stream_origins = self.stream_origins.borrow();
+        match stream_origins.software(now, request.stream_id()) {
+            Some(software) => Ok(Some(RequiredSoftware(software.clone()))),
+            None if self.recent_software(service).len() <= 1 => Ok(None),
+            None => Err(AttemptFailure::unsent(
+                FailureCause::OriginUnknown,
+                "it is not known at which software version the stream began",
+            )),
+        }
+    }
+
+    /// Returns the software versions of the targets of a service that are or were recently listed.
+    fn recent_software(&self, service: &str) -> HashSet<Option<SoftwareVersion>> {
+        let targets = self.recent_targets(service);
+        let software = targets
+            .iter()
+            .map(|target| target.listing.borrow().software.clone());
+        software.collect()
+    }
+}
--- a/laburnumlug-policy/src/recent_map.rs
+++ b/laburnumlug-policy/src/recent_map.rs
@@ -64,6 +64,20 @@
         }
     }
 
+    /// Removes an item.
+    pub(crate) fn remove(&mut self, key: &K) {
+        self.current.remove(key);
+        self.previous.remove(key);
+    }
+
+    /// Returns the items that were inserted recently, in any order.
+    pub(crate) fn iter(&self, now: Instant) -> impl Iterator<Item = (&K, &V)> {
+        let generations = self.generations_since(now);
+        let current = self.current.iter().filter(move |_| generations <= 1);
+        let previous = self.previous.iter().filter(move |_| generations == 0);
+        current.chain(previous)
+    }
+
     /// Returns the number of whole generations since the current one began.
     fn generations_since(&self, now: Instant) -> u128 {
         self.began_at.map_or(0, |began_at| {
--- a/laburnumlug-policy/src/recent_map_tests.rs
+++ b/laburnumlug-policy/src/recent_map_tests.rs
@@ -25,6 +25,24 @@
     assert_eq!(items.get(now + GENERATION_TIME, &1), Some(&'b'));
 }
 
+#[test]
+fn iter_and_remove() {
+    let now = Instant::now();
+    let mut items = RecentMap::new(MAX_ITEMS);
+    items.insert(now, 1, 'a');
+    items.insert(now + GENERATION_TIME, 2, 'b');
+    let keys = |items: &RecentMap<i32, char>, now| {
+        let mut keys: Vec<i32> = items.iter(now).map(|(key, _)| *key).collect();
+        keys.sort_unstable();
+        keys
+    };
+    assert_eq!(keys(&items, now + GENERATION_TIME), [1, 2]);
+    assert_eq!(keys(&items, now + GENERATION_TIME * 2), [2]);
+    items.remove(&1);
+    items.remove(&2);
+    assert!(keys(&items, now + GENERATION_TIME).is_empty());
+}
+
 #[test]
 fn insert_is_bounded() {
     let now = Instant::now();
--- a/src/engine_event.rs
+++ b/src/engine_event.rs
@@ -2,11 +2,23 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::TargetName;
+use crate::id::{SoftwareVersion, TargetName};
 
 /// Sequence number of a prompt sent to an engine, unique per sender.
 pub type SendNumber = u64;
 
+/// Hash of the id of the request that began a stream.
+pub type StreamId = u64;
+
+/// A stream, and the software version of the engine that generates it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamOrigin {
+    /// The stream.
+    pub stream: StreamId,
+    /// Version of the engine's software, if discovery states it.
+    pub software: Option<SoftwareVersion>,
+}
+
 /// Event that a process reports to the other processes that use the same engines.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum EngineEvent {
@@ -23,6 +35,9 @@
         priority: u8,
         /// Part id and token count of each part of the prompt.
         parts: Vec<(u64, u64)>,
+        /// The stream that the engine is to generate; `None` if it only prefills the prompt.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        stream: Option<StreamOrigin>,
     },
     /// The engine has finished the prefill of the prompt and has it in its prefix cache.
     #[serde(rename = "Read")]
