Skip engine events of unknown kinds

Cause: a gateway closes the connection that brings an event of a kind which it does not know, so that during an upgrade all that gateways tell each other is lost, also what both know. Change: a message that cannot be decoded is searched for events of unknown kinds, which are removed. Other messages are decoded as before, without further cost. A test reads and writes events as the version before streams and contents had encoded them.

--- a/laburnumlug-mesh/src/connection.rs
+++ b/laburnumlug-mesh/src/connection.rs
@@ -20,6 +20,7 @@
 use crate::handshake::{Handshake, MeshKey, SessionId, Side, derive_session_id, new_nonce};
 use crate::message::Message;
 use crate::traffic;
+use crate::unknown_events::remove_unknown_events;
 
 /// Version of the message format; both peers must use the same one.
 pub const PROTOCOL_VERSION: u16 = 2;
@@ -211,21 +212,15 @@
     ///
     /// Fails if the connection is broken or the message cannot be decoded.
     pub async fn recv(&mut self) -> Result<(RequestId, Message), Error> {
-        self.recv_decoded().await
+        let bytes = self.recv_bytes().await?;
+        decode_message(&bytes)
     }
 
     async fn send_encoded<T>(&mut self, request_id: &str, message: &T) -> Result<(), Error>
     where
         T: Serialize,
     {
-        let request_id = request_id.to_string();
-        let envelope = Envelope {
-            version: PROTOCOL_VERSION,
-            request_id,
-            message,
-        };
-        let mut buf = Vec::new();
-        ciborium::into_writer(&envelope, &mut buf).map_err(Error::codec)?;
+        let buf = encode(request_id, message)?;
         traffic::count_sent_message(buf.len());
         self.stream
             .send(Frame::Binary(buf.into()))
@@ -237,6 +232,11 @@
     where
         T: DeserializeOwned,
     {
+        let bytes = self.recv_bytes().await?;
+        decode_envelope(&bytes)
+    }
+
+    async fn recv_bytes(&mut self) -> Result<tungstenite::Bytes, Error> {
         loop {
             match self.stream.next().await {
                 None => return Err(Error::closed()),
@@ -248,7 +248,7 @@
                     ),
                 )) => return Err(Error::closed()),
                 Some(Err(err)) => return Err(Error::web_socket(err)),
-                Some(Ok(Frame::Binary(bytes))) => return decode_envelope(&bytes),
+                Some(Ok(Frame::Binary(bytes))) => return Ok(bytes),
                 Some(Ok(Frame::Close(_))) => return Err(Error::closed()),
                 Some(Ok(_)) => {}
             }
@@ -256,6 +256,38 @@
     }
 }
 
+/// Encodes a message with its request id.
+pub(crate) fn encode<T>(request_id: &str, message: &T) -> Result<Vec<u8>, Error>
+where
+    T: Serialize,
+{
+    let envelope = Envelope {
+        version: PROTOCOL_VERSION,
+        request_id: request_id.to_string(),
+        message,
+    };
+    let mut buf = Vec::new();
+    ciborium::into_writer(&envelope, &mut buf).map_err(Error::codec)?;
+    Ok(buf)
+}
+
+/// Decodes a message without the engine events of unknown kinds that it may contain.
+///
+/// Only a message that cannot be decoded otherwise is searched for such events, as that takes several times as long.
+pub(crate) fn decode_message(bytes: &[u8]) -> Result<(RequestId, Message), Error> {
+    let err = match decode_envelope(bytes) {
+        Ok(decoded) => return Ok(decoded),
+        Err(err) => err,
+    };
+    let Ok((request_id, mut message)) = decode_envelope::<ciborium::Value>(bytes) else {
+        return Err(err);
+    };
+    let ignored = remove_unknown_events(&mut message);
+    let message = message.deserialized().map_err(Error::codec)?;
+    log::debug!("ignored {ignored} events of unknown kinds from a later version");
+    Ok((request_id, message))
+}
+
 fn decode_envelope<T>(bytes: &[u8]) -> Result<(RequestId, T), Error>
 where
     T: DeserializeOwned,
--- a/laburnumlug-mesh/src/lib.rs
+++ b/laburnumlug-mesh/src/lib.rs
@@ -36,6 +36,7 @@
 mod pool;
 mod targets_report;
 mod traffic;
+mod unknown_events;
 
 pub use crate::accept::accept_connections;
 pub use crate::claim::{
--- /dev/null
+++ b/laburnumlug-mesh/src/unknown_events_tests.rs
@@ -0,0 +1,125 @@
+use laburnumlug::{StreamOrigin, TargetName};
+use serde::{Deserialize, Serialize};
+
+use super::*;
+use crate::connection::{decode_message, encode};
+use crate::{ForwardedEvents, GatewayMessage, Message, SessionChange};
+
+/// Engine events as the landed version before streams and contents had encoded them.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+enum EarlierEvent {
+    Sent {
+        number: u64,
+        engine: TargetName,
+        work: u64,
+        priority: u8,
+        parts: Vec<(u64, u64)>,
+    },
+    Crashed {
+        engine: TargetName,
+        age_ms: u64,
+        parts: Vec<u64>,
+    },
+}
+
+fn reencode<T, U>(value: &T) -> U
+where
+    T: Serialize,
+    U: for<'a> Deserialize<'a>,
+{
+    Value::serialized(value).unwrap().deserialized().unwrap()
+}
+
+fn leaving(target: &str) -> EngineEvent {
+    EngineEvent::TargetLeaving {
+        target: target.to_string(),
+    }
+}
+
+fn unknown_event() -> Value {
+    let fields = vec![(Value::from("target"), Value::from("i-1"))];
+    Value::Map(vec![(Value::from("Planned"), Value::Map(fields))])
+}
+
+/// Inserts an event of an unknown kind at the start of each list of events.
+fn insert_unknown_events(message: &mut Value) {
+    match message {
+        Value::Map(entries) => {
+            for (key, value) in entries {
+                match value {
+                    Value::Array(events) if is_event_list(key) => events.insert(0, unknown_event()),
+                    value => insert_unknown_events(value),
+                }
+            }
+        }
+        Value::Array(items) => items.iter_mut().for_each(insert_unknown_events),
+        _ => {}
+    }
+}
+
+/// A message of a later version holds events of a kind that this one does not know, beside others.
+#[test]
+fn decode_message_with_unknown_events() {
+    let forwarded = |change| ForwardedEvents {
+        sender: 2,
+        session: 1,
+        change,
+    };
+    let message = Message::Gateway(GatewayMessage::EnginesAndForwarded {
+        events: vec![leaving("i-1"), leaving("i-2")],
+        forwarded: vec![
+            forwarded(SessionChange::Begun(vec![leaving("i-3")])),
+            forwarded(SessionChange::Continued(vec![leaving("i-4")])),
+            forwarded(SessionChange::Ended),
+        ],
+    });
+    let mut later = Value::serialized(&message).unwrap();
+    insert_unknown_events(&mut later);
+    let bytes = encode("r", &later).unwrap();
+    assert_eq!(decode_message(&bytes).unwrap(), ("r".to_string(), message));
+}
+
+#[test]
+fn decode_message_without_known_kind() {
+    let fields = vec![(Value::from("Planned"), Value::Null)];
+    let bytes = encode("r", &Value::Map(fields)).unwrap();
+    assert!(decode_message(&bytes).is_err());
+}
+
+/// The version before reads the events of this one without their new fields, and this one reads its events.
+#[test]
+fn events_of_earlier_version() {
+    let sent = EngineEvent::PromptSent {
+        number: 7,
+        engine: "i-1".to_string(),
+        work: 30,
+        priority: 2,
+        parts: vec![(5, 40)],
+        stream: Some(StreamOrigin {
+            stream: 9,
+            software: Some("v1".to_string()),
+        }),
+    };
+    let crashed = EngineEvent::TargetCrashed {
+        target: "i-1".to_string(),
+        age_ms: 3,
+        parts: vec![5],
+        contents: vec![6],
+    };
+    let earlier_sent: EarlierEvent = reencode(&sent);
+    let earlier_crashed: EarlierEvent = reencode(&crashed);
+    let expected = EarlierEvent::Crashed {
+        engine: "i-1".to_string(),
+        age_ms: 3,
+        parts: vec![5],
+    };
+    assert_eq!(earlier_crashed, expected);
+    let EngineEvent::PromptSent { number, stream, .. } = reencode(&earlier_sent) else {
+        panic!("{earlier_sent:?}");
+    };
+    assert_eq!((number, stream), (7, None));
+    let EngineEvent::TargetCrashed { contents, .. } = reencode(&earlier_crashed) else {
+        panic!("{earlier_crashed:?}");
+    };
+    assert!(contents.is_empty());
+}
