Report only ended streams to gateways that start, by three others

Cause: each gateway told a starting one of all streams of the last minute that were not complete, those in progress included, so that the lists grew with the square of the fleet and gateways ran out of processor time after restarts. Change: streams in progress are reported by the gateways that run them, as part of their prompts. Of those that have ended, broken ones are reported for 10 s and complete ones for 2 s, by the three gateways that also send cached prompts. A stream whose gateway is lost counts as broken then.

--- a/laburnumlug-daemon/src/gateway_exchange/mod.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/mod.rs
@@ -40,9 +40,9 @@
     /// Removes the unfinished requests of another gateway.
     fn remove_sender(&self, now: Instant, sender: u64);
 
-    /// Returns the events that describe the unfinished requests of this gateway and, if `includes_cache_contents`, the
-    /// cached prompts of all engines.
-    fn snapshot(&self, now: Instant, includes_cache_contents: bool) -> Vec<EngineEvent>;
+    /// Returns the events that describe the unfinished requests of this gateway and, if `includes_shared_state`, the
+    /// cached prompts of all engines and the ended streams that callers may resume.
+    fn snapshot(&self, now: Instant, includes_shared_state: bool) -> Vec<EngineEvent>;
 
     /// Returns the events that describe the unfinished requests of another gateway.
     fn sender_snapshot(&self, sender: u64) -> Vec<EngineEvent>;
@@ -57,8 +57,8 @@
         Forwarder::remove_sender(self, now, sender);
     }
 
-    fn snapshot(&self, now: Instant, includes_cache_contents: bool) -> Vec<EngineEvent> {
-        self.engine_snapshot(now, includes_cache_contents)
+    fn snapshot(&self, now: Instant, includes_shared_state: bool) -> Vec<EngineEvent> {
+        self.engine_snapshot(now, includes_shared_state)
     }
 
     fn sender_snapshot(&self, sender: u64) -> Vec<EngineEvent> {
--- a/laburnumlug-daemon/src/gateway_exchange/sender.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/sender.rs
@@ -93,8 +93,7 @@
     /// Returns a snapshot of the state of this gateway and of the senders whose events it forwards over this link.
     fn snapshot_message(&self, link: &Link) -> GatewayMessage {
         let gateways = self.gateways.borrow();
-        let includes_cache_contents =
-            sends_cache_contents(self.own_addr, link.route.addr, &gateways);
+        let includes_shared_state = sends_cache_contents(self.own_addr, link.route.addr, &gateways);
         let sessions = self.forwarded_sessions.borrow();
         let sessions = sessions.iter().filter(|_| link.route.is_same_zone);
         let forwarded = sessions.map(|(sender, session)| ForwardedEvents {
@@ -103,7 +102,7 @@
             change: SessionChange::Begun(self.state.sender_snapshot(*sender)),
         });
         message(
-            self.state.snapshot(Instant::now(), includes_cache_contents),
+            self.state.snapshot(Instant::now(), includes_shared_state),
             forwarded.collect(),
         )
     }
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -240,24 +240,29 @@
         self.engine_requests.demand.report(now)
     }
 
-    /// Returns the events that bring a newly connected gateway up to date about the requests of this one, the crashes
-    /// of targets, their statements and the streams that callers may resume.
+    /// Returns the events that bring a newly connected gateway up to date about the requests of this one, the crashes of
+    /// targets and their statements.
     ///
-    /// Includes the cached prompts of all engines if `includes_cache_contents`, else those of recently inspected engines.
-    pub fn engine_snapshot(&self, now: Instant, includes_cache_contents: bool) -> Vec<EngineEvent> {
+    /// Includes the long lists of what most gateways know if `includes_shared_state`: the cached prompts of all engines and the
+    /// streams that callers may resume. Otherwise it includes the cached prompts of recently inspected engines.
+    pub fn engine_snapshot(&self, now: Instant, includes_shared_state: bool) -> Vec<EngineEvent> {
         let engines_with_known_cache = self.engines().into_iter().filter(|target| {
-            let is_included = includes_cache_contents || self.has_recent_inspection(now, target);
+            let is_included = includes_shared_state || self.has_recent_inspection(now, target);
             target.is_cache_known.get() && is_included
         });
         let cache_contents = engines_with_known_cache.map(|target| EngineEvent::CacheContents {
             engine: target.instance.clone(),
             parts: target.kv_cache.borrow().parts(),
         });
+        let stream_events = match includes_shared_state {
+            true => self.stream_events(now),
+            false => Vec::new(),
+        };
         let local = self.engine_requests.local.borrow();
         cache_contents
             .chain(self.crash_events(now))
             .chain(self.statement_events(now))
-            .chain(self.stream_events(now))
+            .chain(stream_events)
             .chain(local.values().cloned())
             .collect()
     }
@@ -407,6 +412,9 @@
         let mut remote = self.engine_requests.remote.borrow_mut();
         remote.retain(|(from, number), request| {
             if *from == sender {
+                if let Some(origin) = &request.stream {
+                    self.record_stream_lost(now, origin);
+                }
                 request
                     .target
                     .prefill_queue
--- a/laburnumlug-forward/src/stream_origins.rs
+++ b/laburnumlug-forward/src/stream_origins.rs
@@ -38,14 +38,16 @@
     /// Records that the request for a stream has ended.
     pub(crate) fn record_stream_end(&self, now: Instant, origin: &StreamOrigin, is_complete: bool) {
         let mut stream_origins = self.stream_origins.borrow_mut();
-        match is_complete {
-            true => stream_origins.record_complete(now, origin.stream),
-            // Has no effect on a stream that has begun.
-            false => stream_origins.record_not_begun(now, origin.stream, &origin.software),
-        }
+        stream_origins.record_end(now, origin.stream, &origin.software, is_complete);
+    }
+
+    /// Records that the gateway of a stream is lost.
+    pub(crate) fn record_stream_lost(&self, now: Instant, origin: &StreamOrigin) {
+        let mut stream_origins = self.stream_origins.borrow_mut();
+        stream_origins.record_lost(now, origin.stream);
     }
 
-    /// Returns the events that describe the streams which callers may resume.
+    /// Returns the events that describe the ended streams which callers may resume.
     ///
     /// They are announced as prompts for no engine, which add nothing to the load of any.
     pub(crate) fn stream_events(&self, now: Instant) -> Vec<EngineEvent> {
--- a/laburnumlug-policy/src/stream_origins.rs
+++ b/laburnumlug-policy/src/stream_origins.rs
@@ -12,8 +12,8 @@
 /// Time after its end for which a complete stream is reported to gateways that start; its caller may have lost the end.
 const COMPLETE_REPORT_TIME: Duration = Duration::from_secs(2);
 
-/// Time after its last change for which a stream is reported to gateways that start.
-const REPORT_TIME: Duration = Duration::from_secs(60);
+/// Time after it broke for which a stream is reported to gateways that start; callers resume streams soon.
+const BROKEN_REPORT_TIME: Duration = Duration::from_secs(10);
 
 /// How far a stream has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -33,7 +33,8 @@
 struct Origin {
     software: Option<SoftwareVersion>,
     progress: Progress,
-    updated_at: Instant,
+    /// When the last attempt ended, or `None` while one runs.
+    ended_at: Option<Instant>,
 }
 
 /// Software versions at which recent streams began; `None` is the version of engines that state none.
@@ -53,23 +54,23 @@
 }
 
 impl StreamOrigins {
-    /// Records that a request for a stream was sent to an engine, unless the stream has already begun.
+    /// Records that a request for a stream was sent to an engine. A stream that has already begun keeps its origin.
     pub fn record_sent(
         &mut self,
         now: Instant,
         stream: StreamId,
         software: Option<SoftwareVersion>,
     ) {
-        let progress = match self.origins.get(now, &stream) {
-            Some(origin) if is_begun(origin) => return,
-            Some(origin) if origin.software != software => Progress::Ambiguous,
-            Some(origin) => origin.progress,
-            None => Progress::Sent,
+        let (software, progress) = match self.origins.get(now, &stream) {
+            Some(origin) if is_begun(origin) => (origin.software.clone(), origin.progress),
+            Some(origin) if origin.software != software => (software, Progress::Ambiguous),
+            Some(origin) => (software, origin.progress),
+            None => (software, Progress::Sent),
         };
-        self.insert(now, stream, software, progress);
+        self.insert(now, stream, software, progress, None);
     }
 
-    /// Records that the first event of a stream has arrived, unless an earlier attempt began it.
+    /// Records that the first event of an attempt has arrived, which begins the stream unless an earlier attempt did.
     pub fn record_begun(
         &mut self,
         now: Instant,
@@ -78,28 +79,34 @@
     ) {
         let begun = self.origins.get(now, &stream).filter(|o| is_begun(o));
         let software = begun.map_or(software, |origin| origin.software.clone());
-        self.insert(now, stream, software, Progress::Begun);
+        self.insert(now, stream, software, Progress::Begun, None);
     }
 
-    /// Records that an attempt at an engine of this version ended without an event.
-    pub fn record_not_begun(
+    /// Records that an attempt at an engine of this version ended; if it did not begin the stream, another attempt may.
+    pub fn record_end(
         &mut self,
         now: Instant,
         stream: StreamId,
         software: &Option<SoftwareVersion>,
+        is_complete: bool,
     ) {
-        let is_only_attempt =
-            |origin: &Origin| origin.progress == Progress::Sent && origin.software == *software;
-        if self.origins.get(now, &stream).is_some_and(is_only_attempt) {
-            self.origins.remove(&stream);
-        }
+        let Some(origin) = self.origins.get(now, &stream).cloned() else {
+            return;
+        };
+        let progress = match origin.progress {
+            Progress::Sent if origin.software == *software => {
+                return self.origins.remove(&stream);
+            }
+            Progress::Begun | Progress::Complete if is_complete => Progress::Complete,
+            progress => progress,
+        };
+        self.insert(now, stream, origin.software, progress, Some(now));
     }
 
-    /// Records that a stream is complete.
-    pub fn record_complete(&mut self, now: Instant, stream: StreamId) {
-        if let Some(origin) = self.origins.get(now, &stream) {
-            let software = origin.software.clone();
-            self.insert(now, stream, software, Progress::Complete);
+    /// Records that the gateway of a stream is lost.
+    pub fn record_lost(&mut self, now: Instant, stream: StreamId) {
+        if let Some(origin) = self.origins.get(now, &stream).cloned() {
+            self.insert(now, stream, origin.software, origin.progress, Some(now));
         }
     }
 
@@ -109,17 +116,17 @@
         (origin.progress != Progress::Ambiguous).then_some(&origin.software)
     }
 
-    /// Returns the streams that callers may still resume, and the versions at which they began.
+    /// Returns the streams that have ended and that callers may still resume, and the versions at which they began.
     pub fn resumable(
         &self,
         now: Instant,
     ) -> impl Iterator<Item = (StreamId, &Option<SoftwareVersion>)> {
         let origins = self.origins.iter(now).filter(move |(_, origin)| {
-            let age = now.saturating_duration_since(origin.updated_at);
-            match origin.progress {
-                Progress::Complete => age < COMPLETE_REPORT_TIME,
-                Progress::Ambiguous => false,
-                Progress::Sent | Progress::Begun => age < REPORT_TIME,
+            let age = origin.ended_at.map(|at| now.saturating_duration_since(at));
+            match (origin.progress, age) {
+                (Progress::Ambiguous, _) | (_, None) => false,
+                (Progress::Complete, Some(age)) => age < COMPLETE_REPORT_TIME,
+                (Progress::Sent | Progress::Begun, Some(age)) => age < BROKEN_REPORT_TIME,
             }
         });
         origins.map(|(stream, origin)| (*stream, &origin.software))
@@ -131,11 +138,12 @@
         stream: StreamId,
         software: Option<SoftwareVersion>,
         progress: Progress,
+        ended_at: Option<Instant>,
     ) {
         let origin = Origin {
             software,
             progress,
-            updated_at: now,
+            ended_at,
         };
         self.origins.insert(now, stream, origin);
     }
--- a/laburnumlug-policy/src/stream_origins_tests.rs
+++ b/laburnumlug-policy/src/stream_origins_tests.rs
@@ -38,7 +38,7 @@
     let now = Instant::now();
     let mut origins = StreamOrigins::default();
     origins.record_sent(now, STREAM, version("v1"));
-    origins.record_not_begun(now, STREAM, &version("v1"));
+    origins.record_end(now, STREAM, &version("v1"), false);
     assert_eq!(origins.software(now, STREAM), None);
     origins.record_sent(now, STREAM, version("v2"));
     assert_eq!(origins.software(now, STREAM), Some(&version("v2")));
@@ -52,22 +52,38 @@
     origins.record_begun(now, STREAM, None);
     origins.record_sent(now, STREAM, version("v2"));
     origins.record_begun(now, STREAM, version("v2"));
-    origins.record_not_begun(now, STREAM, &version("v2"));
-    origins.record_not_begun(now, STREAM, &None);
+    origins.record_end(now, STREAM, &version("v2"), false);
+    origins.record_end(now, STREAM, &None, false);
     assert_eq!(origins.software(now, STREAM), Some(&None));
 }
 
+/// Gateways that start are told only of streams that have ended; the others are reported by the gateways that run them.
 #[test]
-fn resumable_complete_streams() {
+fn resumable_ended_streams() {
     let now = Instant::now();
+    let software = version("v1");
     let mut origins = StreamOrigins::default();
-    origins.record_begun(now, STREAM, version("v1"));
-    origins.record_begun(now, STREAM + 1, version("v1"));
-    origins.record_complete(now, STREAM);
-    origins.record_complete(now, STREAM + 2);
-    assert_eq!(origins.resumable(now + SECOND).count(), 2);
-    let later = now + COMPLETE_REPORT_TIME;
-    let remaining: Vec<StreamId> = origins.resumable(later).map(|(stream, _)| stream).collect();
-    assert_eq!(remaining, [STREAM + 1]);
-    assert_eq!(origins.software(later, STREAM), Some(&version("v1")));
+    for stream in 0..5 {
+        origins.record_begun(now, stream, software.clone());
+    }
+    origins.record_sent(now, 5, software.clone());
+    origins.record_end(now, 0, &software, true);
+    origins.record_end(now, 1, &software, false);
+    origins.record_end(now, 2, &software, false);
+    origins.record_sent(now, 2, software.clone());
+    origins.record_lost(now, 3);
+    origins.record_lost(now, 5);
+    origins.record_lost(now, 6);
+    let resumable = |at| {
+        let mut streams: Vec<StreamId> = origins.resumable(at).map(|(s, _)| s).collect();
+        streams.sort_unstable();
+        streams
+    };
+    assert_eq!(resumable(now + SECOND), [0, 1, 3, 5]);
+    assert_eq!(resumable(now + COMPLETE_REPORT_TIME), [1, 3, 5]);
+    assert!(resumable(now + BROKEN_REPORT_TIME).is_empty());
+    let later = now + BROKEN_REPORT_TIME;
+    for stream in 0..6 {
+        assert_eq!(origins.software(later, stream), Some(&software), "{stream}");
+    }
 }
