Skip known crashes that reports add nothing to

Cause: a gateway that starts is told of up to 64 crashes by each gateway that connects to it, and determined all blocks anew for each report, also if it held nothing new. Change: a report of a known crash without further suspects ends there. Measured: the tests of crash attribution pass; the time was not measured.

--- a/laburnumlug-policy/src/crash_attribution.rs
+++ b/laburnumlug-policy/src/crash_attribution.rs
@@ -116,7 +116,13 @@
             known.target == crash.target && time_between(known.at, crash.at) < SAME_CRASH_TIME
         };
         match self.crashes.iter_mut().find(is_same) {
-            Some(known) => add_suspects(&mut known.suspects, suspects),
+            Some(known) => {
+                let before = known.suspects.len();
+                add_suspects(&mut known.suspects, suspects);
+                if known.suspects.len() == before {
+                    return Vec::new();
+                }
+            }
             None => {
                 let mut added = TargetCrash {
                     suspects: Vec::new(),
