Test events that cannot be decoded for other reasons than their kind

Cause: the test of unknown events had one kind of them only. Measured: the test passes: all other events of the message are decoded.

--- a/laburnumlug-mesh/src/unknown_events_tests.rs
+++ b/laburnumlug-mesh/src/unknown_events_tests.rs
@@ -36,18 +36,38 @@
     }
 }
 
-fn unknown_event() -> Value {
-    let fields = vec![(Value::from("target"), Value::from("i-1"))];
-    Value::Map(vec![(Value::from("Planned"), Value::Map(fields))])
+fn event(kind: &str, fields: &[(&str, Value)]) -> Value {
+    let fields = fields.iter();
+    let fields = fields.map(|(name, value)| (Value::from(*name), value.clone()));
+    let fields = Value::Map(fields.collect());
+    Value::Map(vec![(Value::from(kind), fields)])
 }
 
-/// Inserts an event of an unknown kind at the start of each list of events.
+/// Returns events that this version cannot decode: of an unknown kind, with a field missing or of another type, and values
+/// that are no events.
+fn unknown_events() -> Vec<Value> {
+    vec![
+        event("Planned", &[("target", Value::from("i-1"))]),
+        event("Leaving", &[]),
+        event("Leaving", &[("target", Value::from(5))]),
+        event("Sent", &[("number", Value::from("x"))]),
+        Value::from("Leaving"),
+        Value::from(-1),
+        Value::Null,
+        Value::Bytes(vec![0xff; 8]),
+        Value::Array(vec![event("Leaving", &[])]),
+    ]
+}
+
+/// Inserts events that cannot be decoded at the start of each list of events.
 fn insert_unknown_events(message: &mut Value) {
     match message {
         Value::Map(entries) => {
             for (key, value) in entries {
                 match value {
-                    Value::Array(events) if is_event_list(key) => events.insert(0, unknown_event()),
+                    Value::Array(events) if is_event_list(key) => {
+                        events.splice(0..0, unknown_events());
+                    }
                     value => insert_unknown_events(value),
                 }
             }
@@ -57,7 +77,7 @@
     }
 }
 
-/// A message of a later version holds events of a kind that this one does not know, beside others.
+/// A message of a later version holds events that this one cannot decode, beside others.
 #[test]
 fn decode_message_with_unknown_events() {
     let forwarded = |change| ForwardedEvents {
