Track streams of services that are not engines

Cause: a request that holds no share of an engine was taken for one that is only prefilled. For a streaming service without the settings of engines, the origin of a stream was not kept, so that callers' resumptions were refused while two versions serve, and its requests were no suspects of crashes. Change: whether a target only prefills is stated instead of derived from the share. Measured: plain_stream_resumed_by_caller_at_same_software failed before (503) and passes.

--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -90,13 +90,14 @@
     is_complete: bool,
     /// The stream that the engine is to generate; `None` if it only prefills the prompt.
     stream: Option<StreamOrigin>,
-    /// Share of the engine's slots or memory that the request holds while it decodes; 0 if it does not decode there.
-    decode_share: f64,
+    /// Share of the engine's slots or memory that the request holds while it decodes; `None` if the engine only prefills
+    /// the prompt.
+    decode_share: Option<f64>,
 }
 
 impl EngineRequestGuard {
     /// Records and publishes that a prompt is sent. The engine has to prefill `uncached_tokens` of it, and decoding
-    /// holds `decode_share` of the engine.
+    /// holds `decode_share` of the engine; it is `None` if the engine only prefills the prompt.
     pub(crate) fn start(
         forwarder: &Rc<Forwarder>,
         now: Instant,
@@ -104,7 +105,7 @@
         request: &CallerRequest,
         uncached_tokens: u64,
         priority: u8,
-        decode_share: f64,
+        decode_share: Option<f64>,
     ) -> EngineRequestGuard {
         let prompt_parts = &request.prompt_parts;
         let engine_requests = &forwarder.engine_requests;
@@ -120,8 +121,9 @@
         engine_requests
             .demand
             .add_prefill(now, &service, prefill_time);
-        engine_requests.demand.hold(now, &service, decode_share);
-        let stream = (decode_share > 0.0).then(|| StreamOrigin {
+        let held_share = decode_share.unwrap_or_default();
+        engine_requests.demand.hold(now, &service, held_share);
+        let stream = decode_share.map(|_| StreamOrigin {
             stream: request.stream_id(),
             software: target.listing.borrow().software.clone(),
         });
@@ -207,8 +209,7 @@
         }
         let engine_requests = &self.forwarder.engine_requests;
         let now = Instant::now();
-        let is_decoding = self.decode_share > 0.0;
-        let may_have_run = is_decoding && !self.suspects.is_empty();
+        let may_have_run = self.decode_share.is_some() && !self.suspects.is_empty();
         if may_have_run && !is_complete && is_decode_start(now, self.first_event_at) {
             let mut unfinished = self.target.unfinished_requests.borrow_mut();
             unfinished.push(now, std::mem::take(&mut self.suspects));
@@ -218,9 +219,12 @@
         }
         let held_for = now.saturating_duration_since(self.sent_at);
         let service = &self.target.listing.borrow().service;
-        engine_requests
-            .demand
-            .release(now, service, self.decode_share, held_for);
+        engine_requests.demand.release(
+            now,
+            service,
+            self.decode_share.unwrap_or_default(),
+            held_for,
+        );
         engine_requests.local.borrow_mut().remove(&number);
         engine_requests.publish(EngineEvent::RequestEnded {
             number,
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -115,7 +115,7 @@
             request,
             uncached_tokens,
             selection.priority,
-            decode_share,
+            Some(decode_share),
         );
         let expected = match stage {
             AttemptStage::Full => selection.time_to_first_token,
--- a/laburnumlug-forward/src/stream/prefill.rs
+++ b/laburnumlug-forward/src/stream/prefill.rs
@@ -33,7 +33,7 @@
             request,
             selection.uncached_tokens,
             selection.priority,
-            0.0,
+            None,
         );
         let result = async {
             let options = AttemptOptions {
