--- /dev/null
+++ b/laburnumlug-forward/src/engine_request_guard.rs
@@ -0,0 +1,170 @@
+//! Tracking of one prompt that this process sends to an engine.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use laburnumlug::{EngineEvent, SendNumber, StreamOrigin};
+use laburnumlug_policy::{FIRST_TOKEN_OVERHEAD, PromptParts, Suspect, prefill_work};
+
+use crate::attempt::CallerRequest;
+use crate::crashes::is_decode_start;
+use crate::engine_requests::LOCAL_SENDER;
+use crate::forwarder::Forwarder;
+use crate::registry::TargetHandle;
+
+/// Tracks a prompt that was sent to an engine; dropping the guard publishes that the request ended.
+pub(crate) struct EngineRequestGuard {
+    forwarder: Rc<Forwarder>,
+    target: Rc<TargetHandle>,
+    number: SendNumber,
+    prompt_parts: PromptParts,
+    suspects: Vec<Suspect>,
+    sent_at: Instant,
+    predicted_prefill: Duration,
+    is_prefilled: bool,
+    first_event_at: Option<Instant>,
+    is_complete: bool,
+    /// The stream that the engine is to generate; `None` if it only prefills the prompt.
+    stream: Option<StreamOrigin>,
+    /// Share of the engine's slots or memory that the request holds while it decodes; `None` if the engine only prefills
+    /// the prompt.
+    decode_share: Option<f64>,
+}
+
+impl EngineRequestGuard {
+    /// Records and publishes that a prompt is sent. The engine has to prefill `uncached_tokens` of it, and decoding
+    /// holds `decode_share` of the engine; it is `None` if the engine only prefills the prompt.
+    pub(crate) fn start(
+        forwarder: &Rc<Forwarder>,
+        now: Instant,
+        target: &Rc<TargetHandle>,
+        request: &CallerRequest,
+        uncached_tokens: u64,
+        priority: u8,
+        decode_share: Option<f64>,
+    ) -> EngineRequestGuard {
+        let prompt_parts = &request.prompt_parts;
+        let engine_requests = &forwarder.engine_requests;
+        let number = engine_requests.last_number.get() + 1;
+        engine_requests.last_number.set(number);
+        let work = prefill_work(uncached_tokens, prompt_parts.tokens());
+        let mut prefill_queue = target.prefill_queue.borrow_mut();
+        let predicted_prefill =
+            prefill_queue.waiting_time(now, priority) + prefill_queue.prefill_time(work);
+        prefill_queue.enqueue(now, (LOCAL_SENDER, number), priority, work);
+        let service = target.listing.borrow().service.clone();
+        let prefill_time = target.prefill_engine_time(prefill_queue.prefill_time(work));
+        engine_requests
+            .demand
+            .add_prefill(now, &service, prefill_time);
+        let held_share = decode_share.unwrap_or_default();
+        engine_requests.demand.hold(now, &service, held_share);
+        let stream = decode_share.map(|_| StreamOrigin {
+            stream: request.stream_id(),
+            software: target.listing.borrow().software.clone(),
+        });
+        if let Some(origin) = &stream {
+            forwarder.record_stream_sent(now, origin);
+        }
+        let event = EngineEvent::PromptSent {
+            number,
+            engine: target.instance.clone(),
+            work,
+            priority,
+            parts: prompt_parts.parts().to_vec(),
+            stream: stream.clone(),
+        };
+        engine_requests
+            .local
+            .borrow_mut()
+            .insert(number, event.clone());
+        engine_requests.publish(event);
+        EngineRequestGuard {
+            forwarder: forwarder.clone(),
+            target: target.clone(),
+            number,
+            prompt_parts: prompt_parts.clone(),
+            suspects: request.suspects(),
+            sent_at: now,
+            predicted_prefill,
+            is_prefilled: false,
+            first_event_at: None,
+            is_complete: false,
+            stream,
+            decode_share,
+        }
+    }
+
+    /// Records and publishes that the engine has prefilled the prompt and caches it.
+    pub(crate) fn mark_prefilled(&mut self, now: Instant) {
+        self.is_prefilled = true;
+        let taken = now.saturating_duration_since(self.sent_at);
+        let delay = taken.saturating_sub(self.predicted_prefill + FIRST_TOKEN_OVERHEAD);
+        let mut prefill_queue = self.target.prefill_queue.borrow_mut();
+        prefill_queue.complete(now, (LOCAL_SENDER, self.number), FIRST_TOKEN_OVERHEAD);
+        prefill_queue.record_delay(now, delay);
+        self.target.kv_cache.borrow_mut().insert(&self.prompt_parts);
+        let number = self.number;
+        self.forwarder
+            .engine_requests
+            .publish(EngineEvent::PrefillDone { number });
+    }
+
+    /// Records that the first event of the answer has arrived, for which the prompt was prefilled.
+    pub(crate) fn mark_decoding(&mut self, now: Instant) {
+        self.first_event_at = Some(now);
+        if let Some(origin) = &self.stream {
+            self.forwarder.record_stream_begun(now, origin);
+        }
+        self.mark_prefilled(now);
+    }
+
+    /// Returns when the first event of the answer arrived, or `None` if it has not.
+    pub(crate) fn first_event_at(&self) -> Option<Instant> {
+        self.first_event_at
+    }
+
+    /// Records that the engine has not run the request.
+    pub(crate) fn mark_not_run(&mut self) {
+        self.suspects.clear();
+    }
+
+    /// Records that the answer is complete.
+    pub(crate) fn mark_complete(&mut self, now: Instant) {
+        self.is_complete = true;
+        self.forwarder.record_completion(now, &self.suspects);
+    }
+}
+
+impl Drop for EngineRequestGuard {
+    fn drop(&mut self) {
+        let (number, is_complete) = (self.number, self.is_complete);
+        if !self.is_prefilled {
+            let mut prefill_queue = self.target.prefill_queue.borrow_mut();
+            prefill_queue.cancel(Instant::now(), (LOCAL_SENDER, number));
+        }
+        let engine_requests = &self.forwarder.engine_requests;
+        let now = Instant::now();
+        let may_have_run = self.decode_share.is_some() && !self.suspects.is_empty();
+        if may_have_run && !is_complete && is_decode_start(now, self.first_event_at) {
+            let mut unfinished = self.target.unfinished_requests.borrow_mut();
+            unfinished.push(now, std::mem::take(&mut self.suspects));
+        }
+        if let Some(origin) = &self.stream {
+            self.forwarder.record_stream_end(now, origin, is_complete);
+        }
+        let held_for = now.saturating_duration_since(self.sent_at);
+        let service = &self.target.listing.borrow().service;
+        engine_requests.demand.release(
+            now,
+            service,
+            self.decode_share.unwrap_or_default(),
+            held_for,
+        );
+        engine_requests.local.borrow_mut().remove(&number);
+        engine_requests.publish(EngineEvent::RequestEnded {
+            number,
+            is_complete,
+        });
+    }
+}
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -8,7 +8,7 @@
 
 use super::{OpenStream, StreamAttempt, StreamRequest};
 use crate::attempt::{AttemptFailure, AttemptOptions};
-use crate::engine_requests::EngineRequestGuard;
+use crate::engine_request_guard::EngineRequestGuard;
 use crate::engine_selection::{EngineSelection, decode_share};
 use crate::events::EventSplitter;
 use crate::forwarder::Forwarder;
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -13,7 +13,7 @@
 use laburnumlug_policy::{NoRoom, max_limit_wait};
 
 use crate::attempt::{AttemptFailure, CallerRequest};
-use crate::engine_requests::EngineRequestGuard;
+use crate::engine_request_guard::EngineRequestGuard;
 use crate::engine_selection::EngineSelection;
 use crate::events::EventSplitter;
 use crate::forwarder::Forwarder;
--- a/laburnumlug-forward/src/stream/prefill.rs
+++ b/laburnumlug-forward/src/stream/prefill.rs
@@ -8,7 +8,7 @@
 use super::StreamRequest;
 use super::attempt::{MAX_RESPONSE_BYTES, probe_delay};
 use crate::attempt::{AttemptFailure, AttemptOptions};
-use crate::engine_requests::EngineRequestGuard;
+use crate::engine_request_guard::EngineRequestGuard;
 use crate::engine_selection::EngineSelection;
 use crate::forwarder::Forwarder;
 use crate::header_codec::AttemptStage;
