Reword why retries wait for the reports of other gateways

Cause: the comment told of the first form of the rule, in which only a single request was blocked after one crash. Change: it tells what the reports decide now. No code is altered. Measured: nothing; the formatter passes.

--- a/laburnumlug-forward/src/crashes.rs
+++ b/laburnumlug-forward/src/crashes.rs
@@ -22,8 +22,8 @@
 /// Maximum time for which a retry waits for the check whether its target has crashed.
 const MAX_CRASH_CHECK_TIME: Duration = Duration::from_millis(100);
 
-/// Time for which a retry after a crash waits for the reports of other gateways, without which its request may seem to
-/// be the only one that can be the cause.
+/// Time for which a retry after a crash waits for the reports of other gateways, without which it is not known how many
+/// requests may be the cause.
 const CRASH_REPORT_TIME: Duration = Duration::from_millis(30);
 
 /// Returns whether a request that breaks now may have crashed its engine, by beginning to be decoded.
