Report the origins of streams only while a service has several software versions

Cause: each prompt was announced with the version of its engine, and each gateway kept three updates of each stream of the fleet, although all engines have one version except during a release. Where many short prompts arrive at small gateways, this cost processor time and memory. Change: origins are reported and kept only while a service has, or had in the last minute, targets of several versions. A stream that nobody has reported is resumed at the version that was the only one before, for as long as its caller may resume it, and refused after that as before.

--- a/laburnumlug-forward/src/engine_request_guard.rs
+++ b/laburnumlug-forward/src/engine_request_guard.rs
@@ -24,7 +24,8 @@
     is_prefilled: bool,
     first_event_at: Option<Instant>,
     is_complete: bool,
-    /// The stream that the engine is to generate; `None` if it only prefills the prompt.
+    /// The stream that the engine is to generate; `None` if it only prefills the prompt, or if all targets of the service
+    /// have the same software version.
     stream: Option<StreamOrigin>,
     /// Share of the engine's slots or memory that the request holds while it decodes; `None` if the engine only prefills
     /// the prompt.
@@ -59,7 +60,8 @@
             .add_prefill(now, &service, prefill_time);
         let held_share = decode_share.unwrap_or_default();
         engine_requests.demand.hold(now, &service, held_share);
-        let stream = decode_share.map(|_| StreamOrigin {
+        let generates_stream = decode_share.is_some() && forwarder.has_mixed_software(&service);
+        let stream = generates_stream.then(|| StreamOrigin {
             stream: request.stream_id(),
             software: target.listing.borrow().software.clone(),
         });
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -10,7 +10,8 @@
 use laburnumlug::{FleetDocument, FleetVersion, ServiceName, TargetList};
 use laburnumlug_http::ConnectionPool;
 use laburnumlug_policy::{
-    CrashAttribution, NoRoom, RetryBudget, RetrySchedule, StreamOrigins, rendezvous_rank,
+    CrashAttribution, NoRoom, RetryBudget, RetrySchedule, SoftwareHistory, StreamOrigins,
+    rendezvous_rank,
 };
 
 use crate::config::ForwardConfig;
@@ -58,6 +59,7 @@
     pub(crate) engine_requests: EngineRequests,
     pub(crate) crash_attribution: RefCell<CrashAttribution>,
     pub(crate) stream_origins: RefCell<StreamOrigins>,
+    pub(crate) software_histories: RefCell<HashMap<ServiceName, SoftwareHistory>>,
     /// Notified whenever a prompt part or the content of a request is blocked.
     pub(crate) request_blocked: Event,
 }
@@ -83,6 +85,7 @@
             engine_requests: EngineRequests::new(),
             crash_attribution: RefCell::default(),
             stream_origins: RefCell::default(),
+            software_histories: RefCell::default(),
             request_blocked: Event::new(),
         })
     }
@@ -122,6 +125,7 @@
     /// has any more.
     pub fn set_targets(self: &Rc<Self>, read_at: Instant, list: TargetList) {
         let discovered = self.view.borrow_mut().registry.update(read_at, list);
+        self.update_software(read_at);
         for target in discovered
             .into_iter()
             .filter(|target| target.listing.borrow().role.is_some())
@@ -233,9 +237,9 @@
         self.view.borrow().registry.available_targets(service)
     }
 
-    /// Returns the targets of a service that are listed, or were recently.
-    pub(crate) fn recent_targets(&self, service: &str) -> Vec<Rc<TargetHandle>> {
-        self.view.borrow().registry.recent_targets(service)
+    /// Returns the targets that are listed, or were recently.
+    pub(crate) fn recent_targets(&self) -> Vec<Rc<TargetHandle>> {
+        self.view.borrow().registry.recent()
     }
 
     /// Counts a request towards the retry budget of its service.
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -205,12 +205,10 @@
         available.cloned().collect()
     }
 
-    /// Returns the targets of a service that are listed, or were until at most [`UNLISTED_RETENTION`] ago.
-    pub(crate) fn recent_targets(&self, service: &str) -> Vec<Rc<TargetHandle>> {
+    /// Returns the targets that are listed, or were until at most [`UNLISTED_RETENTION`] ago.
+    pub(crate) fn recent(&self) -> Vec<Rc<TargetHandle>> {
         let unlisted = self.unlisted.values().map(|(_, target)| target);
-        let recent = self.by_instance.values().chain(unlisted);
-        let is_of_service = |target: &&Rc<TargetHandle>| target.listing.borrow().service == service;
-        recent.filter(is_of_service).cloned().collect()
+        self.by_instance.values().chain(unlisted).cloned().collect()
     }
 
     /// Returns a target if the newest list contains it.
--- a/laburnumlug-forward/src/stream_origins.rs
+++ b/laburnumlug-forward/src/stream_origins.rs
@@ -1,9 +1,10 @@
 //! Software versions at which streams began, so that broken streams are resumed at the same version only.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Instant;
 
-use laburnumlug::{EngineEvent, Role, SoftwareVersion, StreamOrigin};
+use laburnumlug::{EngineEvent, Role, ServiceName, SoftwareVersion, StreamOrigin};
+use laburnumlug_policy::{AssumedOrigin, SoftwareHistory};
 
 use crate::attempt::{AttemptFailure, CallerRequest};
 use crate::forwarder::Forwarder;
@@ -81,22 +82,44 @@
             return Ok(None);
         }
         let stream_origins = self.stream_origins.borrow();
-        match stream_origins.software(now, request.stream_id()) {
-            Some(software) => Ok(Some(RequiredSoftware(software.clone()))),
-            None if self.recent_software(service).len() <= 1 => Ok(None),
-            None => Err(AttemptFailure::unsent(
+        if let Some(software) = stream_origins.software(now, request.stream_id()) {
+            return Ok(Some(RequiredSoftware(software.clone())));
+        }
+        let histories = self.software_histories.borrow();
+        let assumed = histories
+            .get(service)
+            .map_or(AssumedOrigin::Any, |history| {
+                history.assumed_origin(now, request.route.timeout)
+            });
+        match assumed {
+            AssumedOrigin::Any => Ok(None),
+            AssumedOrigin::Version(software) => Ok(Some(RequiredSoftware(software))),
+            AssumedOrigin::Unknown => Err(AttemptFailure::unsent(
                 FailureCause::OriginUnknown,
                 "it is not known at which software version the stream began",
             )),
         }
     }
 
-    /// Returns the software versions of the targets of a service that are or were recently listed.
-    fn recent_software(&self, service: &str) -> HashSet<Option<SoftwareVersion>> {
-        let targets = self.recent_targets(service);
-        let software = targets
-            .iter()
-            .map(|target| target.listing.borrow().software.clone());
-        software.collect()
+    /// Returns whether targets of several software versions serve in a service, so that the origins of streams matter.
+    pub(crate) fn has_mixed_software(&self, service: &str) -> bool {
+        let histories = self.software_histories.borrow();
+        histories
+            .get(service)
+            .is_some_and(SoftwareHistory::is_mixed)
+    }
+
+    /// Updates the software versions of each service from the targets that are or were recently listed.
+    pub(crate) fn update_software(&self, now: Instant) {
+        let mut versions: HashMap<ServiceName, BTreeSet<Option<SoftwareVersion>>> = HashMap::new();
+        for target in self.recent_targets() {
+            let listing = target.listing.borrow();
+            let versions = versions.entry(listing.service.clone()).or_default();
+            versions.insert(listing.software.clone());
+        }
+        let mut histories = self.software_histories.borrow_mut();
+        for (service, versions) in versions {
+            histories.entry(service).or_default().update(now, versions);
+        }
     }
 }
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -45,7 +45,7 @@
 
 [`OutputPredictor`] predicts the length of answers by caller, [`PrefixIndex`] tracks what an engine has cached, and
 [`RateMeter`] measures an engine's rates from its answers. [`TargetHealth`] ejects failing targets, [`RetryBudget`]
-limits retries, [`TargetStatus`] keeps what a target states about itself, [`RequestLimit`] spaces the requests to one that limits them, [`CrashAttribution`] blocks prompt parts and repeated requests that crash targets, [`StreamOrigins`] remembers the software versions at which streams began, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
+limits retries, [`TargetStatus`] keeps what a target states about itself, [`RequestLimit`] spaces the requests to one that limits them, [`CrashAttribution`] blocks prompt parts and repeated requests that crash targets, [`StreamOrigins`] remembers the software versions at which streams began while [`SoftwareHistory`] has several, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
 processes without coordination. [`select_exchange_links`] and [`event_batch_interval`] bound the messages that gateways
 exchange about prompts sent to engines, and [`inspection_delay`] divides the inspections of engines among them.
 */
@@ -74,6 +74,7 @@
 mod retry_schedule;
 mod role_plan;
 mod route;
+mod software_history;
 mod stream_origins;
 mod subset;
 mod target_status;
@@ -113,6 +114,7 @@
 pub use crate::route::{
     ByRole, Candidate, LeastQueue, PredictedFinish, ReportedLoad, RouteQuery, Router, router,
 };
+pub use crate::software_history::{AssumedOrigin, SoftwareHistory};
 pub use crate::stream_origins::StreamOrigins;
 pub use crate::subset::select_subset;
 pub use crate::target_status::{Decline, TargetStatus};
--- a/src/engine_event.rs
+++ b/src/engine_event.rs
@@ -35,7 +35,8 @@
         priority: u8,
         /// Part id and token count of each part of the prompt.
         parts: Vec<(u64, u64)>,
-        /// The stream that the engine is to generate; `None` if it only prefills the prompt.
+        /// The stream that the engine is to generate; `None` if it only prefills the prompt, or if all targets of the
+        /// service have the same software version.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         stream: Option<StreamOrigin>,
     },
