List customers, their keys and bounds for scaling in the fleet document

Cause: deployments whose requests carry API keys need the customers in the document that all processes share.

The new members are left out of documents that do not use them, so that gateways of the version before can read those.

--- a/laburnumlug-operator/src/check/mod.rs
+++ b/laburnumlug-operator/src/check/mod.rs
@@ -1,6 +1,7 @@
 //! Validation rules for fleet documents that the JSON schema cannot express.
 
 mod control;
+mod customers;
 mod names;
 mod routes;
 mod services;
@@ -20,6 +21,7 @@
     targets::check(document, &mut faults);
     control::check(document, &mut faults);
     routes::check(document, &mut faults);
+    customers::check(document, &mut faults);
     faults
 }
 
--- a/laburnumlug-operator/src/check/names.rs
+++ b/laburnumlug-operator/src/check/names.rs
@@ -31,6 +31,8 @@
     );
     check_unique_names("targets", document.targets.iter().map(|t| &t.name), faults);
     check_unique_names("control", document.control.iter().map(|c| &c.name), faults);
+    let customers = document.customers.iter().flatten();
+    check_unique_names("customers", customers.map(|c| &c.name), faults);
     check_service_names(document, faults);
     check_versions(document, faults);
     check_zones(document, faults);
--- a/laburnumlug-operator/src/check/services.rs
+++ b/laburnumlug-operator/src/check/services.rs
@@ -22,6 +22,7 @@
             ServiceKind::Plain => check_plain_service(&path, service, faults),
         }
         check_not_all_leaving(&path, &targets, faults);
+        check_scaling(&path, service, faults);
     }
 }
 
@@ -122,3 +123,15 @@
         ));
     }
 }
+
+fn check_scaling(path: &str, service: &Service, faults: &mut Vec<Fault>) {
+    if let Some(scaling) = &service.scaling
+        && scaling.min > scaling.max
+    {
+        faults.push(Fault::new(
+            format!("{path}.scaling"),
+            format!("from {} to {} targets", scaling.min, scaling.max),
+            "a min of at most the max",
+        ));
+    }
+}
--- a/laburnumlug-operator/src/difference.rs
+++ b/laburnumlug-operator/src/difference.rs
@@ -8,6 +8,9 @@
 
 use crate::fault::truncate_quoted;
 
+/// Path of the text that a document was translated from, of which differences show only the size: it may hold API keys.
+const ORIGIN_TEXT: &str = "origin.text";
+
 /// One value that differs between two fleet documents.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Difference {
@@ -69,10 +72,14 @@
     {
         return diff_rows(path, &before, &after, differences);
     }
+    let describe = |value: &Value| match path {
+        ORIGIN_TEXT => format!("{} bytes", value.as_str().map_or(0, str::len)),
+        _ => truncate_quoted(&value.to_string()),
+    };
     differences.push(Difference {
         path: path.to_string(),
-        before: before.map(|value| truncate_quoted(&value.to_string())),
-        after: after.map(|value| truncate_quoted(&value.to_string())),
+        before: before.map(describe),
+        after: after.map(describe),
     });
 }
 
--- a/src/generated.rs
+++ b/src/generated.rs
@@ -95,6 +95,17 @@
     pub name: ::std::string::String,
     pub zone: ::std::string::String,
 }
+#[doc = "A customer and the API keys of its requests."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Customer {
+    #[doc = "SHA-256 of each key, in lower-case hexadecimal."]
+    pub keys: ::std::vec::Vec<::std::string::String>,
+    pub name: ::std::string::String,
+    #[doc = "Urgency of the customer's requests in place of their routes' ranks; 0 is the most urgent."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub rank: ::std::option::Option<u32>,
+}
 #[doc = "What is common to the engines of a service."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -122,6 +133,9 @@
     pub caller_limits: ::std::option::Option<CallerLimits>,
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub control: ::std::vec::Vec<ControlVm>,
+    #[doc = "Customers whose keys requests carry; without a list, requests need no key."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub customers: ::std::option::Option<::std::vec::Vec<Customer>>,
     pub models: ::std::vec::Vec<Model>,
     #[doc = "Name of the deployment."]
     pub name: ::std::string::String,
@@ -400,6 +414,9 @@
     #[doc = "Time within which an answer, or the first event of a stream, is on time, in milliseconds."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub aim_ms: ::std::option::Option<::std::num::NonZeroU64>,
+    #[doc = "Whether requests need no key, in a document that lists customers; processes of earlier versions refuse documents with this key."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub anonymous: ::std::option::Option<bool>,
     #[doc = "Most targets to which one request is sent."]
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 1>")]
     pub attempts: ::std::num::NonZeroU32,
@@ -476,6 +493,16 @@
         value.parse()
     }
 }
+#[doc = "Bounds of the number of targets that the system orders for a service in each availability zone."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Scaling {
+    #[doc = "Time from an order until the new target serves, in milliseconds."]
+    #[serde(default)]
+    pub boot_ms: u64,
+    pub max: u32,
+    pub min: u32,
+}
 #[doc = "A named group of targets that callers address."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -491,6 +518,8 @@
     pub name: ::std::string::String,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub policy: ::std::option::Option<Policy>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub scaling: ::std::option::Option<Scaling>,
 }
 #[doc = "Whether a service is made of model engines or of plain application servers."]
 #[derive(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,9 +48,9 @@
 pub use crate::engine_demand::{DemandReport, EngineTime};
 pub use crate::engine_event::{EngineEvent, SendNumber, StreamId, StreamOrigin};
 pub use crate::generated::{
-    Adapter, AdmissionPolicy, CallerLimits, ControlVm, EngineTraits, FleetDocument, Forwarding,
-    LoadedModel, Model, Origin, Policy, Repetition, Role, RoleFloors, Route, RoutingPolicy,
-    Service, ServiceKind, ServiceShare, Target, TargetState,
+    Adapter, AdmissionPolicy, CallerLimits, ControlVm, Customer, EngineTraits, FleetDocument,
+    Forwarding, LoadedModel, Model, Origin, Policy, Repetition, Role, RoleFloors, Route,
+    RoutingPolicy, Scaling, Service, ServiceKind, ServiceShare, Target, TargetState,
 };
 pub use crate::id::{
     AttemptNumber, CallerName, FencingToken, FleetVersion, IdempotencyKey, Incarnation, RequestId,
