Keep a quarter of the engines decoding where engines have many slots

Cause: an idle service kept one decode engine for 16 slots of each engine, so 5 of 38 engines with 128 slots decoded. The engines passed their health checks all along. Ruled out: blocked repeats (none was refused), and prompts sent to engines known to be lost (8 of 739).

Change: at most 64 slots of an engine count, as a batch of more does not decode more in time.

Result: plan_roles_idle_engines_with_many_slots failed before. Engines with 64 slots or fewer are planned as before.

--- a/laburnumlug-policy/src/role_plan.rs
+++ b/laburnumlug-policy/src/role_plan.rs
@@ -9,6 +9,10 @@
 /// Number of slots that the decode engines of an idle service provide for each engine of the service.
 const IDLE_SLOTS_PER_ENGINE: f64 = 16.0;
 
+/// Maximum number of slots of an engine that count. The more requests an engine decodes, the longer each step takes, so an
+/// engine with more slots does not decode more in time; and with few decode engines, the loss of some overloads the rest.
+const MAX_COUNTED_SLOTS: f64 = 64.0;
+
 /// Maximum share of the engines that run decode while a service is idle.
 const MAX_IDLE_DECODE_SHARE: f64 = 3.0 / 4.0;
 
@@ -96,7 +100,7 @@
 fn idle_decode_engines(engines: &[&LiveTarget]) -> usize {
     let slots: f64 = engines.iter().map(|engine| f64::from(engine.slots)).sum();
     let count = engines.len() as f64;
-    let slots_per_engine = (slots / count.max(1.0)).max(1.0);
+    let slots_per_engine = (slots / count.max(1.0)).clamp(1.0, MAX_COUNTED_SLOTS);
     let share = (IDLE_SLOTS_PER_ENGINE / slots_per_engine).min(MAX_IDLE_DECODE_SHARE);
     let desired = (share * count).round() as usize;
     desired.max(min_decode_engines(engines.len()))
--- a/laburnumlug-policy/src/role_plan_tests.rs
+++ b/laburnumlug-policy/src/role_plan_tests.rs
@@ -100,6 +100,14 @@
     }
 }
 
+/// With one decode engine for 16 slots of each of 38 engines with 128, five engines decoded. When two of them were lost,
+/// the others were overloaded until roles changed, and most answers were late.
+#[test]
+fn plan_roles_idle_engines_with_many_slots() {
+    let settled = settle(fleet(38, 25, 128), &Demand::Idle);
+    assert_eq!(settled, 10);
+}
+
 /// Hundreds of short prompts a second, answered from cache, hold slots and need hardly any prefill.
 #[test]
 fn plan_roles_short_prompts_by_the_hundred() {
