Send documents that list customers without the text they were translated from

Cause: the text holds the API keys of customers in clear, and control replicas sent it to each gateway with the document.

Change: control replicas leave the member out of documents that list customers, once per version, before they compress them. All other documents are sent as they are.

Result: the tests of the control package pass; a document with a key in its text is sent without it.

--- a/laburnumlug-control/src/mesh.rs
+++ b/laburnumlug-control/src/mesh.rs
@@ -1,5 +1,6 @@
 //! Mesh server of a control replica, for entry and target processes, gateways and other replicas.
 
+use std::borrow::Cow;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
@@ -9,6 +10,7 @@
 use laburnumlug_mesh::{
     CompressedText, Connection, ControlMessage, MeshKey, Message, NodeCommand, accept_connections,
 };
+use serde_json::Value;
 
 use crate::command::{Command, Outcome};
 use crate::replica::Replica;
@@ -16,6 +18,12 @@
 /// Timeout for a node's command; shorter than the time after which the node tries another replica.
 const NODE_SUBMIT_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Member of a fleet document that lists the customers.
+const CUSTOMERS: &str = "customers";
+
+/// Member of a fleet document with the text that it was translated from.
+const ORIGIN: &str = "origin";
+
 /// Version and compressed form of the newest document that was sent, so that each version is compressed only once.
 type DocumentCache = Rc<RefCell<Option<(FleetVersion, CompressedText)>>>;
 
@@ -81,7 +89,7 @@
         match &*cached {
             Some((version, document)) if *version == fleet.version => document.clone(),
             _ => {
-                let document = CompressedText::compress(&fleet.document);
+                let document = CompressedText::compress(&sent_document(&fleet.document));
                 *cached = Some((fleet.version, document.clone()));
                 document
             }
@@ -97,6 +105,20 @@
     })
 }
 
+/// Returns a document as other processes receive it.
+///
+/// Where it lists customers, it is sent without the text that it was translated from, which has their API keys in clear.
+/// All other documents are sent as they are.
+fn sent_document(text: &str) -> Cow<'_, str> {
+    match serde_json::from_str::<Value>(text) {
+        Ok(Value::Object(mut members)) if members.get(CUSTOMERS).is_some_and(|c| !c.is_null()) => {
+            members.remove(ORIGIN);
+            Cow::Owned(Value::Object(members).to_string())
+        }
+        _ => Cow::Borrowed(text),
+    }
+}
+
 async fn submit_command(replica: &Replica, command: NodeCommand) -> Message {
     let command = Command::Node(command);
     let now = SystemTime::now();
@@ -126,3 +148,7 @@
         intent: intent.filter(|intent| intent.generation > known),
     })
 }
+
+#[cfg(test)]
+#[path = "mesh_tests.rs"]
+mod tests;
