Authorize requests by API keys, and refuse them when the configuration is outdated

Cause: where the fleet document lists customers, requests need a key, and a revoked key must be refused within a bound also by a gateway that is cut off from the control replicas.

Change: laburnumlug-policy decides from the credentials, the route and the age of the last confirmation. Gateways decide before a request's body is read and once more when it has arrived, replace the credentials by the customer's name, and use the customer's rank in place of the route's. Ids of requests' contents depend on the customer's name instead of the key. The setting max_key_age_ms bounds the age up to which keys are accepted. Ages of confirmations are measured from when they were requested with CLOCK_BOOTTIME, as the monotonic clock stops while a machine is suspended. A request with a key that arrives before the first confirmation waits for it for at most 0.4 s.

--- a/laburnumlug-daemon/src/fleet_watch/mod.rs
+++ b/laburnumlug-daemon/src/fleet_watch/mod.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{
-    DemandReport, FleetDocument, FleetVersion, ListedGateway, QuorumConfirmation, ReplicaId,
-    Service, Target, TargetList,
+    BootTime, DemandReport, FleetDocument, FleetVersion, ListedGateway, QuorumConfirmation,
+    ReplicaId, Service, Target, TargetList,
 };
 use laburnumlug_mesh::TargetsReport;
 use laburnumlug_operator::parse_document;
@@ -65,13 +65,30 @@
     }
 }
 
+/// Time at which an answer was requested.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct RequestTime {
+    /// Time that includes suspensions of the machine.
+    boot: BootTime,
+    monotonic: Instant,
+}
+
+impl RequestTime {
+    fn now() -> RequestTime {
+        RequestTime {
+            boot: BootTime::now(),
+            monotonic: Instant::now(),
+        }
+    }
+}
+
 struct WatchState {
     view: Option<FleetView>,
     /// Index of the latest control log change that `view` includes.
     applied_change: u64,
-    confirmation: QuorumConfirmation,
+    confirmation: QuorumConfirmation<RequestTime>,
     /// Latest time at which a majority of the control replicas confirmed a view as the newest; never decreases.
-    last_confirmed_at: Option<Instant>,
+    last_confirmed_at: Option<RequestTime>,
     /// Start of the pending document request to one replica; the other replicas are asked only for the version.
     fetching_since: Option<Instant>,
     /// Addresses of the replicas that are polled.
@@ -88,7 +105,7 @@
     fn view_changed(&self, view: &FleetView);
 
     /// Called when a majority of the control replicas has confirmed that the view was the newest at `at`.
-    fn view_confirmed(&self, at: Instant);
+    fn view_confirmed(&self, at: BootTime);
 
     /// Called with a list of live targets that was read at `read_at`.
     fn targets_updated(&self, read_at: Instant, list: TargetList);
@@ -202,7 +219,7 @@
     pub(crate) fn current(&self, now: Instant) -> Option<FleetView> {
         let state = self.state.borrow();
         let confirmed_at = state.last_confirmed_at?;
-        if now.saturating_duration_since(confirmed_at) > MAX_CONFIRMATION_AGE {
+        if now.saturating_duration_since(confirmed_at.monotonic) > MAX_CONFIRMATION_AGE {
             return None;
         }
         state.view.clone()
@@ -236,7 +253,7 @@
 fn apply_fleet_answer(
     state: &mut WatchState,
     replica: usize,
-    requested_at: Instant,
+    requested_at: RequestTime,
     answer: FleetAnswer,
 ) {
     state.confirmation.record_answer(
@@ -282,7 +299,7 @@
     let confirmed_at = state.confirmation.confirmed_at(state.applied_change);
     state.last_confirmed_at = state.last_confirmed_at.max(confirmed_at);
     if let (Some(observer), Some(at)) = (&state.observer, state.last_confirmed_at) {
-        observer.view_confirmed(at);
+        observer.view_confirmed(at.boot);
     }
 }
 
--- a/laburnumlug-daemon/src/fleet_watch/poll.rs
+++ b/laburnumlug-daemon/src/fleet_watch/poll.rs
@@ -8,7 +8,7 @@
     CompressedText, Connection, ControlMessage, Message, TargetsReport, VotingStatus,
 };
 
-use super::{FleetWatch, apply_fleet_answer, apply_targets_report};
+use super::{FleetWatch, RequestTime, apply_fleet_answer, apply_targets_report};
 
 /// Timeout for one answer of a replica.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -45,14 +45,14 @@
     loop {
         // Concurrent transfers of one large document from several replicas would delay each other, so one replica at a
         // time is asked for it. The others are told that the highest possible version is known, so they send none.
-        let requested_at = Instant::now();
-        let fetches_document = state.borrow().may_fetch_document(requested_at);
+        let requested_at = RequestTime::now();
+        let fetches_document = state.borrow().may_fetch_document(requested_at.monotonic);
         let (known, timeout) = match fetches_document {
             true => (state.borrow().view_version(), DOCUMENT_TIMEOUT),
             false => (FleetVersion::MAX, ANSWER_TIMEOUT),
         };
         if fetches_document {
-            state.borrow_mut().fetching_since = Some(requested_at);
+            state.borrow_mut().fetching_since = Some(requested_at.monotonic);
         }
         let answer = compio::time::timeout(timeout, fetch_fleet(&mut conn, known)).await;
         if fetches_document {
--- a/laburnumlug-daemon/src/fleet_watch/tests.rs
+++ b/laburnumlug-daemon/src/fleet_watch/tests.rs
@@ -24,9 +24,21 @@
     }
 }
 
+/// Returns the time of a request that is sent `duration` after another one, while the machine is not suspended.
+fn later(at: RequestTime, duration: Duration) -> RequestTime {
+    RequestTime {
+        boot: BootTime::from_reading(
+            at.boot
+                .saturating_duration_since(BootTime::from_reading(Duration::ZERO))
+                + duration,
+        ),
+        monotonic: at.monotonic + duration,
+    }
+}
+
 #[test]
 fn apply_fleet_answer_lagging_replica() {
-    let now = Instant::now();
+    let now = RequestTime::now();
     let mut state = WatchState::new(2);
     apply_fleet_answer(&mut state, 0, now, answer(2, 7, true));
     apply_fleet_answer(&mut state, 1, now, answer(1, 5, true));
@@ -41,6 +53,92 @@
     assert_eq!(state.applied_change, 9);
 }
 
+/// Keeps what it is told of the view and its confirmations, in order.
+#[derive(Default)]
+struct ViewRecorder {
+    changes: RefCell<Vec<(FleetVersion, Option<BootTime>)>>,
+}
+
+impl FleetObserver for ViewRecorder {
+    fn view_changed(&self, view: &FleetView) {
+        self.changes.borrow_mut().push((view.version, None));
+    }
+
+    fn view_confirmed(&self, at: BootTime) {
+        if let Some(last) = self.changes.borrow_mut().last_mut() {
+            last.1 = Some(at);
+        }
+    }
+
+    fn targets_updated(&self, _read_at: Instant, _list: TargetList) {}
+
+    fn targets_unchanged(&self, _read_at: Instant) {}
+
+    fn gateways_updated(&self, _gateways: &[ListedGateway]) {}
+
+    fn own_listing(&self) -> Option<ListedGateway> {
+        None
+    }
+
+    fn demand_report(&self) -> Option<DemandReport> {
+        None
+    }
+}
+
+/// Guards against a revoked key that is accepted because a replica that has fallen behind confirms its outdated document, or
+/// because the time for which the machine was suspended is left out of the age of the confirmation.
+#[test]
+fn view_confirmed_only_for_newest_document() {
+    let voters: Vec<ReplicaId> = (1..=3)
+        .map(|number| ReplicaId {
+            name: format!("control-{number}"),
+            incarnation: 1,
+        })
+        .collect();
+    let answer_of = |replica: usize, answer: FleetAnswer| {
+        let voting_status = VotingStatus {
+            replica: voters[replica].clone(),
+            voters: voters.clone(),
+            ..answer.voting_status
+        };
+        FleetAnswer {
+            voting_status,
+            ..answer
+        }
+    };
+    // The requests are sent at these readings, and the machine is suspended for an hour before the last ones.
+    let monotonic = Instant::now();
+    let at = |seconds| RequestTime {
+        boot: BootTime::from_reading(Duration::from_secs(seconds)),
+        monotonic,
+    };
+    let recorder = Rc::new(ViewRecorder::default());
+    let mut state = WatchState::new(3);
+    state.observer = Some(recorder.clone());
+    let mut apply = |replica, seconds, answer| {
+        apply_fleet_answer(&mut state, replica, at(seconds), answer_of(replica, answer));
+        recorder.changes.borrow().last().copied().unwrap()
+    };
+    // Replica 0 has fallen behind: it holds the document of change 5, while the others have logged change 7.
+    assert_eq!(apply(0, 10, answer(1, 5, true)), (1, None));
+    assert_eq!(apply(1, 11, answer(2, 7, false)), (1, None));
+    assert_eq!(apply(0, 12, answer(1, 5, false)), (1, None));
+    // It has logged nothing newer than the document of change 7, so it may confirm that one together with another replica.
+    for (replica, seconds, has_document, confirmed_at) in [
+        (2, 13, true, 12),
+        (0, 14, false, 13),
+        (1, 3611, false, 14),
+        (2, 3612, false, 3611),
+    ] {
+        let answer = match replica {
+            0 => answer(1, 5, true),
+            _ => answer(2, 7, has_document),
+        };
+        let expected = (2, Some(at(confirmed_at).boot));
+        assert_eq!(apply(replica, seconds, answer), expected);
+    }
+}
+
 /// Guards against waiting for a replica that stops responding while it sends a document of several megabytes.
 #[test]
 fn may_fetch_document_one_at_a_time() {
@@ -54,7 +152,7 @@
 
 #[test]
 fn apply_fleet_answer_newer_version_not_applied_yet() {
-    let now = Instant::now();
+    let now = RequestTime::now();
     let mut state = WatchState::new(1);
     let mut first = answer(1, 5, true);
     first.voting_status.voters = vec![first.voting_status.replica.clone()];
@@ -65,7 +163,7 @@
         ..answer(1, 5, false)
     };
     apply_fleet_answer(&mut state, 0, now, first);
-    apply_fleet_answer(&mut state, 0, now + POLL_INTERVAL, second_is_logged);
+    apply_fleet_answer(&mut state, 0, later(now, POLL_INTERVAL), second_is_logged);
     // The earlier confirmation is valid until its maximum age: the newer version is not in force before then.
     assert_eq!(state.last_confirmed_at, Some(now));
 }
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use laburnumlug::{CallerLimits, DemandReport, ListedGateway, TargetList};
+use laburnumlug::{BootTime, CallerLimits, DemandReport, ListedGateway, TargetList};
 use laburnumlug_forward::{ForwardConfig, ForwardHandler, Forwarder};
 use laburnumlug_http::{Limits, LimitsHandle, Request, Server, text_response};
 use laburnumlug_platform::{
@@ -61,7 +61,7 @@
             .set(server_limits(&limits, self.max_connections));
     }
 
-    fn view_confirmed(&self, at: Instant) {
+    fn view_confirmed(&self, at: BootTime) {
         self.forwarder.set_confirmed_at(at);
     }
 
@@ -97,7 +97,8 @@
     metrics::serve(settings.metrics, metrics.clone()).await?;
     let cfg = ForwardConfig::new(&settings.process.zone)
         .retry_budget(settings.retry_ratio, settings.retry_window)
-        .retry_slack(settings.retry_slack);
+        .retry_slack(settings.retry_slack)
+        .max_key_age(settings.max_key_age);
     let forwarder = Forwarder::new(
         cfg,
         Rc::new(PlatformHeaderCodec),
--- a/laburnumlug-daemon/src/settings/gateway.rs
+++ b/laburnumlug-daemon/src/settings/gateway.rs
@@ -37,6 +37,7 @@
         "retry_window_s",
         "retry_slack",
         "grace_s",
+        "max_key_age_ms",
     ],
 };
 
@@ -64,6 +65,8 @@
     pub(crate) retry_slack: f64,
     /// Time between the request to stop and the forced termination of the process.
     pub(crate) grace_period: Duration,
+    /// Age of the last confirmation of the fleet document up to which API keys may be accepted; `None` for any age.
+    pub(crate) max_key_age: Option<Duration>,
 }
 
 impl GatewaySettings {
@@ -89,6 +92,12 @@
             parse_non_negative,
         )?;
         let grace_period = reader.optional("gateway", "grace_s", allowed_seconds, parse_seconds)?;
+        let max_key_age = reader.optional(
+            "gateway",
+            "max_key_age_ms",
+            "a number of milliseconds above 0, or nothing",
+            parse_optional_millis,
+        )?;
         Ok(GatewaySettings {
             process: ProcessSettings::read(&reader)?,
             log: LogSettings::read(&reader)?,
@@ -103,6 +112,7 @@
             retry_window: window.unwrap_or(DEFAULT_RETRY_WINDOW),
             retry_slack: slack.unwrap_or(DEFAULT_RETRY_SLACK),
             grace_period: grace_period.unwrap_or(DEFAULT_GRACE_PERIOD),
+            max_key_age: max_key_age.flatten(),
         })
     }
 }
@@ -113,8 +123,24 @@
         .filter(|number: &f64| number.is_finite() && *number >= 0.0)
 }
 
+/// Parses a number of milliseconds; an empty text, as a template without that bound leaves it, is no number.
+fn parse_optional_millis(text: &str) -> Option<Option<Duration>> {
+    match text {
+        "" => Some(None),
+        _ => {
+            let millis: f64 = text.parse().ok()?;
+            let duration = Duration::try_from_secs_f64(millis / 1000.0).ok()?;
+            (!duration.is_zero()).then_some(Some(duration))
+        }
+    }
+}
+
 fn parse_seconds(text: &str) -> Option<Duration> {
     let seconds: f64 = text.parse().ok()?;
     let duration = Duration::try_from_secs_f64(seconds).ok()?;
     (!duration.is_zero()).then_some(duration)
 }
+
+#[cfg(test)]
+#[path = "gateway_tests.rs"]
+mod tests;
--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -10,6 +10,7 @@
 use laburnumlug_http::{PooledResponse, SendError};
 use laburnumlug_policy::{ContentId, PromptParts, Suspect};
 
+use crate::customers::CustomerEntry;
 use crate::forwarder::Forwarder;
 use crate::header_codec::{AttemptHeaders, AttemptStage, RequestMetadata};
 use crate::refusal::{FailureCause, Refusal};
@@ -24,6 +25,10 @@
 pub(crate) struct CallerRequest {
     pub(crate) metadata: RequestMetadata,
     pub(crate) route: Rc<RouteEntry>,
+    /// Customer that the request is served for; `None` if the request needs no API key and has none.
+    pub(crate) customer: Option<Rc<CustomerEntry>>,
+    /// Urgency of the request; 0 is the most urgent.
+    pub(crate) rank: u32,
     pub(crate) method: hyper::Method,
     pub(crate) path: hyper::Uri,
     /// Headers to forward.
@@ -42,6 +47,13 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Returns the name of the customer that the request is served for, if any.
+    pub(crate) fn customer_name(&self) -> Option<&str> {
+        self.customer
+            .as_ref()
+            .map(|customer| customer.name.as_str())
+    }
+
     /// Returns the id of the request that began the stream which this one resumes, if the caller states it.
     pub(crate) fn resumes(&self) -> Option<&str> {
         let resumption = self.metadata.resumption.as_ref()?;
--- a/laburnumlug-forward/src/config.rs
+++ b/laburnumlug-forward/src/config.rs
@@ -17,6 +17,7 @@
     pub(crate) retry_ratio: f64,
     pub(crate) retry_window: Duration,
     retry_slack: f64,
+    pub(crate) max_key_age: Option<Duration>,
 }
 
 impl ForwardConfig {
@@ -27,6 +28,7 @@
             retry_ratio: 0.1,
             retry_window: Duration::from_secs(10),
             retry_slack: 0.0,
+            max_key_age: None,
         }
     }
 
@@ -43,6 +45,12 @@
         self
     }
 
+    /// Sets the age of the last confirmation of the routes up to which API keys may be accepted; without one, any age.
+    pub fn max_key_age(mut self, age: Option<Duration>) -> ForwardConfig {
+        self.max_key_age = age;
+        self
+    }
+
     /// Returns the part of the retry slack that one of `gateway_count` gateways may use.
     pub(crate) fn retry_slack_per_gateway(&self, gateway_count: usize) -> f64 {
         (self.retry_slack * RETRY_SLACK_SHARE / gateway_count.max(1) as f64)
--- a/laburnumlug-forward/src/engine_selection.rs
+++ b/laburnumlug-forward/src/engine_selection.rs
@@ -67,7 +67,7 @@
                 let cached_tokens = target.kv_cache.borrow().matched_tokens(prompt_parts);
                 let uncached_tokens = prompt.prompt_tokens.saturating_sub(cached_tokens);
                 let work = prefill_work(uncached_tokens, prompt.prompt_tokens);
-                let priority = prefill_priority(route.rank, work);
+                let priority = prefill_priority(request.rank, work);
                 EngineView {
                     instance: target.instance.clone(),
                     role: listing.role.unwrap_or(Role::Mixed),
@@ -97,7 +97,7 @@
         let work = prefill_work(placement.uncached_tokens, prompt.prompt_tokens);
         let priority = match placement.is_late(route.latency_objective) {
             true => LATE_PRIORITY,
-            false => prefill_priority(route.rank, work),
+            false => prefill_priority(request.rank, work),
         };
         let decode_engine = targets[placement.decode_engine].clone();
         let prefill_engine = placement.prefill_engine.map(|i| targets[i].clone());
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use event_listener::Event;
-use laburnumlug::{FleetDocument, FleetVersion, ServiceName, TargetList};
+use laburnumlug::{BootTime, FleetDocument, FleetVersion, ServiceName, TargetList};
 use laburnumlug_http::ConnectionPool;
 use laburnumlug_policy::{
     CrashAttribution, NoRoom, RetryBudget, RetrySchedule, SoftwareHistory, StreamOrigins,
@@ -39,7 +39,7 @@
 struct RoutingView {
     table: Option<Rc<RouteTable>>,
     /// When the routes were last confirmed to be the newest.
-    confirmed_at: Option<Instant>,
+    confirmed_at: Option<BootTime>,
     registry: TargetRegistry,
 }
 
@@ -114,7 +114,7 @@
     }
 
     /// Records when the routes were confirmed to be the newest, unless a later confirmation is already recorded.
-    pub fn set_confirmed_at(&self, confirmed_at: Instant) {
+    pub fn set_confirmed_at(&self, confirmed_at: BootTime) {
         let mut view = self.view.borrow_mut();
         view.confirmed_at = view.confirmed_at.max(Some(confirmed_at));
     }
@@ -187,7 +187,7 @@
     }
 
     /// Returns when the routes were last confirmed to be the newest, or `None` if never.
-    pub(crate) fn confirmed_at(&self) -> Option<Instant> {
+    pub(crate) fn confirmed_at(&self) -> Option<BootTime> {
         self.view.borrow().confirmed_at
     }
 
--- a/laburnumlug-forward/src/handler.rs
+++ b/laburnumlug-forward/src/handler.rs
@@ -5,13 +5,16 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use hyper::body::Body;
-use laburnumlug::Repetition;
+use hyper::header::AUTHORIZATION;
+use laburnumlug::{BootTime, Repetition};
 use laburnumlug_http::{Handler, Request, Response, discard_body, read_body};
 use laburnumlug_policy::PromptParts;
 use rand::Rng;
 
 use crate::attempt::CallerRequest;
+use crate::customers::UNCONFIRMED_RETRY_AFTER;
 use crate::forwarder::Forwarder;
 use crate::header_codec::RequestMetadata;
 use crate::refusal::{FailureCause, Refusal};
@@ -21,18 +24,11 @@
 /// Timeout for a caller to send the request body.
 const REQUEST_BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Maximum age of the last route confirmation at which a request without a route gets a 404.
-///
-/// After that it gets a 503, as the route may have been added since.
-const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(1500);
-
-/// `retry-after` while the routes are unknown or unconfirmed; the control replicas elect a leader in about that time.
-const STARTUP_RETRY_AFTER: Duration = Duration::from_secs(1);
-
-/// How long a request waits for the first routes and targets; after most starts they are known within that time.
+/// How long a request waits for the first routes and targets, and one with an API key for the first confirmation of the
+/// routes; after most starts they are known within that time.
 const STARTUP_WAIT: Duration = Duration::from_millis(400);
 
-/// Interval at which a waiting request checks whether the first routes and targets are known.
+/// Interval at which a waiting request checks whether that is known.
 const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Deadline of requests that state none; the timeout of the route may be shorter.
@@ -112,17 +108,7 @@
         parts: hyper::http::request::Parts,
         body: &mut hyper::body::Incoming,
     ) -> Result<Response, Refusal> {
-        while !self.is_ready() && arrived_at.elapsed() < STARTUP_WAIT {
-            compio::time::sleep(STARTUP_POLL_INTERVAL).await;
-        }
-        let table = self.route_table().ok_or_else(|| {
-            Refusal::new(
-                FailureCause::NoConfiguration,
-                "no configuration is known yet",
-            )
-            .retry_after(STARTUP_RETRY_AFTER)
-        })?;
-        let route = self.find_route(arrived_at, &table, &parts)?;
+        let (table, route) = self.route_request(arrived_at, &parts).await?;
         let limit = usize::try_from(table.limits.body_bytes).unwrap_or(usize::MAX);
         let reading_body = read_body(body, limit);
         let body = match compio::time::timeout(REQUEST_BODY_TIMEOUT, reading_body).await {
@@ -138,6 +124,52 @@
                 ));
             }
         };
+        let request =
+            self.caller_request(arrived_at, metadata, parts, body, &table, route.clone())?;
+        let sample = rand::rng().random_range(0.0..1.0);
+        let Some(service) = route.pick_service(sample) else {
+            return Err(Refusal::new(
+                FailureCause::NoTarget,
+                "the route has no service",
+            ));
+        };
+        let resp = match route.repetition {
+            Repetition::Stream => self.clone().forward_stream(request, service, table).await?,
+            Repetition::Safe | Repetition::Unsafe => {
+                self.forward_buffered(&request, service).await?
+            }
+        };
+        let time = arrived_at.elapsed();
+        self.observe(|o| o.answered(route.repetition, resp.status().as_u16(), time));
+        Ok(resp)
+    }
+
+    /// Authorizes a request whose body has arrived, and builds what is forwarded of it.
+    fn caller_request(
+        &self,
+        arrived_at: Instant,
+        metadata: RequestMetadata,
+        parts: hyper::http::request::Parts,
+        body: Bytes,
+        table: &Rc<RouteTable>,
+        route: Rc<RouteEntry>,
+    ) -> Result<CallerRequest, Refusal> {
+        // The key may have been revoked while the caller sent the body.
+        let newest_table = self.route_table().unwrap_or_else(|| table.clone());
+        let customer = self.authorize(BootTime::now(), &newest_table, &route, &parts.headers)?;
+        let customer_name = customer.as_ref().map(|customer| customer.name.as_str());
+        let mut headers = self.header_codec.forwarded_request_headers(&parts.headers);
+        let caller = match newest_table.customers {
+            Some(_) => {
+                self.header_codec
+                    .replace_credentials(&mut headers, customer_name);
+                customer_name.unwrap_or_default().as_bytes()
+            }
+            None => {
+                let credentials = parts.headers.get(AUTHORIZATION);
+                credentials.map_or(&[][..], |value| value.as_bytes())
+            }
+        };
         let timeout = metadata
             .time_left
             .unwrap_or(DEFAULT_DEADLINE)
@@ -148,39 +180,63 @@
             Some(prompt) => PromptParts::new(&prompt.model, prompt.parts.iter().copied()),
             None => PromptParts::default(),
         };
-        let request = CallerRequest {
-            headers: self.header_codec.forwarded_request_headers(&parts.headers),
+        let rank = customer.as_ref().and_then(|customer| customer.rank);
+        Ok(CallerRequest {
+            headers,
             metadata,
-            content: content_id(&parts.method, &path, &parts.headers, &body),
+            content: content_id(&parts.method, &path, &parts.headers, caller, &body),
             prompt_parts,
             method: parts.method,
             path,
             body,
             arrived_at,
             deadline: arrived_at + timeout,
-            route: route.clone(),
-        };
-        let sample = rand::rng().random_range(0.0..1.0);
-        let Some(service) = route.pick_service(sample) else {
-            return Err(Refusal::new(
-                FailureCause::NoTarget,
-                "the route has no service",
-            ));
-        };
-        let resp = match route.repetition {
-            Repetition::Stream => self.clone().forward_stream(request, service, table).await?,
-            Repetition::Safe | Repetition::Unsafe => {
-                self.forward_buffered(&request, service).await?
+            rank: rank.unwrap_or(route.rank),
+            customer,
+            route,
+        })
+    }
+
+    /// Finds the route of a request and authorizes it, and waits a short time if this process has only just started.
+    async fn route_request(
+        &self,
+        arrived_at: Instant,
+        parts: &hyper::http::request::Parts,
+    ) -> Result<(Rc<RouteTable>, Rc<RouteEntry>), Refusal> {
+        loop {
+            let is_starting = arrived_at.elapsed() < STARTUP_WAIT;
+            match self.try_route_request(BootTime::now(), parts) {
+                _ if is_starting && !self.is_ready() => {}
+                Err(refusal)
+                    if is_starting
+                        && refusal.cause == FailureCause::OutdatedKeys
+                        && self.confirmed_at().is_none() => {}
+                result => return result,
             }
-        };
-        let time = arrived_at.elapsed();
-        self.observe(|o| o.answered(route.repetition, resp.status().as_u16(), time));
-        Ok(resp)
+            compio::time::sleep(STARTUP_POLL_INTERVAL).await;
+        }
+    }
+
+    fn try_route_request(
+        &self,
+        now: BootTime,
+        parts: &hyper::http::request::Parts,
+    ) -> Result<(Rc<RouteTable>, Rc<RouteEntry>), Refusal> {
+        let table = self.route_table().ok_or_else(|| {
+            Refusal::new(
+                FailureCause::NoConfiguration,
+                "no configuration is known yet",
+            )
+            .retry_after(UNCONFIRMED_RETRY_AFTER)
+        })?;
+        let route = self.find_route(now, &table, parts)?;
+        self.authorize(now, &table, &route, &parts.headers)?;
+        Ok((table, route))
     }
 
     fn find_route(
         &self,
-        now: Instant,
+        now: BootTime,
         table: &RouteTable,
         parts: &hyper::http::request::Parts,
     ) -> Result<Rc<RouteEntry>, Refusal> {
@@ -190,16 +246,15 @@
         if let Some(route) = table.find(host, parts.uri.path()) {
             return Ok(route);
         }
-        let confirmed_at = self.confirmed_at();
-        let is_confirmed =
-            confirmed_at.is_some_and(|at| now.saturating_duration_since(at) < MAX_CONFIRMATION_AGE);
-        Err(match is_confirmed {
-            true => Refusal::new(FailureCause::NoRoute, "no route leads there"),
-            false => Refusal::new(
-                FailureCause::NoConfiguration,
-                "the routes are not confirmed",
-            )
-            .retry_after(STARTUP_RETRY_AFTER),
-        })
+        Err(
+            match self.document_status(now, table).permits_final_refusal() {
+                true => Refusal::new(FailureCause::NoRoute, "no route leads there"),
+                false => Refusal::new(
+                    FailureCause::NoConfiguration,
+                    "the routes are not confirmed",
+                )
+                .retry_after(UNCONFIRMED_RETRY_AFTER),
+            },
+        )
     }
 }
--- a/laburnumlug-forward/src/header_codec.rs
+++ b/laburnumlug-forward/src/header_codec.rs
@@ -5,6 +5,7 @@
 
 use hyper::HeaderMap;
 use laburnumlug::{RequestId, TargetName};
+use laburnumlug_policy::Credentials;
 
 /// Description of the prompt of a request to an engine.
 #[derive(Clone, Debug, PartialEq)]
@@ -110,6 +111,14 @@
     /// Returns the request headers to forward, without hop-by-hop headers and those that only the gateway may set.
     fn forwarded_request_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
+    /// Parses the API key of a request.
+    fn parse_credentials(&self, headers: &HeaderMap) -> Credentials;
+
+    /// Replaces the caller's credentials, in headers to forward, by the name of the customer that has its key, if any.
+    ///
+    /// A name that the caller itself states is dropped.
+    fn replace_credentials(&self, headers: &mut HeaderMap, customer: Option<&str>);
+
     /// Sets the headers of one attempt.
     fn set_attempt_headers(&self, headers: &mut HeaderMap, attempt: &AttemptHeaders);
 
--- a/laburnumlug-forward/src/refusal.rs
+++ b/laburnumlug-forward/src/refusal.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hyper::header::HeaderValue;
+use hyper::header::{HeaderValue, WWW_AUTHENTICATE};
 use laburnumlug_http::{Response, text_response};
 
 /// Upper bound of `retry-after`, as a share of the caller's remaining time; callers ignore longer values.
@@ -15,6 +15,10 @@
     TooLarge,
     SlowBody,
     NoRoute,
+    /// The request lacks an API key that the fleet document lists.
+    Unauthorized,
+    /// The request may have a valid API key, but the fleet document may be outdated.
+    OutdatedKeys,
     NoConfiguration,
     NoTarget,
     /// A part of the prompt has crashed engines.
@@ -46,8 +50,10 @@
             FailureCause::BadRequest => 400,
             FailureCause::TooLarge => 413,
             FailureCause::SlowBody => 408,
+            FailureCause::Unauthorized => 401,
             FailureCause::NoRoute => 404,
             FailureCause::NoConfiguration
+            | FailureCause::OutdatedKeys
             | FailureCause::NoTarget
             | FailureCause::PromptBlocked
             | FailureCause::RequestBlocked
@@ -68,6 +74,8 @@
             FailureCause::TooLarge => "too-large",
             FailureCause::SlowBody => "slow-body",
             FailureCause::NoRoute => "no-route",
+            FailureCause::Unauthorized => "unauthorized",
+            FailureCause::OutdatedKeys => "outdated-keys",
             FailureCause::NoConfiguration => "no-configuration",
             FailureCause::NoTarget => "no-target",
             FailureCause::PromptBlocked => "prompt-blocked",
@@ -113,6 +121,10 @@
     /// Builds the HTTP response for a caller whose deadline is `time_left` away; only a 503 gets a `retry-after`.
     pub(crate) fn response(&self, time_left: Duration) -> Response {
         let mut resp = text_response(self.cause.status(), &self.detail);
+        if self.cause == FailureCause::Unauthorized {
+            let scheme = HeaderValue::from_static("Bearer");
+            resp.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+        }
         let longest = match self.cause {
             // An earlier retry would be refused, too.
             FailureCause::PromptBlocked | FailureCause::RequestBlocked => Duration::MAX,
--- a/laburnumlug-forward/src/request_content.rs
+++ b/laburnumlug-forward/src/request_content.rs
@@ -1,27 +1,29 @@
 //! Identity of what a request asks for, which is the same for repeats with another request id.
 
-use hyper::header::{AUTHORIZATION, HOST};
+use hyper::header::HOST;
 use hyper::{HeaderMap, Method, Uri};
 use laburnumlug::StreamId;
 use laburnumlug_policy::ContentId;
 use sha2::{Digest, Sha256};
 
-/// Returns the hash of a method, a host, a path with its query, the caller's credentials and a body.
+/// Returns the hash of a method, a host, a path with its query, the identity of the caller and a body.
 ///
-/// The hash is cryptographic, so that no caller can choose a content with the id of another caller's.
+/// The hash is cryptographic, so that no caller can choose a content with the id of another caller's. It is logged and sent
+/// to other gateways, so `caller` is the customer's name, and never an API key, where the fleet document lists customers.
 pub(crate) fn content_id(
     method: &Method,
     path: &Uri,
     headers: &HeaderMap,
+    caller: &[u8],
     body: &[u8],
 ) -> ContentId {
-    let header = |name| headers.get(name).map_or(&[][..], |value| value.as_bytes());
+    let host = headers.get(HOST);
     let path = path.to_string();
     let fields = [
         method.as_str().as_bytes(),
-        header(HOST),
+        host.map_or(&[][..], |value| value.as_bytes()),
         path.as_bytes(),
-        header(AUTHORIZATION),
+        caller,
         body,
     ];
     hash(&fields)
--- a/laburnumlug-forward/src/request_content_tests.rs
+++ b/laburnumlug-forward/src/request_content_tests.rs
@@ -1,3 +1,5 @@
+use hyper::header::AUTHORIZATION;
+
 use super::*;
 
 fn id(method: &str, path: &str, rows: &[(&'static str, &str)], body: &str) -> ContentId {
@@ -6,7 +8,11 @@
         headers.insert(*name, value.parse().unwrap());
     }
     let method = method.parse().unwrap();
-    content_id(&method, &path.parse().unwrap(), &headers, body.as_bytes())
+    let caller = headers
+        .get(AUTHORIZATION)
+        .map_or(&[][..], |value| value.as_bytes());
+    let path = path.parse().unwrap();
+    content_id(&method, &path, &headers, caller, body.as_bytes())
 }
 
 #[test]
--- a/laburnumlug-forward/src/routes.rs
+++ b/laburnumlug-forward/src/routes.rs
@@ -8,6 +8,8 @@
     CallerLimits, EngineTraits, FleetDocument, FleetVersion, Repetition, Route, ServiceName,
 };
 
+use crate::customers::CustomerTable;
+
 /// Latency objective of routes that do not configure one.
 const DEFAULT_LATENCY_OBJECTIVE: Duration = Duration::from_secs(1);
 
@@ -22,6 +24,8 @@
     pub(crate) latency_objective: Duration,
     pub(crate) rank: u32,
     pub(crate) max_attempts: u32,
+    /// Whether requests without an API key are served.
+    pub(crate) is_anonymous: bool,
     /// Services and their positive weights.
     shares: Vec<(ServiceName, f64)>,
 }
@@ -39,6 +43,7 @@
             }),
             rank: route.rank,
             max_attempts: route.attempts.get(),
+            is_anonymous: route.anonymous.unwrap_or(false),
             shares: route
                 .shares
                 .iter()
@@ -76,6 +81,8 @@
 pub(crate) struct RouteTable {
     pub(crate) version: FleetVersion,
     pub(crate) limits: CallerLimits,
+    /// Customers, or `None` if requests need no API keys.
+    pub(crate) customers: Option<CustomerTable>,
     /// Routes by lower-case host, longest prefix first.
     hosts: HashMap<String, Vec<Rc<RouteEntry>>>,
     engines: HashMap<ServiceName, EngineTraits>,
@@ -102,6 +109,7 @@
         });
         RouteTable {
             version,
+            customers: document.customers.as_deref().map(CustomerTable::new),
             limits: document.caller_limits.clone().unwrap_or_default(),
             engines: engines.collect(),
             health_paths: health_paths.collect(),
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -163,7 +163,8 @@
             reader = prefill_engine_name.as_str(), unread = uncached_tokens, tokens = stream.request.prompt_parts.tokens(),
             waited_ms = waited.as_millis() as u64, predicted_ms = predicted.as_millis() as u64,
             taken_ms = now.elapsed().as_millis() as u64, opened = result.is_ok(),
-            software = target.listing.borrow().software.as_deref(), resumes = stream.request.resumes();
+            software = target.listing.borrow().software.as_deref(), resumes = stream.request.resumes(),
+            customer = stream.request.customer_name();
             "stream attempt finished"
         );
         stream.tried.push(match (&result, tried) {
@@ -190,7 +191,7 @@
                 log::info!(
                     request_id = stream.request.metadata.id.as_str(), target = target.instance.as_str(),
                     cause = failure.cause.as_str(), content = format!("{:x}", stream.request.content).as_str(),
-                    prompt_parts = stream.shareable_parts().as_str();
+                    prompt_parts = stream.shareable_parts().as_str(), customer = stream.request.customer_name();
                     "attempt failed: {}", failure.detail
                 );
                 if failure.is_connection_broken && !failure.at_prefill {
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -48,9 +48,12 @@
 limits retries, [`TargetStatus`] keeps what a target states about itself, [`RequestLimit`] spaces the requests to one that limits them, [`CrashAttribution`] blocks prompt parts and repeated requests that crash targets, [`StreamOrigins`] remembers the software versions at which streams began while [`SoftwareHistory`] has several, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
 processes without coordination. [`select_exchange_links`] and [`event_batch_interval`] bound the messages that gateways
 exchange about prompts sent to engines, and [`inspection_delay`] divides the inspections of engines among them.
+
+[`authorize`] decides by its API key whether a request is served.
 */
 
 mod admission;
+mod authorization;
 mod crash_attribution;
 mod crash_blame;
 mod engine_demand;
@@ -83,6 +86,7 @@
 pub use crate::admission::{
     Admission, CapacityAdmission, DeadlineAdmission, QueueView, Refusal, RefusalCause, admission,
 };
+pub use crate::authorization::{Authorization, Credentials, DocumentStatus, KeyHash, authorize};
 pub use crate::crash_attribution::{
     BlockedSuspect, ContentId, CrashAttribution, Suspect, TargetCrash,
 };
--- a/src/confirmation.rs
+++ b/src/confirmation.rs
@@ -6,15 +6,15 @@
 
 /// Latest answer of one replica.
 #[derive(Clone, Debug)]
-struct ReplicaAnswer {
+struct ReplicaAnswer<T> {
     /// Time at which the query was sent.
-    asked_at: Instant,
+    asked_at: T,
     /// Index of the newest log entry, committed or not, that may change the queried state.
     logged_change: u64,
     voting_status: VotingStatus,
 }
 
-/// Latest answers of all control replicas to one query.
+/// Latest answers of all control replicas to one query; `T` is a time of the clock that the user measures ages with.
 ///
 /// A committed change is synced to disk on a majority of the voters, so at least one answer of any majority
 /// reports it. Confirmation does not need the leader, so elections do not interrupt it.
@@ -45,16 +45,19 @@
 /// assert_eq!(confirmation.confirmed_at(7), Some(asked_at));
 /// ```
 #[derive(Clone, Debug)]
-pub struct QuorumConfirmation {
+pub struct QuorumConfirmation<T = Instant> {
     /// One slot per replica, in the order of the settings.
-    answers: Vec<Option<ReplicaAnswer>>,
+    answers: Vec<Option<ReplicaAnswer<T>>>,
 }
 
-impl QuorumConfirmation {
+impl<T> QuorumConfirmation<T>
+where
+    T: Copy + Ord,
+{
     /// Creates a confirmation by `replicas` replicas, none of which has answered yet.
-    pub fn new(replicas: usize) -> QuorumConfirmation {
+    pub fn new(replicas: usize) -> QuorumConfirmation<T> {
         QuorumConfirmation {
-            answers: vec![None; replicas],
+            answers: (0..replicas).map(|_| None).collect(),
         }
     }
 
@@ -64,12 +67,12 @@
     pub fn record_answer(
         &mut self,
         replica: usize,
-        asked_at: Instant,
+        asked_at: T,
         logged_change: u64,
         voting_status: VotingStatus,
     ) {
         if replica >= self.answers.len() {
-            self.answers.resize(replica + 1, None);
+            self.answers.resize_with(replica + 1, || None);
         }
         self.answers[replica] = Some(ReplicaAnswer {
             asked_at,
@@ -82,9 +85,9 @@
     ///
     /// A local copy with all changes up to that index was then up to date. Users of the copy compare this time with
     /// their own staleness bound before they act on the copy.
-    pub fn confirmed_at(&self, applied_index: u64) -> Option<Instant> {
+    pub fn confirmed_at(&self, applied_index: u64) -> Option<T> {
         let voters = self.voters()?;
-        let mut asked_times: Vec<Instant> = voters
+        let mut asked_times: Vec<T> = voters
             .iter()
             .filter_map(|voter| self.latest_answer_of(voter))
             .filter(|answer| answer.voting_status.verified && answer.logged_change <= applied_index)
@@ -107,7 +110,7 @@
         Some(&newest.voting_status.voters)
     }
 
-    fn latest_answer_of(&self, voter: &ReplicaId) -> Option<&ReplicaAnswer> {
+    fn latest_answer_of(&self, voter: &ReplicaId) -> Option<&ReplicaAnswer<T>> {
         let answers = self.answers.iter().flatten();
         answers
             .filter(|answer| answer.voting_status.replica == *voter)
--- a/src/id.rs
+++ b/src/id.rs
@@ -24,6 +24,9 @@
 /// Name under which a caller's requests are counted.
 pub type CallerName = String;
 
+/// Name of a customer in the fleet document.
+pub type CustomerName = String;
+
 /// Version of the fleet document; incremented by one with each accepted change.
 pub type FleetVersion = u64;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,11 +25,12 @@
 `schema/fleet.json`.
 
 A [`QuorumConfirmation`] tells when a local copy of replicated state was last known to be up to date, from the
-answers of a majority of control replicas.
+answers of a majority of control replicas. [`BootTime`] is a clock that does not stop while the machine is suspended.
 
 Type aliases ([`RequestId`], [`TargetName`], …) name the identifiers that the crates share.
 */
 
+mod boot_time;
 mod capacity;
 mod confirmation;
 mod engine_demand;
@@ -43,6 +44,7 @@
 mod verdict;
 mod voting_status;
 
+pub use crate::boot_time::BootTime;
 pub use crate::capacity::{TOKENS_PER_PIECE, pieces_for_tokens};
 pub use crate::confirmation::QuorumConfirmation;
 pub use crate::engine_demand::{DemandReport, EngineTime};
@@ -53,8 +55,8 @@
     RoutingPolicy, Scaling, Service, ServiceKind, ServiceShare, Target, TargetState,
 };
 pub use crate::id::{
-    AttemptNumber, CallerName, FencingToken, FleetVersion, IdempotencyKey, Incarnation, RequestId,
-    ServiceName, SoftwareVersion, TargetName, VmName, ZoneName,
+    AttemptNumber, CallerName, CustomerName, FencingToken, FleetVersion, IdempotencyKey,
+    Incarnation, RequestId, ServiceName, SoftwareVersion, TargetName, VmName, ZoneName,
 };
 pub use crate::listed_gateway::ListedGateway;
 pub use crate::live_target::{LiveTarget, TargetList};
