Send new prompts elsewhere while an engine is silent

A silent engine got prompts until one of them had waited for twice its predicted time to first token and 500 ms, and a probe had failed.

Each gateway now records when an engine last sent something to it or, by their reports, to another gateway. An engine with at least two requests in progress that has been silent for 600 ms, beyond the prefill of its longest prompt, gets no new prompts unless most engines seem silent. Running streams are not cut.

--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -303,7 +303,9 @@
             ));
         }
         if !metadata.wrong_target {
-            self.record_statements(Instant::now(), target, metadata.statements);
+            let now = Instant::now();
+            self.record_sign_of_life(now, target);
+            self.record_statements(now, target, metadata.statements);
         }
         if !metadata.not_run && !metadata.wrong_target {
             return Ok(response);
--- a/laburnumlug-forward/src/engine_request_guard.rs
+++ b/laburnumlug-forward/src/engine_request_guard.rs
@@ -9,6 +9,7 @@
 use crate::attempt::CallerRequest;
 use crate::crashes::is_decode_start;
 use crate::engine_requests::LOCAL_SENDER;
+use crate::engine_watch::EventWait;
 use crate::forwarder::Forwarder;
 use crate::registry::TargetHandle;
 
@@ -81,6 +82,7 @@
             .borrow_mut()
             .insert(number, event.clone());
         engine_requests.publish(event);
+        target.own_requests.set(target.own_requests.get() + 1);
         EngineRequestGuard {
             forwarder: forwarder.clone(),
             target: target.clone(),
@@ -100,6 +102,7 @@
     /// Records and publishes that the engine has prefilled the prompt and caches it.
     pub(crate) fn mark_prefilled(&mut self, now: Instant) {
         self.is_prefilled = true;
+        self.forwarder.record_sign_of_life(now, &self.target);
         let taken = now.saturating_duration_since(self.sent_at);
         let delay = taken.saturating_sub(self.predicted_prefill + FIRST_TOKEN_OVERHEAD);
         let mut prefill_queue = self.target.prefill_queue.borrow_mut();
@@ -121,6 +124,11 @@
         self.mark_prefilled(now);
     }
 
+    /// Counts the stream as one whose next event is awaited until the returned guard is dropped.
+    pub(crate) fn await_event(&self) -> EventWait {
+        EventWait::new(self.target.clone())
+    }
+
     /// Returns when the first event of the answer arrived, or `None` if it has not.
     pub(crate) fn first_event_at(&self) -> Option<Instant> {
         self.first_event_at
@@ -140,6 +148,9 @@
 
 impl Drop for EngineRequestGuard {
     fn drop(&mut self) {
+        self.target
+            .own_requests
+            .set(self.target.own_requests.get() - 1);
         let (number, is_complete) = (self.number, self.is_complete);
         if !self.is_prefilled {
             let mut prefill_queue = self.target.prefill_queue.borrow_mut();
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -158,6 +158,7 @@
             }
             EngineEvent::PrefillDone { number } => {
                 if let Some(request) = remote.get(&(sender, number)) {
+                    self.record_sign_of_life(now, &request.target);
                     let mut prefill_queue = request.target.prefill_queue.borrow_mut();
                     prefill_queue.complete(now, (sender, number), FIRST_TOKEN_OVERHEAD);
                     request
@@ -176,6 +177,7 @@
             } => {
                 if let Some(request) = remote.remove(&(sender, number)) {
                     if is_complete {
+                        self.record_sign_of_life(now, &request.target);
                         self.record_completion(now, &request.prompt_parts.suspects());
                     }
                     if let Some(origin) = &request.stream {
@@ -202,7 +204,10 @@
                 if let Some(target) = self.live_target(&engine) {
                     let mut health = target.health.borrow_mut();
                     match serves {
-                        true => health.clear_suspicion(),
+                        true => {
+                            health.clear_suspicion();
+                            self.record_sign_of_life(now, &target);
+                        }
                         false => health.mark_suspected(now),
                     }
                 }
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -60,6 +60,8 @@
     pub(crate) crash_attribution: RefCell<CrashAttribution>,
     pub(crate) stream_origins: RefCell<StreamOrigins>,
     pub(crate) software_histories: RefCell<HashMap<ServiceName, SoftwareHistory>>,
+    /// Whether the signs of life of engines are observed.
+    pub(crate) watches_engines: Cell<bool>,
     /// Notified whenever a prompt part or the content of a request is blocked.
     pub(crate) request_blocked: Event,
 }
@@ -86,6 +88,7 @@
             crash_attribution: RefCell::default(),
             stream_origins: RefCell::default(),
             software_histories: RefCell::default(),
+            watches_engines: Cell::new(false),
             request_blocked: Event::new(),
         })
     }
@@ -126,6 +129,7 @@
     pub fn set_targets(self: &Rc<Self>, read_at: Instant, list: TargetList) {
         let discovered = self.view.borrow_mut().registry.update(read_at, list);
         self.update_software(read_at);
+        self.watch_engines();
         for target in discovered
             .into_iter()
             .filter(|target| target.listing.borrow().role.is_some())
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -34,6 +34,7 @@
 mod engine_request_guard;
 mod engine_requests;
 mod engine_selection;
+mod engine_watch;
 mod events;
 mod forwarder;
 mod handler;
--- a/laburnumlug-forward/src/probe.rs
+++ b/laburnumlug-forward/src/probe.rs
@@ -72,6 +72,7 @@
         }
         log::warn!(target = target.instance.as_str(); "suspended the target until it passes a health check or the suspension expires: {reason}");
         target.health.borrow_mut().mark_suspected(now);
+        target.is_doubted.set(false);
         self.publish_health_change(target, false);
         compio::runtime::spawn(self.clone().probe_until_healthy(target.clone())).detach();
     }
@@ -114,10 +115,11 @@
         }
         log::info!(target = target.instance.as_str(); "ended the suspension of the target: it passed a health check, or all its probes failed");
         target.health.borrow_mut().clear_suspicion();
+        self.record_sign_of_life(Instant::now(), &target);
         self.publish_health_change(&target, true);
     }
 
-    fn publish_health_change(&self, target: &TargetHandle, serves: bool) {
+    pub(crate) fn publish_health_change(&self, target: &TargetHandle, serves: bool) {
         let engine = target.instance.clone();
         self.engine_requests
             .publish(EngineEvent::HealthChanged { engine, serves });
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -8,7 +8,7 @@
 use event_listener::Event;
 use laburnumlug::{LiveTarget, Role, ServiceName, TargetList, TargetName};
 use laburnumlug_policy::{
-    KvCacheEstimate, PrefillQueue, RecentSuspects, TargetHealth, TargetStatus,
+    EngineActivity, KvCacheEstimate, PrefillQueue, RecentSuspects, TargetHealth, TargetStatus,
 };
 
 /// Initial estimate of an engine's prefill rate, until measurements replace it; about the rate of a current
@@ -40,6 +40,15 @@
     pub(crate) listing: RefCell<LiveTarget>,
     /// Unfinished requests, both of this process and as reported by other gateways.
     pub(crate) in_flight: Cell<u32>,
+    /// Unfinished requests of this process, if the target is an engine.
+    pub(crate) own_requests: Cell<u32>,
+    /// Streams of this process whose next event is awaited.
+    pub(crate) streams: Cell<u32>,
+    pub(crate) activity: RefCell<EngineActivity>,
+    /// Whether the engine has been silent for too long, so that new prompts are sent elsewhere.
+    pub(crate) is_doubted: Cell<bool>,
+    /// Whether a probe of the doubted engine is running or scheduled.
+    pub(crate) is_probed: Cell<bool>,
     pub(crate) health: RefCell<TargetHealth>,
     pub(crate) prefill_queue: RefCell<PrefillQueue>,
     pub(crate) kv_cache: RefCell<KvCacheEstimate>,
@@ -66,6 +75,11 @@
             instance: listing.instance.clone(),
             listing: RefCell::new(listing),
             in_flight: Cell::new(0),
+            own_requests: Cell::new(0),
+            streams: Cell::new(0),
+            activity: RefCell::new(EngineActivity::new(now)),
+            is_doubted: Cell::new(false),
+            is_probed: Cell::new(false),
             health: RefCell::default(),
             prefill_queue: RefCell::new(PrefillQueue::new(now, rate)),
             kv_cache: RefCell::new(KvCacheEstimate::new(DEFAULT_KV_CACHE_TOKENS)),
@@ -241,8 +255,8 @@
 
 /// Returns the targets to which a request may be sent.
 ///
-/// These are the healthy ones. If no healthy target can generate a response, as prefill engines cannot, the least
-/// unhealthy targets that can are added as a fallback.
+/// These are the healthy ones, without those that are doubted unless most are. If no healthy target can generate a
+/// response, as prefill engines cannot, the least unhealthy targets that can are added as a fallback.
 pub(crate) fn selectable_targets(
     now: Instant,
     targets: Vec<Rc<TargetHandle>>,
@@ -252,7 +266,7 @@
     let is_usable = |target: &Rc<TargetHandle>| target.health.borrow().is_usable(now);
     let (mut selected, unusable): (Vec<_>, Vec<_>) = targets.into_iter().partition(is_usable);
     if selected.iter().any(can_respond) {
-        return selected;
+        return without_doubted(selected);
     }
     let mut fallback: Vec<Rc<TargetHandle>> = unusable.into_iter().filter(can_respond).collect();
     // An ejected target, which fails some requests, is a better fallback than a suspected one, which is unreachable.
@@ -268,6 +282,21 @@
     selected
 }
 
+/// Removes the doubted targets, unless that leaves less than half or none that can generate a response.
+///
+/// If most engines seem silent, the cause is likely the connection of this process.
+fn without_doubted(targets: Vec<Rc<TargetHandle>>) -> Vec<Rc<TargetHandle>> {
+    let is_certain = |target: &&Rc<TargetHandle>| !target.is_doubted.get();
+    let certain = targets.iter().filter(is_certain);
+    let can_respond = certain
+        .clone()
+        .any(|target| target.listing.borrow().role != Some(Role::Prefill));
+    match can_respond && certain.clone().count() * 2 >= targets.len() {
+        true => certain.cloned().collect(),
+        false => targets,
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -384,6 +413,21 @@
         );
     }
 
+    /// A silent engine must get no new prompts while it is probed, but the loss of this gateway's own connections, by which
+    /// all engines seem silent, must not refuse requests.
+    #[test]
+    fn selectable_targets_doubted() {
+        let now = Instant::now();
+        let targets = handles(now, &[Role::Prefill, Role::Decode, Role::Decode]);
+        targets[1].is_doubted.set(true);
+        assert_eq!(
+            names(&selectable_targets(now, targets.clone())),
+            ["i-0", "i-2"]
+        );
+        targets[2].is_doubted.set(true);
+        assert_eq!(selectable_targets(now, targets).len(), 3);
+    }
+
     #[test]
     fn selectable_targets_all_suspected() {
         let now = Instant::now();
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -35,6 +35,7 @@
         loop {
             let time_left = stream.request.time_left(Instant::now());
             let next = {
+                let _waiting = engine_request.await_event();
                 let mut chunk = Box::pin(response.chunk()).fuse();
                 let mut closed = Box::pin(tx.closed()).fuse();
                 let mut expired = Box::pin(compio::time::sleep(time_left)).fuse();
@@ -46,6 +47,7 @@
             };
             let break_reason = match next {
                 Some(Ok(Some(chunk))) => {
+                    self.record_sign_of_life(Instant::now(), &in_flight.target);
                     let events = splitter.push(&chunk).unwrap_or_default();
                     if !events.is_empty() && tx.send(events).await.is_err() {
                         return;
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -43,6 +43,8 @@
 [`KvCacheEstimate`]s. [`plan_roles`] divides the engines of a service between the roles by the [`Demand`] for each
 phase, which a [`DemandMeter`] samples from the reports of gateways.
 
+[`EngineActivity`] detects engines that have stopped responding, from their signs of life and what they have in progress.
+
 [`OutputPredictor`] predicts the length of answers by caller, [`PrefixIndex`] tracks what an engine has cached, and
 [`RateMeter`] measures an engine's rates from its answers. [`TargetHealth`] ejects failing targets, [`RetryBudget`]
 limits retries, [`TargetStatus`] keeps what a target states about itself, [`RequestLimit`] spaces the requests to one that limits them, [`CrashAttribution`] blocks prompt parts and repeated requests that crash targets, [`StreamOrigins`] remembers the software versions at which streams began while [`SoftwareHistory`] has several, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
@@ -53,6 +55,7 @@
 mod admission;
 mod crash_attribution;
 mod crash_blame;
+mod engine_activity;
 mod engine_demand;
 mod event_batch;
 mod exchange;
@@ -86,6 +89,7 @@
 pub use crate::crash_attribution::{
     BlockedSuspect, ContentId, CrashAttribution, Suspect, TargetCrash,
 };
+pub use crate::engine_activity::{EngineActivity, InProgress, ObservationWindow};
 pub use crate::engine_demand::{Demand, DemandMeter, PhaseDemand};
 pub use crate::event_batch::event_batch_interval;
 pub use crate::exchange::{
--- a/laburnumlug-policy/src/prefill_queue.rs
+++ b/laburnumlug-policy/src/prefill_queue.rs
@@ -129,6 +129,17 @@
         self.prompts.iter().map(|prompt| prompt.work).sum()
     }
 
+    /// Returns when the oldest prompt in the queue was sent, or `None` if it is empty.
+    pub fn oldest_sent_at(&self) -> Option<Instant> {
+        self.prompts.first().map(|prompt| prompt.sent_at)
+    }
+
+    /// Predicts how long the engine takes to prefill the longest prompt in the queue.
+    pub fn longest_prefill(&self) -> Duration {
+        let longest = self.prompts.iter().map(|prompt| prompt.work).max();
+        self.prefill_time(longest.unwrap_or_default())
+    }
+
     /// Adds a prompt whose prefill takes `work`.
     pub fn enqueue(&mut self, now: Instant, id: PrefillId, priority: u8, work: u64) {
         self.prompts.push(QueuedPrompt {
