Resend resumable requests when the engine they wait at is lost

A request that waited for its first event waited for twice its predicted time to first token and 500 ms before its engine was probed, and after the response head until its deadline, although other requests had already shown that the engine had stopped responding.

An attempt that may be repeated is now abandoned when its engine is suspected, by this gateway or another, and nothing has been heard of it for 400 ms. The cause in logs is engine-lost. An engine that was suspected for its silence is used again when one of its streams continues, without waiting for the next probe. Such failures do not eject it.

--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -125,6 +125,14 @@
         }
     }
 
+    /// Creates the failure of an attempt at an engine that has stopped responding.
+    pub(crate) fn engine_lost() -> AttemptFailure {
+        AttemptFailure {
+            cause: FailureCause::EngineLost,
+            ..AttemptFailure::answer_lost("the engine has stopped responding")
+        }
+    }
+
     /// Creates the failure of an attempt that the target stated not to have executed.
     fn refused(status: u16) -> AttemptFailure {
         AttemptFailure {
@@ -244,9 +252,15 @@
         }
         // An engine with a long queue is silent as well, but still answers a probe.
         let is_healthy = self.is_healthy(target).await;
-        if !is_healthy {
-            let reason = "it answers neither requests nor a health probe";
-            self.suspect(Instant::now(), target, reason);
+        match is_healthy {
+            true => target
+                .activity
+                .borrow_mut()
+                .record_passed_probe(Instant::now()),
+            false => {
+                let reason = "it answers neither requests nor a health probe";
+                self.suspect_silent(Instant::now(), target, reason);
+            }
         }
         let time_left = request.time_left(Instant::now());
         let extra_wait = match (options.abandon_if_silent, is_healthy) {
@@ -279,7 +293,10 @@
                 Err(AttemptFailure::connection_broken(err.to_string()))
             }
             None => {
-                self.record_failure(now, target);
+                // A suspected target gets no requests anyway, and is used again as soon as it responds.
+                if !target.health.borrow().is_suspected(now) {
+                    self.record_failure(now, target);
+                }
                 Err(AttemptFailure::timed_out("no answer in time"))
             }
         }
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -202,13 +202,12 @@
             }
             EngineEvent::HealthChanged { engine, serves } => {
                 if let Some(target) = self.live_target(&engine) {
-                    let mut health = target.health.borrow_mut();
                     match serves {
                         true => {
-                            health.clear_suspicion();
+                            target.health.borrow_mut().clear_suspicion();
                             self.record_sign_of_life(now, &target);
                         }
-                        false => health.mark_suspected(now),
+                        false => target.mark_suspected(now),
                     }
                 }
             }
--- a/laburnumlug-forward/src/engine_watch.rs
+++ b/laburnumlug-forward/src/engine_watch.rs
@@ -1,10 +1,13 @@
 //! Observation of the signs of life of engines, and probes of those that have stopped responding.
 
+use std::pin::pin;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
+use futures_util::future::{Either, select};
 use laburnumlug_policy::{InProgress, ObservationWindow};
 
+use crate::attempt::AttemptFailure;
 use crate::forwarder::Forwarder;
 use crate::registry::TargetHandle;
 
@@ -18,6 +21,10 @@
 /// Delay after which the other gateways with requests at a doubted engine probe it, unless they have learned its state.
 const FALLBACK_PROBE_DELAY: Duration = Duration::from_millis(500);
 
+/// Time without a sign of life after which requests no longer wait for a suspected engine. Another gateway may have lost
+/// its own connections; it found so by a probe of 400 ms, within which a working engine has sent something to someone.
+const MIN_LOSS_SILENCE: Duration = Duration::from_millis(400);
+
 /// Counts a stream as one whose next event is awaited. A stream that waits for its caller shows nothing of its engine.
 pub(crate) struct EventWait {
     target: Rc<TargetHandle>,
@@ -52,6 +59,58 @@
         target.is_doubted.set(false);
     }
 
+    /// Records that an engine has sent something on a connection of this process, which ends a suspicion.
+    ///
+    /// An engine that is only slow, or was silent for some seconds, is thus used again before its next probe.
+    pub(crate) fn record_event(&self, now: Instant, target: &TargetHandle) {
+        self.record_sign_of_life(now, target);
+        let is_back = target.health.borrow().is_cleared_by_sign(now);
+        if is_back {
+            self.end_suspicion(target, "it has sent an event of an answer");
+        }
+    }
+
+    /// Waits for an attempt, but abandons it once its engine is lost.
+    ///
+    /// The engine may run the request or have run it. An engine that was suspected before, and is used because there is no
+    /// other, is not abandoned.
+    pub(crate) async fn unless_lost<T, F>(
+        &self,
+        engine: &TargetHandle,
+        attempt: F,
+    ) -> Result<T, AttemptFailure>
+    where
+        F: Future<Output = Result<T, AttemptFailure>>,
+    {
+        if engine.health.borrow().is_suspected(Instant::now()) {
+            return attempt.await;
+        }
+        match select(pin!(attempt), pin!(self.await_loss(engine))).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => {
+                let failure = AttemptFailure::engine_lost();
+                self.observe(|observer| observer.attempt_finished(failure.cause.as_str()));
+                Err(failure)
+            }
+        }
+    }
+
+    /// Waits until a target is suspected and nothing has been heard of it meanwhile.
+    async fn await_loss(&self, target: &TargetHandle) {
+        loop {
+            let suspected = target.suspected.listen();
+            let now = Instant::now();
+            let silence = target.activity.borrow().silence(now);
+            if !target.health.borrow().is_suspected(now) {
+                suspected.await;
+            } else if silence < MIN_LOSS_SILENCE {
+                compio::time::sleep(MIN_LOSS_SILENCE - silence).await;
+            } else {
+                return;
+            }
+        }
+    }
+
     /// Doubts the engines that have been silent for too long, and starts their probes.
     fn observe_engines(self: &Rc<Self>, now: Instant, observed_since: Instant) {
         for target in self.engines() {
@@ -91,7 +150,7 @@
                 }
                 false if target.is_doubted.get() => {
                     let reason = "it neither makes progress nor answers a health probe";
-                    self.suspect(now, &target, reason);
+                    self.suspect_silent(now, &target, reason);
                 }
                 false => {}
             }
--- a/laburnumlug-forward/src/probe.rs
+++ b/laburnumlug-forward/src/probe.rs
@@ -71,12 +71,25 @@
             return;
         }
         log::warn!(target = target.instance.as_str(); "suspended the target until it passes a health check or the suspension expires: {reason}");
-        target.health.borrow_mut().mark_suspected(now);
-        target.is_doubted.set(false);
+        target.mark_suspected(now);
         self.publish_health_change(target, false);
         compio::runtime::spawn(self.clone().probe_until_healthy(target.clone())).detach();
     }
 
+    /// Suspends a target that answers neither requests nor a probe, until it sends something or a probe succeeds.
+    pub(crate) fn suspect_silent(
+        self: &Rc<Self>,
+        now: Instant,
+        target: &Rc<TargetHandle>,
+        reason: &str,
+    ) {
+        let is_new = !target.health.borrow().is_suspected(now);
+        self.suspect(now, target, reason);
+        if is_new {
+            target.health.borrow_mut().mark_silent(now);
+        }
+    }
+
     /// Records a failed request at a target; if this ejects the target, informs other gateways.
     pub(crate) fn record_failure(&self, now: Instant, target: &TargetHandle) {
         if target.health.borrow_mut().record_failure(now, false) {
@@ -106,17 +119,26 @@
     async fn probe_until_healthy(self: Rc<Self>, target: Rc<TargetHandle>) {
         for _ in 0..MAX_PROBES {
             compio::time::sleep(PROBE_INTERVAL).await;
-            if self.live_target(&target.instance).is_none() {
+            let is_suspected = target.health.borrow().is_suspected(Instant::now());
+            if !is_suspected || self.live_target(&target.instance).is_none() {
                 return;
             }
             if self.is_healthy(&target).await {
                 break;
             }
         }
-        log::info!(target = target.instance.as_str(); "ended the suspension of the target: it passed a health check, or all its probes failed");
-        target.health.borrow_mut().clear_suspicion();
+        self.end_suspicion(
+            &target,
+            "it passed a health check, or all its probes failed",
+        );
         self.record_sign_of_life(Instant::now(), &target);
-        self.publish_health_change(&target, true);
+    }
+
+    /// Sends requests to a suspected target again, and informs the other gateways.
+    pub(crate) fn end_suspicion(&self, target: &TargetHandle, reason: &str) {
+        log::info!(target = target.instance.as_str(); "ended the suspension of the target: {reason}");
+        target.health.borrow_mut().clear_suspicion();
+        self.publish_health_change(target, true);
     }
 
     pub(crate) fn publish_health_change(&self, target: &TargetHandle, serves: bool) {
--- a/laburnumlug-forward/src/refusal.rs
+++ b/laburnumlug-forward/src/refusal.rs
@@ -33,6 +33,8 @@
     AnswerLost,
     /// The request may have been executed, but no response arrived in time.
     TimedOut,
+    /// The request may have been executed, but its engine has stopped responding.
+    EngineLost,
     /// The deadline passed before the request was executed.
     Expired,
 }
@@ -57,7 +59,7 @@
             | FailureCause::Unreachable
             | FailureCause::Expired => 503,
             FailureCause::AnswerLost => 502,
-            FailureCause::TimedOut => 504,
+            FailureCause::TimedOut | FailureCause::EngineLost => 504,
         }
     }
 
@@ -78,6 +80,7 @@
             FailureCause::Unreachable => "unreachable",
             FailureCause::AnswerLost => "answer-lost",
             FailureCause::TimedOut => "timed-out",
+            FailureCause::EngineLost => "engine-lost",
             FailureCause::Expired => "expired",
         }
     }
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -50,6 +50,8 @@
     /// Whether a probe of the doubted engine is running or scheduled.
     pub(crate) is_probed: Cell<bool>,
     pub(crate) health: RefCell<TargetHealth>,
+    /// Notified when the target is suspected to be unreachable.
+    pub(crate) suspected: Event,
     pub(crate) prefill_queue: RefCell<PrefillQueue>,
     pub(crate) kv_cache: RefCell<KvCacheEstimate>,
     /// Whether the cached prompts that the engine held when it was discovered are known.
@@ -81,6 +83,7 @@
             is_doubted: Cell::new(false),
             is_probed: Cell::new(false),
             health: RefCell::default(),
+            suspected: Event::new(),
             prefill_queue: RefCell::new(PrefillQueue::new(now, rate)),
             kv_cache: RefCell::new(KvCacheEstimate::new(DEFAULT_KV_CACHE_TOKENS)),
             is_cache_known: Cell::new(false),
@@ -101,6 +104,13 @@
         }
     }
 
+    /// Marks the target as suspected to be unreachable, and wakes the requests that wait for it.
+    pub(crate) fn mark_suspected(&self, now: Instant) {
+        self.health.borrow_mut().mark_suspected(now);
+        self.is_doubted.set(false);
+        self.suspected.notify(usize::MAX);
+    }
+
     /// Counts a request as in flight until the returned guard is dropped.
     pub(crate) fn track_request(self: &Rc<Self>) -> InFlightGuard {
         self.in_flight.set(self.in_flight.get() + 1);
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -84,7 +84,15 @@
         // An engine may have crashed while another one prefilled the prompt.
         self.check_not_blocked(Instant::now(), &stream.request)?;
         let stream = &*stream;
+        let engine = selection.decode_engine.clone();
         let decode = self.decode(stream, selection, stage, last_event_id);
+        let is_repeatable = stream.request.route.is_repeatable();
+        let decode = async {
+            match is_repeatable {
+                true => self.unless_lost(&engine, decode).await,
+                false => decode.await,
+            }
+        };
         self.unless_blocked(Verdict::MayHaveRun, &stream.request, decode)
             .await
     }
--- a/laburnumlug-forward/src/stream/prefill.rs
+++ b/laburnumlug-forward/src/stream/prefill.rs
@@ -62,7 +62,7 @@
                 ))),
             }
         };
-        match result.await {
+        match self.unless_lost(prefill_engine, result).await {
             Ok(handle) => {
                 engine_request.mark_prefilled(Instant::now());
                 prefill_engine.health.borrow_mut().record_success();
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -47,7 +47,7 @@
             };
             let break_reason = match next {
                 Some(Ok(Some(chunk))) => {
-                    self.record_sign_of_life(Instant::now(), &in_flight.target);
+                    self.record_event(Instant::now(), &in_flight.target);
                     let events = splitter.push(&chunk).unwrap_or_default();
                     if !events.is_empty() && tx.send(events).await.is_err() {
                         return;
--- a/laburnumlug-policy/src/health.rs
+++ b/laburnumlug-policy/src/health.rs
@@ -24,6 +24,10 @@
 /// Time after which a suspicion expires if no probe succeeds before.
 const MAX_SUSPICION_TIME: Duration = Duration::from_secs(10);
 
+/// Time after the beginning of a suspicion within which nothing that the target has sent ends it, as it may have been sent
+/// before.
+const MIN_SUSPICION_TIME: Duration = Duration::from_millis(200);
+
 /// Weight of the newest outcome in the moving average of the failure rate.
 const FAILURE_RATE_WEIGHT: f64 = 0.1;
 
@@ -41,6 +45,8 @@
     peer_ejections: Vec<(u64, Instant)>,
     /// When the suspicion expires if no probe succeeds before.
     suspected_until: Option<Instant>,
+    /// Whether the target is suspected because it was silent.
+    is_silent: bool,
 }
 
 impl TargetHealth {
@@ -58,6 +64,22 @@
     /// Marks the target as suspected to be unreachable.
     pub fn mark_suspected(&mut self, now: Instant) {
         self.suspected_until = Some(now + MAX_SUSPICION_TIME);
+        self.is_silent = false;
+    }
+
+    /// Marks the target as suspected to be unreachable because it neither answers requests nor a probe.
+    pub fn mark_silent(&mut self, now: Instant) {
+        self.mark_suspected(now);
+        self.is_silent = true;
+    }
+
+    /// Returns whether something that the target sends now shows that it is reachable again.
+    ///
+    /// It does not if the target refused connections.
+    pub fn is_cleared_by_sign(&self, now: Instant) -> bool {
+        let min_left = MAX_SUSPICION_TIME - MIN_SUSPICION_TIME;
+        let is_due = |until| now < until && until - now <= min_left;
+        self.is_silent && self.suspected_until.is_some_and(is_due)
     }
 
     /// Ends the suspicion and resets the count of consecutive failures.
@@ -154,6 +176,20 @@
         assert!(health.is_usable(now + MAX_SUSPICION_TIME));
     }
 
+    /// A silent machine that answers again must be used at once; what it sent before it crashed must not hide the crash.
+    #[test]
+    fn is_cleared_by_sign_after_delay() {
+        let now = Instant::now();
+        let mut health = TargetHealth::default();
+        assert!(!health.is_cleared_by_sign(now));
+        health.mark_silent(now);
+        assert!(!health.is_cleared_by_sign(now + MIN_SUSPICION_TIME / 2));
+        assert!(health.is_cleared_by_sign(now + MIN_SUSPICION_TIME));
+        assert!(!health.is_cleared_by_sign(now + MAX_SUSPICION_TIME));
+        health.mark_suspected(now);
+        assert!(!health.is_cleared_by_sign(now + MIN_SUSPICION_TIME));
+    }
+
     #[test]
     fn record_failure_in_a_row() {
         let now = Instant::now();
