Check for a crash after each broken stream

Only requests that broke within 200 ms of their first event caused a check whether their engine had crashed. After a crash during long answers, each gateway had to lose a connection attempt or three streams of its own before it stopped sending prompts there.

Any broken stream now causes the check, and the suspension of a target is sent to the other gateways as promptly as a prompt, not after up to 40 ms.

The new test fails without the check: no suspension was published.

--- a/laburnumlug-daemon/src/gateway_exchange/outbox.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/outbox.rs
@@ -23,7 +23,7 @@
         self.own.is_empty() && self.forwarded.is_empty()
     }
 
-    /// Returns whether a queued event announces a prompt that was sent to an engine.
+    /// Returns whether a queued event announces a prompt that was sent to an engine, or that a target is unreachable.
     pub(super) fn is_urgent(&self) -> bool {
         self.is_urgent
     }
@@ -97,7 +97,10 @@
 }
 
 fn is_urgent(event: &EngineEvent) -> bool {
-    matches!(event, EngineEvent::PromptSent { .. })
+    matches!(
+        event,
+        EngineEvent::PromptSent { .. } | EngineEvent::HealthChanged { serves: false, .. }
+    )
 }
 
 /// Returns a message with events of this process and forwarded events.
--- a/laburnumlug-forward/src/engine_request_guard.rs
+++ b/laburnumlug-forward/src/engine_request_guard.rs
@@ -129,11 +129,6 @@
         EventWait::new(self.target.clone())
     }
 
-    /// Returns when the first event of the answer arrived, or `None` if it has not.
-    pub(crate) fn first_event_at(&self) -> Option<Instant> {
-        self.first_event_at
-    }
-
     /// Records that the engine has not run the request.
     pub(crate) fn mark_not_run(&mut self) {
         self.suspects.clear();
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -8,7 +8,6 @@
 
 use super::attempt::{ENDED_INSIDE_EVENT, EVENT_TOO_LONG};
 use super::{OpenStream, StreamAttempt, StreamRequest};
-use crate::crashes::is_decode_start;
 use crate::events::EventSplitter;
 use crate::forwarder::Forwarder;
 use crate::refusal::FailureCause;
@@ -77,13 +76,9 @@
                 }
             };
             let target = in_flight.target.clone();
-            let now = Instant::now();
-            self.record_failure(now, &target);
-            let may_have_crashed = is_decode_start(now, engine_request.first_event_at());
+            self.record_failure(Instant::now(), &target);
             drop(engine_request);
-            if may_have_crashed {
-                self.check_for_crash(&target);
-            }
+            self.check_for_crash(&target);
             splitter.drop_partial();
             let resumed = self.resume(&mut stream, &splitter).await;
             log::info!(
