Keep the requests of an engine within its memory

Placement counted slots only. An engine crashes if its requests exceed its memory, which a few long prompts do.

Each gateway now adds up the tokens of the requests of all gateways at each engine: prompt and maximum answer, and for a second each prompt that was prefilled for another engine. A request is placed only where the sum stays within nine tenths of the memory; the requests beyond the slots of an engine count as much as those that they replace. Gateways tell each other the maximum length of the answer with each prompt; earlier versions skip the field.

--- a/laburnumlug-daemon/src/gateway_exchange/tests.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/tests.rs
@@ -25,6 +25,7 @@
         engine: "engine".to_string(),
         work: 1,
         priority: 0,
+        output_tokens: 0,
         stream: None,
         parts: Vec::new(),
     }
--- a/laburnumlug-forward/src/engine_request_guard.rs
+++ b/laburnumlug-forward/src/engine_request_guard.rs
@@ -20,6 +20,8 @@
     number: SendNumber,
     prompt_parts: PromptParts,
     suspects: Vec<Suspect>,
+    /// Tokens that the request may use in the engine's memory.
+    memory_tokens: u64,
     sent_at: Instant,
     predicted_prefill: Duration,
     is_prefilled: bool,
@@ -59,6 +61,12 @@
         engine_requests
             .demand
             .add_prefill(now, &service, prefill_time);
+        let output_tokens = match (decode_share, &request.metadata.prompt) {
+            (Some(_), Some(prompt)) => prompt.output_tokens,
+            _ => 0,
+        };
+        let memory_tokens = prompt_parts.tokens().saturating_add(output_tokens);
+        target.memory.borrow_mut().assign(memory_tokens);
         let held_share = decode_share.unwrap_or_default();
         engine_requests.demand.hold(now, &service, held_share);
         let generates_stream = decode_share.is_some() && forwarder.has_mixed_software(&service);
@@ -75,6 +83,7 @@
             work,
             priority,
             parts: prompt_parts.parts().to_vec(),
+            output_tokens,
             stream: stream.clone(),
         };
         engine_requests
@@ -89,6 +98,7 @@
             number,
             prompt_parts: prompt_parts.clone(),
             suspects: request.suspects(),
+            memory_tokens,
             sent_at: now,
             predicted_prefill,
             is_prefilled: false,
@@ -153,6 +163,11 @@
         }
         let engine_requests = &self.forwarder.engine_requests;
         let now = Instant::now();
+        let mut memory = self.target.memory.borrow_mut();
+        match self.decode_share.is_none() && self.is_prefilled {
+            true => memory.keep_handle(now, self.memory_tokens),
+            false => memory.release(self.memory_tokens),
+        }
         let may_have_run = self.decode_share.is_some() && !self.suspects.is_empty();
         if may_have_run && !is_complete && is_decode_start(now, self.first_event_at) {
             let mut unfinished = self.target.unfinished_requests.borrow_mut();
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{DemandReport, EngineEvent, SendNumber, StreamOrigin};
-use laburnumlug_policy::{FIRST_TOKEN_OVERHEAD, PromptParts};
+use laburnumlug_policy::{FIRST_TOKEN_OVERHEAD, PrefillId, PromptParts};
 
 use crate::demand::DemandTotals;
 use crate::forwarder::Forwarder;
@@ -27,10 +27,30 @@
     prompt_parts: PromptParts,
     work: u64,
     priority: u8,
+    output_tokens: u64,
+    is_prefilled: bool,
     stream: Option<StreamOrigin>,
 }
 
 impl RemoteRequest {
+    /// Returns the tokens that the request may use in the engine's memory.
+    fn memory_tokens(&self) -> u64 {
+        let prompt_tokens = self.prompt_parts.tokens();
+        prompt_tokens.saturating_add(self.output_tokens)
+    }
+
+    /// Records that the engine no longer processes the request.
+    fn end(&self, now: Instant, id: PrefillId) {
+        let target = &self.target;
+        target.prefill_queue.borrow_mut().cancel(now, id);
+        target.in_flight.set(target.in_flight.get() - 1);
+        let mut memory = target.memory.borrow_mut();
+        match self.is_prefilled && self.output_tokens == 0 {
+            true => memory.keep_handle(now, self.memory_tokens()),
+            false => memory.release(self.memory_tokens()),
+        }
+    }
+
     /// Returns the event that announced the request.
     fn event(&self, number: SendNumber) -> EngineEvent {
         EngineEvent::PromptSent {
@@ -39,6 +59,7 @@
             work: self.work,
             priority: self.priority,
             parts: self.prompt_parts.parts().to_vec(),
+            output_tokens: self.output_tokens,
             stream: self.stream.clone(),
         }
     }
@@ -131,6 +152,7 @@
                 work,
                 priority,
                 parts,
+                output_tokens,
                 stream,
             } => {
                 if let Some(origin) = &stream {
@@ -145,19 +167,23 @@
                     .enqueue(now, (sender, number), priority, work);
                 target.in_flight.set(target.in_flight.get() + 1);
                 let prompt_parts = PromptParts::from_parts(parts);
-                remote.insert(
-                    (sender, number),
-                    RemoteRequest {
-                        target,
-                        prompt_parts,
-                        work,
-                        priority,
-                        stream,
-                    },
-                );
+                let request = RemoteRequest {
+                    target,
+                    prompt_parts,
+                    work,
+                    priority,
+                    output_tokens,
+                    is_prefilled: false,
+                    stream,
+                };
+                let mut memory = request.target.memory.borrow_mut();
+                memory.assign(request.memory_tokens());
+                drop(memory);
+                remote.insert((sender, number), request);
             }
             EngineEvent::PrefillDone { number } => {
-                if let Some(request) = remote.get(&(sender, number)) {
+                if let Some(request) = remote.get_mut(&(sender, number)) {
+                    request.is_prefilled = true;
                     self.record_sign_of_life(now, &request.target);
                     let mut prefill_queue = request.target.prefill_queue.borrow_mut();
                     prefill_queue.complete(now, (sender, number), FIRST_TOKEN_OVERHEAD);
@@ -183,15 +209,7 @@
                     if let Some(origin) = &request.stream {
                         self.record_stream_end(now, origin, is_complete);
                     }
-                    request
-                        .target
-                        .prefill_queue
-                        .borrow_mut()
-                        .cancel(now, (sender, number));
-                    request
-                        .target
-                        .in_flight
-                        .set(request.target.in_flight.get() - 1);
+                    request.end(now, (sender, number));
                 }
             }
             EngineEvent::TargetEjected { target } => {
@@ -264,15 +282,7 @@
                 if let Some(origin) = &request.stream {
                     self.record_stream_lost(now, origin);
                 }
-                request
-                    .target
-                    .prefill_queue
-                    .borrow_mut()
-                    .cancel(now, (*from, *number));
-                request
-                    .target
-                    .in_flight
-                    .set(request.target.in_flight.get() - 1);
+                request.end(now, (*from, *number));
             }
             *from != sender
         });
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -8,7 +8,8 @@
 use event_listener::Event;
 use laburnumlug::{LiveTarget, Role, ServiceName, TargetList, TargetName};
 use laburnumlug_policy::{
-    EngineActivity, KvCacheEstimate, PrefillQueue, RecentSuspects, TargetHealth, TargetStatus,
+    EngineActivity, EngineMemory, KvCacheEstimate, PrefillQueue, RecentSuspects, TargetHealth,
+    TargetStatus,
 };
 
 /// Initial estimate of an engine's prefill rate, until measurements replace it; about the rate of a current
@@ -53,6 +54,7 @@
     /// Notified when the target is suspected to be unreachable.
     pub(crate) suspected: Event,
     pub(crate) prefill_queue: RefCell<PrefillQueue>,
+    pub(crate) memory: RefCell<EngineMemory>,
     pub(crate) kv_cache: RefCell<KvCacheEstimate>,
     /// Whether the cached prompts that the engine held when it was discovered are known.
     pub(crate) is_cache_known: Cell<bool>,
@@ -85,6 +87,7 @@
             health: RefCell::default(),
             suspected: Event::new(),
             prefill_queue: RefCell::new(PrefillQueue::new(now, rate)),
+            memory: RefCell::default(),
             kv_cache: RefCell::new(KvCacheEstimate::new(DEFAULT_KV_CACHE_TOKENS)),
             is_cache_known: Cell::new(false),
             inspected_at: Cell::default(),
--- a/laburnumlug-forward/src/stream_origins.rs
+++ b/laburnumlug-forward/src/stream_origins.rs
@@ -59,6 +59,7 @@
             work: 0,
             priority: 0,
             parts: Vec::new(),
+            output_tokens: 0,
             stream: Some(StreamOrigin {
                 stream,
                 software: software.clone(),
--- a/laburnumlug-mesh/src/unknown_events_tests.rs
+++ b/laburnumlug-mesh/src/unknown_events_tests.rs
@@ -115,6 +115,7 @@
         work: 30,
         priority: 2,
         parts: vec![(5, 40)],
+        output_tokens: 250,
         stream: Some(StreamOrigin {
             stream: 9,
             software: Some("v1".to_string()),
@@ -134,10 +135,16 @@
         parts: vec![5],
     };
     assert_eq!(earlier_crashed, expected);
-    let EngineEvent::PromptSent { number, stream, .. } = reencode(&earlier_sent) else {
+    let EngineEvent::PromptSent {
+        number,
+        output_tokens,
+        stream,
+        ..
+    } = reencode(&earlier_sent)
+    else {
         panic!("{earlier_sent:?}");
     };
-    assert_eq!((number, stream), (7, None));
+    assert_eq!((number, output_tokens, stream), (7, 0, None));
     let EngineEvent::TargetCrashed { contents, .. } = reencode(&earlier_crashed) else {
         panic!("{earlier_crashed:?}");
     };
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -43,7 +43,7 @@
 [`KvCacheEstimate`]s. [`plan_roles`] divides the engines of a service between the roles by the [`Demand`] for each
 phase, which a [`DemandMeter`] samples from the reports of gateways.
 
-[`EngineActivity`] detects engines that have stopped responding, from their signs of life and what they have in progress.
+[`EngineMemory`] predicts the memory that the requests of an engine use. [`EngineActivity`] detects engines that have stopped responding, from their signs of life and what they have in progress.
 
 [`OutputPredictor`] predicts the length of answers by caller, [`PrefixIndex`] tracks what an engine has cached, and
 [`RateMeter`] measures an engine's rates from its answers. [`TargetHealth`] ejects failing targets, [`RetryBudget`]
@@ -57,6 +57,7 @@
 mod crash_blame;
 mod engine_activity;
 mod engine_demand;
+mod engine_memory;
 mod event_batch;
 mod exchange;
 mod fairness;
@@ -91,6 +92,7 @@
 };
 pub use crate::engine_activity::{EngineActivity, InProgress, ObservationWindow};
 pub use crate::engine_demand::{Demand, DemandMeter, PhaseDemand};
+pub use crate::engine_memory::EngineMemory;
 pub use crate::event_batch::event_batch_interval;
 pub use crate::exchange::{
     ExchangeLink, PathId, SenderSessions, select_exchange_links, sends_cache_contents,
--- a/laburnumlug-policy/src/placement.rs
+++ b/laburnumlug-policy/src/placement.rs
@@ -5,6 +5,7 @@
 
 use laburnumlug::Role;
 
+use crate::engine_memory::memory_excess;
 use crate::kv_cache::PartId;
 use crate::prefill_queue::prefill_work;
 use crate::request_limit::max_limit_wait;
@@ -52,6 +53,10 @@
     pub running: u32,
     /// Number of requests that the engine processes at once; further ones wait.
     pub slots: u32,
+    /// Tokens that the engine's memory holds.
+    pub memory_tokens: u64,
+    /// Tokens of its memory that requests use or may use, those that wait for a slot included.
+    pub used_tokens: u64,
     /// Mean time that a request holds a slot.
     pub slot_time: Duration,
     /// Time until the engine accepts a request within the rate limit that it states, if it does.
@@ -72,6 +77,8 @@
     pub tokens: u64,
     /// Number of tokens in the parts that are shared with other requests.
     pub shared_tokens: u64,
+    /// Maximum number of tokens of the answer.
+    pub output_tokens: u64,
     /// Latency objective for the time to first token.
     pub ttft_objective: Duration,
     /// Time until the deadline, by which the first token must arrive to be of use.
@@ -80,6 +87,13 @@
     pub kv_transfer_time_per_token: Option<Duration>,
 }
 
+impl PromptView {
+    /// Returns the tokens that the request may use in the memory of the engine that generates the answer.
+    fn decode_tokens(&self) -> u64 {
+        self.tokens.saturating_add(self.output_tokens)
+    }
+}
+
 /// Engines that were selected for a prompt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Placement {
@@ -133,7 +147,7 @@
 ///
 /// # Errors
 ///
-/// Returns [`NoRoom`] if the slots and queues of all engines are full, or the deadline would pass before a slot is free.
+/// Returns [`NoRoom`] if the slots and queues or the memory of all engines are full, or the deadline would pass before a slot is free.
 ///
 /// Rendezvous hashing assigns each shared part an affinity engine, which is credited with having some of the shared
 /// tokens cached. Requests with the same shared parts thus reach the same engine without coordination between the
@@ -164,7 +178,10 @@
     F: Fn(&EngineView) -> bool,
     G: Fn(&EngineView) -> bool,
 {
-    let may_decode = |engine: &EngineView| has_room(engine) && may_decode(engine);
+    let may_decode = |engine: &EngineView| {
+        has_room(engine) && has_memory(engine, prompt.decode_tokens()) && may_decode(engine)
+    };
+    let may_prefill = |engine: &EngineView| has_room(engine) && has_memory(engine, prompt.tokens);
     let affinity_index = prompt
         .affinity_part
         .and_then(|part| affinity_engine(part, engines));
@@ -191,7 +208,7 @@
     let disaggregated = engines
         .iter()
         .enumerate()
-        .filter(|(_, engine)| engine.role == Role::Prefill && has_room(engine))
+        .filter(|(_, engine)| engine.role == Role::Prefill && may_prefill(engine))
         .filter_map(|(i, engine)| {
             let uncached = uncached_tokens(prompt, engine, affinity_index == Some(i));
             let (decode_engine, transfer_time) =
@@ -271,6 +288,22 @@
     engine.running < max_running(engine) && slot_wait(engine) <= prompt.time_left
 }
 
+/// Returns whether an engine's memory holds `tokens` more beside what its requests may use.
+fn has_memory(engine: &EngineView, tokens: u64) -> bool {
+    excess_tokens(engine, tokens) == 0
+}
+
+/// Returns by how many tokens a request that needs `tokens` would exceed an engine's memory.
+fn excess_tokens(engine: &EngineView, tokens: u64) -> u64 {
+    memory_excess(
+        engine.memory_tokens,
+        engine.used_tokens,
+        tokens,
+        engine.running,
+        engine.slots,
+    )
+}
+
 /// Returns the number of requests, waiting ones included, at which an engine is full.
 fn max_running(engine: &EngineView) -> u32 {
     (f64::from(engine.slots) * (1.0 + MAX_QUEUED_SHARE)) as u32
@@ -284,7 +317,12 @@
     let until_limit_allows = engine
         .limit_wait
         .saturating_sub(max_limit_wait(prompt.ttft_objective));
+    // Within the time that a request holds a slot, all that the running ones use becomes free.
+    let excess = excess_tokens(engine, prompt.decode_tokens());
+    let excess_share = excess as f64 / engine.used_tokens.max(1) as f64;
+    let until_memory_is_free = engine.slot_time.mul_f64(excess_share.min(1.0));
     until_queue_has_room
+        .max(until_memory_is_free)
         .max(until_turn_is_in_time)
         .max(until_limit_allows)
 }
--- a/laburnumlug-policy/src/placement_tests.rs
+++ b/laburnumlug-policy/src/placement_tests.rs
@@ -15,6 +15,8 @@
         cached_tokens: 0,
         running: 0,
         slots: 64,
+        memory_tokens: 600_000,
+        used_tokens: 0,
         slot_time: Duration::from_millis(400),
         limit_wait: Duration::ZERO,
         jitter: Duration::ZERO,
@@ -32,6 +34,7 @@
         affinity_part: Some(affinity_part),
         tokens: shared + own,
         shared_tokens: shared,
+        output_tokens: 200,
         ttft_objective: Duration::from_millis(600),
         time_left: Duration::from_secs(8),
         kv_transfer_time_per_token: Some(Duration::from_nanos(800)),
@@ -160,6 +163,26 @@
     assert_eq!(no_room.room_after, Duration::ZERO);
 }
 
+/// The engines with the shortest queues have hardly any memory left: another one must get the prompt, or it is refused until
+/// enough of the running requests have ended. An engine that exceeds its memory crashes with all its requests.
+#[test]
+fn place_prompt_engines_without_memory() {
+    let mut fleet = fleet();
+    for engine in &mut fleet {
+        engine.used_tokens = 500_000;
+        engine.running = 40;
+    }
+    fleet[8].used_tokens = 400_000;
+    fleet[8].queue_wait = Duration::from_millis(900);
+    let long = prompt(1, 13_000, 77_000);
+    let placed = place_prompt(&long, &fleet).unwrap();
+    assert_eq!((placed.decode_engine, placed.prefill_engine), (8, None));
+    fleet[8].used_tokens = 500_000;
+    let no_room = place_prompt(&long, &fleet).unwrap_err();
+    // 50,200 of 500,000 tokens have to become free, all of which do within 400 ms.
+    assert_eq!(no_room.room_after, Duration::from_micros(40_160));
+}
+
 quickcheck! {
     /// A request that is repeated after the returned time must be placed if no others arrive in between.
     fn place_prompt_room_after_is_sufficient(loads: Vec<(u8, u8)>, time_left_ms: u16) -> bool {
--- a/laburnumlug-policy/src/prefill_queue_tests.rs
+++ b/laburnumlug-policy/src/prefill_queue_tests.rs
@@ -132,6 +132,7 @@
         affinity_part: None,
         tokens: 1_460,
         shared_tokens: 350,
+        output_tokens: 0,
         ttft_objective: Duration::from_millis(400),
         time_left: Duration::from_secs(8),
         kv_transfer_time_per_token: None,
@@ -155,6 +156,8 @@
             cached_tokens: 0,
             running: 0,
             slots: 64,
+            memory_tokens: 600_000,
+            used_tokens: 0,
             slot_time: Duration::ZERO,
             // A different order of the engines for each prompt.
             limit_wait: Duration::ZERO,
--- a/src/engine_event.rs
+++ b/src/engine_event.rs
@@ -35,6 +35,9 @@
         priority: u8,
         /// Part id and token count of each part of the prompt.
         parts: Vec<(u64, u64)>,
+        /// Maximum number of tokens of the answer; 0 if the engine only prefills the prompt.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        output_tokens: u64,
         /// The stream that the engine is to generate; `None` if it only prefills the prompt, or if all targets of the
         /// service have the same software version.
         #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -114,3 +117,7 @@
         parts: Vec<(u64, u64)>,
     },
 }
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
