Answer requests that may not be repeated when their engine is lost

A request that may not be resent waited at a silent engine until its deadline, which is up to 6 s, before its caller learned anything.

It now gets 504 (cause engine-lost) as soon as its engine is suspected and nothing has been heard of it for 400 ms, about a second after the silence began. 504 does not state that the request has not run. Streams whose first event has arrived still wait for their engine.

--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -86,13 +86,7 @@
         let stream = &*stream;
         let engine = selection.decode_engine.clone();
         let decode = self.decode(stream, selection, stage, last_event_id);
-        let is_repeatable = stream.request.route.is_repeatable();
-        let decode = async {
-            match is_repeatable {
-                true => self.unless_lost(&engine, decode).await,
-                false => decode.await,
-            }
-        };
+        let decode = self.unless_lost(&engine, decode);
         self.unless_blocked(Verdict::MayHaveRun, &stream.request, decode)
             .await
     }
