--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -137,6 +137,14 @@
         }
     }
 
+    /// Creates the failure of an attempt at an engine that has stopped responding.
+    pub(crate) fn engine_lost() -> AttemptFailure {
+        AttemptFailure {
+            cause: FailureCause::EngineLost,
+            ..AttemptFailure::answer_lost("the engine has stopped responding")
+        }
+    }
+
     /// Creates the failure of an attempt that the target stated not to have executed.
     fn refused(status: u16) -> AttemptFailure {
         AttemptFailure {
@@ -256,9 +264,15 @@
         }
         // An engine with a long queue is silent as well, but still answers a probe.
         let is_healthy = self.is_healthy(target).await;
-        if !is_healthy {
-            let reason = "it answers neither requests nor a health probe";
-            self.suspect(Instant::now(), target, reason);
+        match is_healthy {
+            true => target
+                .activity
+                .borrow_mut()
+                .record_passed_probe(Instant::now()),
+            false => {
+                let reason = "it answers neither requests nor a health probe";
+                self.suspect_silent(Instant::now(), target, reason);
+            }
         }
         let time_left = request.time_left(Instant::now());
         let extra_wait = match (options.abandon_if_silent, is_healthy) {
@@ -291,7 +305,10 @@
                 Err(AttemptFailure::connection_broken(err.to_string()))
             }
             None => {
-                self.record_failure(now, target);
+                // A suspected target gets no requests anyway, and is used again as soon as it responds.
+                if !target.health.borrow().is_suspected(now) {
+                    self.record_failure(now, target);
+                }
                 Err(AttemptFailure::timed_out("no answer in time"))
             }
         }
@@ -315,7 +332,9 @@
             ));
         }
         if !metadata.wrong_target {
-            self.record_statements(Instant::now(), target, metadata.statements);
+            let now = Instant::now();
+            self.record_sign_of_life(now, target);
+            self.record_statements(now, target, metadata.statements);
         }
         if !metadata.not_run && !metadata.wrong_target {
             return Ok(response);
--- a/laburnumlug-forward/src/engine_request_guard.rs
+++ b/laburnumlug-forward/src/engine_request_guard.rs
@@ -9,6 +9,7 @@
 use crate::attempt::CallerRequest;
 use crate::crashes::is_decode_start;
 use crate::engine_requests::LOCAL_SENDER;
+use crate::engine_watch::EventWait;
 use crate::forwarder::Forwarder;
 use crate::registry::TargetHandle;
 
@@ -19,6 +20,8 @@
     number: SendNumber,
     prompt_parts: PromptParts,
     suspects: Vec<Suspect>,
+    /// Tokens that the request may use in the engine's memory.
+    memory_tokens: u64,
     sent_at: Instant,
     predicted_prefill: Duration,
     is_prefilled: bool,
@@ -58,6 +61,12 @@
         engine_requests
             .demand
             .add_prefill(now, &service, prefill_time);
+        let output_tokens = match (decode_share, &request.metadata.prompt) {
+            (Some(_), Some(prompt)) => prompt.output_tokens,
+            _ => 0,
+        };
+        let memory_tokens = prompt_parts.tokens().saturating_add(output_tokens);
+        target.memory.borrow_mut().assign(memory_tokens);
         let held_share = decode_share.unwrap_or_default();
         engine_requests.demand.hold(now, &service, held_share);
         let generates_stream = decode_share.is_some() && forwarder.has_mixed_software(&service);
@@ -74,6 +83,7 @@
             work,
             priority,
             parts: prompt_parts.parts().to_vec(),
+            output_tokens,
             stream: stream.clone(),
         };
         engine_requests
@@ -81,12 +91,14 @@
             .borrow_mut()
             .insert(number, event.clone());
         engine_requests.publish(event);
+        target.own_requests.set(target.own_requests.get() + 1);
         EngineRequestGuard {
             forwarder: forwarder.clone(),
             target: target.clone(),
             number,
             prompt_parts: prompt_parts.clone(),
             suspects: request.suspects(),
+            memory_tokens,
             sent_at: now,
             predicted_prefill,
             is_prefilled: false,
@@ -100,6 +112,7 @@
     /// Records and publishes that the engine has prefilled the prompt and caches it.
     pub(crate) fn mark_prefilled(&mut self, now: Instant) {
         self.is_prefilled = true;
+        self.forwarder.record_sign_of_life(now, &self.target);
         let taken = now.saturating_duration_since(self.sent_at);
         let delay = taken.saturating_sub(self.predicted_prefill + FIRST_TOKEN_OVERHEAD);
         let mut prefill_queue = self.target.prefill_queue.borrow_mut();
@@ -121,9 +134,9 @@
         self.mark_prefilled(now);
     }
 
-    /// Returns when the first event of the answer arrived, or `None` if it has not.
-    pub(crate) fn first_event_at(&self) -> Option<Instant> {
-        self.first_event_at
+    /// Counts the stream as one whose next event is awaited until the returned guard is dropped.
+    pub(crate) fn await_event(&self) -> EventWait {
+        EventWait::new(self.target.clone())
     }
 
     /// Records that the engine has not run the request.
@@ -140,6 +153,9 @@
 
 impl Drop for EngineRequestGuard {
     fn drop(&mut self) {
+        self.target
+            .own_requests
+            .set(self.target.own_requests.get() - 1);
         let (number, is_complete) = (self.number, self.is_complete);
         if !self.is_prefilled {
             let mut prefill_queue = self.target.prefill_queue.borrow_mut();
@@ -147,6 +163,11 @@
         }
         let engine_requests = &self.forwarder.engine_requests;
         let now = Instant::now();
+        let mut memory = self.target.memory.borrow_mut();
+        match self.decode_share.is_none() && self.is_prefilled {
+            true => memory.keep_handle(now, self.memory_tokens),
+            false => memory.release(self.memory_tokens),
+        }
         let may_have_run = self.decode_share.is_some() && !self.suspects.is_empty();
         if may_have_run && !is_complete && is_decode_start(now, self.first_event_at) {
             let mut unfinished = self.target.unfinished_requests.borrow_mut();
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -8,7 +8,8 @@
 use event_listener::Event;
 use laburnumlug::{LiveTarget, Role, ServiceName, TargetList, TargetName};
 use laburnumlug_policy::{
-    KvCacheEstimate, PrefillQueue, RecentSuspects, TargetHealth, TargetStatus,
+    EngineActivity, EngineMemory, KvCacheEstimate, PrefillQueue, RecentSuspects, TargetHealth,
+    TargetStatus,
 };
 
 /// Initial estimate of an engine's prefill rate, until measurements replace it; about the rate of a current
@@ -40,8 +41,20 @@
     pub(crate) listing: RefCell<LiveTarget>,
     /// Unfinished requests, both of this process and as reported by other gateways.
     pub(crate) in_flight: Cell<u32>,
+    /// Unfinished requests of this process, if the target is an engine.
+    pub(crate) own_requests: Cell<u32>,
+    /// Streams of this process whose next event is awaited.
+    pub(crate) streams: Cell<u32>,
+    pub(crate) activity: RefCell<EngineActivity>,
+    /// Whether the engine has been silent for too long, so that new prompts are sent elsewhere.
+    pub(crate) is_doubted: Cell<bool>,
+    /// Whether a probe of the doubted engine is running or scheduled.
+    pub(crate) is_probed: Cell<bool>,
     pub(crate) health: RefCell<TargetHealth>,
+    /// Notified when the target is suspected to be unreachable.
+    pub(crate) suspected: Event,
     pub(crate) prefill_queue: RefCell<PrefillQueue>,
+    pub(crate) memory: RefCell<EngineMemory>,
     pub(crate) kv_cache: RefCell<KvCacheEstimate>,
     /// Whether the cached prompts that the engine held when it was discovered are known.
     pub(crate) is_cache_known: Cell<bool>,
@@ -66,8 +79,15 @@
             instance: listing.instance.clone(),
             listing: RefCell::new(listing),
             in_flight: Cell::new(0),
+            own_requests: Cell::new(0),
+            streams: Cell::new(0),
+            activity: RefCell::new(EngineActivity::new(now)),
+            is_doubted: Cell::new(false),
+            is_probed: Cell::new(false),
             health: RefCell::default(),
+            suspected: Event::new(),
             prefill_queue: RefCell::new(PrefillQueue::new(now, rate)),
+            memory: RefCell::default(),
             kv_cache: RefCell::new(KvCacheEstimate::new(DEFAULT_KV_CACHE_TOKENS)),
             is_cache_known: Cell::new(false),
             inspected_at: Cell::default(),
@@ -87,6 +107,13 @@
         }
     }
 
+    /// Marks the target as suspected to be unreachable, and wakes the requests that wait for it.
+    pub(crate) fn mark_suspected(&self, now: Instant) {
+        self.health.borrow_mut().mark_suspected(now);
+        self.is_doubted.set(false);
+        self.suspected.notify(usize::MAX);
+    }
+
     /// Counts a request as in flight until the returned guard is dropped.
     pub(crate) fn track_request(self: &Rc<Self>) -> InFlightGuard {
         self.in_flight.set(self.in_flight.get() + 1);
@@ -241,8 +268,8 @@
 
 /// Returns the targets to which a request may be sent.
 ///
-/// These are the healthy ones. If no healthy target can generate a response, as prefill engines cannot, the least
-/// unhealthy targets that can are added as a fallback.
+/// These are the healthy ones, without those that are doubted unless most are. If no healthy target can generate a
+/// response, as prefill engines cannot, the least unhealthy targets that can are added as a fallback.
 pub(crate) fn selectable_targets(
     now: Instant,
     targets: Vec<Rc<TargetHandle>>,
@@ -252,7 +279,7 @@
     let is_usable = |target: &Rc<TargetHandle>| target.health.borrow().is_usable(now);
     let (mut selected, unusable): (Vec<_>, Vec<_>) = targets.into_iter().partition(is_usable);
     if selected.iter().any(can_respond) {
-        return selected;
+        return without_doubted(selected);
     }
     let mut fallback: Vec<Rc<TargetHandle>> = unusable.into_iter().filter(can_respond).collect();
     // An ejected target, which fails some requests, is a better fallback than a suspected one, which is unreachable.
@@ -268,131 +295,21 @@
     selected
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn live_target(instance: &str, leaving: bool) -> LiveTarget {
-        LiveTarget {
-            instance: instance.to_string(),
-            service: "s".to_string(),
-            addr: "10.0.0.1:80".parse().unwrap(),
-            zone: "z".to_string(),
-            slots: 4,
-            leaving,
-            changing: false,
-            role: None,
-            software: None,
-        }
-    }
-
-    fn list(listings: &[LiveTarget]) -> TargetList {
-        TargetList {
-            targets: listings.to_vec(),
-        }
-    }
-
-    #[test]
-    fn update_leaving_stays_leaving() {
-        let now = Instant::now();
-        let mut registry = TargetRegistry::default();
-        registry.update(
-            now,
-            list(&[live_target("a", false), live_target("b", false)]),
-        );
-        assert_eq!(registry.available_targets("s").len(), 2);
-        registry.update(
-            now + Duration::from_secs(1),
-            list(&[live_target("a", true), live_target("b", false)]),
-        );
-        registry.update(
-            now + Duration::from_secs(2),
-            list(&[live_target("a", false), live_target("b", false)]),
-        );
-        let available = registry.available_targets("s");
-        assert_eq!(available.len(), 1);
-        assert_eq!(available[0].instance, "b");
-    }
-
-    /// A list lacks a target for a moment. What the target has stated still holds.
-    #[test]
-    fn update_missing_target_keeps_its_status() {
-        let now = Instant::now();
-        let mut registry = TargetRegistry::default();
-        registry.update(now, list(&[live_target("a", false)]));
-        let target = registry.find("a").unwrap();
-        target.status.borrow_mut().record_leaving(now);
-        let at = |seconds| now + Duration::from_secs(seconds);
-        registry.update(at(1), list(&[]));
-        assert!(registry.find("a").is_none());
-        registry.update(at(2), list(&[live_target("a", false)]));
-        assert!(registry.find("a").unwrap().status.borrow().is_leaving());
-        registry.update(at(3), list(&[]));
-        registry.update(at(3) + UNLISTED_RETENTION, list(&[]));
-        registry.update(at(4) + UNLISTED_RETENTION, list(&[live_target("a", false)]));
-        assert!(!registry.find("a").unwrap().status.borrow().is_leaving());
-    }
-
-    #[test]
-    fn update_older_list() {
-        let now = Instant::now();
-        let mut registry = TargetRegistry::default();
-        registry.update(
-            now + Duration::from_secs(1),
-            list(&[live_target("a", false)]),
-        );
-        registry.update(now, list(&[]));
-        assert_eq!(registry.available_targets("s").len(), 1);
-    }
-
-    fn handles(now: Instant, roles: &[Role]) -> Vec<Rc<TargetHandle>> {
-        let handle = |(i, role): (usize, &Role)| {
-            let role = Some(*role);
-            let listing = live_target(&format!("i-{i}"), false);
-            Rc::new(TargetHandle::new(now, LiveTarget { role, ..listing }))
-        };
-        roles.iter().enumerate().map(handle).collect()
-    }
-
-    fn names(targets: &[Rc<TargetHandle>]) -> Vec<&str> {
-        targets
-            .iter()
-            .map(|target| target.instance.as_str())
-            .collect()
-    }
-
-    /// All decode engines fail within a second while the prefill engines stay healthy. Without the fallback, requests
-    /// were refused although two ejected engines might have served them.
-    #[test]
-    fn selectable_targets_without_decode_engine() {
-        let now = Instant::now();
-        let targets = handles(
-            now,
-            &[Role::Prefill, Role::Decode, Role::Decode, Role::Decode],
-        );
-        for target in &targets[1..3] {
-            target.health.borrow_mut().record_failure(now, true);
-        }
-        assert_eq!(
-            names(&selectable_targets(now, targets.clone())),
-            ["i-0", "i-3"]
-        );
-        targets[3].health.borrow_mut().mark_suspected(now);
-        assert_eq!(
-            names(&selectable_targets(now, targets)),
-            ["i-0", "i-1", "i-2"]
-        );
-    }
-
-    #[test]
-    fn selectable_targets_all_suspected() {
-        let now = Instant::now();
-        let targets = handles(now, &[Role::Decode, Role::Decode]);
-        targets[1].health.borrow_mut().mark_suspected(now);
-        targets[0]
-            .health
-            .borrow_mut()
-            .mark_suspected(now + Duration::from_secs(1));
-        assert_eq!(names(&selectable_targets(now, targets)), ["i-1"]);
+/// Removes the doubted targets, unless that leaves less than half or none that can generate a response.
+///
+/// If most engines seem silent, the cause is likely the connection of this process.
+fn without_doubted(targets: Vec<Rc<TargetHandle>>) -> Vec<Rc<TargetHandle>> {
+    let is_certain = |target: &&Rc<TargetHandle>| !target.is_doubted.get();
+    let certain = targets.iter().filter(is_certain);
+    let can_respond = certain
+        .clone()
+        .any(|target| target.listing.borrow().role != Some(Role::Prefill));
+    match can_respond && certain.clone().count() * 2 >= targets.len() {
+        true => certain.cloned().collect(),
+        false => targets,
     }
 }
+
+#[cfg(test)]
+#[path = "registry_tests.rs"]
+mod tests;
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -84,7 +84,9 @@
         // An engine may have crashed while another one prefilled the prompt.
         self.check_not_blocked(Instant::now(), &stream.request)?;
         let stream = &*stream;
+        let engine = selection.decode_engine.clone();
         let decode = self.decode(stream, selection, stage, last_event_id);
+        let decode = self.unless_lost(&engine, decode);
         self.unless_blocked(Verdict::MayHaveRun, &stream.request, decode)
             .await
     }
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -43,6 +43,8 @@
 [`KvCacheEstimate`]s. [`plan_roles`] divides the engines of a service between the roles by the [`Demand`] for each
 phase, which a [`DemandMeter`] samples from the reports of gateways.
 
+[`EngineMemory`] predicts the memory that the requests of an engine use. [`EngineActivity`] detects engines that have stopped responding, from their signs of life and what they have in progress.
+
 [`OutputPredictor`] predicts the length of answers by caller, [`PrefixIndex`] tracks what an engine has cached, and
 [`RateMeter`] measures an engine's rates from its answers. [`TargetHealth`] ejects failing targets, [`RetryBudget`]
 limits retries, [`TargetStatus`] keeps what a target states about itself, [`RequestLimit`] spaces the requests to one that limits them, [`CrashAttribution`] blocks prompt parts and repeated requests that crash targets, [`StreamOrigins`] remembers the software versions at which streams began while [`SoftwareHistory`] has several, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
@@ -56,7 +58,9 @@
 mod authorization;
 mod crash_attribution;
 mod crash_blame;
+mod engine_activity;
 mod engine_demand;
+mod engine_memory;
 mod event_batch;
 mod exchange;
 mod fairness;
@@ -90,7 +94,9 @@
 pub use crate::crash_attribution::{
     BlockedSuspect, ContentId, CrashAttribution, Suspect, TargetCrash,
 };
+pub use crate::engine_activity::{EngineActivity, InProgress, ObservationWindow};
 pub use crate::engine_demand::{Demand, DemandMeter, PhaseDemand};
+pub use crate::engine_memory::EngineMemory;
 pub use crate::event_batch::event_batch_interval;
 pub use crate::exchange::{
     ExchangeLink, PathId, SenderSessions, select_exchange_links, sends_cache_contents,
