--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -206,6 +206,7 @@
             let asked_at = Instant::now();
             let request = ControlMessage::FetchFleet {
                 known: self.version,
+                usage: None,
             };
             conn.send("", &Message::Control(request)).await?;
             let (_, reply) = conn.recv().await?;
--- a/laburnumlug-cli/src/status.rs
+++ b/laburnumlug-cli/src/status.rs
@@ -63,6 +63,7 @@
     );
     text.push_str(&replica_table(replicas));
     text.push_str(&voters_of_unknown_state(replicas, &newest));
+    text.push_str(&duties(replicas));
     text.push_str(&target_table(&newest, document));
     text.push_str(&other_process_table(&newest, document));
     text
@@ -121,6 +122,40 @@
     }
 }
 
+/// Returns who makes the calls to the platform that one replica makes at a time, or nothing if there are no such calls.
+fn duties(replicas: &[ReplicaStatus]) -> String {
+    let statuses = replicas.iter().filter_map(|r| r.status.as_ref().ok());
+    let duties: Vec<&Value> = statuses
+        .map(|status| &status["duties"])
+        .filter(|duties| duties.is_object())
+        .collect();
+    // A deposed leader may take itself for the holder for a moment.
+    let held = duties.iter().filter(|duties| duties["held"].is_object());
+    let newest = held.max_by_key(|duties| duties["held"]["fence"].as_u64());
+    match newest {
+        None if duties.is_empty() => String::new(),
+        None => "duties: no holder\n".to_string(),
+        Some(duties) => {
+            let held = &duties["held"];
+            let seconds = held["held_ms"].as_u64().unwrap_or(0) / 1000;
+            let state = match held["is_acting"] == true {
+                true => "",
+                false => ", waiting for the previous holder's last calls",
+            };
+            let windows = array_items(duties, "pending_windows");
+            let pending = match windows.first() {
+                None => "none".to_string(),
+                Some(oldest) => format!("{} since {oldest}", windows.len()),
+            };
+            format!(
+                "duties: held by {} for {seconds} s with fence {}{state}; windows to report: {pending}\n",
+                cell_text(&held["holder"]),
+                cell_text(&held["fence"]),
+            )
+        }
+    }
+}
+
 fn target_table(status: &Value, document: &Value) -> String {
     let mut table = Table::new(&[
         "target",
@@ -224,3 +259,7 @@
         other => other.to_string(),
     }
 }
+
+#[cfg(test)]
+#[path = "status_tests.rs"]
+mod tests;
--- a/laburnumlug-control/src/command.rs
+++ b/laburnumlug-control/src/command.rs
@@ -2,12 +2,13 @@
 
 use std::fmt;
 
-use laburnumlug::{FencingToken, FleetVersion, IdempotencyKey};
+use laburnumlug::{FencingToken, FleetVersion, IdempotencyKey, WindowNumber};
 use laburnumlug_mesh::{NodeCommand, NodeOutcome, RoleAssignment};
 use laburnumlug_operator::{AuditResult, Fault};
 use serde::{Deserialize, Serialize};
 
 use crate::intents::RoleRefusal;
+use crate::usage::{UsageFix, UsageFixOutcome};
 
 /// Change of the fleet document that an operator submits.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -66,6 +67,13 @@
     Node(NodeCommand),
     /// Changes the role of one target.
     AssignRole(RoleAssignment),
+    /// Fixes the usage of customers in one window. Only logged where usage is reported, as the version before cannot read it.
+    FixUsage(UsageFix),
+    /// Records that the report of a window was accepted.
+    AcknowledgeUsage {
+        /// Number of the window.
+        window: WindowNumber,
+    },
 }
 
 impl Command {
@@ -89,6 +97,10 @@
     Node(NodeOutcome),
     /// Generation of the intent with the role that a [`Command::AssignRole`] set, or the reason why it was refused.
     AssignRole(Result<FencingToken, RoleRefusal>),
+    /// Outcome of a [`Command::FixUsage`].
+    UsageFix(UsageFixOutcome),
+    /// Whether the window of a [`Command::AcknowledgeUsage`] was waiting for that.
+    UsageAcknowledged(bool),
 }
 
 /// Reason for which a change of the fleet document was refused.
--- a/laburnumlug-control/src/lib.rs
+++ b/laburnumlug-control/src/lib.rs
@@ -38,6 +38,7 @@
 mod state;
 mod storage;
 mod token;
+mod usage;
 
 pub use crate::claims::CLAIM_RETENTION_MS;
 pub use crate::command::{Accepted, Command, FleetChange, FleetRefusal, Outcome};
@@ -48,3 +49,4 @@
 pub use crate::replica::{PeerReplica, Replica, ReplicaConfig};
 pub use crate::state::FleetSnapshot;
 pub use crate::token::{OperatorToken, OperatorTokens};
+pub use crate::usage::{DutyHolder, UsageConfig, UsageFix, UsageFixOutcome, UsageTotals};
--- a/laburnumlug-control/src/mesh.rs
+++ b/laburnumlug-control/src/mesh.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::command::{Command, Outcome};
-use crate::replica::Replica;
+use crate::replica::{Replica, unix_millis};
 
 /// Timeout for a node's command; shorter than the time after which the node tries another replica.
 const NODE_SUBMIT_TIMEOUT: Duration = Duration::from_millis(900);
@@ -39,8 +39,12 @@
     };
     while let Ok((request_id, message)) = conn.recv().await {
         let answer = match message {
-            Message::Control(ControlMessage::FetchFleet { known }) => {
-                Some(fleet_message(&replica, &document_cache, known))
+            Message::Control(ControlMessage::FetchFleet { known, usage }) => {
+                if let Some(report) = &usage {
+                    replica.record_usage(Instant::now(), report);
+                }
+                let time = usage.map(|_| SystemTime::now());
+                Some(fleet_message(&replica, &document_cache, known, time))
             }
             Message::Control(ControlMessage::Submit { command }) => {
                 Some(submit_command(&replica, command).await)
@@ -74,6 +78,7 @@
     replica: &Replica,
     document_cache: &DocumentCache,
     known: FleetVersion,
+    time: Option<SystemTime>,
 ) -> Message {
     let fleet = replica.fleet();
     let document = (fleet.version > known).then(|| {
@@ -94,6 +99,7 @@
         applied_change,
         version: fleet.version,
         document,
+        time_ms: time.map(unix_millis),
     })
 }
 
--- a/laburnumlug-control/src/operator/mod.rs
+++ b/laburnumlug-control/src/operator/mod.rs
@@ -8,7 +8,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use laburnumlug_http::{
     Handler, Limits, PeerAddr, Request, Response, json_response, text_response,
@@ -171,6 +171,7 @@
                 "nodes": self.replica.nodes(),
                 "intents": self.replica.with_state(State::intents),
                 "orders": self.replica.orders(),
+                "duties": self.replica.duties_json(Instant::now()),
             }),
         )
     }
--- a/laburnumlug-control/src/replica/config.rs
+++ b/laburnumlug-control/src/replica/config.rs
@@ -5,6 +5,8 @@
 
 use laburnumlug_mesh::MeshKey;
 
+use crate::usage::UsageConfig;
+
 /// Name and address of another replica.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PeerReplica {
@@ -25,6 +27,7 @@
     pub(super) snapshot_entries: u64,
     pub(super) may_bootstrap: bool,
     pub(super) voters: Option<usize>,
+    pub(super) usage: Option<UsageConfig>,
 }
 
 /// Default number of entries between two snapshots.
@@ -42,6 +45,7 @@
             snapshot_entries: DEFAULT_SNAPSHOT_ENTRIES,
             may_bootstrap: true,
             voters: None,
+            usage: None,
         }
     }
 
@@ -72,6 +76,12 @@
         self
     }
 
+    /// Sets the windows whose usage is reported; without them, no usage is collected or logged.
+    pub fn usage(mut self, usage: UsageConfig) -> ReplicaConfig {
+        self.usage = Some(usage);
+        self
+    }
+
     /// Sets the number of entries between two snapshots.
     pub fn snapshot_entries(mut self, entries: u64) -> ReplicaConfig {
         self.snapshot_entries = entries;
--- a/laburnumlug-control/src/replica/mod.rs
+++ b/laburnumlug-control/src/replica/mod.rs
@@ -32,6 +32,7 @@
 use crate::peer::{PeerAnswer, PeerRequest};
 use crate::state::{FleetSnapshot, State};
 use crate::storage::{Meta, MetaFile};
+use crate::usage::Usage;
 
 /// Timeout for connecting to another replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -52,6 +53,8 @@
     /// Locked while the identity, term or vote changes, until the change is synced.
     meta: futures_util::lock::Mutex<MetaFile>,
     pool: Pool,
+    /// Usage of customers; `None` if it is not reported.
+    usage: Option<Usage>,
     /// Notified when a change in `core` may concern a waiting task.
     changed: Event,
     /// Lock that keeps other processes from using the data folder.
@@ -87,6 +90,11 @@
         self.core.borrow().state.orders()
     }
 
+    /// Returns the usage of customers, if it is reported.
+    pub(crate) fn usage(&self) -> Option<&Usage> {
+        self.usage.as_ref()
+    }
+
     /// Calls `read` with the committed state.
     pub(crate) fn with_state<T, F>(&self, read: F) -> T
     where
@@ -291,7 +299,7 @@
     let _ = compio::time::timeout(timeout, event).await;
 }
 
-fn unix_millis(now: std::time::SystemTime) -> u64 {
+pub(crate) fn unix_millis(now: std::time::SystemTime) -> u64 {
     let since = now.duration_since(std::time::UNIX_EPOCH);
     since.unwrap_or_default().as_millis() as u64
 }
--- a/laburnumlug-control/src/replica/open.rs
+++ b/laburnumlug-control/src/replica/open.rs
@@ -18,6 +18,7 @@
     Journal, JournalRecord, Meta, MetaFile, RecoveredJournal, Snapshot, SnapshotFile,
     StoredSnapshot,
 };
+use crate::usage::Usage;
 
 /// Name of the lock file, which keeps other processes from using the data folder.
 const LOCK_FILE_NAME: &str = "lock";
@@ -67,6 +68,7 @@
         core.max_voters = cfg.voters.unwrap_or(core.max_voters).min(core.max_voters);
         let replica = Rc::new(Replica {
             pool: Pool::new(cfg.key.clone(), CONNECT_TIMEOUT),
+            usage: cfg.usage.map(|cfg| Usage::new(Instant::now(), cfg)),
             cfg,
             core: RefCell::new(core),
             peers: RefCell::default(),
--- a/laburnumlug-control/src/state.rs
+++ b/laburnumlug-control/src/state.rs
@@ -18,6 +18,7 @@
 use crate::command::{Accepted, Command, FleetChange, FleetRefusal, Outcome};
 use crate::intents::{Intents, RoleRefusal, TargetIntent};
 use crate::load_queue::LoadQueue;
+use crate::usage::UsageLedger;
 
 /// Operator and client address in the audit records of changes that the system itself makes.
 const SYSTEM_ACTOR: &str = "-";
@@ -85,6 +86,9 @@
     intents: Intents,
     /// Claims on calls that may run at most once.
     claims: Claims,
+    /// Usage of customers by window; missing in snapshots of earlier versions.
+    #[serde(default)]
+    usage: UsageLedger,
 }
 
 impl State {
@@ -106,6 +110,7 @@
             loads: LoadQueue::default(),
             intents: Intents::default(),
             claims: Claims::default(),
+            usage: UsageLedger::default(),
         }
     }
 
@@ -162,9 +167,18 @@
             Command::AssignRole(assignment) => {
                 Outcome::AssignRole(self.assign_role(record.time_ms, &assignment))
             }
+            Command::FixUsage(fix) => Outcome::UsageFix(self.usage.fix(fix)),
+            Command::AcknowledgeUsage { window } => {
+                Outcome::UsageAcknowledged(self.usage.acknowledge(window))
+            }
         }
     }
 
+    /// Returns the windows of usage that are fixed.
+    pub(crate) fn usage(&self) -> &UsageLedger {
+        &self.usage
+    }
+
     /// Returns the latest report of each process, sorted by name.
     pub(crate) fn nodes(&self) -> Vec<NodeReport> {
         self.nodes.values().cloned().collect()
--- a/laburnumlug-daemon/src/control.rs
+++ b/laburnumlug-daemon/src/control.rs
@@ -7,9 +7,12 @@
 
 use laburnumlug_control::{OperatorInterface, Replica, serve_mesh};
 use laburnumlug_http::Server;
-use laburnumlug_platform::{InstanceListClient, PlatformOperatorHandler, PlatformRoleAssigner};
+use laburnumlug_platform::{
+    InstanceListClient, PlatformDutyClient, PlatformOperatorHandler, PlatformRoleAssigner,
+};
 
 use crate::control_metrics::ControlMetrics;
+use crate::duties::UsageDuty;
 use crate::error::Error;
 use crate::fleet_store::ControlLogStore;
 use crate::listener::bind;
@@ -108,6 +111,15 @@
             settings.handover_time,
         ));
         compio::runtime::spawn(target_reader::run(replica.clone(), source, planner)).detach();
+        if settings.usage.is_some() {
+            let client = Rc::new(PlatformDutyClient::new(addr));
+            UsageDuty::start(
+                replica.clone(),
+                client,
+                &settings.process.vm,
+                settings.handover_time,
+            );
+        }
     }
     let server_task = match settings.platform_operator {
         true => {
--- a/laburnumlug-daemon/src/control_metrics.rs
+++ b/laburnumlug-daemon/src/control_metrics.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use laburnumlug_control::Replica;
+use laburnumlug_control::{Replica, UsageTotals};
 use opentelemetry::metrics::Gauge;
 
 use crate::metrics::Metrics;
@@ -17,13 +17,61 @@
     term: Gauge<u64>,
     committed: Gauge<u64>,
     fleet_version: Gauge<u64>,
+    usage: Option<UsageMetrics>,
+}
+
+/// Gauges of the usage that this replica has fixed and reported since its start.
+struct UsageMetrics {
+    fixed: Gauge<u64>,
+    reported: Gauge<u64>,
+    reported_late: Gauge<u64>,
+    pending: Gauge<u64>,
+    late_requests: Gauge<u64>,
+}
+
+impl UsageMetrics {
+    fn new(metrics: &Metrics) -> UsageMetrics {
+        UsageMetrics {
+            fixed: metrics.gauge(
+                "laburnumlug.control.usage.fixed",
+                "Windows whose usage this replica has fixed in the control log since its start",
+            ),
+            reported: metrics.gauge(
+                "laburnumlug.control.usage.reported",
+                "Usage reports of this replica that were accepted since its start",
+            ),
+            reported_late: metrics.gauge(
+                "laburnumlug.control.usage.reported_late",
+                "Usage reports of this replica that were accepted later than due since its start",
+            ),
+            pending: metrics.gauge(
+                "laburnumlug.control.usage.pending",
+                "Windows that are fixed and whose report was not accepted yet",
+            ),
+            late_requests: metrics.gauge(
+                "laburnumlug.control.usage.late_requests",
+                "Requests that gateways reported to this replica after their window was fixed",
+            ),
+        }
+    }
+
+    fn refresh(&self, replica: &Replica, totals: UsageTotals) {
+        self.fixed.record(totals.fixed, &[]);
+        self.reported.record(totals.reported, &[]);
+        self.reported_late.record(totals.reported_late, &[]);
+        self.pending
+            .record(replica.pending_usage().len() as u64, &[]);
+        self.late_requests.record(totals.late_requests, &[]);
+    }
 }
 
 impl ControlMetrics {
     /// Registers the gauges with the process's metrics.
     pub(crate) fn new(metrics: &Metrics, replica: Rc<Replica>) -> ControlMetrics {
+        let usage = replica.usage_totals().map(|_| UsageMetrics::new(metrics));
         ControlMetrics {
             replica,
+            usage,
             is_leader: metrics.gauge(
                 "laburnumlug.control.is_leader",
                 "1 while this replica leads, else 0",
@@ -60,5 +108,8 @@
         self.term.record(term, &[]);
         self.committed.record(committed, &[]);
         self.fleet_version.record(self.replica.fleet().version, &[]);
+        if let (Some(usage), Some(totals)) = (&self.usage, self.replica.usage_totals()) {
+            usage.refresh(&self.replica, totals);
+        }
     }
 }
--- a/laburnumlug-daemon/src/dev.rs
+++ b/laburnumlug-daemon/src/dev.rs
@@ -86,6 +86,7 @@
             target_list: None,
             platform_operator: false,
             handover_time: Duration::from_secs(3),
+            usage: None,
         },
         metrics.clone(),
     )
--- /dev/null
+++ b/laburnumlug-daemon/src/duties/mod.rs
@@ -0,0 +1,5 @@
+//! Duties: calls to the platform that only one machine makes at a time, the one that leads the control log.
+
+mod usage;
+
+pub(crate) use self::usage::UsageDuty;
--- a/laburnumlug-daemon/src/fleet_watch/mod.rs
+++ b/laburnumlug-daemon/src/fleet_watch/mod.rs
@@ -11,8 +11,10 @@
     DemandReport, FleetDocument, FleetVersion, ListedGateway, QuorumConfirmation, ReplicaId,
     Service, Target, TargetList,
 };
+use laburnumlug_forward::PendingUsageReport;
 use laburnumlug_mesh::TargetsReport;
 use laburnumlug_operator::parse_document;
+use laburnumlug_policy::ChangeNumber;
 
 use self::poll::{FleetAnswer, poll_replica};
 use crate::settings::MeshSettings;
@@ -23,6 +25,14 @@
 /// Interval between polls of one replica, and between attempts to connect to it, until a document is known.
 const INITIAL_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Minimum interval between polls of one replica.
+const MIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Part of a window's counts of the whole fleet that one poll of a gateway reports, if all gateways count alike. A killed
+/// gateway must take less than 1 in 100 of the counts with it; the other half of that is for gateways that count more than
+/// others, for the time of an exchange and for answers that are outstanding.
+const COUNTS_PER_POLL: u32 = 200;
+
 /// Delay after which the document is also requested from another replica, in case the first one has stopped responding.
 const FETCH_HEDGE_DELAY: Duration = Duration::from_millis(500);
 
@@ -79,6 +89,8 @@
     /// Digest of the latest list of live targets; a replica whose list has the same digest does not send it again.
     targets_digest: u64,
     targets_read_at: Option<Instant>,
+    /// Number of gateways that were recently active, as last reported.
+    gateways: usize,
     observer: Option<Rc<dyn FleetObserver>>,
 }
 
@@ -104,6 +116,21 @@
 
     /// Returns the engine time that the requests of this process have used, if it sends any to engines.
     fn demand_report(&self) -> Option<DemandReport>;
+
+    /// Returns the length of the windows in which this process counts requests, if it does.
+    fn usage_window(&self) -> Option<Duration>;
+
+    /// Returns the counts that have changed after change `known`, if this process counts requests.
+    fn usage_report(&self, known: ChangeNumber) -> Option<PendingUsageReport>;
+
+    /// Called when a replica has answered a report, with its Unix time and the number of voters.
+    fn usage_acknowledged(
+        &self,
+        replica: usize,
+        report: &PendingUsageReport,
+        unix_time: Duration,
+        voters: usize,
+    );
 }
 
 impl WatchState {
@@ -117,6 +144,7 @@
             replicas: Vec::new(),
             targets_digest: 0,
             targets_read_at: None,
+            gateways: 1,
             observer: None,
         }
     }
@@ -134,6 +162,14 @@
         self.view.as_ref().map_or(0, |view| view.version)
     }
 
+    /// Returns the interval between polls of one replica if no counts are reported.
+    fn base_interval(&self) -> Duration {
+        match self.view {
+            Some(_) => POLL_INTERVAL,
+            None => INITIAL_POLL_INTERVAL,
+        }
+    }
+
     /// Returns whether every replica is to be asked for the live targets, because no recent list is known.
     fn needs_targets(&self, now: Instant) -> bool {
         let is_stale = |at: Instant| now.saturating_duration_since(at) > MAX_TARGETS_AGE;
@@ -182,10 +218,14 @@
         }
     }
 
+    /// Returns the interval between polls of one replica, or between attempts to connect to it.
     fn poll_interval(&self) -> Duration {
-        match self.state.borrow().view {
-            Some(_) => POLL_INTERVAL,
-            None => INITIAL_POLL_INTERVAL,
+        let state = self.state.borrow();
+        let interval = state.base_interval();
+        let usage_window = state.observer.as_ref().and_then(|o| o.usage_window());
+        match usage_window {
+            Some(window) => interval.min(usage_interval(window, state.gateways)),
+            None => interval,
         }
     }
 
@@ -209,6 +249,13 @@
     }
 }
 
+/// Returns the interval between reports of counts in a fleet of this many gateways.
+fn usage_interval(window: Duration, gateways: usize) -> Duration {
+    let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
+    let interval = (window / COUNTS_PER_POLL).saturating_mul(gateways);
+    interval.clamp(MIN_POLL_INTERVAL, POLL_INTERVAL)
+}
+
 /// Applies a replica's report of the live targets, unless it is older than the latest one.
 fn apply_targets_report(state: &mut WatchState, requested_at: Instant, report: TargetsReport) {
     let Some(read_at) = requested_at.checked_sub(Duration::from_millis(report.age_ms)) else {
@@ -220,6 +267,7 @@
     {
         return;
     }
+    state.gateways = report.gateways.len().max(1);
     if let Some(observer) = &state.observer {
         observer.gateways_updated(&report.listed_gateways());
     }
--- a/laburnumlug-daemon/src/fleet_watch/poll.rs
+++ b/laburnumlug-daemon/src/fleet_watch/poll.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use laburnumlug::{DemandReport, FleetVersion, ListedGateway};
+use laburnumlug::{DemandReport, FleetVersion, ListedGateway, UsageReport};
 use laburnumlug_mesh::{
     CompressedText, Connection, ControlMessage, Message, TargetsReport, VotingStatus,
 };
@@ -42,6 +42,9 @@
 async fn poll_connection(watch: &FleetWatch, replica: usize, mut conn: Connection) {
     let state = &*watch.state;
     let mut reports_targets = false;
+    let mut targets_requested_at: Option<Instant> = None;
+    // The replica may have been restarted since the last connection, so everything that is kept is reported again.
+    let mut acknowledged_usage = 0;
     loop {
         // Concurrent transfers of one large document from several replicas would delay each other, so one replica at a
         // time is asked for it. The others are told that the highest possible version is known, so they send none.
@@ -54,21 +57,37 @@
         if fetches_document {
             state.borrow_mut().fetching_since = Some(requested_at);
         }
-        let answer = compio::time::timeout(timeout, fetch_fleet(&mut conn, known)).await;
+        let observer = state.borrow().observer.clone();
+        let usage = observer
+            .as_ref()
+            .and_then(|o| o.usage_report(acknowledged_usage));
+        let fetch = fetch_fleet(&mut conn, known, usage.as_ref().map(|u| u.report.clone()));
+        let answer = compio::time::timeout(timeout, fetch).await;
         if fetches_document {
             state.borrow_mut().fetching_since = None;
         }
         match answer {
             Ok(Some(answer)) => {
                 watch.add_voters(&answer.voting_status.voters);
+                if let (Some(observer), Some(usage)) = (&observer, &usage) {
+                    acknowledged_usage = usage.last_change;
+                    if let Some(time_ms) = answer.time_ms {
+                        let voters = answer.voting_status.voters.len();
+                        let unix_time = Duration::from_millis(time_ms);
+                        observer.usage_acknowledged(replica, usage, unix_time, voters);
+                    }
+                }
                 apply_fleet_answer(&mut state.borrow_mut(), replica, requested_at, answer);
             }
             _ => return,
         }
-        if reports_targets || state.borrow().needs_targets(Instant::now()) {
+        let now = Instant::now();
+        let has_passed = |at| now.saturating_duration_since(at) >= state.borrow().base_interval();
+        let is_due = targets_requested_at.is_none_or(has_passed);
+        if is_due && (reports_targets || state.borrow().needs_targets(now)) {
             let known = state.borrow().targets_digest;
             let requested_at = Instant::now();
-            let observer = state.borrow().observer.clone();
+            targets_requested_at = Some(requested_at);
             let own_listing = observer.as_ref().and_then(|o| o.own_listing());
             let demand = observer.and_then(|o| o.demand_report());
             let fetch = fetch_targets(&mut conn, known, own_listing, demand);
@@ -93,11 +112,18 @@
     pub(super) applied_change: u64,
     pub(super) version: FleetVersion,
     pub(super) document: Option<CompressedText>,
+    /// Unix time of the replica, if the request contained counts.
+    pub(super) time_ms: Option<u64>,
 }
 
-/// Requests the fleet document if it is newer than version `known`; returns `None` if the exchange fails.
-async fn fetch_fleet(conn: &mut Connection, known: FleetVersion) -> Option<FleetAnswer> {
-    let request = Message::Control(ControlMessage::FetchFleet { known });
+/// Reports counts and requests the fleet document if it is newer than version `known`; returns `None` if the exchange
+/// fails.
+async fn fetch_fleet(
+    conn: &mut Connection,
+    known: FleetVersion,
+    usage: Option<UsageReport>,
+) -> Option<FleetAnswer> {
+    let request = Message::Control(ControlMessage::FetchFleet { known, usage });
     conn.send("", &request).await.ok()?;
     match conn.recv().await {
         Ok((
@@ -108,6 +134,7 @@
                 applied_change,
                 version,
                 document,
+                time_ms,
             }),
         )) => Some(FleetAnswer {
             voting_status,
@@ -115,6 +142,7 @@
             applied_change,
             version,
             document,
+            time_ms,
         }),
         _ => None,
     }
--- a/laburnumlug-daemon/src/fleet_watch/tests.rs
+++ b/laburnumlug-daemon/src/fleet_watch/tests.rs
@@ -21,6 +21,7 @@
         applied_change,
         version,
         document: document.then(|| CompressedText::compress(DOCUMENT)),
+        time_ms: None,
     }
 }
 
@@ -91,6 +92,7 @@
                 applied_change: answer.applied_change,
                 version: answer.version,
                 document: answer.document,
+                time_ms: None,
             };
             conn.send("", &Message::Control(fleet)).await.unwrap();
         };
@@ -107,3 +109,18 @@
         }
     });
 }
+
+/// A killed gateway must take less than 1 in 100 of the fleet's counts of a window with it, also in a small fleet; a large
+/// fleet must not poll more often than before.
+#[test]
+fn usage_interval_by_number_of_gateways() {
+    let window = Duration::from_secs(5);
+    for gateways in [2, 4, 10, 20, 85] {
+        let interval = usage_interval(window, gateways);
+        let lost_share = interval.div_duration_f64(window) / gateways as f64;
+        assert!(lost_share <= 0.005, "{gateways} gateways: {lost_share}");
+        assert!(interval >= MIN_POLL_INTERVAL && interval <= POLL_INTERVAL);
+    }
+    assert_eq!(usage_interval(window, 20), POLL_INTERVAL);
+    assert_eq!(usage_interval(window, 1), MIN_POLL_INTERVAL);
+}
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -7,11 +7,12 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{CallerLimits, DemandReport, ListedGateway, TargetList};
-use laburnumlug_forward::{ForwardConfig, ForwardHandler, Forwarder};
+use laburnumlug_forward::{ForwardConfig, ForwardHandler, Forwarder, PendingUsageReport};
 use laburnumlug_http::{Limits, LimitsHandle, Request, Server, text_response};
 use laburnumlug_platform::{
     InstanceListClient, PlatformHeaderCodec, PlatformInspector, TargetSource,
 };
+use laburnumlug_policy::ChangeNumber;
 use rand::Rng;
 
 use crate::error::Error;
@@ -30,6 +31,9 @@
 /// Time before the end of the grace period at which the process exits even if answers are in progress.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time in which a gateway that stops reports the counts of its last requests: an interval between polls and an exchange.
+const LAST_REPORT_TIME: Duration = Duration::from_millis(700);
+
 /// Age of the list of live targets from which this process reads the platform's list itself.
 const STALE_LIST_AGE: Duration = Duration::from_secs(3);
 
@@ -88,6 +92,25 @@
     fn demand_report(&self) -> Option<DemandReport> {
         Some(self.forwarder.demand_report(Instant::now()))
     }
+
+    fn usage_window(&self) -> Option<Duration> {
+        self.forwarder.usage_window()
+    }
+
+    fn usage_report(&self, known: ChangeNumber) -> Option<PendingUsageReport> {
+        self.forwarder.usage_report(known)
+    }
+
+    fn usage_acknowledged(
+        &self,
+        replica: usize,
+        report: &PendingUsageReport,
+        unix_time: Duration,
+        voters: usize,
+    ) {
+        self.forwarder
+            .record_usage_answer(replica, report, unix_time, voters);
+    }
 }
 
 /// Runs a gateway until it is asked to stop.
@@ -104,6 +127,9 @@
         Rc::new(PlatformInspector),
     );
     forwarder.set_observer(Rc::new(GatewayMetrics::new(&metrics)));
+    if let Some(window) = settings.usage_window {
+        forwarder.enable_usage(window);
+    }
     let listener = bind(settings.listen).await?;
     let limits = server_limits(&CallerLimits::default(), settings.max_connections);
     let server = Server::new(listener, limits);
@@ -152,7 +178,13 @@
     shutdown.shut_down();
     let time_left = exit_at.saturating_duration_since(Instant::now());
     match compio::time::timeout(time_left, server_task).await {
-        Ok(_) => log::info!("the gateway stopped after the last answer"),
+        Ok(_) => {
+            if settings.usage_window.is_some() {
+                let time_left = exit_at.saturating_duration_since(Instant::now());
+                compio::time::sleep(LAST_REPORT_TIME.min(time_left)).await;
+            }
+            log::info!("the gateway stopped after the last answer");
+        }
         Err(_) => log::warn!(
             "the gateway stopped with answers in progress, because its grace period is ending"
         ),
--- a/laburnumlug-daemon/src/role_planner.rs
+++ b/laburnumlug-daemon/src/role_planner.rs
@@ -10,6 +10,8 @@
 use laburnumlug_platform::RoleAssigner;
 use laburnumlug_policy::{Demand, DemandMeter, RoleChange, plan_roles};
 
+use crate::leadership::Leadership;
+
 /// Delay between announcing that an engine is changing and ordering the change. Gateways poll twice a second.
 const ANNOUNCE_DELAY: Duration = Duration::from_millis(700);
 
@@ -17,12 +19,6 @@
 /// After it, the engine is planned again.
 const EFFECT_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// Margin added to the handover time between two successive leaders.
-const HANDOVER_MARGIN: Duration = Duration::from_millis(500);
-
-/// Timeout for a majority of the replicas to confirm that this replica still leads.
-const LEADERSHIP_CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Time for which the set of engines must stay the same before roles are planned. Engines appear one by one at startup
 /// and during a release.
 const STABLE_TIME: Duration = Duration::from_millis(1500);
@@ -40,15 +36,12 @@
     role_assigner: Rc<dyn RoleAssigner>,
     /// Name of this replica's VM, which orders carry as the holder of their fencing token.
     holder: String,
-    /// Minimum time between orders of two successive leaders.
-    handover_time: Duration,
+    leadership: Leadership,
     pending: RefCell<HashMap<TargetName, PendingChange>>,
     /// Instances of the engines that are not leaving, and the time since which this set is unchanged.
     observed_engines: RefCell<Option<(BTreeSet<TargetName>, Instant)>>,
     /// Demand for the engines, sampled since this replica became the leader.
     demand: RefCell<DemandMeter>,
-    /// Term in which this replica leads, and the time at which its leadership was first seen.
-    leadership: RefCell<Option<(u64, Instant)>>,
 }
 
 impl RolePlanner {
@@ -59,27 +52,26 @@
         handover_time: Duration,
     ) -> RolePlanner {
         RolePlanner {
+            leadership: Leadership::new(replica.clone(), handover_time),
             replica,
             role_assigner,
             holder: holder.to_string(),
-            handover_time,
             pending: RefCell::default(),
             observed_engines: RefCell::default(),
             demand: RefCell::default(),
-            leadership: RefCell::default(),
         }
     }
 
     /// Plans role changes for a list that was just read, marks the changing engines in it and sends the orders due.
     ///
     /// A replica that does not lead only discards its pending changes. A new leader sends no order before the handover
-    /// time and [`HANDOVER_MARGIN`] have passed.
+    /// from its predecessor is over.
     pub(crate) fn plan(self: &Rc<Self>, now: Instant, list: &mut TargetList) {
-        let Some(since) = self.leading_since(now) else {
+        if self.leadership.leading_since(now).is_none() {
             self.pending.borrow_mut().clear();
             self.demand.take();
             return;
-        };
+        }
         let mut demand = self.demand.borrow_mut();
         demand.update(now, &self.replica.demand_reports());
         let mut pending = self.pending.borrow_mut();
@@ -116,7 +108,7 @@
         for row in &mut list.targets {
             row.changing = pending.contains_key(&row.instance);
         }
-        if now.saturating_duration_since(since) < self.handover_time + HANDOVER_MARGIN {
+        if self.leadership.acting_term(now).is_none() {
             return;
         }
         for (engine, pending) in pending.iter_mut() {
@@ -151,27 +143,10 @@
         }
     }
 
-    /// Returns the time since which this replica leads in the current term, or `None` if it does not lead.
-    fn leading_since(&self, now: Instant) -> Option<Instant> {
-        let mut leadership = self.leadership.borrow_mut();
-        let (term, _) = self.replica.term_and_commit_index();
-        *leadership = match (self.replica.is_leader(now), *leadership) {
-            (true, Some((known_term, since))) if known_term == term => Some((term, since)),
-            (true, _) => Some((term, now)),
-            (false, _) => None,
-        };
-        leadership.map(|(_, since)| since)
-    }
-
     /// Orders an engine to change its role, if a majority of the replicas confirms that this replica still leads.
     async fn send_order(self: Rc<Self>, engine: LiveTarget, change: RoleChange) {
         let (term, _) = self.replica.term_and_commit_index();
-        // A leader that was suspended may have been replaced. Its orders must not arrive after those of its successor.
-        if !self
-            .replica
-            .confirm_leadership(term, LEADERSHIP_CONFIRMATION_TIMEOUT)
-            .await
-        {
+        if self.leadership.confirm(term).await.is_none() {
             log::warn!(target = engine.instance.as_str(); "sent no order to the engine: no majority of the replicas confirmed in time that this replica still leads");
             return;
         }
--- a/laburnumlug-daemon/src/settings/control.rs
+++ b/laburnumlug-daemon/src/settings/control.rs
@@ -4,13 +4,15 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use laburnumlug_control::{OperatorToken, OperatorTokens, PeerReplica, ReplicaConfig};
+use laburnumlug_control::{OperatorToken, OperatorTokens, PeerReplica, ReplicaConfig, UsageConfig};
 
 use super::common::{
     LOG, LogSettings, MESH, METRICS, MeshSettings, PROCESS, ProcessSettings, read_metrics_addr,
 };
 use super::error::SettingsError;
-use super::reader::{Reader, Section, parse_addr, parse_count, parse_millis, parse_text};
+use super::reader::{
+    Reader, Section, parse_addr, parse_count, parse_millis, parse_text, parse_whole_millis,
+};
 
 /// Default minimum time between orders of two successive leaders.
 const DEFAULT_HANDOVER_TIME: Duration = Duration::from_secs(3);
@@ -32,6 +34,8 @@
         "target_list",
         "platform_operator",
         "order_turn_ms",
+        "usage_window_s",
+        "usage_late_s",
         "others",
     ],
 };
@@ -69,6 +73,8 @@
     pub(crate) platform_operator: bool,
     /// Minimum time between orders of two successive leaders to one engine.
     pub(crate) handover_time: Duration,
+    /// Windows whose usage is reported to the platform while this replica leads; `None` if it is not.
+    pub(crate) usage: Option<UsageConfig>,
 }
 
 impl ControlSettings {
@@ -125,6 +131,7 @@
                     parse_millis,
                 )?
                 .unwrap_or(DEFAULT_HANDOVER_TIME),
+            usage: read_usage(&reader)?,
             platform_operator: reader
                 .optional("control", "platform_operator", "yes or no", parse_yes_or_no)?
                 .unwrap_or(false),
@@ -146,6 +153,10 @@
             .peers(self.replicas.clone())
             .group_commit(self.group_commit)
             .may_bootstrap(self.may_bootstrap);
+        let cfg = match self.usage {
+            Some(usage) => cfg.usage(usage),
+            None => cfg,
+        };
         let cfg = match self.tolerated_losses {
             // With 2n + 1 voters, a majority remains after n losses.
             Some(losses) => cfg.voters(2 * losses + 1),
@@ -158,6 +169,23 @@
     }
 }
 
+/// Reads the windows whose usage is reported; both settings or neither must be present.
+fn read_usage(reader: &Reader) -> Result<Option<UsageConfig>, SettingsError> {
+    let allowed = "a number of seconds, in whole milliseconds and above 0";
+    let window = reader.optional("control", "usage_window_s", allowed, parse_whole_millis)?;
+    let late = reader.optional("control", "usage_late_s", allowed, parse_whole_millis)?;
+    let error = |key| {
+        let allowed = "both of usage_window_s and usage_late_s, or neither";
+        reader.error_at("control", Some(key), "nothing".into(), allowed.into())
+    };
+    match (window, late) {
+        (Some(window), Some(late)) => Ok(Some(UsageConfig { window, late })),
+        (None, None) => Ok(None),
+        (None, Some(_)) => Err(error("usage_window_s")),
+        (Some(_), None) => Err(error("usage_late_s")),
+    }
+}
+
 fn parse_operator_tokens(text: &str) -> Option<Vec<OperatorToken>> {
     text.split(',')
         .map(|item| {
--- a/laburnumlug-daemon/src/settings/gateway.rs
+++ b/laburnumlug-daemon/src/settings/gateway.rs
@@ -8,7 +8,7 @@
     LOG, LogSettings, MESH, METRICS, MeshSettings, PROCESS, ProcessSettings, read_metrics_addr,
 };
 use super::error::SettingsError;
-use super::reader::{Reader, Section, parse_addr, parse_count};
+use super::reader::{Reader, Section, parse_addr, parse_count, parse_seconds, parse_whole_millis};
 
 /// Default maximum number of open connections of callers.
 const DEFAULT_MAX_CONNECTIONS: usize = 2048;
@@ -37,6 +37,7 @@
         "retry_window_s",
         "retry_slack",
         "grace_s",
+        "usage_window_s",
     ],
 };
 
@@ -64,6 +65,8 @@
     pub(crate) retry_slack: f64,
     /// Time between the request to stop and the forced termination of the process.
     pub(crate) grace_period: Duration,
+    /// Length of the windows in which the requests of customers are counted; `None` if they are not.
+    pub(crate) usage_window: Option<Duration>,
 }
 
 impl GatewaySettings {
@@ -80,6 +83,7 @@
             parse_non_negative,
         )?;
         let allowed_seconds = "a number of seconds above 0";
+        let allowed_millis = "a number of seconds, in whole milliseconds and above 0";
         let window =
             reader.optional("gateway", "retry_window_s", allowed_seconds, parse_seconds)?;
         let slack = reader.optional(
@@ -103,6 +107,12 @@
             retry_window: window.unwrap_or(DEFAULT_RETRY_WINDOW),
             retry_slack: slack.unwrap_or(DEFAULT_RETRY_SLACK),
             grace_period: grace_period.unwrap_or(DEFAULT_GRACE_PERIOD),
+            usage_window: reader.optional(
+                "gateway",
+                "usage_window_s",
+                allowed_millis,
+                parse_whole_millis,
+            )?,
         })
     }
 }
@@ -112,9 +122,3 @@
         .ok()
         .filter(|number: &f64| number.is_finite() && *number >= 0.0)
 }
-
-fn parse_seconds(text: &str) -> Option<Duration> {
-    let seconds: f64 = text.parse().ok()?;
-    let duration = Duration::try_from_secs_f64(seconds).ok()?;
-    (!duration.is_zero()).then_some(duration)
-}
--- a/laburnumlug-daemon/src/settings/reader.rs
+++ b/laburnumlug-daemon/src/settings/reader.rs
@@ -227,6 +227,19 @@
     }
 }
 
+/// Parses a number of seconds above 0.
+pub(super) fn parse_seconds(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.parse().ok()?;
+    let duration = Duration::try_from_secs_f64(seconds).ok()?;
+    (!duration.is_zero()).then_some(duration)
+}
+
+/// Parses a number of seconds above 0 that is a whole number of milliseconds.
+pub(super) fn parse_whole_millis(text: &str) -> Option<Duration> {
+    let duration = parse_seconds(text)?;
+    (duration.as_nanos() % 1_000_000 == 0).then_some(duration)
+}
+
 /// Parses a whole number, at least 1.
 pub(super) fn parse_count(text: &str) -> Option<usize> {
     text.parse().ok().filter(|count| *count > 0)
--- a/laburnumlug-daemon/tests/it/capacity.rs
+++ b/laburnumlug-daemon/tests/it/capacity.rs
@@ -153,7 +153,10 @@
     let mut conn = Connection::connect(addr, &key, Duration::from_secs(5))
         .await
         .unwrap();
-    let fetch = Message::Control(ControlMessage::FetchFleet { known: 1 });
+    let fetch = Message::Control(ControlMessage::FetchFleet {
+        known: 1,
+        usage: None,
+    });
     loop {
         conn.send("", &fetch).await.unwrap();
         conn.recv().await.unwrap();
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -17,3 +17,4 @@
 mod settings;
 mod settings_page;
 mod targets;
+mod usage;
--- a/laburnumlug-daemon/tests/it/platform_fleet.rs
+++ b/laburnumlug-daemon/tests/it/platform_fleet.rs
@@ -33,13 +33,26 @@
 
     /// Founds a cluster of `2 * losses + 1` replicas, which tolerates that many losses at once.
     pub fn start_tolerating(losses: usize) -> Cluster {
+        Cluster::start_with_settings(losses, "")
+    }
+
+    /// Founds a cluster like [`Cluster::start_tolerating`], with further lines in the section `[control]`.
+    pub fn start_with_settings(losses: usize, settings: &str) -> Cluster {
         let folder = Folder::new();
         let addrs: Vec<(SocketAddr, SocketAddr)> = (0..=2 * losses)
             .map(|_| (free_addr(), free_addr()))
             .collect();
         let seeds: Vec<SocketAddr> = addrs.iter().map(|(mesh_addr, _)| *mesh_addr).collect();
         let replicas = addrs.iter().map(|(mesh_addr, operator_addr)| {
-            start_replica(&folder, losses, *mesh_addr, *operator_addr, &seeds, true)
+            start_replica_with(
+                &folder,
+                losses,
+                *mesh_addr,
+                *operator_addr,
+                &seeds,
+                true,
+                settings,
+            )
         });
         Cluster {
             replicas: replicas.collect(),
@@ -85,13 +98,33 @@
     operator_addr: SocketAddr,
     seeds: &[SocketAddr],
     may_found: bool,
+) -> Replica {
+    start_replica_with(
+        folder,
+        losses,
+        mesh_addr,
+        operator_addr,
+        seeds,
+        may_found,
+        "",
+    )
+}
+
+fn start_replica_with(
+    folder: &Folder,
+    losses: usize,
+    mesh_addr: SocketAddr,
+    operator_addr: SocketAddr,
+    seeds: &[SocketAddr],
+    may_found: bool,
+    settings: &str,
 ) -> Replica {
     let name = format!("control-{}", mesh_addr.port());
     let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
     let text = format!(
         "[process]\nvm = {name}\nzone = z\n[mesh]\nkey = {MESH_KEY}\ncontrol = {}\n[control]\nname = {mesh_addr}\n\
          listen = {mesh_addr}\noperators = {operator_addr}\ndata = {}\npeers = mesh\nmay_found = {may_found}\n\
-         losses = {losses}\nplatform_operator = yes\ntokens = dev:{TOKEN_HASH}\n",
+         losses = {losses}\nplatform_operator = yes\ntokens = dev:{TOKEN_HASH}\n{settings}",
         seeds.join(","),
         folder.path().join(&name).display(),
     );
--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -16,6 +16,7 @@
 use crate::refusal::{FailureCause, Refusal};
 use crate::registry::{TargetHandle, selectable_targets};
 use crate::stream_origins::RequiredSoftware;
+use crate::usage::UsageGuard;
 
 /// Maximum size of a response body in bytes; responses are buffered until they are complete.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -50,6 +51,7 @@
         service: &str,
     ) -> Result<Response, Refusal> {
         self.record_request(Instant::now(), service);
+        let usage = self.track_usage(None);
         let mut tried: Vec<Rc<TargetHandle>> = Vec::new();
         let mut attempts_made = 0;
         let mut last_failure: Option<AttemptFailure> = None;
@@ -73,7 +75,7 @@
             let is_last_attempt = attempts_made + 1 >= request.route.max_attempts;
             tried.push(target.clone());
             compio::time::sleep_until(self.reserve_request(now, &target)).await;
-            let attempt = self.attempt_buffered(request, &target, is_last_attempt);
+            let attempt = self.attempt_buffered(request, &target, &usage, is_last_attempt);
             let result = self
                 .unless_blocked(Verdict::MayHaveRun, request, attempt)
                 .await;
@@ -125,6 +127,7 @@
         self: &Rc<Self>,
         request: &CallerRequest,
         target: &Rc<TargetHandle>,
+        usage: &UsageGuard,
         is_last_attempt: bool,
     ) -> Result<Response, AttemptFailure> {
         let _in_flight = target.track_request();
@@ -135,12 +138,14 @@
                 abandon_if_silent: false,
                 priority: None,
             };
+            usage.mark_sent();
             let sent = self
                 .send_attempt(request, target, AttemptStage::Full, None, options)
                 .await;
             let mut response = match sent {
                 Err(failure) if failure.verdict == Verdict::NotRun => {
                     run.mark_not_run();
+                    usage.mark_not_run();
                     return Err(failure);
                 }
                 sent => sent?,
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -21,6 +21,7 @@
 use crate::probe::Inspector;
 use crate::registry::{TargetHandle, TargetRegistry};
 use crate::routes::RouteTable;
+use crate::usage::UsageRecorder;
 
 /// Timeout for connecting to a target; connecting takes about a millisecond within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -60,6 +61,7 @@
     pub(crate) crash_attribution: RefCell<CrashAttribution>,
     pub(crate) stream_origins: RefCell<StreamOrigins>,
     pub(crate) software_histories: RefCell<HashMap<ServiceName, SoftwareHistory>>,
+    pub(crate) usage: UsageRecorder,
     /// Notified whenever a prompt part or the content of a request is blocked.
     pub(crate) request_blocked: Event,
 }
@@ -86,6 +88,7 @@
             crash_attribution: RefCell::default(),
             stream_origins: RefCell::default(),
             software_histories: RefCell::default(),
+            usage: UsageRecorder::default(),
             request_blocked: Event::new(),
         })
     }
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -47,6 +47,7 @@
 mod stream;
 mod stream_origins;
 mod target_statements;
+mod usage;
 
 pub use crate::config::ForwardConfig;
 pub use crate::engine_requests::EventSink;
@@ -58,3 +59,4 @@
 };
 pub use crate::observer::ForwardObserver;
 pub use crate::probe::{CachedPart, Inspector};
+pub use crate::usage::PendingUsageReport;
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -95,8 +95,15 @@
         let mut may_have_run = false;
         loop {
             let failure = match self.attempt_stream(&mut stream, None).await {
-                Ok(StreamAttempt::Buffered(resp)) => return Ok(resp),
+                Ok(StreamAttempt::Buffered(resp)) => {
+                    // An engine that answers with an error has begun no stream.
+                    if resp.status().is_success() {
+                        self.count_usage(None);
+                    }
+                    return Ok(resp);
+                }
                 Ok(StreamAttempt::Stream(open)) => {
+                    self.count_usage(None);
                     let mut resp = hyper::Response::new(());
                     *resp.headers_mut() = self
                         .header_codec
--- a/laburnumlug-http/src/client.rs
+++ b/laburnumlug-http/src/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use futures_util::FutureExt;
 use futures_util::future::Fuse;
@@ -32,6 +33,14 @@
     connect_timeout: Duration,
 ) -> Result<ClientResponse, Error> {
     let stream = socket::connect(addr, connect_timeout).await?;
+    send_over(stream, req).await
+}
+
+/// Sends one request on a connection and waits for the head of its response.
+pub(crate) async fn send_over(
+    stream: TcpStream,
+    req: hyper::Request<Full<Bytes>>,
+) -> Result<ClientResponse, Error> {
     let (mut sender, conn) = http1::handshake(HyperStream::new_plain(stream))
         .await
         .map_err(Error::exchange)?;
--- a/laburnumlug-http/src/error.rs
+++ b/laburnumlug-http/src/error.rs
@@ -13,6 +13,7 @@
 enum ErrorKind {
     Connect(io::Error),
     Exchange(hyper::Error),
+    TimedOut,
     BodyTooLarge { limit: usize },
 }
 
@@ -29,6 +30,12 @@
         }
     }
 
+    pub(crate) fn timed_out() -> Error {
+        Error {
+            kind: ErrorKind::TimedOut,
+        }
+    }
+
     pub(crate) fn body_too_large(limit: usize) -> Error {
         Error {
             kind: ErrorKind::BodyTooLarge { limit },
@@ -59,6 +66,7 @@
         match &self.kind {
             ErrorKind::Connect(err) => write!(f, "no connection: {err}"),
             ErrorKind::Exchange(err) => write!(f, "HTTP exchange failed: {err}"),
+            ErrorKind::TimedOut => f.write_str("no complete response in time"),
             ErrorKind::BodyTooLarge { limit } => {
                 write!(f, "the body is longer than {limit} bytes")
             }
--- a/laburnumlug-http/src/lib.rs
+++ b/laburnumlug-http/src/lib.rs
@@ -18,6 +18,7 @@
 
 [`Server`] runs one task per connection and limits headers, connections and idle time; [`read_body`] limits bodies.
 [`ConnectionPool`] reuses keep-alive connections to peers and reports whether anything of a failed request was written.
+[`send_before`] makes calls that must not reach the peer after a given time.
 [`send`] opens a new connection for each request: a request that must run at most once is never resent because a
 pooled connection was stale, and dropping the response closes the connection, which cancels the work at the peer.
 */
@@ -28,6 +29,7 @@
 mod error;
 mod idle_limit;
 mod pool;
+mod revocable;
 mod server;
 mod socket;
 
@@ -39,6 +41,7 @@
 pub use crate::client::{ClientResponse, send};
 pub use crate::error::Error;
 pub use crate::pool::{ConnectionPool, PooledResponse, SendError};
+pub use crate::revocable::send_before;
 pub use crate::server::{
     Handler, Limits, LimitsHandle, PeerAddr, Request, Server, ShutdownHandle, discard_body,
 };
--- a/laburnumlug-mesh/src/lib.rs
+++ b/laburnumlug-mesh/src/lib.rs
@@ -12,7 +12,7 @@
 let key = MeshKey::new("secret");
 let addr = "127.0.0.1:7411".parse().unwrap();
 let mut conn = Connection::connect(addr, &key, Duration::from_secs(1)).await?;
-conn.send("r-1", &Message::Control(ControlMessage::FetchFleet { known: 0 })).await?;
+conn.send("r-1", &Message::Control(ControlMessage::FetchFleet { known: 0, usage: None })).await?;
 let (_request_id, _response) = conn.recv().await?;
 # Ok(())
 # }
--- a/laburnumlug-mesh/src/message.rs
+++ b/laburnumlug-mesh/src/message.rs
@@ -4,7 +4,7 @@
 
 use laburnumlug::{
     AttemptNumber, CallerName, DemandReport, FencingToken, FleetVersion, IdempotencyKey,
-    Incarnation, ServiceName, TargetName, Verdict, VotingStatus, ZoneName,
+    Incarnation, ServiceName, TargetName, UsageReport, Verdict, VotingStatus, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -40,6 +40,9 @@
     FetchFleet {
         /// Version that the requester holds; 0 for none.
         known: FleetVersion,
+        /// Numbers of requests that a gateway has counted and that the replica has not acknowledged yet.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        usage: Option<UsageReport>,
     },
     /// Requests the list of live targets that the replica has read from the platform.
     FetchTargets {
@@ -71,6 +74,9 @@
         version: FleetVersion,
         /// Committed document as JSON; `None` if the requester already holds it.
         document: Option<CompressedText>,
+        /// Unix time of the replica's clock in milliseconds, stated in answers to requests with `usage`.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        time_ms: Option<u64>,
     },
     /// Asks the replica to append a command to the control log.
     Submit {
@@ -331,3 +337,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "message_tests.rs"]
+mod tests;
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -48,11 +48,17 @@
 limits retries, [`TargetStatus`] keeps what a target states about itself, [`RequestLimit`] spaces the requests to one that limits them, [`CrashAttribution`] blocks prompt parts and repeated requests that crash targets, [`StreamOrigins`] remembers the software versions at which streams began while [`SoftwareHistory`] has several, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
 processes without coordination. [`select_exchange_links`] and [`event_batch_interval`] bound the messages that gateways
 exchange about prompts sent to engines, and [`inspection_delay`] divides the inspections of engines among them.
+
+A [`UsageMeter`] counts the requests of customers by windows of true time, which a [`ClockOffset`] estimates. A [`DutyTurn`]
+and [`CallPermit`]s keep two successive leaders from acting in turn, and a [`ReportSchedule`] spaces the calls that report
+the counts.
 */
 
 mod admission;
+mod clock_offset;
 mod crash_attribution;
 mod crash_blame;
+mod duty_turn;
 mod engine_demand;
 mod event_batch;
 mod exchange;
@@ -69,6 +75,7 @@
 mod recent_map;
 mod recent_suspects;
 mod rendezvous;
+mod report_schedule;
 mod request_limit;
 mod retry_budget;
 mod retry_schedule;
@@ -78,14 +85,18 @@
 mod stream_origins;
 mod subset;
 mod target_status;
+mod usage_counts;
+mod usage_meter;
 mod work;
 
 pub use crate::admission::{
     Admission, CapacityAdmission, DeadlineAdmission, QueueView, Refusal, RefusalCause, admission,
 };
+pub use crate::clock_offset::ClockOffset;
 pub use crate::crash_attribution::{
     BlockedSuspect, ContentId, CrashAttribution, Suspect, TargetCrash,
 };
+pub use crate::duty_turn::{CallPermit, DutyTurn};
 pub use crate::engine_demand::{Demand, DemandMeter, PhaseDemand};
 pub use crate::event_batch::event_batch_interval;
 pub use crate::exchange::{
@@ -107,6 +118,7 @@
 pub use crate::rates::{EngineRates, RateMeter};
 pub use crate::recent_suspects::RecentSuspects;
 pub use crate::rendezvous::rendezvous_rank;
+pub use crate::report_schedule::{ReportResult, ReportSchedule};
 pub use crate::request_limit::{RequestLimit, max_limit_wait};
 pub use crate::retry_budget::RetryBudget;
 pub use crate::retry_schedule::RetrySchedule;
@@ -118,4 +130,6 @@
 pub use crate::stream_origins::StreamOrigins;
 pub use crate::subset::select_subset;
 pub use crate::target_status::{Decline, TargetStatus};
+pub use crate::usage_counts::{ChangeNumber, ChangedCounts, UsageCounts, window_at};
+pub use crate::usage_meter::{MeteredId, UsageMeter};
 pub use crate::work::{EngineLimits, WorkItem, next_to_start};
--- a/src/id.rs
+++ b/src/id.rs
@@ -35,3 +35,9 @@
 
 /// Key chosen by the caller for a request that may run at most once.
 pub type IdempotencyKey = String;
+
+/// Name of a customer in the fleet document.
+pub type CustomerName = String;
+
+/// Number of a window in which requests are counted; it begins that many window lengths after the start of 1970.
+pub type WindowNumber = u64;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 Type aliases ([`RequestId`], [`TargetName`], …) name the identifiers that the crates share.
 */
 
+mod boot_time;
 mod capacity;
 mod confirmation;
 mod engine_demand;
@@ -40,9 +41,11 @@
 mod id;
 mod listed_gateway;
 mod live_target;
+mod usage_report;
 mod verdict;
 mod voting_status;
 
+pub use crate::boot_time::boot_time;
 pub use crate::capacity::{TOKENS_PER_PIECE, pieces_for_tokens};
 pub use crate::confirmation::QuorumConfirmation;
 pub use crate::engine_demand::{DemandReport, EngineTime};
@@ -53,10 +56,12 @@
     RoutingPolicy, Scaling, Service, ServiceKind, ServiceShare, Target, TargetState,
 };
 pub use crate::id::{
-    AttemptNumber, CallerName, FencingToken, FleetVersion, IdempotencyKey, Incarnation, RequestId,
-    ServiceName, SoftwareVersion, TargetName, VmName, ZoneName,
+    AttemptNumber, CallerName, CustomerName, FencingToken, FleetVersion, IdempotencyKey,
+    Incarnation, RequestId, ServiceName, SoftwareVersion, TargetName, VmName, WindowNumber,
+    ZoneName,
 };
 pub use crate::listed_gateway::ListedGateway;
 pub use crate::live_target::{LiveTarget, TargetList};
+pub use crate::usage_report::{CustomerCounts, UsageReport};
 pub use crate::verdict::{ParseVerdictError, Verdict};
 pub use crate::voting_status::{ReplicaId, VotingStatus};
