--- a/laburnumlug-daemon/src/settings/gateway.rs
+++ b/laburnumlug-daemon/src/settings/gateway.rs
@@ -8,7 +8,7 @@
     LOG, LogSettings, MESH, METRICS, MeshSettings, PROCESS, ProcessSettings, read_metrics_addr,
 };
 use super::error::SettingsError;
-use super::reader::{Reader, Section, parse_addr, parse_count};
+use super::reader::{Reader, Section, parse_addr, parse_count, parse_seconds, parse_whole_millis};
 
 /// Default maximum number of open connections of callers.
 const DEFAULT_MAX_CONNECTIONS: usize = 2048;
@@ -38,6 +38,7 @@
         "retry_slack",
         "grace_s",
         "max_key_age_ms",
+        "usage_window_s",
     ],
 };
 
@@ -67,6 +68,8 @@
     pub(crate) grace_period: Duration,
     /// Age of the last confirmation of the fleet document up to which API keys may be accepted; `None` for any age.
     pub(crate) max_key_age: Option<Duration>,
+    /// Length of the windows in which the requests of customers are counted; `None` if they are not.
+    pub(crate) usage_window: Option<Duration>,
 }
 
 impl GatewaySettings {
@@ -83,6 +86,7 @@
             parse_non_negative,
         )?;
         let allowed_seconds = "a number of seconds above 0";
+        let allowed_millis = "a number of seconds, in whole milliseconds and above 0";
         let window =
             reader.optional("gateway", "retry_window_s", allowed_seconds, parse_seconds)?;
         let slack = reader.optional(
@@ -113,6 +117,12 @@
             retry_slack: slack.unwrap_or(DEFAULT_RETRY_SLACK),
             grace_period: grace_period.unwrap_or(DEFAULT_GRACE_PERIOD),
             max_key_age: max_key_age.flatten(),
+            usage_window: reader.optional(
+                "gateway",
+                "usage_window_s",
+                allowed_millis,
+                parse_whole_millis,
+            )?,
         })
     }
 }
@@ -135,12 +145,6 @@
     }
 }
 
-fn parse_seconds(text: &str) -> Option<Duration> {
-    let seconds: f64 = text.parse().ok()?;
-    let duration = Duration::try_from_secs_f64(seconds).ok()?;
-    (!duration.is_zero()).then_some(duration)
-}
-
 #[cfg(test)]
 #[path = "gateway_tests.rs"]
 mod tests;
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -21,6 +21,7 @@
 use crate::probe::Inspector;
 use crate::registry::{TargetHandle, TargetRegistry};
 use crate::routes::RouteTable;
+use crate::usage::UsageRecorder;
 
 /// Timeout for connecting to a target; connecting takes about a millisecond within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -62,6 +63,7 @@
     pub(crate) software_histories: RefCell<HashMap<ServiceName, SoftwareHistory>>,
     /// Whether the signs of life of engines are observed.
     pub(crate) watches_engines: Cell<bool>,
+    pub(crate) usage: UsageRecorder,
     /// Notified whenever a prompt part or the content of a request is blocked.
     pub(crate) request_blocked: Event,
 }
@@ -89,6 +91,7 @@
             stream_origins: RefCell::default(),
             software_histories: RefCell::default(),
             watches_engines: Cell::new(false),
+            usage: UsageRecorder::default(),
             request_blocked: Event::new(),
         })
     }
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -52,12 +52,18 @@
 exchange about prompts sent to engines, and [`inspection_delay`] divides the inspections of engines among them.
 
 [`authorize`] decides by its API key whether a request is served.
+
+A [`UsageMeter`] counts the requests of customers by windows of true time, which a [`ClockOffset`] estimates. A [`DutyTurn`]
+and [`CallPermit`]s keep two successive leaders from acting in turn, and a [`ReportSchedule`] spaces the calls that report
+the counts.
 */
 
 mod admission;
 mod authorization;
+mod clock_offset;
 mod crash_attribution;
 mod crash_blame;
+mod duty_turn;
 mod engine_activity;
 mod engine_demand;
 mod engine_memory;
@@ -76,6 +82,7 @@
 mod recent_map;
 mod recent_suspects;
 mod rendezvous;
+mod report_schedule;
 mod request_limit;
 mod retry_budget;
 mod retry_schedule;
@@ -85,15 +92,19 @@
 mod stream_origins;
 mod subset;
 mod target_status;
+mod usage_counts;
+mod usage_meter;
 mod work;
 
 pub use crate::admission::{
     Admission, CapacityAdmission, DeadlineAdmission, QueueView, Refusal, RefusalCause, admission,
 };
 pub use crate::authorization::{Authorization, Credentials, DocumentStatus, KeyHash, authorize};
+pub use crate::clock_offset::ClockOffset;
 pub use crate::crash_attribution::{
     BlockedSuspect, ContentId, CrashAttribution, Suspect, TargetCrash,
 };
+pub use crate::duty_turn::{CallPermit, DutyTurn};
 pub use crate::engine_activity::{EngineActivity, InProgress, ObservationWindow};
 pub use crate::engine_demand::{Demand, DemandMeter, PhaseDemand};
 pub use crate::engine_memory::EngineMemory;
@@ -117,6 +128,7 @@
 pub use crate::rates::{EngineRates, RateMeter};
 pub use crate::recent_suspects::RecentSuspects;
 pub use crate::rendezvous::rendezvous_rank;
+pub use crate::report_schedule::{ReportResult, ReportSchedule};
 pub use crate::request_limit::{RequestLimit, max_limit_wait};
 pub use crate::retry_budget::RetryBudget;
 pub use crate::retry_schedule::RetrySchedule;
@@ -128,4 +140,6 @@
 pub use crate::stream_origins::StreamOrigins;
 pub use crate::subset::select_subset;
 pub use crate::target_status::{Decline, TargetStatus};
+pub use crate::usage_counts::{ChangeNumber, ChangedCounts, UsageCounts, window_at};
+pub use crate::usage_meter::{MeteredId, UsageMeter};
 pub use crate::work::{EngineLimits, WorkItem, next_to_start};
--- a/src/boot_time.rs
+++ b/src/boot_time.rs
@@ -37,6 +37,11 @@
         BootTime(since_boot)
     }
 
+    /// Returns the time since the machine was started.
+    pub const fn since_boot(self) -> Duration {
+        self.0
+    }
+
     /// Returns the time that has passed since `earlier`, or zero if that is later.
     pub fn saturating_duration_since(self, earlier: BootTime) -> Duration {
         self.0.saturating_sub(earlier.0)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 mod id;
 mod listed_gateway;
 mod live_target;
+mod usage_report;
 mod verdict;
 mod voting_status;
 
@@ -56,9 +57,11 @@
 };
 pub use crate::id::{
     AttemptNumber, CallerName, CustomerName, FencingToken, FleetVersion, IdempotencyKey,
-    Incarnation, RequestId, ServiceName, SoftwareVersion, TargetName, VmName, ZoneName,
+    Incarnation, RequestId, ServiceName, SoftwareVersion, TargetName, VmName, WindowNumber,
+    ZoneName,
 };
 pub use crate::listed_gateway::ListedGateway;
 pub use crate::live_target::{LiveTarget, TargetList};
+pub use crate::usage_report::{CustomerCounts, UsageReport};
 pub use crate::verdict::{ParseVerdictError, Verdict};
 pub use crate::voting_status::{ReplicaId, VotingStatus};
