Keep customers to their shares of the engines while there is too little room

Cause: while engines had too little room, all customers were refused alike, so one customer with many requests, or with the largest prompts, was served at the cost of all others.

Change: each gateway keeps the engine time that every customer uses over all gateways, and a max-min level that follows from it. Requests of customers above it are refused, with cause above-share and the time of their turn, as soon as a prompt would wait for a part of the latency objective that becomes smaller with the excess. Long prompts leave as many engines free as the others need. A customer above its share is served at least a quarter as often as all. PromptSent has the optional customer. Requests have no customer yet, so nothing is limited until authorization sets one. Work that other gateways report is bounded, as sums of larger numbers could overflow.

--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -94,7 +94,6 @@
 pub(crate) async fn run(settings: GatewaySettings, path: PathBuf) -> Result<(), Error> {
     logging::start("gateway", &settings.process, &settings.log)?;
     let metrics = Rc::new(Metrics::new()?);
-    metrics::serve(settings.metrics, metrics.clone()).await?;
     let cfg = ForwardConfig::new(&settings.process.zone)
         .retry_budget(settings.retry_ratio, settings.retry_window)
         .retry_slack(settings.retry_slack);
@@ -103,7 +102,13 @@
         Rc::new(PlatformHeaderCodec),
         Rc::new(PlatformInspector),
     );
-    forwarder.set_observer(Rc::new(GatewayMetrics::new(&metrics)));
+    let gateway_metrics = Rc::new(GatewayMetrics::new(&metrics));
+    forwarder.set_observer(gateway_metrics.clone());
+    let observed = forwarder.clone();
+    metrics::serve_with_refresh(settings.metrics, metrics, move || {
+        gateway_metrics.refresh(&observed, Instant::now());
+    })
+    .await?;
     let listener = bind(settings.listen).await?;
     let limits = server_limits(&CallerLimits::default(), settings.max_connections);
     let server = Server::new(listener, limits);
--- a/laburnumlug-daemon/src/gateway_exchange/tests.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/tests.rs
@@ -26,6 +26,7 @@
         work: 1,
         priority: 0,
         stream: None,
+        customer: None,
         parts: Vec::new(),
     }
 }
--- a/laburnumlug-daemon/src/gateway_metrics.rs
+++ b/laburnumlug-daemon/src/gateway_metrics.rs
@@ -1,11 +1,11 @@
 //! Metrics of a gateway.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use laburnumlug::Repetition;
-use laburnumlug_forward::ForwardObserver;
+use laburnumlug_forward::{ForwardObserver, Forwarder};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use crate::metrics::Metrics;
 
@@ -22,6 +22,7 @@
     broken_streams: Counter<u64>,
     attempts: Counter<u64>,
     retries: Counter<u64>,
+    above_share: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -54,10 +55,22 @@
                 "laburnumlug.gateway.further.sends",
                 "Sends beyond a request's first, by whether the limit allowed them",
             ),
+            above_share: metrics.gauge(
+                "laburnumlug.gateway.customers.above.share",
+                "Customers that use more than their shares of busy engines",
+            ),
         }
     }
 }
 
+impl GatewayMetrics {
+    /// Sets the gauges that are read from the forwarder.
+    pub(crate) fn refresh(&self, forwarder: &Forwarder, now: Instant) {
+        let above_share = forwarder.customers_above_share(now) as u64;
+        self.above_share.record(above_share, &[]);
+    }
+}
+
 impl ForwardObserver for GatewayMetrics {
     fn answered(&self, repetition: Repetition, status: u16, time: Duration) {
         let kind = KeyValue::new("kind", repetition_label(repetition));
--- a/laburnumlug-daemon/src/gateway_metrics_tests.rs
+++ b/laburnumlug-daemon/src/gateway_metrics_tests.rs
@@ -1,3 +1,8 @@
+use std::rc::Rc;
+
+use laburnumlug_forward::ForwardConfig;
+use laburnumlug_platform::{PlatformHeaderCodec, PlatformInspector};
+
 use super::*;
 
 #[test]
@@ -9,6 +14,10 @@
     gateway.stream_aborted();
     gateway.attempt_finished("answer-lost");
     gateway.retry_requested(false);
+    let cfg = ForwardConfig::new("z");
+    let codec = Rc::new(PlatformHeaderCodec);
+    let forwarder = Forwarder::new(cfg, codec, Rc::new(PlatformInspector));
+    gateway.refresh(&forwarder, Instant::now());
     let text = metrics.prometheus_text();
     for line in [
         "laburnumlug_gateway_answers_total{kind=\"stream\"",
@@ -16,6 +25,7 @@
         "laburnumlug_gateway_refusals_total{cause=\"no-target\"",
         "laburnumlug_gateway_broken_streams_total",
         "laburnumlug_gateway_sends_total{outcome=\"answer-lost\"",
+        "laburnumlug_gateway_customers_above_share",
         "laburnumlug_gateway_further_sends_total{allowed=\"false\"",
     ] {
         assert!(text.contains(line), "{line} is not in {text}");
--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -160,7 +160,10 @@
     pub(crate) fn is_final(&self) -> bool {
         matches!(
             self.cause,
-            FailureCause::NoTarget | FailureCause::PromptBlocked | FailureCause::RequestBlocked
+            FailureCause::NoTarget
+                | FailureCause::AboveShare
+                | FailureCause::PromptBlocked
+                | FailureCause::RequestBlocked
         )
     }
 
--- a/laburnumlug-forward/src/engine_request_guard.rs
+++ b/laburnumlug-forward/src/engine_request_guard.rs
@@ -8,6 +8,7 @@
 
 use crate::attempt::CallerRequest;
 use crate::crashes::is_decode_start;
+use crate::customer_shares::{SentWork, customer_of};
 use crate::engine_requests::LOCAL_SENDER;
 use crate::forwarder::Forwarder;
 use crate::registry::TargetHandle;
@@ -27,6 +28,8 @@
     /// The stream that the engine is to generate; `None` if it only prefills the prompt, or if all targets of the service
     /// have the same software version.
     stream: Option<StreamOrigin>,
+    /// Work that counts towards the customer's share; `None` for a request without a customer.
+    sent_work: Option<SentWork>,
     /// Share of the engine's slots or memory that the request holds while it decodes; `None` if the engine only prefills
     /// the prompt.
     decode_share: Option<f64>,
@@ -68,6 +71,12 @@
         if let Some(origin) = &stream {
             forwarder.record_stream_sent(now, origin);
         }
+        drop(prefill_queue);
+        let customer = customer_of(request);
+        let sent_work = customer.map(|customer| {
+            let shares = &engine_requests.shares;
+            shares.record_sent(now, target, customer, work, decode_share)
+        });
         let event = EngineEvent::PromptSent {
             number,
             engine: target.instance.clone(),
@@ -75,6 +84,7 @@
             priority,
             parts: prompt_parts.parts().to_vec(),
             stream: stream.clone(),
+            customer,
         };
         engine_requests
             .local
@@ -93,6 +103,7 @@
             first_event_at: None,
             is_complete: false,
             stream,
+            sent_work,
             decode_share,
         }
     }
@@ -163,6 +174,10 @@
             self.decode_share.unwrap_or_default(),
             held_for,
         );
+        if let Some(sent_work) = self.sent_work {
+            let shares = &engine_requests.shares;
+            shares.record_ended(now, &self.target, sent_work);
+        }
         engine_requests.local.borrow_mut().remove(&number);
         engine_requests.publish(EngineEvent::RequestEnded {
             number,
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use laburnumlug::{DemandReport, EngineEvent, SendNumber, StreamOrigin};
+use laburnumlug::{CustomerId, DemandReport, EngineEvent, SendNumber, StreamOrigin};
 use laburnumlug_policy::{FIRST_TOKEN_OVERHEAD, PromptParts};
 
+use crate::customer_shares::{SentWork, ServiceShares};
 use crate::demand::DemandTotals;
 use crate::forwarder::Forwarder;
 use crate::registry::TargetHandle;
@@ -15,6 +16,10 @@
 /// Sender id under which this process tracks its own requests.
 pub(crate) const LOCAL_SENDER: u64 = 0;
 
+/// Maximum work of a prompt that another gateway reports; prompts of a million tokens have a hundredth of it. Sums of larger
+/// numbers could overflow.
+const MAX_REMOTE_WORK: u64 = 1_000_000_000;
+
 /// Publishes the engine events of this process to other gateways.
 pub trait EventSink {
     /// Queues an event for the other gateways, without waiting for its delivery.
@@ -28,6 +33,8 @@
     work: u64,
     priority: u8,
     stream: Option<StreamOrigin>,
+    customer: Option<CustomerId>,
+    sent_work: Option<SentWork>,
 }
 
 impl RemoteRequest {
@@ -40,6 +47,7 @@
             priority: self.priority,
             parts: self.prompt_parts.parts().to_vec(),
             stream: self.stream.clone(),
+            customer: self.customer,
         }
     }
 }
@@ -53,6 +61,8 @@
     /// Unfinished requests of other gateways, by sender id and send number.
     remote: RefCell<HashMap<(u64, SendNumber), RemoteRequest>>,
     pub(crate) demand: DemandTotals,
+    /// Shares of customers, which are empty if no request has one.
+    pub(crate) shares: ServiceShares,
 }
 
 impl EngineRequests {
@@ -64,6 +74,7 @@
             local: RefCell::default(),
             remote: RefCell::default(),
             demand: DemandTotals::new(rand::random()),
+            shares: ServiceShares::default(),
         }
     }
 
@@ -132,6 +143,7 @@
                 priority,
                 parts,
                 stream,
+                customer,
             } => {
                 if let Some(origin) = &stream {
                     self.record_stream_sent(now, origin);
@@ -139,13 +151,19 @@
                 let Some(target) = self.live_target(&engine) else {
                     return;
                 };
+                let work = work.min(MAX_REMOTE_WORK);
                 target
                     .prefill_queue
                     .borrow_mut()
                     .enqueue(now, (sender, number), priority, work);
                 target.in_flight.set(target.in_flight.get() + 1);
                 let prompt_parts = PromptParts::from_parts(parts);
-                remote.insert(
+                let sent_work = customer.map(|customer| {
+                    let decode_share = self.remote_decode_share(&target, &prompt_parts);
+                    let shares = &self.engine_requests.shares;
+                    shares.record_sent(now, &target, customer, work, decode_share)
+                });
+                let replaced = remote.insert(
                     (sender, number),
                     RemoteRequest {
                         target,
@@ -153,8 +171,13 @@
                         work,
                         priority,
                         stream,
+                        customer,
+                        sent_work,
                     },
                 );
+                if let Some(replaced) = replaced {
+                    self.release_share(now, &replaced);
+                }
             }
             EngineEvent::PrefillDone { number } => {
                 if let Some(request) = remote.get(&(sender, number)) {
@@ -175,6 +198,7 @@
                 is_complete,
             } => {
                 if let Some(request) = remote.remove(&(sender, number)) {
+                    self.release_share(now, &request);
                     if is_complete {
                         self.record_completion(now, &request.prompt_parts.suspects());
                     }
@@ -252,11 +276,20 @@
         }
     }
 
+    /// Records that the work of a customer's request has ended.
+    fn release_share(&self, now: Instant, request: &RemoteRequest) {
+        if let Some(sent_work) = request.sent_work {
+            let shares = &self.engine_requests.shares;
+            shares.record_ended(now, &request.target, sent_work);
+        }
+    }
+
     /// Removes the unfinished requests of another gateway, as it can no longer report that they end.
     pub fn remove_sender(&self, now: Instant, sender: u64) {
         let mut remote = self.engine_requests.remote.borrow_mut();
         remote.retain(|(from, number), request| {
             if *from == sender {
+                self.release_share(now, request);
                 if let Some(origin) = &request.stream {
                     self.record_stream_lost(now, origin);
                 }
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -174,7 +174,8 @@
         self.cfg.retry_slack_per_gateway(self.gateway_count())
     }
 
-    fn gateway_count(&self) -> usize {
+    /// Returns the number of gateways, or an assumed number until it is known.
+    pub(crate) fn gateway_count(&self) -> usize {
         let gateways = self.gateways.borrow();
         gateways
             .as_ref()
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -30,6 +30,7 @@
 mod buffered;
 mod config;
 mod crashes;
+mod customer_shares;
 mod demand;
 mod engine_request_guard;
 mod engine_requests;
--- a/laburnumlug-forward/src/refusal.rs
+++ b/laburnumlug-forward/src/refusal.rs
@@ -17,6 +17,8 @@
     NoRoute,
     NoConfiguration,
     NoTarget,
+    /// Engines are busy, and the customer uses more than its share of them.
+    AboveShare,
     /// A part of the prompt has crashed engines.
     PromptBlocked,
     /// Targets have crashed that ran the same request.
@@ -49,6 +51,7 @@
             FailureCause::NoRoute => 404,
             FailureCause::NoConfiguration
             | FailureCause::NoTarget
+            | FailureCause::AboveShare
             | FailureCause::PromptBlocked
             | FailureCause::RequestBlocked
             | FailureCause::OriginUnknown
@@ -70,6 +73,7 @@
             FailureCause::NoRoute => "no-route",
             FailureCause::NoConfiguration => "no-configuration",
             FailureCause::NoTarget => "no-target",
+            FailureCause::AboveShare => "above-share",
             FailureCause::PromptBlocked => "prompt-blocked",
             FailureCause::RequestBlocked => "request-blocked",
             FailureCause::OriginUnknown => "origin-unknown",
--- a/laburnumlug-forward/src/request_content.rs
+++ b/laburnumlug-forward/src/request_content.rs
@@ -2,7 +2,7 @@
 
 use hyper::header::{AUTHORIZATION, HOST};
 use hyper::{HeaderMap, Method, Uri};
-use laburnumlug::StreamId;
+use laburnumlug::{CustomerId, StreamId};
 use laburnumlug_policy::ContentId;
 use sha2::{Digest, Sha256};
 
@@ -32,6 +32,12 @@
     hash(&[request_id.as_bytes()])
 }
 
+/// Returns the id of the customer with this name.
+#[allow(dead_code, reason = "used once requests have customers")]
+pub(crate) fn customer_id(name: &str) -> CustomerId {
+    hash(&[name.as_bytes()])
+}
+
 /// Returns a hash that is the same in all builds, as gateways exchange it.
 fn hash(fields: &[&[u8]]) -> u64 {
     let mut hasher = Sha256::new();
--- a/laburnumlug-forward/src/request_content_tests.rs
+++ b/laburnumlug-forward/src/request_content_tests.rs
@@ -49,3 +49,9 @@
 fn content_id_is_stable() {
     assert_eq!(id("GET", "/a", &[("host", "h")], ""), 0x0b55_1620_7523_d9f7);
 }
+
+/// Gateways of several builds exchange the ids of customers.
+#[test]
+fn customer_id_is_stable() {
+    assert_eq!(customer_id("fida11"), 0x9c75_59e2_3f7f_a92f);
+}
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod prefill;
 mod relay;
+mod share;
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -206,6 +207,7 @@
         now: Instant,
         stream: &StreamRequest,
     ) -> Result<EngineSelection, AttemptFailure> {
+        let standing = self.check_share(now, stream)?;
         let traits = stream.table.engine_traits(&stream.service);
         let selection = match (&stream.request.metadata.prompt, traits) {
             (Some(prompt), Some(traits)) => self.choose_engines(
@@ -241,7 +243,12 @@
                 selection.ok_or(NoRoom::default())
             }
         };
+        let selection = selection.map(|mut selection| {
+            share::apply_standing(standing, &mut selection);
+            selection
+        });
         selection.map_err(|mut no_room| {
+            self.record_unplaced(now, stream);
             if no_room.room_after.is_zero() {
                 let wait = self.shortest_wait(now, &stream.service);
                 no_room.room_after = wait.unwrap_or_default();
--- a/laburnumlug-forward/src/stream_origins.rs
+++ b/laburnumlug-forward/src/stream_origins.rs
@@ -63,6 +63,7 @@
                 stream,
                 software: software.clone(),
             }),
+            customer: None,
         };
         stream_origins.resumable(now).map(event).collect()
     }
--- a/laburnumlug-mesh/src/unknown_events_tests.rs
+++ b/laburnumlug-mesh/src/unknown_events_tests.rs
@@ -119,6 +119,7 @@
             stream: 9,
             software: Some("v1".to_string()),
         }),
+        customer: Some(11),
     };
     let crashed = EngineEvent::TargetCrashed {
         target: "i-1".to_string(),
@@ -134,10 +135,16 @@
         parts: vec![5],
     };
     assert_eq!(earlier_crashed, expected);
-    let EngineEvent::PromptSent { number, stream, .. } = reencode(&earlier_sent) else {
+    let EngineEvent::PromptSent {
+        number,
+        stream,
+        customer,
+        ..
+    } = reencode(&earlier_sent)
+    else {
         panic!("{earlier_sent:?}");
     };
-    assert_eq!((number, stream), (7, None));
+    assert_eq!((number, stream, customer), (7, None, None));
     let EngineEvent::TargetCrashed { contents, .. } = reencode(&earlier_crashed) else {
         panic!("{earlier_crashed:?}");
     };
--- a/laburnumlug-policy/src/kv_cache.rs
+++ b/laburnumlug-policy/src/kv_cache.rs
@@ -70,7 +70,9 @@
 
     /// Returns the number of tokens in the whole prompt.
     pub fn tokens(&self) -> u64 {
-        self.parts.iter().map(|part| part.1).sum()
+        // Other gateways may report any number.
+        let tokens = self.parts.iter().map(|part| part.1);
+        tokens.fold(0, u64::saturating_add)
     }
 }
 
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -46,16 +46,20 @@
 [`OutputPredictor`] predicts the length of answers by caller, [`PrefixIndex`] tracks what an engine has cached, and
 [`RateMeter`] measures an engine's rates from its answers. [`TargetHealth`] ejects failing targets, [`RetryBudget`]
 limits retries, [`TargetStatus`] keeps what a target states about itself, [`RequestLimit`] spaces the requests to one that limits them, [`CrashAttribution`] blocks prompt parts and repeated requests that crash targets, [`StreamOrigins`] remembers the software versions at which streams began while [`SoftwareHistory`] has several, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
-processes without coordination. [`select_exchange_links`] and [`event_batch_interval`] bound the messages that gateways
+processes without coordination. [`CustomerShares`] keeps customers to their shares of the engines while there is too little
+room. [`select_exchange_links`] and [`event_batch_interval`] bound the messages that gateways
 exchange about prompts sent to engines, and [`inspection_delay`] divides the inspections of engines among them.
 */
 
 mod admission;
 mod crash_attribution;
 mod crash_blame;
+mod customer_share;
+mod customer_use;
 mod engine_demand;
 mod event_batch;
 mod exchange;
+mod fair_level;
 mod fairness;
 mod forecast;
 mod health;
@@ -86,6 +90,8 @@
 pub use crate::crash_attribution::{
     BlockedSuspect, ContentId, CrashAttribution, Suspect, TargetCrash,
 };
+pub use crate::customer_share::{CustomerShares, ShareExceeded, ShareRequest, Standing};
+pub use crate::customer_use::EngineWork;
 pub use crate::engine_demand::{Demand, DemandMeter, PhaseDemand};
 pub use crate::event_batch::event_batch_interval;
 pub use crate::exchange::{
--- a/src/engine_event.rs
+++ b/src/engine_event.rs
@@ -10,6 +10,10 @@
 /// Hash of the id of the request that began a stream.
 pub type StreamId = u64;
 
+/// Hash of a customer's name: the first 8 bytes, as a big-endian number, of the SHA-256 of the name's length in bytes, as 8
+/// big-endian bytes, followed by the name in UTF-8.
+pub type CustomerId = u64;
+
 /// A stream, and the software version of the engine that generates it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StreamOrigin {
@@ -39,6 +43,10 @@
         /// service have the same software version.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         stream: Option<StreamOrigin>,
+        /// The customer whose request it is; `None` for a request without one, and where the fleet document lists no
+        /// customers.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        customer: Option<CustomerId>,
     },
     /// The engine has finished the prefill of the prompt and has it in its prefix cache.
     #[serde(rename = "Read")]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,7 +46,7 @@
 pub use crate::capacity::{TOKENS_PER_PIECE, pieces_for_tokens};
 pub use crate::confirmation::QuorumConfirmation;
 pub use crate::engine_demand::{DemandReport, EngineTime};
-pub use crate::engine_event::{EngineEvent, SendNumber, StreamId, StreamOrigin};
+pub use crate::engine_event::{CustomerId, EngineEvent, SendNumber, StreamId, StreamOrigin};
 pub use crate::generated::{
     Adapter, AdmissionPolicy, CallerLimits, ControlVm, Customer, EngineTraits, FleetDocument,
     Forwarding, LoadedModel, Model, Origin, Policy, Repetition, Role, RoleFloors, Route,
