--- a/laburnumlug-daemon/src/gateway_exchange/tests.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/tests.rs
@@ -27,6 +27,7 @@
         priority: 0,
         output_tokens: 0,
         stream: None,
+        customer: None,
         parts: Vec::new(),
     }
 }
--- a/laburnumlug-forward/src/customers.rs
+++ b/laburnumlug-forward/src/customers.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use hyper::HeaderMap;
-use laburnumlug::{BootTime, Customer, CustomerName};
+use laburnumlug::{BootTime, Customer, CustomerId, CustomerName};
 use laburnumlug_policy::{Authorization, Credentials, DocumentStatus, KeyHash, authorize};
 
 use crate::forwarder::Forwarder;
 use crate::refusal::{FailureCause, Refusal};
+use crate::request_content::customer_id;
 use crate::routes::{RouteEntry, RouteTable};
 
 /// `retry-after` while the document is not confirmed; the control replicas elect a leader in about that time.
@@ -19,6 +20,8 @@
 #[derive(Debug, Eq, PartialEq)]
 pub(crate) struct CustomerEntry {
     pub(crate) name: CustomerName,
+    /// Hash of the name, by which gateways tell each other whose prompts they send.
+    pub(crate) id: CustomerId,
     /// Urgency of the customer's requests in place of the rank of their route.
     pub(crate) rank: Option<u32>,
 }
@@ -35,6 +38,7 @@
         for customer in customers {
             let entry = Rc::new(CustomerEntry {
                 name: customer.name.clone(),
+                id: customer_id(&customer.name),
                 rank: customer.rank,
             });
             let keys = customer.keys.iter();
--- a/laburnumlug-forward/src/refusal.rs
+++ b/laburnumlug-forward/src/refusal.rs
@@ -21,6 +21,8 @@
     OutdatedKeys,
     NoConfiguration,
     NoTarget,
+    /// Engines are busy, and the customer uses more than its share of them.
+    AboveShare,
     /// A part of the prompt has crashed engines.
     PromptBlocked,
     /// Targets have crashed that ran the same request.
@@ -57,6 +59,7 @@
             FailureCause::NoConfiguration
             | FailureCause::OutdatedKeys
             | FailureCause::NoTarget
+            | FailureCause::AboveShare
             | FailureCause::PromptBlocked
             | FailureCause::RequestBlocked
             | FailureCause::OriginUnknown
@@ -80,6 +83,7 @@
             FailureCause::OutdatedKeys => "outdated-keys",
             FailureCause::NoConfiguration => "no-configuration",
             FailureCause::NoTarget => "no-target",
+            FailureCause::AboveShare => "above-share",
             FailureCause::PromptBlocked => "prompt-blocked",
             FailureCause::RequestBlocked => "request-blocked",
             FailureCause::OriginUnknown => "origin-unknown",
--- a/laburnumlug-mesh/src/unknown_events_tests.rs
+++ b/laburnumlug-mesh/src/unknown_events_tests.rs
@@ -120,6 +120,7 @@
             stream: 9,
             software: Some("v1".to_string()),
         }),
+        customer: Some(11),
     };
     let crashed = EngineEvent::TargetCrashed {
         target: "i-1".to_string(),
@@ -139,12 +140,16 @@
         number,
         output_tokens,
         stream,
+        customer,
         ..
     } = reencode(&earlier_sent)
     else {
         panic!("{earlier_sent:?}");
     };
-    assert_eq!((number, output_tokens, stream), (7, 0, None));
+    assert_eq!(
+        (number, output_tokens, stream, customer),
+        (7, 0, None, None)
+    );
     let EngineEvent::TargetCrashed { contents, .. } = reencode(&earlier_crashed) else {
         panic!("{earlier_crashed:?}");
     };
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -48,7 +48,8 @@
 [`OutputPredictor`] predicts the length of answers by caller, [`PrefixIndex`] tracks what an engine has cached, and
 [`RateMeter`] measures an engine's rates from its answers. [`TargetHealth`] ejects failing targets, [`RetryBudget`]
 limits retries, [`TargetStatus`] keeps what a target states about itself, [`RequestLimit`] spaces the requests to one that limits them, [`CrashAttribution`] blocks prompt parts and repeated requests that crash targets, [`StreamOrigins`] remembers the software versions at which streams began while [`SoftwareHistory`] has several, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
-processes without coordination. [`select_exchange_links`] and [`event_batch_interval`] bound the messages that gateways
+processes without coordination. [`CustomerShares`] keeps customers to their shares of the engines while there is too little
+room. [`select_exchange_links`] and [`event_batch_interval`] bound the messages that gateways
 exchange about prompts sent to engines, and [`inspection_delay`] divides the inspections of engines among them.
 
 [`authorize`] decides by its API key whether a request is served.
@@ -63,12 +64,15 @@
 mod clock_offset;
 mod crash_attribution;
 mod crash_blame;
+mod customer_share;
+mod customer_use;
 mod duty_turn;
 mod engine_activity;
 mod engine_demand;
 mod engine_memory;
 mod event_batch;
 mod exchange;
+mod fair_level;
 mod fairness;
 mod forecast;
 mod health;
@@ -104,6 +108,8 @@
 pub use crate::crash_attribution::{
     BlockedSuspect, ContentId, CrashAttribution, Suspect, TargetCrash,
 };
+pub use crate::customer_share::{CustomerShares, ShareExceeded, ShareRequest, Standing};
+pub use crate::customer_use::EngineWork;
 pub use crate::duty_turn::{CallPermit, DutyTurn};
 pub use crate::engine_activity::{EngineActivity, InProgress, ObservationWindow};
 pub use crate::engine_demand::{Demand, DemandMeter, PhaseDemand};
