Confirm the configuration without waiting for a document that does not come

Cause: the connection that asks a control replica for the document waited up to 5 s for an answer, also where there was no newer document, and a gateway paused for half a second after each attempt to connect that had timed out. After a partition, gateways refused API keys for longer than needed.

Change: such a connection is given up when no byte arrives for 1 s; one that brings a document slowly still has 5 s. An attempt to connect that has timed out is repeated at once. Messages in normal operation are the same. The fault proxy can keep existing connections blocked after a partition, as TCP does until it retransmits.

--- a/laburnumlug-daemon/src/fleet_watch/poll.rs
+++ b/laburnumlug-daemon/src/fleet_watch/poll.rs
@@ -10,7 +10,7 @@
 
 use super::{FleetWatch, RequestTime, apply_fleet_answer, apply_targets_report};
 
-/// Timeout for one answer of a replica.
+/// Timeout for one answer of a replica, or for its next bytes where it may contain a document.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Timeout of the first attempt to connect to a replica; it doubles with each failure up to [`ANSWER_TIMEOUT`]. A
@@ -24,6 +24,7 @@
 pub(super) async fn poll_replica(watch: FleetWatch, replica: usize, addr: SocketAddr) {
     let mut timeout = FIRST_CONNECT_TIMEOUT;
     loop {
+        let connecting_at = Instant::now();
         match Connection::connect(addr, &watch.mesh.key, timeout).await {
             Ok(conn) => {
                 timeout = FIRST_CONNECT_TIMEOUT;
@@ -34,7 +35,10 @@
                 log::debug!("failed to connect to control replica {addr}: {err}");
             }
         }
-        compio::time::sleep(watch.poll_interval()).await;
+        // An attempt that has waited for its timeout is repeated at once, as the path may be back by now.
+        let next_attempt_at = connecting_at + watch.poll_interval();
+        let wait = next_attempt_at.saturating_duration_since(Instant::now());
+        compio::time::sleep(wait).await;
     }
 }
 
@@ -47,14 +51,17 @@
         // time is asked for it. The others are told that the highest possible version is known, so they send none.
         let requested_at = RequestTime::now();
         let fetches_document = state.borrow().may_fetch_document(requested_at.monotonic);
-        let (known, timeout) = match fetches_document {
-            true => (state.borrow().view_version(), DOCUMENT_TIMEOUT),
-            false => (FleetVersion::MAX, ANSWER_TIMEOUT),
+        let known = match fetches_document {
+            true => state.borrow().view_version(),
+            false => FleetVersion::MAX,
         };
         if fetches_document {
             state.borrow_mut().fetching_since = Some(requested_at.monotonic);
         }
-        let answer = compio::time::timeout(timeout, fetch_fleet(&mut conn, known)).await;
+        // Most requests for the document get a short answer, as there is no newer one. Waiting longer for the first bytes
+        // would leave the view unconfirmed for seconds after a partition.
+        let fetch = fetch_fleet(&mut conn, known);
+        let answer = compio::time::timeout(DOCUMENT_TIMEOUT, fetch).await;
         if fetches_document {
             state.borrow_mut().fetching_since = None;
         }
@@ -95,11 +102,12 @@
     pub(super) document: Option<CompressedText>,
 }
 
-/// Requests the fleet document if it is newer than version `known`; returns `None` if the exchange fails.
+/// Requests the fleet document if it is newer than version `known`; returns `None` if the exchange fails or the replica stops
+/// sending.
 async fn fetch_fleet(conn: &mut Connection, known: FleetVersion) -> Option<FleetAnswer> {
     let request = Message::Control(ControlMessage::FetchFleet { known });
     conn.send("", &request).await.ok()?;
-    match conn.recv().await {
+    match conn.recv_unless_idle(ANSWER_TIMEOUT).await {
         Ok((
             _,
             Message::Control(ControlMessage::Fleet {
--- a/laburnumlug-daemon/src/fleet_watch/tests.rs
+++ b/laburnumlug-daemon/src/fleet_watch/tests.rs
@@ -1,6 +1,7 @@
 use laburnumlug_mesh::{
     CompressedText, Connection, ControlMessage, MeshKey, Message, ReplicaId, VotingStatus,
 };
+use laburnumlug_standin::{Fault, FaultProxy};
 
 use super::*;
 
@@ -181,16 +182,10 @@
             let (_dropped, _) = listener.accept().await.unwrap();
             let (stream, _) = listener.accept().await.unwrap();
             let mut conn = Connection::accept(stream, &server_key).await.unwrap();
-            let answer = answer(1, 1, true);
             conn.recv().await.unwrap();
-            let fleet = ControlMessage::Fleet {
-                voting_status: answer.voting_status,
-                logged_change: answer.logged_change,
-                applied_change: answer.applied_change,
-                version: answer.version,
-                document: answer.document,
-            };
-            conn.send("", &Message::Control(fleet)).await.unwrap();
+            conn.send("", &fleet_message(answer(1, 1, true)))
+                .await
+                .unwrap();
         };
         compio::runtime::spawn(serving).detach();
         let started_at = Instant::now();
@@ -205,3 +200,95 @@
         }
     });
 }
+
+/// Returns the message for an answer of a replica.
+fn fleet_message(answer: FleetAnswer) -> Message {
+    Message::Control(ControlMessage::Fleet {
+        voting_status: answer.voting_status,
+        logged_change: answer.logged_change,
+        applied_change: answer.applied_change,
+        version: answer.version,
+        document: answer.document,
+    })
+}
+
+/// Guards against a view that stays unconfirmed for seconds after a partition: a replica does not answer a request that may
+/// bring a newer document, as the answer was lost, and must be asked again on another connection.
+#[test]
+fn poll_replica_reconnects_when_document_does_not_come() {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let listener = compio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let key = MeshKey::new("key");
+        let server_key = key.clone();
+        let serving = async move {
+            let (stream, _) = listener.accept().await.unwrap();
+            let mut silent = Connection::accept(stream, &server_key).await.unwrap();
+            silent.recv().await.unwrap();
+            let (stream, _) = listener.accept().await.unwrap();
+            let mut conn = Connection::accept(stream, &server_key).await.unwrap();
+            conn.recv().await.unwrap();
+            conn.send("", &fleet_message(answer(1, 1, true)))
+                .await
+                .unwrap();
+            conn.recv().await
+        };
+        compio::runtime::spawn(serving).detach();
+        let started_at = Instant::now();
+        let mesh = MeshSettings {
+            key,
+            control: vec![addr],
+        };
+        let watch = FleetWatch::start(&mesh);
+        while watch.state.borrow().view.is_none() {
+            assert!(started_at.elapsed() < Duration::from_secs(2));
+            compio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+}
+
+/// Guards against a large document that never arrives over a slow link, because its transfer takes longer than a short
+/// answer may take.
+#[test]
+fn poll_replica_awaits_slow_document() {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let listener = compio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let proxy = FaultProxy::start(listener.local_addr().unwrap()).await;
+        let proxy = proxy.unwrap();
+        let key = MeshKey::new("key");
+        let server_key = key.clone();
+        let slow_proxy = proxy.clone();
+        let serving = async move {
+            let (stream, _) = listener.accept().await.unwrap();
+            let mut conn = Connection::accept(stream, &server_key).await.unwrap();
+            conn.recv().await.unwrap();
+            // Random names cannot be compressed: about 170 KB are relayed 16 KB at a time.
+            let name = |_| format!("{:064x}", rand::random::<u128>());
+            let models: Vec<_> = (0..10_000)
+                .map(|i| serde_json::json!({ "name": name(i), "versions": ["1"] }))
+                .collect();
+            let text =
+                serde_json::json!({ "name": "g", "models": models, "services": [], "targets": [] });
+            let document = CompressedText::compress(&text.to_string());
+            slow_proxy.set_fault(Fault::Delay(Duration::from_millis(200)));
+            let answer = FleetAnswer {
+                document: Some(document),
+                ..answer(1, 1, false)
+            };
+            conn.send("", &fleet_message(answer)).await.unwrap();
+            conn.recv().await
+        };
+        compio::runtime::spawn(serving).detach();
+        let started_at = Instant::now();
+        let mesh = MeshSettings {
+            key,
+            control: vec![proxy.addr()],
+        };
+        let watch = FleetWatch::start(&mesh);
+        while watch.state.borrow().view.is_none() {
+            assert!(started_at.elapsed() < Duration::from_secs(10));
+            compio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert!(started_at.elapsed() > Duration::from_secs(2));
+    });
+}
--- a/laburnumlug-daemon/tests/it/control/mod.rs
+++ b/laburnumlug-daemon/tests/it/control/mod.rs
@@ -32,7 +32,7 @@
 }
 
 /// Waits until all of `among` know the same leader, which is one of them, and returns it.
-async fn wait_for_leader(fleet: &Fleet, among: &[usize]) -> usize {
+pub(crate) async fn wait_for_leader(fleet: &Fleet, among: &[usize]) -> usize {
     wait_for("a leader", || async {
         let mut leaders = Vec::new();
         for replica in among {
@@ -80,7 +80,7 @@
     fleet.get_control_json(replica, "/status").await?["version"].as_u64()
 }
 
-async fn wait_for_version(fleet: &Fleet, replica: usize, at_least: u64) {
+pub(crate) async fn wait_for_version(fleet: &Fleet, replica: usize, at_least: u64) {
     wait_for("a version at a replica", || async {
         (replica_version(fleet, replica).await? >= at_least).then_some(())
     })
@@ -100,7 +100,7 @@
 
 /// Network partition between a replica and the other replicas, by the direction of the blocked bytes.
 #[derive(Clone, Copy, Debug)]
-enum Partition {
+pub(crate) enum Partition {
     None,
     Both,
     FromReplica,
@@ -108,7 +108,7 @@
 }
 
 /// Sets a partition between a replica and the others, on the connections that either side opened.
-fn partition_replica(fleet: &Fleet, replica: usize, partition: Partition) {
+pub(crate) fn partition_replica(fleet: &Fleet, replica: usize, partition: Partition) {
     let own_name = replica_name(replica);
     for (link, proxy) in &fleet.proxies {
         let Some((from, to)) = link.split_once('>') else {
--- a/laburnumlug-daemon/tests/it/harness.rs
+++ b/laburnumlug-daemon/tests/it/harness.rs
@@ -238,6 +238,8 @@
     pub entry_addrs: Vec<SocketAddr>,
     /// Addresses on which the control replicas accept operators.
     pub operator_addrs: Vec<SocketAddr>,
+    /// Addresses on which the control replicas accept other processes.
+    pub control_addrs: Vec<SocketAddr>,
     /// Processes by name: `control-1`, `entry-1`, `skriver-1`, `billet-1` and so on.
     pub processes: HashMap<String, Process>,
     /// Proxies by the client and the server of the connection: `entry-1>control-1`, `>skriver-1` (any client),
@@ -258,6 +260,7 @@
             booking_servers: Vec::new(),
             entry_addrs: Vec::new(),
             operator_addrs: Vec::new(),
+            control_addrs: Vec::new(),
             processes: HashMap::new(),
             proxies: HashMap::new(),
             document: Value::Null,
@@ -267,6 +270,7 @@
         };
         let control_addrs: Vec<SocketAddr> =
             (0..config.control_replicas).map(|_| free_addr()).collect();
+        fleet.control_addrs.clone_from(&control_addrs);
         for i in 0..config.control_replicas {
             fleet.start_control_process(i, &control_addrs).await;
         }
@@ -368,7 +372,7 @@
 
     /// Starts a proxy to each of `control_addrs` and returns the settings that every role has, with the proxies'
     /// addresses.
-    async fn common_settings(
+    pub async fn common_settings(
         &mut self,
         name: &str,
         zone: &str,
@@ -462,7 +466,8 @@
         self.start_process(&name, "entry", &text);
     }
 
-    fn start_process(&mut self, name: &str, role: &str, settings: &str) {
+    /// Starts a process with the given settings, which [`Fleet::restart`] uses again.
+    pub fn start_process(&mut self, name: &str, role: &str, settings: &str) {
         let path = self.folder.write(&format!("{name}.ini"), settings);
         self.processes
             .insert(name.to_string(), Process::start(role, &path));
@@ -473,6 +478,7 @@
         let role = match name.split('-').next().unwrap() {
             "control" => "control",
             "entry" => "entry",
+            "gateway" => "gateway",
             _ => "target",
         };
         self.processes.remove(name);
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod cli;
 mod client;
 mod control;
+mod customers;
 mod end_to_end;
 mod harness;
 mod log_fields;
@@ -16,4 +17,6 @@
 mod platform_fleet;
 mod settings;
 mod settings_page;
+#[path = "../../../platform/tests/it/standin.rs"]
+mod standin;
 mod targets;
--- a/laburnumlug-mesh/src/connection.rs
+++ b/laburnumlug-mesh/src/connection.rs
@@ -1,7 +1,9 @@
 //! WebSocket connection between two processes of this system, carrying CBOR messages.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
 use std::time::Duration;
 
 use compio::io::compat::AsyncStream;
@@ -16,6 +18,7 @@
 use tokio_tungstenite::tungstenite::{self, Message as Frame};
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
 
+use crate::counted_stream::CountedStream;
 use crate::error::Error;
 use crate::handshake::{Handshake, MeshKey, SessionId, Side, derive_session_id, new_nonce};
 use crate::message::Message;
@@ -40,7 +43,9 @@
 /// Timeout for the whole handshake on an accepted connection.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
-type Stream = WebSocketStream<Compat<Pin<Box<AsyncStream<TcpStream>>>>>;
+type ByteStream = Compat<CountedStream<Pin<Box<AsyncStream<TcpStream>>>>>;
+
+type Stream = WebSocketStream<ByteStream>;
 
 /// Content of each WebSocket frame.
 #[derive(Deserialize, Serialize)]
@@ -53,6 +58,7 @@
 /// Authenticated connection between two processes of this system.
 pub struct Connection {
     stream: Stream,
+    received_bytes: Rc<Cell<u64>>,
     session_id: SessionId,
     /// Incarnation of the peer's process; known only to the connecting side.
     peer_incarnation: Option<Incarnation>,
@@ -81,21 +87,23 @@
     async fn connect_without_timeout(addr: SocketAddr, key: &MeshKey) -> Result<Connection, Error> {
         let stream = TcpStream::connect(addr).await.map_err(Error::connect)?;
         set_socket_options(&stream);
+        let received_bytes = Rc::default();
         let (stream, _) = tokio_tungstenite::client_async_with_config(
             format!("ws://{addr}/mesh"),
-            into_compat(stream),
+            into_compat(stream, &received_bytes),
             Some(web_socket_config()),
         )
         .await
         .map_err(Error::web_socket)?;
-        let mut conn = Connection::new(stream);
+        let mut conn = Connection::new(stream, received_bytes);
         conn.authenticate_as_client(key).await?;
         Ok(conn)
     }
 
-    fn new(stream: Stream) -> Connection {
+    fn new(stream: Stream, received_bytes: Rc<Cell<u64>>) -> Connection {
         Connection {
             stream,
+            received_bytes,
             session_id: SessionId::new(),
             peer_incarnation: None,
         }
@@ -132,13 +140,14 @@
     ) -> Result<Connection, Error> {
         let accepting = async {
             set_socket_options(&stream);
+            let received_bytes = Rc::default();
             let stream = tokio_tungstenite::accept_async_with_config(
-                into_compat(stream),
+                into_compat(stream, &received_bytes),
                 Some(web_socket_config()),
             )
             .await
             .map_err(Error::web_socket)?;
-            let mut conn = Connection::new(stream);
+            let mut conn = Connection::new(stream, received_bytes);
             conn.authenticate_as_server(key, incarnation).await?;
             Ok(conn)
         };
@@ -216,6 +225,29 @@
         decode_message(&bytes)
     }
 
+    /// Receives the next message like [`Connection::recv`], unless no byte of it arrives for `idle_timeout`.
+    ///
+    /// Such a pause is noticed after at most twice that time.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Connection::recv`], or if the peer sends nothing. The connection cannot be used afterwards.
+    pub async fn recv_unless_idle(
+        &mut self,
+        idle_timeout: Duration,
+    ) -> Result<(RequestId, Message), Error> {
+        let received_bytes = self.received_bytes.clone();
+        let mut receiving = pin!(self.recv());
+        loop {
+            let received_before = received_bytes.get();
+            match compio::time::timeout(idle_timeout, receiving.as_mut()).await {
+                Ok(result) => return result,
+                Err(_) if received_bytes.get() == received_before => return Err(Error::idle()),
+                Err(_) => {}
+            }
+        }
+    }
+
     async fn send_encoded<T>(&mut self, request_id: &str, message: &T) -> Result<(), Error>
     where
         T: Serialize,
@@ -308,8 +340,9 @@
     let _ = set_socket_send_buffer_size(stream, SOCKET_SEND_BUFFER_BYTES);
 }
 
-fn into_compat(stream: TcpStream) -> Compat<Pin<Box<AsyncStream<TcpStream>>>> {
-    Box::pin(AsyncStream::new(stream)).compat()
+fn into_compat(stream: TcpStream, received_bytes: &Rc<Cell<u64>>) -> ByteStream {
+    let stream = Box::pin(AsyncStream::new(stream));
+    CountedStream::new(stream, received_bytes.clone()).compat()
 }
 
 fn web_socket_config() -> WebSocketConfig {
--- a/laburnumlug-mesh/src/error.rs
+++ b/laburnumlug-mesh/src/error.rs
@@ -19,6 +19,7 @@
     Version { received: u16 },
     Handshake,
     HandshakeTimedOut,
+    Idle,
 }
 
 impl Error {
@@ -67,6 +68,12 @@
         }
     }
 
+    pub(crate) fn idle() -> Error {
+        Error {
+            kind: ErrorKind::Idle,
+        }
+    }
+
     /// Returns whether no connection was established, so that the peer has received no message.
     pub fn is_connect(&self) -> bool {
         matches!(self.kind, ErrorKind::Connect(_) | ErrorKind::Handshake)
@@ -90,6 +97,7 @@
             ErrorKind::HandshakeTimedOut => {
                 f.write_str("the peer did not complete the handshake in time")
             }
+            ErrorKind::Idle => f.write_str("the peer sent nothing in time"),
         }
     }
 }
--- a/laburnumlug-mesh/src/lib.rs
+++ b/laburnumlug-mesh/src/lib.rs
@@ -27,6 +27,7 @@
 mod claim;
 mod compressed_text;
 mod connection;
+mod counted_stream;
 mod error;
 mod gateway_message;
 mod handshake;
--- a/laburnumlug-standin/src/proxy.rs
+++ b/laburnumlug-standin/src/proxy.rs
@@ -27,6 +27,9 @@
     PartitionForward,
     /// Blocks only the bytes from the server to the client.
     PartitionBackward,
+    /// Blocks both directions of the connections that exist when it is set, and relays new ones, as after a partition whose
+    /// connections have not yet retransmitted what was lost.
+    PartitionExisting,
     /// Closes all existing connections, and new ones as soon as they are accepted.
     Disconnect,
     /// Holds the bytes of each read for this duration before they are relayed and the next ones are read.
@@ -50,13 +53,13 @@
 }
 
 impl Fault {
-    fn blocks(self, direction: Direction) -> bool {
+    fn blocks(self, direction: Direction, is_existing: bool) -> bool {
         matches!(
             (self, direction),
             (Fault::Partition, _)
                 | (Fault::PartitionForward, Direction::Forward)
                 | (Fault::PartitionBackward, Direction::Backward)
-        )
+        ) || (self == Fault::PartitionExisting && is_existing)
     }
 }
 
@@ -64,6 +67,10 @@
     upstream: SocketAddr,
     fault: Cell<Fault>,
     traffic: Cell<Traffic>,
+    /// Number of connections accepted so far.
+    accepted: Cell<u64>,
+    /// Number of connections that had been accepted when the fault was set.
+    accepted_before_fault: Cell<u64>,
     /// Notified whenever the fault changes.
     fault_changed: Event,
 }
@@ -75,8 +82,13 @@
         }
     }
 
-    async fn wait_until_unblocked(&self, direction: Direction) {
-        while self.fault.get().blocks(direction) {
+    /// Waits until the fault does not block a direction of the connection with the given number.
+    async fn wait_until_unblocked(&self, conn: u64, direction: Direction) {
+        while self
+            .fault
+            .get()
+            .blocks(direction, conn <= self.accepted_before_fault.get())
+        {
             self.fault_changed.listen().await;
         }
     }
@@ -104,6 +116,8 @@
             upstream,
             fault: Cell::new(Fault::None),
             traffic: Cell::default(),
+            accepted: Cell::default(),
+            accepted_before_fault: Cell::default(),
             fault_changed: Event::new(),
         });
         compio::runtime::spawn(accept_connections(listener, state.clone())).detach();
@@ -122,6 +136,9 @@
 
     /// Sets the fault for all existing and new connections.
     pub fn set_fault(&self, fault: Fault) {
+        self.state
+            .accepted_before_fault
+            .set(self.state.accepted.get());
         self.state.fault.set(fault);
         self.state.fault_changed.notify(usize::MAX);
     }
@@ -130,20 +147,28 @@
 async fn accept_connections(listener: TcpListener, state: Rc<State>) {
     while let Ok((stream, _)) = listener.accept().await {
         if state.fault.get() != Fault::Disconnect {
-            compio::runtime::spawn(proxy_connection(stream, state.clone())).detach();
+            let conn = state.accepted.get() + 1;
+            state.accepted.set(conn);
+            compio::runtime::spawn(proxy_connection(stream, conn, state.clone())).detach();
         }
     }
 }
 
-async fn proxy_connection(client: TcpStream, state: Rc<State>) {
-    state.wait_until_unblocked(Direction::Forward).await;
+async fn proxy_connection(client: TcpStream, conn: u64, state: Rc<State>) {
+    state.wait_until_unblocked(conn, Direction::Forward).await;
     let Ok(server) = TcpStream::connect(state.upstream).await else {
         return;
     };
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
-    let forward = relay(client.clone(), server.clone(), &state, Direction::Forward);
-    let backward = relay(server, client, &state, Direction::Backward);
+    let forward = relay(
+        client.clone(),
+        server.clone(),
+        conn,
+        &state,
+        Direction::Forward,
+    );
+    let backward = relay(server, client, conn, &state, Direction::Backward);
     let relays = pin!(join(forward, backward));
     let disconnect_requested = pin!(state.disconnect_requested());
     if let Either::Left(_) = select(disconnect_requested, relays).await {
@@ -154,13 +179,19 @@
     }
 }
 
-async fn relay(mut from: TcpStream, mut to: TcpStream, state: &State, direction: Direction) {
+async fn relay(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    conn: u64,
+    state: &State,
+    direction: Direction,
+) {
     let mut buf = Vec::with_capacity(READ_BUFFER_BYTES);
     loop {
         let BufResult(result, read) = from.read(buf).await;
         buf = read;
         let is_eof = !matches!(result, Ok(count) if count > 0);
-        state.wait_until_unblocked(direction).await;
+        state.wait_until_unblocked(conn, direction).await;
         if let Fault::Delay(delay) = state.fault.get() {
             compio::time::sleep(delay).await;
         }
