Prepare the document of a test before its time-out runs

Cause: poll_replica_awaits_slow_document failed once beside other busy processes. Its server made and compressed the document after the request had arrived, on the client's thread, which took longer than the 1 s within which the client expects the first bytes.

Change: the document is made before. The bounds are the same.

--- a/laburnumlug-daemon/src/fleet_watch/tests.rs
+++ b/laburnumlug-daemon/src/fleet_watch/tests.rs
@@ -258,18 +258,18 @@
         let key = MeshKey::new("key");
         let server_key = key.clone();
         let slow_proxy = proxy.clone();
+        // Random names cannot be compressed: about 170 KB are relayed 16 KB at a time.
+        let name = |_| format!("{:064x}", rand::random::<u128>());
+        let models: Vec<_> = (0..10_000)
+            .map(|i| serde_json::json!({ "name": name(i), "versions": ["1"] }))
+            .collect();
+        let text =
+            serde_json::json!({ "name": "g", "models": models, "services": [], "targets": [] });
+        let document = CompressedText::compress(&text.to_string());
         let serving = async move {
             let (stream, _) = listener.accept().await.unwrap();
             let mut conn = Connection::accept(stream, &server_key).await.unwrap();
             conn.recv().await.unwrap();
-            // Random names cannot be compressed: about 170 KB are relayed 16 KB at a time.
-            let name = |_| format!("{:064x}", rand::random::<u128>());
-            let models: Vec<_> = (0..10_000)
-                .map(|i| serde_json::json!({ "name": name(i), "versions": ["1"] }))
-                .collect();
-            let text =
-                serde_json::json!({ "name": "g", "models": models, "services": [], "targets": [] });
-            let document = CompressedText::compress(&text.to_string());
             slow_proxy.set_fault(Fault::Delay(Duration::from_millis(200)));
             let answer = FleetAnswer {
                 document: Some(document),
