Show customers with the number of their keys instead of hashes

Cause: differences, and so the audit trail, showed the hashes of customers' keys, from which short keys can be found. Faults of the schema and of the platform's parser quoted the value found, which is the key itself where it stands in a wrong place. A first document's difference quoted the text that it was translated from.

Change: differences and faults show the number of keys and the type or size of everything else below customers and origin.

--- a/laburnumlug-cli/src/fleet.rs
+++ b/laburnumlug-cli/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use eyre::Result;
 use laburnumlug::FleetVersion;
-use laburnumlug_operator::{Difference, Fault, validate_document};
+use laburnumlug_operator::{Difference, Fault, redact_document, validate_document};
 use serde_json::{Value, json};
 
 use crate::failure::Failure;
@@ -66,14 +66,20 @@
         return Err(Failure::Refused("no fleet document has been accepted yet".into()).into());
     }
     let document: Value = serde_json::from_str(&fleet.text)?;
-    if args.json {
-        println!(
-            "{}",
-            json!({ "version": fleet.version, "document": document })
+    let shown = match args.with_keys {
+        true => document.clone(),
+        false => redact_document(&document),
+    };
+    if shown != document {
+        eprintln!(
+            "laburnumlug: customers' keys are not shown; to edit the document, use --with-keys"
         );
+    }
+    if args.json {
+        println!("{}", json!({ "version": fleet.version, "document": shown }));
     } else {
         eprintln!("version {}", fleet.version);
-        println!("{}", serde_json::to_string_pretty(&document)?);
+        println!("{}", serde_json::to_string_pretty(&shown)?);
     }
     Ok(())
 }
--- a/laburnumlug-cli/src/operator_args.rs
+++ b/laburnumlug-cli/src/operator_args.rs
@@ -96,6 +96,11 @@
         /// print version and document as one JSON object
         #[argh(switch)]
         pub(crate) json: bool,
+
+        /// print the hashes of customers' keys and the text that the document was translated from, as needed to edit a
+        /// document that lists customers; without it only their number and size
+        #[argh(switch)]
+        pub(crate) with_keys: bool,
     }
 }
 
--- a/laburnumlug-operator/src/difference.rs
+++ b/laburnumlug-operator/src/difference.rs
@@ -7,9 +7,7 @@
 use serde_json::{Map, Value};
 
 use crate::fault::truncate_quoted;
-
-/// Path of the text that a document was translated from, of which differences show only the size: it may hold API keys.
-const ORIGIN_TEXT: &str = "origin.text";
+use crate::redaction::{redact_at, redact_document};
 
 /// One value that differs between two fleet documents.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -72,9 +70,12 @@
     {
         return diff_rows(path, &before, &after, differences);
     }
-    let describe = |value: &Value| match path {
-        ORIGIN_TEXT => format!("{} bytes", value.as_str().map_or(0, str::len)),
-        _ => truncate_quoted(&value.to_string()),
+    let describe = |value: &Value| {
+        let shown = match path {
+            "" => redact_document(value),
+            _ => redact_at(path, value),
+        };
+        truncate_quoted(&shown.to_string())
     };
     differences.push(Difference {
         path: path.to_string(),
--- a/laburnumlug-operator/src/lib.rs
+++ b/laburnumlug-operator/src/lib.rs
@@ -35,6 +35,7 @@
 mod document;
 mod fault;
 mod merge;
+mod redaction;
 mod schema;
 
 pub use crate::audit::{
@@ -46,3 +47,4 @@
 pub use crate::document::{parse_document, validate_document};
 pub use crate::fault::Fault;
 pub use crate::merge::{MergeOutcome, merge_documents};
+pub use crate::redaction::redact_document;
--- a/laburnumlug-operator/src/schema.rs
+++ b/laburnumlug-operator/src/schema.rs
@@ -7,10 +7,14 @@
 use serde_json::Value;
 
 use crate::fault::{Fault, truncate_quoted};
+use crate::redaction::is_private;
 
 /// JSON schema of the fleet document.
 const SCHEMA_JSON: &str = include_str!("../../schema/fleet.json");
 
+/// Path of the whole document in faults.
+const ROOT: &str = "document";
+
 /// Parsed schema and its compiled validator.
 struct Schema {
     value: Value,
@@ -43,8 +47,16 @@
 
 fn to_schema_fault(err: &ValidationError<'_>) -> SchemaFault {
     let pointer = err.instance_path().as_str().to_string();
-    let found = truncate_quoted(&err.instance().to_string());
+    let path = path_of_pointer(&pointer);
+    let found = match is_private(&path) {
+        true => describe_type(err.instance()).to_string(),
+        false => truncate_quoted(&err.instance().to_string()),
+    };
     let (found, allowed) = match err.kind() {
+        ValidationErrorKind::AdditionalProperties { .. } if is_private(&path) && path != ROOT => (
+            "an unknown key".to_string(),
+            format!("keys {}", allowed_keys(err).join(", ")),
+        ),
         ValidationErrorKind::AdditionalProperties { unexpected } => {
             let found = format!("unknown {}", unexpected.join(", "));
             (found, format!("keys {}", allowed_keys(err).join(", ")))
@@ -71,11 +83,23 @@
         _ => vec![pointer.clone()],
     };
     SchemaFault {
-        fault: Fault::new(path_of_pointer(&pointer), found, allowed),
+        fault: Fault::new(path, found, allowed),
         removable,
     }
 }
 
+/// Returns the type of a value that is not quoted.
+fn describe_type(value: &Value) -> &'static str {
+    match value {
+        Value::Null => "null",
+        Value::Bool(_) => "a boolean",
+        Value::Number(_) => "a number",
+        Value::String(_) => "a string",
+        Value::Array(_) => "an array",
+        Value::Object(_) => "an object",
+    }
+}
+
 /// Returns the keys that the schema allows in the object where `err` found an unknown one.
 fn allowed_keys(err: &ValidationError<'_>) -> Vec<String> {
     let path = err.schema_path().as_str();
@@ -107,7 +131,7 @@
         }
     }
     match path.is_empty() {
-        true => "document".to_string(),
+        true => ROOT.to_string(),
         false => path,
     }
 }
