Log the customer of refused requests

Cause: lines about refusals did not tell whose request was refused, and lines without a customer had the text None.

Change: refusals bear the name of the customer whose key the request has, also where the key is not confirmed. It is empty where there is none.

Result: explain_revoked_key reads the log of a gateway that was frozen over a revocation: two refusals as outdated-keys with the customer, then a 401. gateway_cut_from_control_refuses_keys finds no key and no hash in the log and the audit trail. Metrics count refusals by status and cause as before.

--- a/laburnumlug-cli/tests/explain.rs
+++ b/laburnumlug-cli/tests/explain.rs
@@ -44,6 +44,22 @@
     );
 }
 
+/// A caller's complaint about refused keys must be told apart: keys that were not confirmed, and a key that is not listed.
+#[test]
+fn explain_revoked_key() {
+    let output = explain(&["41f7be03d52c9a68", "revoked-key.log"]);
+    assert_eq!(output.status.code(), Some(0));
+    let text = stdout(&output);
+    let refusals: Vec<&str> = text.lines().filter(|line| line.starts_with('>')).collect();
+    assert!(
+        refusals[0].contains("status 503: the API keys are not confirmed (cause=outdated-keys, customer=revoked-customer"),
+        "{text}"
+    );
+    let last = refusals.last().unwrap();
+    assert!(last.contains("status 401") && last.contains("cause=unauthorized"));
+    assert!(!last.contains("customer"), "{text}");
+}
+
 #[test]
 fn explain_truncated_line() {
     let output = explain(&["aa01", "gateway-1.log", "cut.log"]);
--- a/laburnumlug-daemon/tests/it/customers.rs
+++ b/laburnumlug-daemon/tests/it/customers.rs
@@ -154,16 +154,24 @@
 
     /// Returns the number of requests with the revoked key that the server has received.
     fn revoked_runs(&self) -> usize {
-        let customer = format!("customer of {REVOKED_KEY}");
+        let customer = customer_name(REVOKED_KEY);
         let received = self.server.received();
         let is_of_customer = |headers: &&hyper::HeaderMap| {
             let name = headers.get("x-tenant");
-            name.is_some_and(|name| name == customer.as_str())
+            name.is_some_and(|name| name == customer)
         };
         received.iter().filter(is_of_customer).count()
     }
 }
 
+fn customer_name(key: &str) -> &'static str {
+    match key {
+        KEY => "staying-customer",
+        REVOKED_KEY => "revoked-customer",
+        _ => "added-customer",
+    }
+}
+
 /// Returns a document with a route that needs a key, an anonymous one, and a customer for each of `keys`.
 fn document(keys: &[&str]) -> Value {
     let config = include_str!("../../../platform/tests/soak-config.json");
@@ -173,7 +181,7 @@
     }
     let customers = keys
         .iter()
-        .map(|key| json!({ "name": format!("customer of {key}"), "apiKeys": [key] }));
+        .map(|key| json!({ "name": customer_name(key), "apiKeys": [key] }));
     config["tenants"] = customers.collect();
     let translated = translate_config(&config.to_string()).unwrap();
     let mut document: Value = serde_json::from_str(&translated.document).unwrap();
@@ -227,9 +235,34 @@
             deployment.set_faults(&[0, 1, 2], Fault::None);
             compio::time::sleep(Duration::from_secs(1)).await;
         }
+        assert_refusals_are_logged(&deployment).await;
     });
 }
 
+/// Refusals must be explained by their cause and the customer's name, and neither logs nor the audit trail may have a key or
+/// its hash.
+async fn assert_refusals_are_logged(deployment: &Deployment) {
+    deployment.send("unknown-key").await;
+    let path = deployment.fleet.folder.path().join("gateway-1.log");
+    let log = wait_for("a logged refusal", || async {
+        let log = std::fs::read_to_string(&path).unwrap();
+        log.contains("unauthorized").then_some(log)
+    })
+    .await;
+    let names = ["outdated-keys", customer_name(KEY)];
+    let is_explained = |line: &str| names.iter().all(|name| line.contains(name));
+    assert!(log.lines().any(is_explained));
+    let audit = deployment.fleet.get_audit(0).await.unwrap();
+    let audit = Value::from(audit).to_string();
+    assert!(audit.contains(customer_name(KEY)));
+    let hash = document(&[KEY])["customers"][0]["keys"][0].clone();
+    for text in [log, audit] {
+        for secret in [KEY, REVOKED_KEY, "unknown-key", hash.as_str().unwrap()] {
+            assert!(!text.contains(secret), "{secret}");
+        }
+    }
+}
+
 /// Guards against a revoked key that is accepted by a gateway that starts beside a replica that has fallen behind, whose
 /// document still lists the key.
 #[test]
--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -47,11 +47,11 @@
         self.deadline.saturating_duration_since(now)
     }
 
-    /// Returns the name of the customer that the request is served for, if any.
-    pub(crate) fn customer_name(&self) -> Option<&str> {
+    /// Returns the name of the customer that the request is served for; empty if there is none.
+    pub(crate) fn customer_name(&self) -> &str {
         self.customer
             .as_ref()
-            .map(|customer| customer.name.as_str())
+            .map_or("", |customer| customer.name.as_str())
     }
 
     /// Returns the id of the request that began the stream which this one resumes, if the caller states it.
--- a/laburnumlug-forward/src/customers.rs
+++ b/laburnumlug-forward/src/customers.rs
@@ -67,6 +67,7 @@
         let credentials = self.header_codec.parse_credentials(headers);
         let customer = customers.find(&credentials);
         let document = self.document_status(now, table);
+        let customer_name = customer.as_ref().map(|customer| customer.name.as_str());
         match authorize(
             &document,
             &credentials,
@@ -82,7 +83,8 @@
                 FailureCause::OutdatedKeys,
                 "the API keys are not confirmed",
             )
-            .retry_after(UNCONFIRMED_RETRY_AFTER)),
+            .retry_after(UNCONFIRMED_RETRY_AFTER)
+            .customer(customer_name)),
         }
     }
 
--- a/laburnumlug-forward/src/handler.rs
+++ b/laburnumlug-forward/src/handler.rs
@@ -79,7 +79,8 @@
                 let retry_after_ms = refusal.retry_after.map(|time| time.as_millis() as u64);
                 log::info!(
                     request_id = id.as_str(), cause = refusal.cause.as_str(),
-                    waited_ms = waited.as_millis() as u64, retry_after_ms = retry_after_ms;
+                    waited_ms = waited.as_millis() as u64, retry_after_ms = retry_after_ms,
+                    customer = refusal.customer.as_deref().unwrap_or_default();
                     "request refused with status {}: {}", refusal.cause.status(), refusal.detail
                 );
                 self.observe(|observer| {
@@ -126,19 +127,18 @@
         };
         let request =
             self.caller_request(arrived_at, metadata, parts, body, &table, route.clone())?;
+        let customer = request.customer.clone();
+        let customer_name = customer.as_ref().map(|customer| customer.name.as_str());
         let sample = rand::rng().random_range(0.0..1.0);
         let Some(service) = route.pick_service(sample) else {
-            return Err(Refusal::new(
-                FailureCause::NoTarget,
-                "the route has no service",
-            ));
+            let refusal = Refusal::new(FailureCause::NoTarget, "the route has no service");
+            return Err(refusal.customer(customer_name));
         };
-        let resp = match route.repetition {
-            Repetition::Stream => self.clone().forward_stream(request, service, table).await?,
-            Repetition::Safe | Repetition::Unsafe => {
-                self.forward_buffered(&request, service).await?
-            }
+        let result = match route.repetition {
+            Repetition::Stream => self.clone().forward_stream(request, service, table).await,
+            Repetition::Safe | Repetition::Unsafe => self.forward_buffered(&request, service).await,
         };
+        let resp = result.map_err(|refusal| refusal.customer(customer_name))?;
         let time = arrived_at.elapsed();
         self.observe(|o| o.answered(route.repetition, resp.status().as_u16(), time));
         Ok(resp)
--- a/laburnumlug-forward/src/refusal.rs
+++ b/laburnumlug-forward/src/refusal.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hyper::header::{HeaderValue, WWW_AUTHENTICATE};
+use laburnumlug::CustomerName;
 use laburnumlug_http::{Response, text_response};
 
 /// Upper bound of `retry-after`, as a share of the caller's remaining time; callers ignore longer values.
@@ -98,6 +99,8 @@
     pub(crate) detail: String,
     /// Estimated time until a retry can succeed, if known.
     pub(crate) retry_after: Option<Duration>,
+    /// Customer whose key the refused request has, if any.
+    pub(crate) customer: Option<CustomerName>,
 }
 
 impl Refusal {
@@ -109,9 +112,16 @@
             cause,
             detail: detail.into(),
             retry_after: None,
+            customer: None,
         }
     }
 
+    /// Sets the customer whose key the refused request has.
+    pub(crate) fn customer(mut self, name: Option<&str>) -> Refusal {
+        self.customer = name.map(CustomerName::from);
+        self
+    }
+
     /// Sets the estimated time until a retry can succeed.
     pub(crate) fn retry_after(mut self, time: Duration) -> Refusal {
         self.retry_after = Some(time);
