--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -51,7 +51,7 @@
         service: &str,
     ) -> Result<Response, Refusal> {
         self.record_request(Instant::now(), service);
-        let usage = self.track_usage(request.customer_name());
+        let usage = self.track_usage(request.metered_customer());
         let mut tried: Vec<Rc<TargetHandle>> = Vec::new();
         let mut attempts_made = 0;
         let mut last_failure: Option<AttemptFailure> = None;
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -99,12 +99,12 @@
                 Ok(StreamAttempt::Buffered(resp)) => {
                     // An engine that answers with an error has begun no stream.
                     if resp.status().is_success() {
-                        self.count_usage(stream.request.customer_name());
+                        self.count_usage(stream.request.metered_customer());
                     }
                     return Ok(resp);
                 }
                 Ok(StreamAttempt::Stream(open)) => {
-                    self.count_usage(stream.request.customer_name());
+                    self.count_usage(stream.request.metered_customer());
                     let mut resp = hyper::Response::new(());
                     *resp.headers_mut() = self
                         .header_codec
