Keep late copies of an answer from answering the next request

A target may send an answer a second time on a connection that has been put back into the pool. If the copy arrived while the gateway was busy, the next request was written before the copy was read, and the copy was taken for its answer. The comparison of request ids catches that only if the ids differ; a caller that sends an id twice received the earlier answer.

Mechanism: a pooled connection with unread data is closed instead of reused (a look into the socket's receive buffer, as the driver may not have run); a connection that has carried a request id carries no other request with that id, so a copy that arrives later always bears another id than the request that it seems to answer; after unexpected data or an answer with another id, connections to that target are not reused for 60 s. A connection carries at most 256 requests, which bounds the remembered ids.

Engines, services, control and the platform's lists are called on a new connection for each exchange, so a copy meets no request there.

Tests: late_copies in laburnumlug-http and in platform. With the look into the receive buffer taken out, send_after_copy_arrived fails (the second caller gets "/1"); with the check of carried ids taken out, send_same_id_twice fails in the same way.

--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -236,7 +236,7 @@
         *req.uri_mut() = request.path.clone();
         *req.headers_mut() = headers;
         let addr = target.listing.borrow().addr;
-        let mut sending = Box::pin(self.pool.send(now, addr, req));
+        let mut sending = Box::pin(self.pool.send(now, addr, &request.metadata.id, req));
         let limit = options.probe_after.min(attempt.time_left);
         let sent = compio::time::timeout(limit, sending.as_mut()).await;
         if sent.is_ok() || limit >= attempt.time_left {
@@ -298,6 +298,10 @@
         if metadata.id.as_ref() != Some(&request.metadata.id) {
             // The response to this request may still arrive, but responses on this connection can no longer be matched
             // to requests.
+            if metadata.id.is_some() {
+                let addr = target.listing.borrow().addr;
+                self.pool.record_wrong_answer(Instant::now(), addr);
+            }
             return Err(AttemptFailure::answer_lost(
                 "the answer is not this request's",
             ));
--- a/laburnumlug-http/src/lib.rs
+++ b/laburnumlug-http/src/lib.rs
@@ -25,11 +25,13 @@
 mod body;
 mod body_reader;
 mod client;
+mod connection;
 mod error;
 mod idle_limit;
 mod pool;
 mod server;
 mod socket;
+mod unexpected_data;
 
 pub use crate::body::{
     Aborted, Body, BodySender, Response, ResponseBuilder, channel_body, full_body, hold_until_sent,
--- a/laburnumlug-http/src/pool.rs
+++ b/laburnumlug-http/src/pool.rs
@@ -2,20 +2,19 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use compio::runtime::JoinHandle;
-use cyper_core::HyperStream;
-use futures_util::FutureExt;
 use http_body_util::Full;
-use hyper::client::conn::http1;
 
 use crate::body_reader::{next_chunk, read_body};
+use crate::connection::{Connection, RequestTag};
 use crate::error::Error;
 use crate::idle_limit::IdleLimit;
-use crate::socket;
+use crate::unexpected_data::UnexpectedData;
 
 /// Maximum number of idle connections per peer.
 const MAX_IDLE_PER_PEER: usize = 16;
@@ -36,12 +35,6 @@
     Sent(Error),
 }
 
-/// An open connection and the task that drives it; dropping it closes the connection.
-struct Connection {
-    sender: http1::SendRequest<Full<Bytes>>,
-    _driver: JoinHandle<()>,
-}
-
 struct IdleConnection {
     conn: Connection,
     idle_since: Instant,
@@ -51,12 +44,19 @@
 /// Pool of keep-alive connections to peers.
 ///
 /// The pool never resends a request of which anything was written; [`SendError`] states whether that was the case.
+///
+/// A peer may send an answer twice, the second time on a connection that has been reused. A connection with unread data
+/// is therefore not reused, nor is one that has carried a request with the same id. So a copy that arrives later still
+/// bears the id of another request than the one that it seems to answer.
 pub struct ConnectionPool {
     connect_timeout: Duration,
     /// Idle timeout for connections whose peer sends no `Keep-Alive` timeout.
     idle_timeout: Duration,
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
     idle_limit: RefCell<IdleLimit>,
+    unexpected_data: Rc<UnexpectedData>,
+    /// Hashes request ids.
+    tag_hasher: RandomState,
 }
 
 impl ConnectionPool {
@@ -67,10 +67,12 @@
             idle_timeout,
             idle: RefCell::default(),
             idle_limit: RefCell::default(),
+            unexpected_data: Rc::default(),
+            tag_hasher: RandomState::new(),
         }
     }
 
-    /// Sends one request and waits for the head of its response.
+    /// Sends one request and waits for the head of its response, whose id the calling method compares to `id`.
     ///
     /// Dropping the returned future, or the response before its body has been read to the end, closes the connection.
     ///
@@ -81,11 +83,13 @@
         &self,
         now: Instant,
         addr: SocketAddr,
+        id: &str,
         mut req: hyper::Request<Full<Bytes>>,
     ) -> Result<PooledResponse, SendError> {
-        while let Some((conn, idle_for)) = self.take_idle(now, addr) {
+        let tag = self.tag_hasher.hash_one(id);
+        while let Some((conn, idle_for)) = self.take_idle(now, addr, tag) {
             let sent_at = Instant::now();
-            match exchange(addr, conn, req).await {
+            match exchange(addr, conn, tag, req).await {
                 Ok(response) => return Ok(response),
                 Err(ExchangeError::NotSent(returned)) => req = *returned,
                 Err(ExchangeError::Sent(err)) => {
@@ -100,7 +104,7 @@
             }
         }
         let conn = self.connect(addr).await.map_err(SendError::NotSent)?;
-        let exchanged = exchange(addr, conn, req).await;
+        let exchanged = exchange(addr, conn, tag, req).await;
         self.idle_limit
             .borrow_mut()
             .record_new_connection(Instant::now(), addr, exchanged.is_ok());
@@ -116,8 +120,9 @@
 
     /// Returns the connection of a response to the pool.
     ///
-    /// The connection is closed instead if the body was not read to its end, if the peer sent `Connection: close`, or
-    /// if the pool holds enough connections to this peer. Unexpected data on an idle connection closes it, too.
+    /// The connection is closed instead if the body was not read to its end, if the peer sent `Connection: close` or,
+    /// recently, unexpected data, or if the pool holds enough connections to this peer. Unexpected data on an idle
+    /// connection closes it, too.
     pub fn recycle(&self, now: Instant, response: PooledResponse) {
         let close_requested = response
             .headers
@@ -148,7 +153,17 @@
         Ok(())
     }
 
-    fn add_idle(&self, now: Instant, addr: SocketAddr, conn: Connection, expires_at: Instant) {
+    /// Closes all idle connections to a peer that sent an answer to another request, and reuses none to it for a while.
+    pub fn record_wrong_answer(&self, now: Instant, addr: SocketAddr) {
+        self.unexpected_data.record(now, addr);
+        self.idle.borrow_mut().remove(&addr);
+    }
+
+    fn add_idle(&self, now: Instant, addr: SocketAddr, mut conn: Connection, expires_at: Instant) {
+        if conn.is_used_up() || self.unexpected_data.is_recent(now, addr) {
+            return;
+        }
+        conn.set_idle();
         let mut idle = self.idle.borrow_mut();
         let conns = idle.entry(addr).or_default();
         if conns.len() < MAX_IDLE_PER_PEER {
@@ -172,37 +187,34 @@
         });
     }
 
-    /// Takes the most recently used idle connection and returns it with its idle time.
-    fn take_idle(&self, now: Instant, addr: SocketAddr) -> Option<(Connection, Duration)> {
+    /// Takes the most recently used idle connection that may carry a request, and returns it with its idle time.
+    fn take_idle(
+        &self,
+        now: Instant,
+        addr: SocketAddr,
+        tag: RequestTag,
+    ) -> Option<(Connection, Duration)> {
         let max_idle = self.idle_limit.borrow().max_idle(now);
         let mut idle = self.idle.borrow_mut();
         let conns = idle.get_mut(&addr)?;
-        while let Some(idle) = conns.pop() {
-            let mut conn = idle.conn;
-            let is_ready = matches!(conn.sender.ready().now_or_never(), Some(Ok(())));
+        while let Some(i) = conns.iter().rposition(|idle| idle.conn.accepts(tag)) {
+            let mut idle = conns.remove(i);
+            if idle.conn.has_unread_data() {
+                self.unexpected_data.record(now, addr);
+                conns.clear();
+                return None;
+            }
             let idle_for = now.saturating_duration_since(idle.idle_since);
             let is_within_limit = max_idle.is_none_or(|limit| idle_for <= limit);
-            if idle.expires_at > now && is_ready && is_within_limit {
-                return Some((conn, idle_for));
+            if idle.expires_at > now && idle.conn.is_ready() && is_within_limit {
+                return Some((idle.conn, idle_for));
             }
         }
         None
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<Connection, Error> {
-        let stream = socket::connect(addr, self.connect_timeout).await?;
-        let (sender, conn) = http1::handshake(HyperStream::new_plain(stream))
-            .await
-            .map_err(Error::exchange)?;
-        let driver = compio::runtime::spawn(async move {
-            if let Err(err) = conn.await {
-                log::debug!("connection to {addr} failed: {err}");
-            }
-        });
-        Ok(Connection {
-            sender,
-            _driver: driver,
-        })
+        Connection::open(addr, self.connect_timeout, self.unexpected_data.clone()).await
     }
 }
 
@@ -217,8 +229,10 @@
 async fn exchange(
     addr: SocketAddr,
     mut conn: Connection,
+    tag: RequestTag,
     req: hyper::Request<Full<Bytes>>,
 ) -> Result<PooledResponse, ExchangeError> {
+    conn.begin_request(tag);
     match conn.sender.try_send_request(req).await {
         Ok(head) => {
             let (parts, body) = head.into_parts();
--- a/laburnumlug-http/tests/pool.rs
+++ b/laburnumlug-http/tests/pool.rs
@@ -39,12 +39,12 @@
 }
 
 /// Sends one request and returns whether it was answered.
-async fn send(pool: &ConnectionPool, addr: SocketAddr) -> bool {
+async fn send(pool: &ConnectionPool, addr: SocketAddr, id: &str) -> bool {
     let req = hyper::Request::get("/")
         .header("host", "h.example")
         .body(Full::new(bytes::Bytes::new()))
         .unwrap();
-    match pool.send(Instant::now(), addr, req).await {
+    match pool.send(Instant::now(), addr, id, req).await {
         Ok(mut response) => {
             response.bytes(100).await.unwrap();
             pool.recycle(Instant::now(), response);
@@ -63,14 +63,14 @@
         let pool = ConnectionPool::new(TIMEOUT, TIMEOUT);
         let servers: Vec<SocketAddr> = (0..12).map(|_| early_closing_server()).collect();
         for addr in &servers {
-            assert!(send(&pool, *addr).await);
+            assert!(send(&pool, *addr, "first").await);
         }
         compio::time::sleep(2 * SERVER_IDLE_TIMEOUT).await;
         let mut lost = 0;
         for addr in &servers {
-            if !send(&pool, *addr).await {
+            if !send(&pool, *addr, "second").await {
                 lost += 1;
-                assert!(send(&pool, *addr).await);
+                assert!(send(&pool, *addr, "third").await);
             }
         }
         // Two losses establish the limit. On a busy machine a failure may come too late to count as a stale connection.
