Answer requests that are on their way when a process stops

A server that shut down closed idle connections and those on which nothing had been read yet, reset the connections in the kernel's queue, and dropped one whose accept had just completed. At the end of the grace period, callers without an answer were cut off.

The server now takes over the kernel's queue before it stops listening, and a connection without a request in progress stays open for 1 s after the shutdown; the answer to a request that begins meanwhile closes it. A gateway tells callers that still have no answer 200 ms before it exits (502, as the request may have run). The server is the same for gateways, entries and control replicas.

--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -30,6 +31,10 @@
 /// Time before the end of the grace period at which the process exits even if answers are in progress.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time before the exit at which callers without an answer are told that there will be none; sending the errors takes
+/// a few milliseconds.
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(200);
+
 /// Age of the list of live targets from which this process reads the platform's list itself.
 const STALE_LIST_AGE: Duration = Duration::from_secs(3);
 
@@ -150,13 +155,25 @@
     forwarder.close_connections();
     compio::time::sleep(UNREADY_NOTICE_TIME.min(settings.grace_period / 2)).await;
     shutdown.shut_down();
-    let time_left = exit_at.saturating_duration_since(Instant::now());
-    match compio::time::timeout(time_left, server_task).await {
-        Ok(_) => log::info!("the gateway stopped after the last answer"),
-        Err(_) => log::warn!(
-            "the gateway stopped with answers in progress, because its grace period is ending"
-        ),
+    let time_left = |until: Instant| until.saturating_duration_since(Instant::now());
+    let mut server_task = pin!(server_task);
+    let give_up_at = exit_at - GIVE_UP_MARGIN.min(settings.grace_period / 4);
+    if compio::time::timeout(time_left(give_up_at), &mut server_task)
+        .await
+        .is_err()
+    {
+        forwarder.give_up_requests();
+        if compio::time::timeout(time_left(exit_at), server_task)
+            .await
+            .is_err()
+        {
+            log::warn!(
+                "the gateway stopped with answers in progress, because its grace period is ending"
+            );
+            return Ok(());
+        }
     }
+    log::info!("the gateway stopped after the last answer");
     Ok(())
 }
 
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -12,6 +12,7 @@
 mod harness;
 mod log_fields;
 mod operators;
+mod planned_stop;
 mod platform;
 mod platform_fleet;
 mod settings;
--- /dev/null
+++ b/laburnumlug-daemon/tests/it/planned_stop.rs
@@ -0,0 +1,169 @@
+//! Planned stops while requests are on their way.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use compio::net::TcpListener;
+use laburnumlug_http::{Limits, Request, Server, text_response};
+use rustix::process::Signal;
+use serde_json::json;
+
+use crate::harness::{Fleet, FleetConfig, Process, block_on, free_addr, wait_for};
+use crate::platform_fleet::{Cluster, Gateway, readiness_status, serve_target_list};
+
+/// Time that the server takes to answer.
+const ANSWER_TIME: Duration = Duration::from_millis(20);
+
+/// Time between the signals, or between a signal and a request.
+const SIGNAL_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Starts a server that answers each request after `answer_time`, and returns the list that shows it.
+async fn start_listed_server(answer_time: Duration) -> String {
+    let addr = free_addr();
+    let listener = TcpListener::bind(addr).await.unwrap();
+    let handler = Rc::new(move |req: Request| async move {
+        compio::time::sleep(answer_time).await;
+        let mut resp = text_response(200, "answer");
+        if let Some(id) = req.headers().get("x-request-id") {
+            resp.headers_mut().insert("x-request-id", id.clone());
+        }
+        resp
+    });
+    compio::runtime::spawn(Server::new(listener, Limits::default()).run(handler)).detach();
+    let row = json!({ "id": "i-0", "service": "plain", "address": addr.to_string(), "zone": "z",
+        "slots": 64, "state": "ready" });
+    json!({ "instances": [row], "next": null }).to_string()
+}
+
+/// Starts a gateway in front of a server, with a route whose requests time out after 30 s.
+async fn start_gateway(cluster: &Cluster, answer_time: Duration) -> Gateway {
+    let list_addr = serve_target_list(start_listed_server(answer_time).await).await;
+    let gateway = Gateway::start_with_list(&cluster.folder, "g", list_addr, &cluster.seeds());
+    cluster.replace_config(0, 1, 30_000).await;
+    wait_for("a ready gateway", || async {
+        (readiness_status(gateway.ready_addr).await? == 200).then_some(())
+    })
+    .await;
+    gateway
+}
+
+fn send_request(stream: &mut TcpStream, path: &str) -> bool {
+    let request = format!("GET {path} HTTP/1.1\r\nhost: h.example\r\nx-request-id: r\r\n\r\n");
+    stream.write_all(request.as_bytes()).is_ok()
+}
+
+/// Reads one answer and returns its head; it is empty if the connection ends before the answer does.
+fn read_answer(stream: &mut TcpStream) -> String {
+    let (mut answer, mut chunk) = (String::new(), [0; 4096]);
+    loop {
+        match stream.read(&mut chunk) {
+            Ok(0) | Err(_) => return String::new(),
+            Ok(len) => answer.push_str(&String::from_utf8_lossy(&chunk[..len])),
+        }
+        let Some((head, body)) = answer.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let mut lines = head.lines();
+        let length = lines.find_map(|line| line.strip_prefix("content-length: "));
+        if length.is_some_and(|length| body.len() >= length.parse().unwrap()) {
+            return head.to_string();
+        }
+    }
+}
+
+/// Reads one answer in another thread, so that the servers of the test can run.
+async fn read_answer_async(mut stream: TcpStream) -> String {
+    let reading = compio::runtime::spawn_blocking(move || read_answer(&mut stream));
+    reading.await.unwrap()
+}
+
+/// Sends requests on new and on kept connections until connecting is refused, and returns how many got no answer.
+fn send_until_refused(addr: SocketAddr, answers: &AtomicUsize) -> usize {
+    let mut cut_off = 0;
+    while let Ok(mut stream) = TcpStream::connect(addr) {
+        for _ in 0..5 {
+            let is_sent = send_request(&mut stream, "/p/x");
+            let head = read_answer(&mut stream);
+            cut_off += usize::from(!is_sent || head.is_empty());
+            answers.fetch_add(1, Ordering::Relaxed);
+            if head.is_empty() || head.contains("connection: close") {
+                break;
+            }
+        }
+    }
+    cut_off
+}
+
+/// Guards against requests that are cut off without an answer when a gateway under load stops, also when it is asked to
+/// stop twice.
+#[test]
+fn gateway_stop_twice_under_load() {
+    block_on(async {
+        let cluster = Cluster::start();
+        let mut gateway = start_gateway(&cluster, ANSWER_TIME).await;
+        let (addr, answers) = (gateway.caller_addr, Arc::new(AtomicUsize::new(0)));
+        let callers = (0..8).map(|_| {
+            let answers = answers.clone();
+            std::thread::spawn(move || send_until_refused(addr, &answers))
+        });
+        let callers: Vec<_> = callers.collect();
+        for _ in 0..2 {
+            compio::time::sleep(SIGNAL_INTERVAL).await;
+            gateway.process.signal(Signal::TERM);
+        }
+        assert_eq!(gateway.process.wait().await.code(), Some(0));
+        let cut_off: usize = callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap())
+            .sum();
+        assert!(answers.load(Ordering::Relaxed) > 50);
+        assert_eq!(cut_off, 0);
+    });
+}
+
+/// A caller whose answer is not complete at the end of the grace period is told so.
+#[test]
+fn gateway_stop_answers_at_end_of_grace() {
+    block_on(async {
+        let cluster = Cluster::start();
+        let mut gateway = start_gateway(&cluster, Duration::from_secs(60)).await;
+        let mut stream = TcpStream::connect(gateway.caller_addr).unwrap();
+        assert!(send_request(&mut stream, "/p/x"));
+        compio::time::sleep(SIGNAL_INTERVAL).await;
+        gateway.process.signal(Signal::TERM);
+        let started_at = Instant::now();
+        let head = read_answer_async(stream).await;
+        assert!(head.starts_with("HTTP/1.1 502 "), "{head:?}");
+        assert!(started_at.elapsed() > Duration::from_secs(2));
+        assert_eq!(gateway.process.wait().await.code(), Some(0));
+    });
+}
+
+/// Opens a connection, asks the process to stop twice, sends a request on the connection and checks that it is answered.
+async fn assert_stop_answers_request(process: &mut Process, addr: SocketAddr) {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    compio::time::sleep(SIGNAL_INTERVAL).await;
+    for _ in 0..2 {
+        process.signal(Signal::TERM);
+        compio::time::sleep(SIGNAL_INTERVAL / 3).await;
+    }
+    assert!(send_request(&mut stream, "/health"));
+    let head = read_answer_async(stream).await;
+    assert!(head.starts_with("HTTP/1.1 "), "{head:?}");
+    assert_eq!(process.wait().await.code(), Some(0));
+}
+
+/// Control replicas and entries answer a request whose connection they have accepted before they were asked to stop.
+#[test]
+fn control_and_entry_stop_answer_accepted_connections() {
+    block_on(async {
+        let mut fleet = Fleet::start(FleetConfig::default().entries(1)).await;
+        let (entry_addr, operator_addr) = (fleet.entry_addrs[0], fleet.operator_addrs[0]);
+        assert_stop_answers_request(fleet.process("entry-1"), entry_addr).await;
+        assert_stop_answers_request(fleet.process("control-1"), operator_addr).await;
+    });
+}
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -62,6 +62,9 @@
     pub(crate) software_histories: RefCell<HashMap<ServiceName, SoftwareHistory>>,
     /// Notified whenever a prompt part or the content of a request is blocked.
     pub(crate) request_blocked: Event,
+    /// Whether requests without an answer are given up, as the process is about to exit.
+    is_exiting: Cell<bool>,
+    exit_began: Event,
 }
 
 impl Forwarder {
@@ -87,6 +90,8 @@
             stream_origins: RefCell::default(),
             software_histories: RefCell::default(),
             request_blocked: Event::new(),
+            is_exiting: Cell::new(false),
+            exit_began: Event::new(),
         })
     }
 
@@ -201,6 +206,19 @@
         self.close_after_response.set(true);
     }
 
+    /// Gives up all requests that have no answer yet; their callers are told at once.
+    pub fn give_up_requests(&self) {
+        self.is_exiting.set(true);
+        self.exit_began.notify(usize::MAX);
+    }
+
+    /// Waits until [`Forwarder::give_up_requests`] is called.
+    pub(crate) async fn exiting(&self) {
+        while !self.is_exiting.get() {
+            self.exit_began.listen().await;
+        }
+    }
+
     /// Returns the health check path of a service, or [`DEFAULT_HEALTH_PATH`] if none is configured.
     pub(crate) fn health_path(&self, service: &str) -> String {
         let view = self.view.borrow();
--- a/laburnumlug-forward/src/handler.rs
+++ b/laburnumlug-forward/src/handler.rs
@@ -1,10 +1,11 @@
 //! HTTP handler: routing of a request, and the error response if it is refused.
 
 use std::future::Future;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::{Either, select};
 use hyper::body::Body;
 use laburnumlug::Repetition;
 use laburnumlug_http::{Handler, Request, Response, discard_body, read_body};
@@ -70,9 +71,14 @@
             .and_then(|metadata| metadata.time_left);
         let result = match metadata {
             Ok(metadata) => {
-                self.clone()
-                    .forward(arrived_at, metadata, parts, &mut body)
-                    .await
+                let forwarding = self.clone().forward(arrived_at, metadata, parts, &mut body);
+                match select(pin!(forwarding), pin!(self.exiting())).await {
+                    Either::Left((result, _)) => result,
+                    Either::Right(_) => Err(Refusal::new(
+                        FailureCause::AnswerLost,
+                        "the gateway is stopping, and the answer was not complete in time",
+                    )),
+                }
             }
             Err(reason) => Err(Refusal::new(FailureCause::BadRequest, reason)),
         };
--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -15,9 +15,10 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use rustix::net::sockopt::set_socket_send_buffer_size;
+use rustix::net::{Shutdown, SocketFlags};
 
 use crate::body_reader::next_chunk;
-use crate::{Response, text_response};
+use crate::{Response, hold_until_sent, text_response};
 
 /// Kernel send buffer of one connection.
 const SEND_BUFFER_BYTES: usize = 128 * 1024;
@@ -28,6 +29,10 @@
 /// Maximum time for discarding the body of a rejected request.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time after the shutdown for which a connection without a request in progress stays open. A caller may have sent a
+/// request that has not arrived yet, and would lose it without an answer.
+const SHUTDOWN_LINGER: Duration = Duration::from_secs(1);
+
 /// Request as a [`Handler`] receives it.
 pub type Request = hyper::Request<hyper::body::Incoming>;
 
@@ -136,7 +141,10 @@
 }
 
 impl ShutdownHandle {
-    /// Stops accepting connections and requests; responses in progress are completed.
+    /// Stops accepting connections; responses in progress are completed.
+    ///
+    /// Connections that were accepted, or are in the kernel's queue, get an answer to the request that their client is
+    /// sending, and are then closed; those without a request are closed after a second.
     pub fn shut_down(&self) {
         self.shared.stopping.set(true);
         self.shared.notify();
@@ -192,31 +200,57 @@
     where
         H: Handler,
     {
-        loop {
+        while !self.shared.stopping.get() {
             let accepted = {
                 let accept = pin!(self.listener.accept());
                 let stopped = pin!(self.shared.stopped());
-                match select(stopped, accept).await {
-                    Either::Left(_) => break,
-                    Either::Right((accepted, _)) => accepted,
+                // Accepting goes first: a connection that has been accepted meanwhile would be dropped with the future.
+                match select(accept, stopped).await {
+                    Either::Left((accepted, _)) => accepted,
+                    Either::Right(_) => break,
                 }
             };
             match accepted {
-                Ok((stream, peer)) => self.spawn_connection(stream, peer, handler.clone()),
+                Ok((stream, peer)) => self.spawn_connection(stream, peer, &handler),
                 Err(err) => {
                     log::warn!("failed to accept a connection, retrying after a pause: {err}");
                     compio::time::sleep(Duration::from_millis(10)).await;
                 }
             }
         }
-        drop(self.listener);
-        self.shared.drained().await;
+        let shared = self.shared.clone();
+        self.close_listener(&handler);
+        shared.drained().await;
+    }
+
+    /// Accepts the connections in the kernel's queue, which closing the listener resets, and closes the listener.
+    fn close_listener<H>(self, handler: &Rc<H>)
+    where
+        H: Handler,
+    {
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        let is_nonblocking = rustix::io::ioctl_fionbio(&self.listener, true).is_ok();
+        while is_nonblocking && let Ok(socket) = rustix::net::accept_with(&self.listener, flags) {
+            let socket = std::net::TcpStream::from(socket);
+            let accepted = socket
+                .peer_addr()
+                .and_then(|peer| Ok((TcpStream::from_std(socket)?, peer)));
+            match accepted {
+                Ok((stream, peer)) => self.spawn_connection(stream, peer, handler),
+                Err(err) => log::debug!("failed to take over an accepted connection: {err}"),
+            }
+        }
+        // The runtime may hold the socket for a while after it is dropped.
+        if let Err(err) = rustix::net::shutdown(&self.listener, Shutdown::Read) {
+            log::debug!("failed to stop listening: {err}");
+        }
     }
 
-    fn spawn_connection<H>(&self, stream: TcpStream, peer: SocketAddr, handler: Rc<H>)
+    fn spawn_connection<H>(&self, stream: TcpStream, peer: SocketAddr, handler: &Rc<H>)
     where
         H: Handler,
     {
+        let handler = handler.clone();
         let shared = self.shared.clone();
         let limits = self.limits.limits.borrow().clone();
         let over_limit = shared.connections.get() >= limits.connections;
@@ -250,10 +284,13 @@
     let _ = stream.set_nodelay(true);
     // By default the kernel would buffer megabytes for a slow reader.
     let _ = set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
+    let requests = Rc::new(RequestsInProgress::default());
+    let started = requests.clone();
     let service = service_fn(move |mut req: Request| {
         req.extensions_mut().insert(PeerAddr(peer));
+        let guard = started.clone().start();
         let response = handler.handle(req);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move { Ok::<_, Infallible>(hold_until_sent(response.await, guard)) }
     });
     let conn = http1::Builder::new()
         .timer(CompioTimer)
@@ -262,7 +299,11 @@
         .max_buf_size(limits.header_bytes)
         .serve_connection(HyperStream::new_plain(stream), service);
     let mut conn = pin!(conn);
-    let stop_reading = pin!(with_timeout(limits.lifetime, shared.stopped()));
+    let stop_reading = pin!(async {
+        with_timeout(limits.lifetime, shared.stopped()).await?;
+        // A request that begins now is answered; its response tells the client that the connection is closed.
+        with_timeout(Some(SHUTDOWN_LINGER), requests.any()).await
+    });
     let result = match select(conn.as_mut(), stop_reading).await {
         Either::Left((result, _)) => Some(result),
         Either::Right(_) => {
@@ -277,6 +318,39 @@
     }
 }
 
+/// Number of requests of one connection whose responses have not been sent.
+#[derive(Default)]
+struct RequestsInProgress {
+    count: Cell<usize>,
+    started: Event,
+}
+
+impl RequestsInProgress {
+    /// Counts a request until the returned guard is dropped.
+    fn start(self: Rc<Self>) -> RequestGuard {
+        self.count.set(self.count.get() + 1);
+        self.started.notify(usize::MAX);
+        RequestGuard { requests: self }
+    }
+
+    /// Waits until a request is in progress.
+    async fn any(&self) {
+        while self.count.get() == 0 {
+            self.started.listen().await;
+        }
+    }
+}
+
+struct RequestGuard {
+    requests: Rc<RequestsInProgress>,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.requests.count.set(self.requests.count.get() - 1);
+    }
+}
+
 /// Runs `future` with an optional timeout; returns `None` if the timeout elapses.
 async fn with_timeout<F>(timeout: Option<Duration>, future: F) -> Option<F::Output>
 where
