End streams that stall and keep those that are only slow

A stream that sent a byte now and then without completing an event lasted until its deadline. The bodies of refusals, of errors and of separate prefills were read without a limit, so a body that never ended held its request beyond the deadline.

Bounds, from what callers wait for (the longest of 2 s, four times the latency objective and eight times the longest on-time pause): after half of that, but at least 1.75 s, without a complete event, a stream that may be repeated is resumed elsewhere. The stalled one is kept until another target has continued it, and goes on if its next event comes first. After all of that, a stream ends on which bytes have arrived without completing an event. A target that is merely silent keeps a stream that cannot be resumed until its deadline. Comments and blank lines complete no event. A timer that fires more than 100 ms late shows that the gateway itself has not run, and does not count. The time in which a caller does not read does not count either.

A stream with an event each 1.5 s is neither cut nor run twice, for any route.

--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -20,6 +20,9 @@
 /// Maximum size, in bytes, of a response body that is read and discarded so that the connection can be reused.
 const MAX_DRAINED_BYTES: usize = 64 * 1024;
 
+/// Time in which such a body must arrive; it is short and follows its head. A new connection takes a millisecond.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// A caller's request, as forwarded in each attempt.
 pub(crate) struct CallerRequest {
     pub(crate) metadata: RequestMetadata,
@@ -176,6 +179,19 @@
     }
 }
 
+/// Reads the body of a response, of at most `limit` bytes, within the time left for its request.
+pub(crate) async fn read_body(
+    request: &CallerRequest,
+    response: &mut PooledResponse,
+    limit: usize,
+) -> Result<Bytes, AttemptFailure> {
+    let time_left = request.time_left(Instant::now());
+    match compio::time::timeout(time_left, response.bytes(limit)).await {
+        Ok(body) => body.map_err(|err| AttemptFailure::answer_lost(err.to_string())),
+        Err(_) => Err(AttemptFailure::timed_out("no whole answer in time")),
+    }
+}
+
 impl Forwarder {
     /// Sends a request to a target and waits for the response head.
     ///
@@ -320,7 +336,8 @@
             );
         }
         let status = response.status();
-        if response.bytes(MAX_DRAINED_BYTES).await.is_ok() {
+        let drained = compio::time::timeout(DRAIN_TIMEOUT, response.bytes(MAX_DRAINED_BYTES)).await;
+        if matches!(drained, Ok(Ok(_))) {
             self.pool.recycle(Instant::now(), response);
         }
         Err(AttemptFailure::refused(status))
--- a/laburnumlug-forward/src/events.rs
+++ b/laburnumlug-forward/src/events.rs
@@ -77,6 +77,12 @@
     }
 }
 
+/// Returns whether complete blocks of a stream contain an event, and not only comments and blank lines.
+pub(crate) fn contains_event(blocks: &[u8]) -> bool {
+    let mut lines = blocks.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 /// Returns the last `id` field in these complete events.
 fn last_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|byte| *byte == b'\n').rev();
@@ -137,6 +143,12 @@
         assert!(splitter.has_overflowed());
     }
 
+    #[test]
+    fn contains_event_comments() {
+        assert!(!contains_event(b": ping\r\n\r\n\n:\n\n"));
+        assert!(contains_event(b": ping\n\ndata: a\n\n"));
+    }
+
     #[test]
     fn push_carriage_returns() {
         let mut splitter = EventSplitter::default();
--- a/laburnumlug-forward/src/routes.rs
+++ b/laburnumlug-forward/src/routes.rs
@@ -11,6 +11,15 @@
 /// Latency objective of routes that do not configure one.
 const DEFAULT_LATENCY_OBJECTIVE: Duration = Duration::from_secs(1);
 
+/// Shortest gap between two events after which callers abandon a stream.
+const MIN_ABANDONED_GAP: Duration = Duration::from_secs(2);
+
+/// Multiple of the latency objective that callers wait for the next event of a stream.
+const GAP_OBJECTIVE_MULTIPLE: u32 = 4;
+
+/// Multiple of the longest on-time pause that callers wait for the next event of a stream.
+const GAP_PAUSE_MULTIPLE: u32 = 8;
+
 /// A route, prepared for request matching.
 #[derive(Debug)]
 pub(crate) struct RouteEntry {
@@ -20,6 +29,8 @@
     pub(crate) resumable: bool,
     pub(crate) timeout: Duration,
     pub(crate) latency_objective: Duration,
+    /// Gap between two events after which callers abandon a stream.
+    pub(crate) abandoned_gap: Duration,
     pub(crate) rank: u32,
     pub(crate) max_attempts: u32,
     /// Services and their positive weights.
@@ -28,15 +39,20 @@
 
 impl RouteEntry {
     fn new(route: &Route) -> RouteEntry {
+        let latency_objective = route.aim_ms.map_or(DEFAULT_LATENCY_OBJECTIVE, |ms| {
+            Duration::from_millis(ms.get())
+        });
+        let pause = route.pause_ms.map_or(0, |ms| ms.get());
         RouteEntry {
             name: route.name.clone(),
             prefix: route.prefix.clone(),
             repetition: route.repetition,
             resumable: route.resumable,
             timeout: Duration::from_millis(route.timeout_ms.get()),
-            latency_objective: route.aim_ms.map_or(DEFAULT_LATENCY_OBJECTIVE, |ms| {
-                Duration::from_millis(ms.get())
-            }),
+            latency_objective,
+            abandoned_gap: MIN_ABANDONED_GAP
+                .max(latency_objective.saturating_mul(GAP_OBJECTIVE_MULTIPLE))
+                .max(Duration::from_millis(pause).saturating_mul(GAP_PAUSE_MULTIPLE)),
             rank: route.rank,
             max_attempts: route.attempts.get(),
             shares: route
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -6,11 +6,11 @@
 use laburnumlug::Verdict;
 use laburnumlug_http::{PooledResponse, Response};
 
+use super::upstream::{ENDED_INSIDE_EVENT, EVENT_TOO_LONG, StreamStep, Upstream};
 use super::{OpenStream, StreamAttempt, StreamRequest};
-use crate::attempt::{AttemptFailure, AttemptOptions};
+use crate::attempt::{AttemptFailure, AttemptOptions, CallerRequest, read_body};
 use crate::engine_request_guard::EngineRequestGuard;
 use crate::engine_selection::{EngineSelection, decode_share};
-use crate::events::EventSplitter;
 use crate::forwarder::Forwarder;
 use crate::header_codec::AttemptStage;
 use crate::refusal::FailureCause;
@@ -34,11 +34,8 @@
 /// longer holds.
 const MAX_RESEND_FAILURE_RATE: f64 = 0.05;
 
-/// Reason why a stream is broken whose body has ended without an error.
-pub(super) const ENDED_INSIDE_EVENT: &str = "the stream ended inside an event";
-
-/// Reason why a stream is broken whose event has no end.
-pub(super) const EVENT_TOO_LONG: &str = "an event of the stream is too long";
+/// Reason why a stream is given up whose first event has begun and was not complete in time.
+const EVENT_STALLED: &str = "the first event of the stream was not complete in time";
 
 /// Returns whether a response has a length or chunks, so that its end is told from the end of its connection.
 fn is_framed(response: &PooledResponse) -> bool {
@@ -155,7 +152,7 @@
             }
             sent => sent,
         };
-        let mut response = match sent {
+        let response = match sent {
             Err(failure) => {
                 if failure.verdict == Verdict::NotRun {
                     engine_request.mark_not_run();
@@ -167,63 +164,100 @@
         };
         if response.status() >= 300 {
             return self
-                .read_buffered(&target, response)
+                .read_buffered(request, &target, response)
                 .await
                 .map(StreamAttempt::Buffered);
         }
-        let mut splitter = EventSplitter::default();
+        let upstream = Upstream::new(Instant::now(), response, in_flight, engine_request);
+        self.await_first_events(request, upstream).await
+    }
+
+    /// Waits for the first event of a stream whose head has arrived.
+    async fn await_first_events(
+        self: &Rc<Self>,
+        request: &CallerRequest,
+        mut upstream: Upstream,
+    ) -> Result<StreamAttempt, AttemptFailure> {
+        let target = upstream.in_flight.target.clone();
+        // When the first byte of the incomplete event arrived. Before it, the engine may be prefilling.
+        let mut partial_since: Option<Instant> = None;
         loop {
-            let time_left = request.time_left(Instant::now());
-            let chunk = match compio::time::timeout(time_left, response.chunk()).await {
-                Ok(Ok(Some(chunk))) => chunk,
-                Ok(Ok(None))
-                    if is_event_stream(&response)
-                        && (splitter.is_inside_event() || !is_framed(&response)) =>
+            let now = Instant::now();
+            let time_left = request.time_left(now);
+            let event_left = partial_since.map_or(Duration::MAX, |since| {
+                request
+                    .route
+                    .abandoned_gap
+                    .saturating_sub(now.saturating_duration_since(since))
+            });
+            let limit = time_left.min(event_left);
+            let Ok(step) = compio::time::timeout(limit, upstream.next()).await else {
+                if event_left >= time_left {
+                    return Err(AttemptFailure::timed_out("no event in time"));
+                }
+                self.record_failure(Instant::now(), &target);
+                return Err(AttemptFailure::answer_lost(EVENT_STALLED));
+            };
+            let now = Instant::now();
+            match step {
+                StreamStep::Events(first_events) => {
+                    upstream.engine_request.mark_decoding(now);
+                    target.health.borrow_mut().record_success();
+                    return Ok(StreamAttempt::Stream(Box::new(OpenStream {
+                        upstream,
+                        first_events,
+                    })));
+                }
+                StreamStep::Other if upstream.splitter.is_inside_event() => {
+                    partial_since.get_or_insert(now);
+                }
+                StreamStep::Other => partial_since = None,
+                StreamStep::End(_)
+                    if is_event_stream(&upstream.response) && !is_framed(&upstream.response) =>
                 {
-                    self.record_failure(Instant::now(), &target);
+                    self.record_failure(now, &target);
                     return Err(AttemptFailure::connection_broken(ENDED_INSIDE_EVENT));
                 }
-                Ok(Ok(None)) => {
-                    engine_request.mark_complete(Instant::now());
-                    let body = splitter.take_partial();
-                    let resp = self.caller_response(response.status(), response.headers(), body);
-                    self.pool.recycle(Instant::now(), response);
-                    return Ok(StreamAttempt::Buffered(resp));
+                StreamStep::End(body) => return Ok(self.buffered_attempt(now, upstream, body)),
+                StreamStep::Broken(reason)
+                    if reason == ENDED_INSIDE_EVENT && !is_event_stream(&upstream.response) =>
+                {
+                    let body = upstream.splitter.take_partial();
+                    return Ok(self.buffered_attempt(now, upstream, body));
                 }
-                Ok(Err(err)) => {
-                    self.record_failure(Instant::now(), &target);
-                    return Err(AttemptFailure::connection_broken(err.to_string()));
+                StreamStep::Broken(reason) => {
+                    self.record_failure(now, &target);
+                    return Err(match reason.as_str() {
+                        EVENT_TOO_LONG => AttemptFailure::answer_lost(reason),
+                        _ => AttemptFailure::connection_broken(reason),
+                    });
                 }
-                Err(_) => {
-                    return Err(AttemptFailure::timed_out("no event in time"));
-                }
-            };
-            if splitter.has_overflowed() {
-                self.record_failure(Instant::now(), &target);
-                return Err(AttemptFailure::answer_lost(EVENT_TOO_LONG));
-            }
-            if let Some(first_events) = splitter.push(&chunk) {
-                engine_request.mark_decoding(Instant::now());
-                target.health.borrow_mut().record_success();
-                return Ok(StreamAttempt::Stream(Box::new(OpenStream {
-                    response,
-                    splitter,
-                    first_events,
-                    in_flight,
-                    engine_request,
-                })));
             }
         }
     }
 
+    /// Returns the successful attempt whose response ended without an event.
+    fn buffered_attempt(
+        &self,
+        now: Instant,
+        mut upstream: Upstream,
+        body: bytes::Bytes,
+    ) -> StreamAttempt {
+        upstream.engine_request.mark_complete(now);
+        let response = upstream.response;
+        let resp = self.caller_response(response.status(), response.headers(), body);
+        self.pool.recycle(now, response);
+        StreamAttempt::Buffered(resp)
+    }
+
     /// Reads a response that is not an event stream.
     async fn read_buffered(
         &self,
+        request: &CallerRequest,
         target: &TargetHandle,
         mut response: PooledResponse,
     ) -> Result<Response, AttemptFailure> {
-        let body = response.bytes(MAX_RESPONSE_BYTES).await;
-        let body = body.map_err(|err| AttemptFailure::answer_lost(err.to_string()))?;
+        let body = read_body(request, &mut response, MAX_RESPONSE_BYTES).await?;
         let status = response.status();
         if status >= 500 {
             self.record_failure(Instant::now(), target);
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -3,22 +3,22 @@
 mod attempt;
 mod prefill;
 mod relay;
+mod upstream;
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use laburnumlug::Verdict;
-use laburnumlug_http::{PooledResponse, Response, channel_body};
+use laburnumlug_http::{Response, channel_body};
 use laburnumlug_policy::{NoRoom, max_limit_wait};
 
+use self::upstream::Upstream;
 use crate::attempt::{AttemptFailure, CallerRequest};
-use crate::engine_request_guard::EngineRequestGuard;
 use crate::engine_selection::EngineSelection;
-use crate::events::EventSplitter;
 use crate::forwarder::Forwarder;
 use crate::refusal::{FailureCause, Refusal};
-use crate::registry::{InFlightGuard, TargetHandle};
+use crate::registry::TargetHandle;
 use crate::routes::RouteTable;
 use crate::stream_origins::RequiredSoftware;
 
@@ -54,13 +54,10 @@
     }
 }
 
-/// A stream whose first event has arrived.
+/// A stream whose first events have arrived.
 struct OpenStream {
-    response: PooledResponse,
-    splitter: EventSplitter,
+    upstream: Upstream,
     first_events: Bytes,
-    in_flight: InFlightGuard,
-    engine_request: EngineRequestGuard,
 }
 
 /// Response of a successful attempt.
@@ -100,9 +97,10 @@
                     let mut resp = hyper::Response::new(());
                     *resp.headers_mut() = self
                         .header_codec
-                        .forwarded_response_headers(open.response.headers());
-                    *resp.status_mut() = hyper::StatusCode::from_u16(open.response.status())
-                        .unwrap_or(hyper::StatusCode::OK);
+                        .forwarded_response_headers(open.upstream.response.headers());
+                    *resp.status_mut() =
+                        hyper::StatusCode::from_u16(open.upstream.response.status())
+                            .unwrap_or(hyper::StatusCode::OK);
                     let (tx, body) = channel_body();
                     compio::runtime::spawn(self.relay(stream, *open, tx)).detach();
                     return Ok(resp.map(|()| body));
--- a/laburnumlug-forward/src/stream/prefill.rs
+++ b/laburnumlug-forward/src/stream/prefill.rs
@@ -7,7 +7,7 @@
 
 use super::StreamRequest;
 use super::attempt::{MAX_RESPONSE_BYTES, probe_delay};
-use crate::attempt::{AttemptFailure, AttemptOptions};
+use crate::attempt::{AttemptFailure, AttemptOptions, read_body};
 use crate::engine_request_guard::EngineRequestGuard;
 use crate::engine_selection::EngineSelection;
 use crate::forwarder::Forwarder;
@@ -52,8 +52,7 @@
                 .await;
             let mut response = sent?;
             let status = response.status();
-            let body = response.bytes(MAX_RESPONSE_BYTES).await;
-            let body = body.map_err(|err| AttemptFailure::answer_lost(err.to_string()))?;
+            let body = read_body(request, &mut response, MAX_RESPONSE_BYTES).await?;
             self.pool.recycle(Instant::now(), response);
             match self.header_codec.parse_prompt_handle(&body) {
                 Some(handle) if status == 200 => Ok(handle),
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -1,20 +1,52 @@
 //! Relay of an open stream to its caller, with resumption at another engine.
 
+use std::pin::pin;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use futures_util::FutureExt;
+use bytes::Bytes;
+use futures_util::future::{Either, select};
 use laburnumlug_http::BodySender;
 
-use super::attempt::{ENDED_INSIDE_EVENT, EVENT_TOO_LONG};
+use super::upstream::{StreamStep, Upstream, resumed_gap};
 use super::{OpenStream, StreamAttempt, StreamRequest};
 use crate::crashes::is_decode_start;
-use crate::events::EventSplitter;
 use crate::forwarder::Forwarder;
 use crate::refusal::FailureCause;
+use crate::registry::TargetHandle;
+
+/// Reason why a stream is broken whose next event does not come in time.
+const EVENT_OVERDUE: &str = "no event was complete in time";
+
+/// Delay of a timer from which this process is taken to have been suspended or out of processor time.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(100);
+
+/// What the relay does next.
+enum RelayStep {
+    Upstream(StreamStep),
+    /// The caller has disconnected.
+    CallerLeft,
+    /// The time until which the next part was awaited has passed.
+    TimedOut,
+}
+
+/// Outcome of the attempt to resume a stalled stream elsewhere.
+enum StallOutcome {
+    /// The stalled stream went on first.
+    WentOn(StreamStep),
+    /// Another target resumed the stream.
+    Resumed(Box<OpenStream>),
+    /// The stream cannot be resumed elsewhere now.
+    Unresumed,
+    CallerLeft,
+}
 
 impl Forwarder {
     /// Relays events until the stream ends, the caller disconnects or the deadline passes; resumes broken streams.
+    ///
+    /// A stream without a complete event for [`resumed_gap`] is resumed elsewhere if it may be, but kept until another
+    /// target has continued it. One that may not ends once bytes have arrived without completing an event for as long as
+    /// callers wait; one whose target is silent lasts until its deadline, as the target may have been frozen.
     pub(super) async fn relay(
         self: Rc<Self>,
         mut stream: StreamRequest,
@@ -22,104 +54,184 @@
         mut tx: BodySender,
     ) {
         let OpenStream {
-            mut response,
-            mut splitter,
+            mut upstream,
             first_events,
-            mut in_flight,
-            mut engine_request,
         } = open;
-        let id = stream.request.metadata.id.clone();
         if tx.send(first_events).await.is_err() {
             return;
         }
         loop {
-            let time_left = stream.request.time_left(Instant::now());
-            let next = {
-                let mut chunk = Box::pin(response.chunk()).fuse();
-                let mut closed = Box::pin(tx.closed()).fuse();
-                let mut expired = Box::pin(compio::time::sleep(time_left)).fuse();
-                futures_util::select_biased! {
-                    chunk = chunk => Some(chunk),
-                    () = closed => return,
-                    () = expired => None,
+            let wait_until = next_check_at(&stream, &upstream);
+            let mut step = match next_step(&mut upstream, &mut tx, wait_until).await {
+                RelayStep::Upstream(step) => step,
+                RelayStep::CallerLeft => return,
+                RelayStep::TimedOut => {
+                    let now = Instant::now();
+                    match () {
+                        () if stream.request.time_left(now).is_zero() => {
+                            return self.abort_expired(&stream, tx);
+                        }
+                        // This process has not run, so it cannot tell whether events have arrived.
+                        () if now.saturating_duration_since(wait_until) > MAX_TIMER_DELAY => {
+                            upstream.restart_gap(now);
+                            StreamStep::Other
+                        }
+                        () if is_partial_overdue(now, &stream, &upstream) => {
+                            StreamStep::Broken(EVENT_OVERDUE.to_string())
+                        }
+                        () => match self.handle_stall(&mut stream, &mut upstream, &mut tx).await {
+                            StallOutcome::WentOn(step) => step,
+                            StallOutcome::Resumed(next) => {
+                                let target = upstream.in_flight.target.clone();
+                                self.record_failure(Instant::now(), &target);
+                                self.log_break(&stream, &target, EVENT_OVERDUE, true);
+                                upstream = next.upstream;
+                                StreamStep::Events(next.first_events)
+                            }
+                            StallOutcome::Unresumed => {
+                                upstream.stalled_since = Instant::now();
+                                StreamStep::Other
+                            }
+                            StallOutcome::CallerLeft => return,
+                        },
+                    }
                 }
             };
-            let break_reason = match next {
-                Some(Ok(Some(chunk))) => {
-                    let events = splitter.push(&chunk).unwrap_or_default();
-                    if !events.is_empty() && tx.send(events).await.is_err() {
+            if let StreamStep::Broken(reason) = step {
+                let Some(next) = self.replace_broken(&mut stream, upstream, &reason).await else {
+                    self.observe(|observer| observer.stream_aborted());
+                    return tx.abort();
+                };
+                upstream = next.upstream;
+                step = StreamStep::Events(next.first_events);
+            }
+            match step {
+                StreamStep::Events(events) => {
+                    if tx.send(events).await.is_err() {
                         return;
                     }
-                    if !splitter.has_overflowed() {
-                        continue;
-                    }
-                    EVENT_TOO_LONG.to_string()
+                    // Nothing was read from the target while the caller did not read.
+                    upstream.restart_gap(Instant::now());
                 }
-                Some(Ok(None)) if splitter.is_inside_event() => ENDED_INSIDE_EVENT.to_string(),
-                Some(Ok(None)) => {
-                    engine_request.mark_complete(Instant::now());
-                    drop(engine_request);
-                    let blank_lines = splitter.take_partial();
-                    if !blank_lines.is_empty() && tx.send(blank_lines).await.is_err() {
-                        return;
-                    }
-                    self.pool.recycle(Instant::now(), response);
-                    return;
+                StreamStep::End(blank_lines) => {
+                    return self.complete_stream(upstream, blank_lines, tx).await;
                 }
-                Some(Err(err)) => err.to_string(),
-                None => {
-                    log::info!(request_id = id.as_str(), cause = FailureCause::TimedOut.as_str();
-                        "stream aborted: the deadline passed");
-                    self.observe(|observer| observer.stream_aborted());
-                    return tx.abort();
+                StreamStep::Other | StreamStep::Broken(_) => {}
+            }
+        }
+    }
+
+    /// Passes on the end of a whole stream.
+    async fn complete_stream(
+        &self,
+        mut upstream: Upstream,
+        blank_lines: Bytes,
+        mut tx: BodySender,
+    ) {
+        upstream.engine_request.mark_complete(Instant::now());
+        drop(upstream.engine_request);
+        if blank_lines.is_empty() || tx.send(blank_lines).await.is_ok() {
+            self.pool.recycle(Instant::now(), upstream.response);
+        }
+    }
+
+    fn abort_expired(&self, stream: &StreamRequest, tx: BodySender) {
+        log::info!(
+            request_id = stream.request.metadata.id.as_str(), cause = FailureCause::TimedOut.as_str();
+            "stream aborted: the deadline passed"
+        );
+        self.observe(|observer| observer.stream_aborted());
+        tx.abort();
+    }
+
+    /// Tries to resume a stalled stream elsewhere, while the stalled one may still go on.
+    async fn handle_stall(
+        self: &Rc<Self>,
+        stream: &mut StreamRequest,
+        upstream: &mut Upstream,
+        tx: &mut BodySender,
+    ) -> StallOutcome {
+        let last_id = upstream.splitter.last_id().cloned();
+        let stalled = async {
+            loop {
+                match upstream.next().await {
+                    StreamStep::Other => {}
+                    step => return step,
                 }
-            };
-            let target = in_flight.target.clone();
-            let now = Instant::now();
-            self.record_failure(now, &target);
-            let may_have_crashed = is_decode_start(now, engine_request.first_event_at());
-            drop(engine_request);
-            if may_have_crashed {
-                self.check_for_crash(&target);
             }
-            splitter.drop_partial();
-            let resumed = self.resume(&mut stream, &splitter).await;
-            log::info!(
-                request_id = id.as_str(), target = target.instance.as_str(),
-                content = format!("{:x}", stream.request.content).as_str(),
-                prompt_parts = stream.shareable_parts().as_str(), resumed = resumed.is_some(),
-                software = target.listing.borrow().software.as_deref();
-                "the stream from the target broke: {break_reason}"
-            );
-            let Some(next) = resumed else {
-                self.observe(|observer| observer.stream_aborted());
-                return tx.abort();
-            };
-            response = next.response;
-            in_flight = next.in_flight;
-            engine_request = next.engine_request;
-            let last_id = next.splitter.last_id().or(splitter.last_id()).cloned();
-            splitter = next.splitter;
-            splitter.set_last_id(last_id);
-            if tx.send(next.first_events).await.is_err() {
-                return;
+        };
+        let mut resumed = pin!(self.resume(stream, last_id));
+        let (stalled, closed) = (pin!(stalled), pin!(tx.closed()));
+        match select(select(stalled, closed), resumed.as_mut()).await {
+            Either::Left((Either::Left((StreamStep::Broken(reason), closed)), _)) => {
+                match select(resumed, closed).await {
+                    Either::Left((Some(next), _)) => StallOutcome::Resumed(Box::new(next)),
+                    Either::Left((None, _)) => StallOutcome::WentOn(StreamStep::Broken(reason)),
+                    Either::Right(_) => StallOutcome::CallerLeft,
+                }
             }
+            Either::Left((Either::Left((step, _)), _)) => StallOutcome::WentOn(step),
+            Either::Left((Either::Right(_), _)) => StallOutcome::CallerLeft,
+            Either::Right((Some(next), _)) => StallOutcome::Resumed(Box::new(next)),
+            Either::Right((None, _)) => StallOutcome::Unresumed,
         }
     }
 
-    /// Resumes a broken stream at another target, after the last complete event.
+    /// Resumes a broken stream elsewhere, or returns `None` if that is not possible.
+    async fn replace_broken(
+        self: &Rc<Self>,
+        stream: &mut StreamRequest,
+        upstream: Upstream,
+        reason: &str,
+    ) -> Option<OpenStream> {
+        let target = upstream.in_flight.target.clone();
+        let last_id = upstream.splitter.last_id().cloned();
+        let now = Instant::now();
+        self.record_failure(now, &target);
+        let may_have_crashed = is_decode_start(now, upstream.engine_request.first_event_at());
+        drop(upstream);
+        if may_have_crashed {
+            self.check_for_crash(&target);
+        }
+        let resumed = self.resume(stream, last_id).await;
+        self.log_break(stream, &target, reason, resumed.is_some());
+        resumed
+    }
+
+    fn log_break(
+        &self,
+        stream: &StreamRequest,
+        target: &TargetHandle,
+        reason: &str,
+        is_resumed: bool,
+    ) {
+        log::info!(
+            request_id = stream.request.metadata.id.as_str(), target = target.instance.as_str(),
+            content = format!("{:x}", stream.request.content).as_str(),
+            prompt_parts = stream.shareable_parts().as_str(), resumed = is_resumed,
+            software = target.listing.borrow().software.as_deref();
+            "the stream from the target broke: {reason}"
+        );
+    }
+
+    /// Resumes a stream at another target, after the event with this id.
     async fn resume(
         self: &Rc<Self>,
         stream: &mut StreamRequest,
-        splitter: &EventSplitter,
+        last_id: Option<String>,
     ) -> Option<OpenStream> {
-        let last_id = splitter.last_id()?.clone();
+        let last_id = last_id?;
         if !stream.request.route.is_repeatable() {
             return None;
         }
         while self.try_acquire_attempt(stream).await {
             match self.attempt_stream(stream, Some(last_id.clone())).await {
-                Ok(StreamAttempt::Stream(open)) => return Some(*open),
+                Ok(StreamAttempt::Stream(open)) => {
+                    let mut open = *open;
+                    let last_id = open.upstream.splitter.last_id().cloned().or(Some(last_id));
+                    open.upstream.splitter.set_last_id(last_id);
+                    return Some(open);
+                }
                 // A response that is not a stream cannot continue one.
                 Ok(StreamAttempt::Buffered(_)) => return None,
                 Err(failure) if failure.is_final() => return None,
@@ -129,3 +241,38 @@
         None
     }
 }
+
+/// Returns whether a stream may be resumed at another target.
+fn may_resume(stream: &StreamRequest, upstream: &Upstream) -> bool {
+    stream.request.route.is_repeatable() && upstream.splitter.last_id().is_some()
+}
+
+/// Returns whether bytes have arrived without completing an event for as long as callers wait.
+fn is_partial_overdue(now: Instant, stream: &StreamRequest, upstream: &Upstream) -> bool {
+    let gap = now.saturating_duration_since(upstream.last_event_at);
+    upstream.has_partial && gap >= stream.request.route.abandoned_gap
+}
+
+/// Returns when the relay has to look at a stream again if no further part of it arrives.
+fn next_check_at(stream: &StreamRequest, upstream: &Upstream) -> Instant {
+    let abandoned_gap = stream.request.route.abandoned_gap;
+    let mut check_at = stream.request.deadline;
+    if may_resume(stream, upstream) {
+        check_at = check_at.min(upstream.stalled_since + resumed_gap(abandoned_gap));
+    }
+    if upstream.has_partial {
+        check_at = check_at.min(upstream.last_event_at + abandoned_gap);
+    }
+    check_at
+}
+
+/// Waits for the next part of a stream, at most until `wait_until`.
+async fn next_step(upstream: &mut Upstream, tx: &mut BodySender, wait_until: Instant) -> RelayStep {
+    let timeout = pin!(compio::time::sleep_until(wait_until));
+    let closed = pin!(tx.closed());
+    match select(pin!(upstream.next()), select(closed, timeout)).await {
+        Either::Left((step, _)) => RelayStep::Upstream(step),
+        Either::Right((Either::Left(_), _)) => RelayStep::CallerLeft,
+        Either::Right((Either::Right(_), _)) => RelayStep::TimedOut,
+    }
+}
--- /dev/null
+++ b/laburnumlug-forward/src/stream/upstream.rs
@@ -0,0 +1,110 @@
+//! The stream from the target that currently serves a request.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use laburnumlug_http::PooledResponse;
+
+use crate::engine_request_guard::EngineRequestGuard;
+use crate::events::{EventSplitter, contains_event};
+use crate::registry::InFlightGuard;
+
+/// Reason why a stream is broken whose body has ended without an error.
+pub(super) const ENDED_INSIDE_EVENT: &str = "the stream ended inside an event";
+
+/// Reason why a stream is broken whose event has no end.
+pub(super) const EVENT_TOO_LONG: &str = "an event of the stream is too long";
+
+/// Shortest gap between two events after which a stream is resumed elsewhere; a healthy one may pause for 1.5 s.
+const MIN_RESUMED_GAP: Duration = Duration::from_millis(1750);
+
+/// Fraction of the gap that callers wait, after which a stream is resumed elsewhere. The rest is left for the prefill at
+/// another engine.
+const RESUMED_GAP_FRACTION: f64 = 0.5;
+
+/// Returns the gap between two events after which a stream is resumed elsewhere, if callers abandon it after
+/// `abandoned_gap`.
+pub(super) fn resumed_gap(abandoned_gap: Duration) -> Duration {
+    let gap = abandoned_gap.mul_f64(RESUMED_GAP_FRACTION);
+    gap.max(MIN_RESUMED_GAP).min(abandoned_gap)
+}
+
+/// What arrived of a stream.
+#[derive(Debug)]
+pub(super) enum StreamStep {
+    /// Complete events.
+    Events(Bytes),
+    /// Bytes that complete no event: a part of one, comments or blank lines.
+    Other,
+    /// The end of the whole stream, with the blank lines after the last event.
+    End(Bytes),
+    /// The stream broke, for this reason.
+    Broken(String),
+}
+
+/// A stream whose first event has arrived.
+pub(super) struct Upstream {
+    pub(super) response: PooledResponse,
+    pub(super) splitter: EventSplitter,
+    pub(super) in_flight: InFlightGuard,
+    pub(super) engine_request: EngineRequestGuard,
+    /// When the last event was complete and passed on.
+    pub(super) last_event_at: Instant,
+    /// When the last event was complete, or the stream could last not be resumed elsewhere.
+    pub(super) stalled_since: Instant,
+    /// Whether bytes have arrived since, so that the target is not merely silent.
+    pub(super) has_partial: bool,
+}
+
+impl Upstream {
+    /// Creates the stream of a response whose head has arrived.
+    pub(super) fn new(
+        now: Instant,
+        response: PooledResponse,
+        in_flight: InFlightGuard,
+        engine_request: EngineRequestGuard,
+    ) -> Upstream {
+        Upstream {
+            response,
+            splitter: EventSplitter::default(),
+            in_flight,
+            engine_request,
+            last_event_at: now,
+            stalled_since: now,
+            has_partial: false,
+        }
+    }
+
+    /// Measures the gap until the next event from now on.
+    pub(super) fn restart_gap(&mut self, now: Instant) {
+        self.last_event_at = now;
+        self.stalled_since = now;
+    }
+
+    /// Waits for the next part of the stream; nothing is lost if the returned future is dropped.
+    pub(super) async fn next(&mut self) -> StreamStep {
+        let chunk = match self.response.chunk().await {
+            Ok(Some(chunk)) => chunk,
+            Ok(None) if self.splitter.is_inside_event() => {
+                return StreamStep::Broken(ENDED_INSIDE_EVENT.to_string());
+            }
+            Ok(None) => return StreamStep::End(self.splitter.take_partial()),
+            Err(err) => {
+                self.splitter.drop_partial();
+                return StreamStep::Broken(err.to_string());
+            }
+        };
+        match self.splitter.push(&chunk) {
+            Some(events) if contains_event(&events) => {
+                self.restart_gap(Instant::now());
+                self.has_partial = false;
+                StreamStep::Events(events)
+            }
+            _ if self.splitter.has_overflowed() => StreamStep::Broken(EVENT_TOO_LONG.to_string()),
+            _ => {
+                self.has_partial = true;
+                StreamStep::Other
+            }
+        }
+    }
+}
