Keep the message of an engine's error, however long it is

An error body of more than 16 KiB gave an empty message, and one that never ended held its request without a limit. The message is now what arrives of it within 1 s, at most 16 KiB; the status tells the verdict.

Status 499 counts as may-have-run: servers log it for clients that hung up, possibly midway.

--- a/laburnumlug-engine/src/client.rs
+++ b/laburnumlug-engine/src/client.rs
@@ -16,9 +16,12 @@
 /// Timeout for connecting to an engine.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Maximum size of an engine's error response; the message of a longer one is left empty.
+/// Maximum size of the message of an engine's error response; the rest of a longer one is not read.
 const MAX_ERROR_BODY_BYTES: usize = 16 * 1024;
 
+/// Maximum time for reading the message of an error response, whose status is known before.
+const ERROR_BODY_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Maximum size of a response of the admin interface.
 const MAX_ADMIN_RESPONSE_BYTES: usize = 1024 * 1024;
 
@@ -50,11 +53,7 @@
             .await
             .map_err(Error::http)?;
         if response.status() != 200 {
-            let body = response
-                .bytes(MAX_ERROR_BODY_BYTES)
-                .await
-                .unwrap_or_default();
-            let message = String::from_utf8_lossy(&body).into_owned();
+            let message = read_error_message(&mut response).await;
             return Err(Error::refused(response.status(), message));
         }
         Ok(CompletionStream {
@@ -121,6 +120,22 @@
     }
 }
 
+/// Returns the message of an error response, as far as it arrives and fits.
+async fn read_error_message(response: &mut ClientResponse) -> String {
+    let mut body = Vec::new();
+    let reading = async {
+        while body.len() < MAX_ERROR_BODY_BYTES
+            && let Ok(Some(chunk)) = response.chunk().await
+        {
+            body.extend_from_slice(&chunk);
+        }
+    };
+    // The status tells the verdict, so an incomplete message is no error of its own.
+    let _ = compio::time::timeout(ERROR_BODY_TIMEOUT, reading).await;
+    body.truncate(MAX_ERROR_BODY_BYTES);
+    String::from_utf8_lossy(&body).into_owned()
+}
+
 /// Event stream of a running completion; dropping it cancels the generation.
 pub struct CompletionStream {
     response: ClientResponse,
--- a/laburnumlug-engine/src/error.rs
+++ b/laburnumlug-engine/src/error.rs
@@ -56,12 +56,13 @@
     /// Returns whether the request may have run.
     ///
     /// An engine rejects a request with a client error or, without capacity, with 503 before it runs it. It may have run
-    /// a request that ended with another status, such as 500 from a failure midway.
+    /// a request that ended with another status, such as 500 from a failure midway, or 499, with which servers log that
+    /// the client has hung up.
     pub fn verdict(&self) -> Verdict {
         match &self.kind {
             ErrorKind::Http(err) if err.is_connect() => Verdict::NotRun,
             ErrorKind::Refused {
-                status: 400..=499 | 503,
+                status: 400..=498 | 503,
                 ..
             } => Verdict::NotRun,
             _ => Verdict::MayHaveRun,
--- a/laburnumlug-engine/src/error_tests.rs
+++ b/laburnumlug-engine/src/error_tests.rs
@@ -7,7 +7,7 @@
         let err = Error::refused(status, String::new());
         assert_eq!(err.verdict(), Verdict::NotRun, "{status}");
     }
-    for status in [201, 302, 500, 502, 504] {
+    for status in [201, 302, 499, 500, 502, 504] {
         let err = Error::refused(status, String::new());
         assert_eq!(err.verdict(), Verdict::MayHaveRun, "{status}");
     }
