Count a body whose end nothing shows as broken off

A buffered body without a length or chunks ends with its connection, also when the connection was broken off, and was passed on as a complete success. The same held for plain services behind target processes, and for all other answers that are read whole on a new connection.

A body without framing now counts as whole only if it is of a JSON type and a whole object or array; otherwise the answer is lost (502, or another target if the request may be repeated). Answers to HEAD, 204 and 304 have no body. To a caller with HTTP/1.0, which knows no chunks, the abort of a stream is shown by a reset of the connection.

Lengths and chunks that end early were errors before. Answers of control to operators have a length, which their clients check.

A stream without framing that ends between two events still counts as whole, as the test stream_unframed_whole asks for.

--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -37,13 +37,6 @@
 /// Reason why a stream is given up whose first event has begun and was not complete in time.
 const EVENT_STALLED: &str = "the first event of the stream was not complete in time";
 
-/// Returns whether a response has a length or chunks, so that its end is told from the end of its connection.
-fn is_framed(response: &PooledResponse) -> bool {
-    let headers = response.headers();
-    headers.contains_key(hyper::header::CONTENT_LENGTH)
-        || headers.contains_key(hyper::header::TRANSFER_ENCODING)
-}
-
 /// Returns whether a response is an event stream, as engines send unless they state another type.
 fn is_event_stream(response: &PooledResponse) -> bool {
     let content_type = response.headers().get(hyper::header::CONTENT_TYPE);
@@ -213,7 +206,7 @@
                 }
                 StreamStep::Other => partial_since = None,
                 StreamStep::End(_)
-                    if is_event_stream(&upstream.response) && !is_framed(&upstream.response) =>
+                    if is_event_stream(&upstream.response) && !upstream.response.is_framed() =>
                 {
                     self.record_failure(now, &target);
                     return Err(AttemptFailure::connection_broken(ENDED_INSIDE_EVENT));
--- a/laburnumlug-http/src/client.rs
+++ b/laburnumlug-http/src/client.rs
@@ -12,7 +12,7 @@
 use std::future::Future;
 use std::pin::{Pin, pin};
 
-use crate::body_reader::{next_chunk, read_body};
+use crate::body_reader::{Framing, next_chunk, read_whole_body};
 use crate::error::Error;
 use crate::socket;
 
@@ -31,6 +31,7 @@
     req: hyper::Request<Full<Bytes>>,
     connect_timeout: Duration,
 ) -> Result<ClientResponse, Error> {
+    let method = req.method().clone();
     let stream = socket::connect(addr, connect_timeout).await?;
     let (mut sender, conn) = http1::handshake(HyperStream::new_plain(stream))
         .await
@@ -47,6 +48,7 @@
     drop(sending);
     let (parts, body) = head.into_parts();
     Ok(ClientResponse {
+        framing: Framing::of(&method, parts.status, &parts.headers),
         status: parts.status.as_u16(),
         headers: parts.headers,
         body,
@@ -57,6 +59,7 @@
 
 /// Response whose body is still arriving.
 pub struct ClientResponse {
+    framing: Framing,
     status: u16,
     headers: hyper::HeaderMap,
     body: hyper::body::Incoming,
@@ -88,9 +91,10 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body is longer than `limit` or its connection breaks.
+    /// Fails when the body is longer than `limit`, its connection breaks, or nothing shows that the body is whole.
     pub async fn bytes(&mut self, limit: usize) -> Result<Bytes, Error> {
-        drive(&mut self.driver, read_body(&mut self.body, limit)).await
+        let reading = read_whole_body(self.framing, &mut self.body, limit);
+        drive(&mut self.driver, reading).await
     }
 }
 
--- a/laburnumlug-http/src/error.rs
+++ b/laburnumlug-http/src/error.rs
@@ -14,6 +14,7 @@
     Connect(io::Error),
     Exchange(hyper::Error),
     BodyTooLarge { limit: usize },
+    Unframed,
 }
 
 impl Error {
@@ -35,6 +36,12 @@
         }
     }
 
+    pub(crate) fn unframed() -> Error {
+        Error {
+            kind: ErrorKind::Unframed,
+        }
+    }
+
     /// Returns whether the connection could not be established, so the peer has seen nothing of the request.
     pub fn is_connect(&self) -> bool {
         matches!(self.kind, ErrorKind::Connect(_))
@@ -62,6 +69,9 @@
             ErrorKind::BodyTooLarge { limit } => {
                 write!(f, "the body is longer than {limit} bytes")
             }
+            ErrorKind::Unframed => f.write_str(
+                "the connection ended after a body without a length, which may be incomplete",
+            ),
         }
     }
 }
--- a/laburnumlug-http/src/pool.rs
+++ b/laburnumlug-http/src/pool.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 
-use crate::body_reader::{next_chunk, read_body};
+use crate::body_reader::{Framing, next_chunk, read_whole_body};
 use crate::connection::{Connection, RequestTag};
 use crate::error::Error;
 use crate::idle_limit::IdleLimit;
@@ -233,11 +233,13 @@
     req: hyper::Request<Full<Bytes>>,
 ) -> Result<PooledResponse, ExchangeError> {
     conn.begin_request(tag);
+    let method = req.method().clone();
     match conn.sender.try_send_request(req).await {
         Ok(head) => {
             let (parts, body) = head.into_parts();
             Ok(PooledResponse {
                 addr,
+                framing: Framing::of(&method, parts.status, &parts.headers),
                 status: parts.status.as_u16(),
                 headers: parts.headers,
                 body,
@@ -264,6 +266,7 @@
 /// Response whose body is still arriving, on a connection that can be returned to the pool afterwards.
 pub struct PooledResponse {
     addr: SocketAddr,
+    framing: Framing,
     status: u16,
     headers: hyper::HeaderMap,
     body: hyper::body::Incoming,
@@ -282,6 +285,11 @@
         &self.headers
     }
 
+    /// Returns whether the body has a length or chunks, so that its end is told from the end of its connection.
+    pub fn is_framed(&self) -> bool {
+        self.framing == Framing::Framed
+    }
+
     /// Returns the next chunk of the body, or `None` at its end.
     ///
     /// # Errors
@@ -297,9 +305,9 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body is longer than `limit` or its connection breaks.
+    /// Fails when the body is longer than `limit`, its connection breaks, or nothing shows that the body is whole.
     pub async fn bytes(&mut self, limit: usize) -> Result<Bytes, Error> {
-        let bytes = read_body(&mut self.body, limit).await?;
+        let bytes = read_whole_body(self.framing, &mut self.body, limit).await?;
         self.is_complete = true;
         Ok(bytes)
     }
--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -286,7 +286,11 @@
     let _ = set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
     let requests = Rc::new(RequestsInProgress::default());
     let started = requests.clone();
+    let socket = stream.clone();
+    let is_http_1_0 = Rc::new(Cell::new(false));
+    let set_http_1_0 = is_http_1_0.clone();
     let service = service_fn(move |mut req: Request| {
+        set_http_1_0.set(req.version() == hyper::Version::HTTP_10);
         req.extensions_mut().insert(PeerAddr(peer));
         let guard = started.clone().start();
         let response = handler.handle(req);
@@ -311,11 +315,15 @@
             with_timeout(limits.lifetime, conn).await
         }
     };
-    match result {
+    match &result {
         Some(Ok(())) => {}
         Some(Err(err)) => log::debug!("connection from {peer} failed: {err}"),
         None => log::debug!("closed connection from {peer}: lifetime exceeded"),
     }
+    if !matches!(result, Some(Ok(()))) && is_http_1_0.get() {
+        // A response without chunks ends with its connection, so only a reset shows that it was aborted.
+        let _ = socket.set_zero_linger();
+    }
 }
 
 /// Number of requests of one connection whose responses have not been sent.
