Keep targets that are leaving out of use after a gateway restarts

A gateway that restarts is told by the others which targets are leaving, but dropped what it was told before it had the first target list, which is the usual order. The others also told only of targets that their own list still showed, and not of those that only the list had shown as leaving. If an older list then showed the target as ready, it was used again.

Another address under the same name is another incarnation, which is used. The end of a connection between gateways is noticed at once, not at the next keepalive, and reconnection takes 300 ms, so that a restarted gateway learns of them within a second.

Tests: leaving_target_known_before_first_list, leaving_in_list_known_after_restart (platform) and leaving_after_restart (daemon, three restarts with a list that shows the target as ready) fail without the change.

--- a/laburnumlug-daemon/src/gateway_exchange/sender.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/sender.rs
@@ -17,8 +17,9 @@
 /// Timeout for connecting to another gateway. Handshakes are slow while many gateways start at the same time.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Delay before the next attempt to connect to a gateway.
-const RECONNECT_DELAY: Duration = Duration::from_millis(500);
+/// Delay before the next attempt to connect to a gateway. One that has restarted is to learn within a second which
+/// targets are leaving.
+const RECONNECT_DELAY: Duration = Duration::from_millis(300);
 
 impl GatewayExchange {
     /// Connects to one gateway and sends it events, reconnecting until the link is removed.
@@ -110,7 +111,8 @@
 
 /// Waits until an event is queued or a keepalive is due.
 ///
-/// Also receives the keepalives of a forwarder, and sets `last_received_at` to the time of the latest one.
+/// Also receives the keepalives of a forwarder, and sets `last_received_at` to the time of the latest one. The end of the
+/// connection is an error at once, as the gateway may have restarted.
 async fn wait_for_events(
     link: &Link,
     conn: &mut Connection,
@@ -118,12 +120,6 @@
 ) -> Result<(), Error> {
     let changed = link.changed.listen();
     let is_idle = link.outbox.borrow().is_empty();
-    if !link.route.forwards {
-        if is_idle {
-            let _ = compio::time::timeout(KEEPALIVE_INTERVAL, changed).await;
-        }
-        return Ok(());
-    }
     if is_idle {
         let waiting = pin!(compio::time::timeout(KEEPALIVE_INTERVAL, changed));
         match select(waiting, pin!(conn.recv())).await {
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod control;
 mod end_to_end;
 mod harness;
+mod leaving_after_restart;
 mod log_fields;
 mod operators;
 mod planned_stop;
--- a/laburnumlug-daemon/tests/it/platform_fleet.rs
+++ b/laburnumlug-daemon/tests/it/platform_fleet.rs
@@ -31,15 +31,26 @@
         Cluster::start_tolerating(1)
     }
 
+    /// Founds a cluster of three replicas, whose leader reads the target list at `list_addr` and tells gateways of it and of
+    /// each other.
+    pub fn start_with_list(list_addr: SocketAddr) -> Cluster {
+        Cluster::start_with_settings(1, &format!("target_list = {list_addr}\n"))
+    }
+
     /// Founds a cluster of `2 * losses + 1` replicas, which tolerates that many losses at once.
     pub fn start_tolerating(losses: usize) -> Cluster {
+        Cluster::start_with_settings(losses, "")
+    }
+
+    fn start_with_settings(losses: usize, lines: &str) -> Cluster {
         let folder = Folder::new();
         let addrs: Vec<(SocketAddr, SocketAddr)> = (0..=2 * losses)
             .map(|_| (free_addr(), free_addr()))
             .collect();
         let seeds: Vec<SocketAddr> = addrs.iter().map(|(mesh_addr, _)| *mesh_addr).collect();
         let replicas = addrs.iter().map(|(mesh_addr, operator_addr)| {
-            start_replica(&folder, losses, *mesh_addr, *operator_addr, &seeds, true)
+            let addrs = (*mesh_addr, *operator_addr);
+            start_replica_with_settings(&folder, losses, addrs, &seeds, true, lines)
         });
         Cluster {
             replicas: replicas.collect(),
@@ -85,13 +96,26 @@
     operator_addr: SocketAddr,
     seeds: &[SocketAddr],
     may_found: bool,
+) -> Replica {
+    let addrs = (mesh_addr, operator_addr);
+    start_replica_with_settings(folder, losses, addrs, seeds, may_found, "")
+}
+
+/// Starts a control replica with further lines of its settings, of which the first address is that of the mesh.
+fn start_replica_with_settings(
+    folder: &Folder,
+    losses: usize,
+    (mesh_addr, operator_addr): (SocketAddr, SocketAddr),
+    seeds: &[SocketAddr],
+    may_found: bool,
+    lines: &str,
 ) -> Replica {
     let name = format!("control-{}", mesh_addr.port());
     let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
     let text = format!(
         "[process]\nvm = {name}\nzone = z\n[mesh]\nkey = {MESH_KEY}\ncontrol = {}\n[control]\nname = {mesh_addr}\n\
          listen = {mesh_addr}\noperators = {operator_addr}\ndata = {}\npeers = mesh\nmay_found = {may_found}\n\
-         losses = {losses}\nplatform_operator = yes\ntokens = dev:{TOKEN_HASH}\n",
+         losses = {losses}\nplatform_operator = yes\ntokens = dev:{TOKEN_HASH}\n{lines}",
         seeds.join(","),
         folder.path().join(&name).display(),
     );
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -121,7 +121,8 @@
             .collect()
     }
 
-    /// Applies an engine event of another gateway; an event about a target that is not listed is ignored.
+    /// Applies an engine event of another gateway. An event about a target that is not listed is ignored, unless the target
+    /// is leaving.
     pub fn apply_engine_event(&self, now: Instant, sender: u64, event: EngineEvent) {
         let mut remote = self.engine_requests.remote.borrow_mut();
         match event {
@@ -224,8 +225,12 @@
                 }
             }
             EngineEvent::TargetLeaving { target } => {
-                if let Some(target) = self.live_target(&target) {
-                    self.record_leaving(now, &target);
+                match self.live_target(&target) {
+                    Some(target) => {
+                        self.record_leaving(now, &target);
+                    }
+                    // The events of other gateways may arrive before the first list.
+                    None => self.record_departed(now, &target),
                 }
             }
             EngineEvent::TargetCrashed {
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use event_listener::Event;
-use laburnumlug::{FleetDocument, FleetVersion, ServiceName, TargetList};
+use laburnumlug::{FleetDocument, FleetVersion, ServiceName, TargetList, TargetName};
 use laburnumlug_http::ConnectionPool;
 use laburnumlug_policy::{
     CrashAttribution, NoRoom, RetryBudget, RetrySchedule, SoftwareHistory, StreamOrigins,
@@ -234,6 +234,20 @@
         self.view.borrow().registry.find(instance)
     }
 
+    /// Remembers that a target is leaving, also while it is not listed.
+    pub(crate) fn record_departed(&self, now: Instant, instance: &TargetName) {
+        let registry = &mut self.view.borrow_mut().registry;
+        let target = registry.find(instance);
+        let addr = target.map(|target| target.listing.borrow().addr);
+        registry.departed.record(now, instance, addr);
+    }
+
+    /// Returns the names of the targets that are leaving or have left.
+    pub(crate) fn departed_targets(&self) -> Vec<TargetName> {
+        let view = self.view.borrow();
+        view.registry.departed.names().cloned().collect()
+    }
+
     /// Returns all targets of the newest target list.
     pub(crate) fn live_targets(&self) -> Vec<Rc<TargetHandle>> {
         self.view.borrow().registry.all()
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -31,6 +31,7 @@
 mod config;
 mod crashes;
 mod demand;
+mod departed_targets;
 mod engine_request_guard;
 mod engine_requests;
 mod engine_selection;
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -11,6 +11,8 @@
     KvCacheEstimate, PrefillQueue, RecentSuspects, TargetHealth, TargetStatus,
 };
 
+use crate::departed_targets::DepartedTargets;
+
 /// Initial estimate of an engine's prefill rate, until measurements replace it; about the rate of a current
 /// accelerator node with a model of 70 billion parameters.
 const INITIAL_PREFILL_TOKENS_PER_SECOND: f64 = 45_000.0;
@@ -116,6 +118,7 @@
     services: HashMap<ServiceName, Vec<Rc<TargetHandle>>>,
     /// Targets that are no longer listed, and since when; a list may lack a target by mistake.
     unlisted: HashMap<TargetName, (Instant, Rc<TargetHandle>)>,
+    pub(crate) departed: DepartedTargets,
 }
 
 impl TargetRegistry {
@@ -159,11 +162,23 @@
                             "discovered a target of service {}", listing.service
                         );
                     }
+                    let is_leaving = self.departed.contains(&listing.instance, listing.addr);
                     let handle = Rc::new(TargetHandle::new(read_at, listing));
+                    if is_leaving {
+                        log::info!(target = handle.instance.as_str(); "the newly listed target is leaving, as it or another gateway has stated: it gets no requests");
+                        handle.status.borrow_mut().record_leaving(read_at);
+                    }
                     discovered.push(handle.clone());
                     handle
                 }
             };
+            let (addr, leaving) = {
+                let listing = handle.listing.borrow();
+                (listing.addr, listing.leaving)
+            };
+            if leaving {
+                self.departed.record(read_at, &handle.instance, Some(addr));
+            }
             by_instance.insert(handle.instance.clone(), handle);
         }
         for (removed, handle) in self.by_instance.drain() {
--- a/laburnumlug-forward/src/target_statements.rs
+++ b/laburnumlug-forward/src/target_statements.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use laburnumlug::{EngineEvent, RequestId};
+use laburnumlug::{EngineEvent, RequestId, TargetName};
 
 use crate::attempt::AttemptFailure;
 use crate::forwarder::Forwarder;
@@ -27,7 +27,8 @@
             self.engine_requests.publish(limit_event(now, target));
         }
         if statements.leaving && self.record_leaving(now, target) {
-            self.engine_requests.publish(leaving_event(target));
+            self.engine_requests
+                .publish(leaving_event(target.instance.clone()));
         }
         if let Some(time) = statements.retry_after.filter(|time| !time.is_zero()) {
             log::info!(
@@ -42,6 +43,7 @@
     pub(crate) fn record_leaving(&self, now: Instant, target: &TargetHandle) -> bool {
         let is_new = target.status.borrow_mut().record_leaving(now);
         if is_new {
+            self.record_departed(now, &target.instance);
             log::info!(
                 target = target.instance.as_str();
                 "the target states that it is leaving: it gets no new requests"
@@ -137,7 +139,7 @@
         }
     }
 
-    /// Returns the events that describe the statements of all targets.
+    /// Returns the events that describe the statements of all targets, also of those that have left.
     pub(crate) fn statement_events(&self, now: Instant) -> Vec<EngineEvent> {
         let mut events = Vec::new();
         for target in self.live_targets() {
@@ -145,18 +147,14 @@
             if status.limit.requests_per_second().is_some() {
                 events.push(limit_event(now, &target));
             }
-            if status.is_leaving() {
-                events.push(leaving_event(&target));
-            }
         }
+        events.extend(self.departed_targets().into_iter().map(leaving_event));
         events
     }
 }
 
-fn leaving_event(target: &TargetHandle) -> EngineEvent {
-    EngineEvent::TargetLeaving {
-        target: target.instance.clone(),
-    }
+fn leaving_event(target: TargetName) -> EngineEvent {
+    EngineEvent::TargetLeaving { target }
 }
 
 fn limit_event(now: Instant, target: &TargetHandle) -> EngineEvent {
