--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -21,6 +21,9 @@
 /// Maximum size, in bytes, of a response body that is read and discarded so that the connection can be reused.
 const MAX_DRAINED_BYTES: usize = 64 * 1024;
 
+/// Time in which such a body must arrive; it is short and follows its head. A new connection takes a millisecond.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// A caller's request, as forwarded in each attempt.
 pub(crate) struct CallerRequest {
     pub(crate) metadata: RequestMetadata,
@@ -205,6 +208,19 @@
     }
 }
 
+/// Reads the body of a response, of at most `limit` bytes, within the time left for its request.
+pub(crate) async fn read_body(
+    request: &CallerRequest,
+    response: &mut PooledResponse,
+    limit: usize,
+) -> Result<Bytes, AttemptFailure> {
+    let time_left = request.time_left(Instant::now());
+    match compio::time::timeout(time_left, response.bytes(limit)).await {
+        Ok(body) => body.map_err(|err| AttemptFailure::answer_lost(err.to_string())),
+        Err(_) => Err(AttemptFailure::timed_out("no whole answer in time")),
+    }
+}
+
 impl Forwarder {
     /// Sends a request to a target and waits for the response head.
     ///
@@ -265,7 +281,7 @@
         *req.uri_mut() = request.path.clone();
         *req.headers_mut() = headers;
         let addr = target.listing.borrow().addr;
-        let mut sending = Box::pin(self.pool.send(now, addr, req));
+        let mut sending = Box::pin(self.pool.send(now, addr, &request.metadata.id, req));
         let limit = options.probe_after.min(attempt.time_left);
         let sent = compio::time::timeout(limit, sending.as_mut()).await;
         if sent.is_ok() || limit >= attempt.time_left {
@@ -336,6 +352,10 @@
         if metadata.id.as_ref() != Some(&request.metadata.id) {
             // The response to this request may still arrive, but responses on this connection can no longer be matched
             // to requests.
+            if metadata.id.is_some() {
+                let addr = target.listing.borrow().addr;
+                self.pool.record_wrong_answer(Instant::now(), addr);
+            }
             return Err(AttemptFailure::answer_lost(
                 "the answer is not this request's",
             ));
@@ -356,7 +376,8 @@
             );
         }
         let status = response.status();
-        if response.bytes(MAX_DRAINED_BYTES).await.is_ok() {
+        let drained = compio::time::timeout(DRAIN_TIMEOUT, response.bytes(MAX_DRAINED_BYTES)).await;
+        if matches!(drained, Ok(Ok(_))) {
             self.pool.recycle(Instant::now(), response);
         }
         Err(AttemptFailure::refused(status))
--- a/laburnumlug-forward/src/engine_request_guard.rs
+++ b/laburnumlug-forward/src/engine_request_guard.rs
@@ -150,6 +150,11 @@
         EventWait::new(self.target.clone())
     }
 
+    /// Records that a part of the answer has arrived.
+    pub(crate) fn record_event(&self, now: Instant) {
+        self.forwarder.record_event(now, &self.target);
+    }
+
     /// Records that the engine has not run the request.
     pub(crate) fn mark_not_run(&mut self) {
         self.suspects.clear();
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use event_listener::Event;
-use laburnumlug::{BootTime, FleetDocument, FleetVersion, ServiceName, TargetList};
+use laburnumlug::{BootTime, FleetDocument, FleetVersion, ServiceName, TargetList, TargetName};
 use laburnumlug_http::ConnectionPool;
 use laburnumlug_policy::{
     CrashAttribution, NoRoom, RetryBudget, RetrySchedule, SoftwareHistory, StreamOrigins,
@@ -66,6 +66,9 @@
     pub(crate) usage: UsageRecorder,
     /// Notified whenever a prompt part or the content of a request is blocked.
     pub(crate) request_blocked: Event,
+    /// Whether requests without an answer are given up, as the process is about to exit.
+    is_exiting: Cell<bool>,
+    exit_began: Event,
 }
 
 impl Forwarder {
@@ -93,6 +96,8 @@
             watches_engines: Cell::new(false),
             usage: UsageRecorder::default(),
             request_blocked: Event::new(),
+            is_exiting: Cell::new(false),
+            exit_began: Event::new(),
         })
     }
 
@@ -209,6 +214,19 @@
         self.close_after_response.set(true);
     }
 
+    /// Gives up all requests that have no answer yet; their callers are told at once.
+    pub fn give_up_requests(&self) {
+        self.is_exiting.set(true);
+        self.exit_began.notify(usize::MAX);
+    }
+
+    /// Waits until [`Forwarder::give_up_requests`] is called.
+    pub(crate) async fn exiting(&self) {
+        while !self.is_exiting.get() {
+            self.exit_began.listen().await;
+        }
+    }
+
     /// Returns the health check path of a service, or [`DEFAULT_HEALTH_PATH`] if none is configured.
     pub(crate) fn health_path(&self, service: &str) -> String {
         let view = self.view.borrow();
@@ -224,6 +242,20 @@
         self.view.borrow().registry.find(instance)
     }
 
+    /// Remembers that a target is leaving, also while it is not listed.
+    pub(crate) fn record_departed(&self, now: Instant, instance: &TargetName) {
+        let registry = &mut self.view.borrow_mut().registry;
+        let target = registry.find(instance);
+        let addr = target.map(|target| target.listing.borrow().addr);
+        registry.departed.record(now, instance, addr);
+    }
+
+    /// Returns the names of the targets that are leaving or have left.
+    pub(crate) fn departed_targets(&self) -> Vec<TargetName> {
+        let view = self.view.borrow();
+        view.registry.departed.names().cloned().collect()
+    }
+
     /// Returns all targets of the newest target list.
     pub(crate) fn live_targets(&self) -> Vec<Rc<TargetHandle>> {
         self.view.borrow().registry.all()
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -33,6 +33,7 @@
 mod customer_shares;
 mod customers;
 mod demand;
+mod departed_targets;
 mod engine_request_guard;
 mod engine_requests;
 mod engine_selection;
--- a/laburnumlug-http/src/error.rs
+++ b/laburnumlug-http/src/error.rs
@@ -15,6 +15,7 @@
     Exchange(hyper::Error),
     TimedOut,
     BodyTooLarge { limit: usize },
+    Unframed,
 }
 
 impl Error {
@@ -42,6 +43,12 @@
         }
     }
 
+    pub(crate) fn unframed() -> Error {
+        Error {
+            kind: ErrorKind::Unframed,
+        }
+    }
+
     /// Returns whether the connection could not be established, so the peer has seen nothing of the request.
     pub fn is_connect(&self) -> bool {
         matches!(self.kind, ErrorKind::Connect(_))
@@ -70,6 +77,9 @@
             ErrorKind::BodyTooLarge { limit } => {
                 write!(f, "the body is longer than {limit} bytes")
             }
+            ErrorKind::Unframed => f.write_str(
+                "the connection ended after a body without a length, which may be incomplete",
+            ),
         }
     }
 }
