Count the parts that queued prompts add to an engine's cache

In the first seconds of a service many prompts share a part that no engine has cached yet. Each was counted with the prefill of the whole part, also behind another prompt with the same part at the same engine. So the engine seemed to be busy for longer than it was, and prompts were sent to others, which prefilled the part as well.

Parts of queued prompts now count as cached for the prompts behind them. A prompt takes their priority if it is less urgent than its own, unless its own prefill of the part would end sooner. A placement takes one more map look-up for each part that an engine has not cached.

--- a/laburnumlug-forward/src/engine_request_guard.rs
+++ b/laburnumlug-forward/src/engine_request_guard.rs
@@ -24,6 +24,8 @@
     memory_tokens: u64,
     sent_at: Instant,
     predicted_prefill: Duration,
+    /// Whether the engine prefills the prompt, and has not done so yet.
+    adds_parts: bool,
     is_prefilled: bool,
     first_event_at: Option<Instant>,
     is_complete: bool,
@@ -56,6 +58,11 @@
         let predicted_prefill =
             prefill_queue.waiting_time(now, priority) + prefill_queue.prefill_time(work);
         prefill_queue.enqueue(now, (LOCAL_SENDER, number), priority, work);
+        let adds_parts = uncached_tokens > 0;
+        if adds_parts {
+            let mut pending_parts = target.pending_parts.borrow_mut();
+            pending_parts.add(prompt_parts, priority);
+        }
         let service = target.listing.borrow().service.clone();
         let prefill_time = target.prefill_engine_time(prefill_queue.prefill_time(work));
         engine_requests
@@ -101,6 +108,7 @@
             memory_tokens,
             sent_at: now,
             predicted_prefill,
+            adds_parts,
             is_prefilled: false,
             first_event_at: None,
             is_complete: false,
@@ -112,6 +120,7 @@
     /// Records and publishes that the engine has prefilled the prompt and caches it.
     pub(crate) fn mark_prefilled(&mut self, now: Instant) {
         self.is_prefilled = true;
+        self.remove_pending_parts();
         self.forwarder.record_sign_of_life(now, &self.target);
         let taken = now.saturating_duration_since(self.sent_at);
         let delay = taken.saturating_sub(self.predicted_prefill + FIRST_TOKEN_OVERHEAD);
@@ -125,6 +134,13 @@
             .publish(EngineEvent::PrefillDone { number });
     }
 
+    fn remove_pending_parts(&mut self) {
+        if std::mem::take(&mut self.adds_parts) {
+            let mut pending_parts = self.target.pending_parts.borrow_mut();
+            pending_parts.remove(&self.prompt_parts);
+        }
+    }
+
     /// Records that the first event of the answer has arrived, for which the prompt was prefilled.
     pub(crate) fn mark_decoding(&mut self, now: Instant) {
         self.first_event_at = Some(now);
@@ -156,6 +172,7 @@
         self.target
             .own_requests
             .set(self.target.own_requests.get() - 1);
+        self.remove_pending_parts();
         let (number, is_complete) = (self.number, self.is_complete);
         if !self.is_prefilled {
             let mut prefill_queue = self.target.prefill_queue.borrow_mut();
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -39,9 +39,20 @@
         prompt_tokens.saturating_add(self.output_tokens)
     }
 
+    /// Removes the parts that the request was to add to the engine's cache, unless it only decodes a prompt.
+    fn remove_pending_parts(&self) {
+        if self.work > 0 {
+            let mut pending_parts = self.target.pending_parts.borrow_mut();
+            pending_parts.remove(&self.prompt_parts);
+        }
+    }
+
     /// Records that the engine no longer processes the request.
     fn end(&self, now: Instant, id: PrefillId) {
         let target = &self.target;
+        if !self.is_prefilled {
+            self.remove_pending_parts();
+        }
         target.prefill_queue.borrow_mut().cancel(now, id);
         target.in_flight.set(target.in_flight.get() - 1);
         let mut memory = target.memory.borrow_mut();
@@ -167,6 +178,10 @@
                     .enqueue(now, (sender, number), priority, work);
                 target.in_flight.set(target.in_flight.get() + 1);
                 let prompt_parts = PromptParts::from_parts(parts);
+                if work > 0 {
+                    let mut pending_parts = target.pending_parts.borrow_mut();
+                    pending_parts.add(&prompt_parts, priority);
+                }
                 let request = RemoteRequest {
                     target,
                     prompt_parts,
@@ -183,7 +198,9 @@
             }
             EngineEvent::PrefillDone { number } => {
                 if let Some(request) = remote.get_mut(&(sender, number)) {
-                    request.is_prefilled = true;
+                    if !std::mem::replace(&mut request.is_prefilled, true) {
+                        request.remove_pending_parts();
+                    }
                     self.record_sign_of_life(now, &request.target);
                     let mut prefill_queue = request.target.prefill_queue.borrow_mut();
                     prefill_queue.complete(now, (sender, number), FIRST_TOKEN_OVERHEAD);
--- a/laburnumlug-forward/src/engine_selection.rs
+++ b/laburnumlug-forward/src/engine_selection.rs
@@ -5,8 +5,7 @@
 
 use laburnumlug::{EngineTraits, Role};
 use laburnumlug_policy::{
-    EngineView, LATE_PRIORITY, NoRoom, PromptParts, PromptView, place_prompt, prefill_priority,
-    prefill_work,
+    EngineView, LATE_PRIORITY, NoRoom, PromptParts, PromptView, place_prompt,
 };
 use rand::Rng;
 
@@ -58,24 +57,24 @@
             self.engine_requests.demand.hold_time(service)
         });
         let kv_cache_tokens = (traits.memory_tokens.get() as f64 * KV_CACHE_SHARE) as u64;
-        let views: Vec<EngineView> = targets
+        let (views, priorities): (Vec<EngineView>, Vec<u8>) = targets
             .iter()
             .map(|target| {
                 let listing = target.listing.borrow();
                 let prefill_queue = target.prefill_queue.borrow();
-                target.kv_cache.borrow_mut().resize(kv_cache_tokens);
-                let cached_tokens = target.kv_cache.borrow().matched_tokens(prompt_parts);
-                let uncached_tokens = prompt.prompt_tokens.saturating_sub(cached_tokens);
-                let work = prefill_work(uncached_tokens, prompt.prompt_tokens);
-                let priority = prefill_priority(request.rank, work);
-                EngineView {
+                let mut kv_cache = target.kv_cache.borrow_mut();
+                kv_cache.resize(kv_cache_tokens);
+                let matched = kv_cache.match_prompt(prompt_parts, &target.pending_parts.borrow());
+                let estimate =
+                    prefill_queue.estimate(now, request.rank, prompt.prompt_tokens, &matched);
+                let view = EngineView {
                     instance: target.instance.clone(),
                     role: listing.role.unwrap_or(Role::Mixed),
                     is_same_zone: listing.zone == self.cfg.zone,
-                    queue_wait: prefill_queue.waiting_time(now, priority)
+                    queue_wait: estimate.wait
                         + FAILED_ATTEMPT_DELAY.mul_f64(target.health.borrow().failure_rate()),
                     prefill_rate: prefill_queue.rate(),
-                    cached_tokens,
+                    cached_tokens: estimate.cached_tokens,
                     running: target.in_flight.get(),
                     slots: listing.slots.max(1),
                     memory_tokens: traits.memory_tokens.get(),
@@ -83,9 +82,10 @@
                     slot_time,
                     limit_wait: target.status.borrow().limit.wait(now),
                     jitter: rand::rng().random_range(Duration::ZERO..MAX_PLACEMENT_JITTER),
-                }
+                };
+                (view, estimate.priority)
             })
-            .collect();
+            .unzip();
         let unshared_tokens = prompt_parts.parts().last().map_or(0, |part| part.1);
         let view = PromptView {
             affinity_part: prompt_parts.affinity_part(),
@@ -97,10 +97,10 @@
             kv_transfer_time_per_token: kv_transfer_time_per_token(traits),
         };
         let placement = place_prompt(&view, &views)?;
-        let work = prefill_work(placement.uncached_tokens, prompt.prompt_tokens);
+        let reader = placement.prefill_engine.unwrap_or(placement.decode_engine);
         let priority = match placement.is_late(route.latency_objective) {
             true => LATE_PRIORITY,
-            false => prefill_priority(request.rank, work),
+            false => priorities[reader],
         };
         let decode_engine = targets[placement.decode_engine].clone();
         let prefill_engine = placement.prefill_engine.map(|i| targets[i].clone());
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -8,8 +8,8 @@
 use event_listener::Event;
 use laburnumlug::{LiveTarget, Role, ServiceName, TargetList, TargetName};
 use laburnumlug_policy::{
-    EngineActivity, EngineMemory, KvCacheEstimate, PrefillQueue, RecentSuspects, TargetHealth,
-    TargetStatus,
+    EngineActivity, EngineMemory, KvCacheEstimate, PendingParts, PrefillQueue, RecentSuspects,
+    TargetHealth, TargetStatus,
 };
 
 /// Initial estimate of an engine's prefill rate, until measurements replace it; about the rate of a current
@@ -56,6 +56,8 @@
     pub(crate) prefill_queue: RefCell<PrefillQueue>,
     pub(crate) memory: RefCell<EngineMemory>,
     pub(crate) kv_cache: RefCell<KvCacheEstimate>,
+    /// Parts that the prompts in the prefill queue will add to the cache.
+    pub(crate) pending_parts: RefCell<PendingParts>,
     /// Whether the cached prompts that the engine held when it was discovered are known.
     pub(crate) is_cache_known: Cell<bool>,
     /// When this process fetched the cached prompts, or `None` if it did not.
@@ -89,6 +91,7 @@
             prefill_queue: RefCell::new(PrefillQueue::new(now, rate)),
             memory: RefCell::default(),
             kv_cache: RefCell::new(KvCacheEstimate::new(DEFAULT_KV_CACHE_TOKENS)),
+            pending_parts: RefCell::default(),
             is_cache_known: Cell::new(false),
             inspected_at: Cell::default(),
             status: RefCell::default(),
--- a/laburnumlug-policy/src/kv_cache.rs
+++ b/laburnumlug-policy/src/kv_cache.rs
@@ -4,6 +4,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use crate::crash_attribution::Suspect;
+use crate::pending_parts::PendingParts;
 
 /// Sequence number of the first use. Lower numbers are for parts that other processes or the engine report.
 const FIRST_USE_NUMBER: u64 = 1 << 32;
@@ -74,6 +75,17 @@
     }
 }
 
+/// Leading tokens of a prompt that an engine has cached, or will have cached when it has prefilled what is queued there.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct CacheMatch {
+    /// Leading tokens that the engine has probably cached.
+    pub cached_tokens: u64,
+    /// Leading tokens that it will have cached, including `cached_tokens`.
+    pub expected_tokens: u64,
+    /// Priority from which the prompts that add the further tokens are prefilled before; `None` if there are none.
+    pub pending_priority: Option<u8>,
+}
+
 /// Bounded LRU estimate of the prompt parts in the KV cache of one engine.
 #[derive(Clone, Debug)]
 pub struct KvCacheEstimate {
@@ -112,6 +124,24 @@
         cached.map(|part| part.1).sum()
     }
 
+    /// Matches a prompt with what the engine has cached and with what the prompts in its queue will add.
+    pub fn match_prompt(&self, prompt: &PromptParts, pending: &PendingParts) -> CacheMatch {
+        let mut matched = CacheMatch::default();
+        for (part, tokens) in &prompt.parts {
+            if !self.parts.contains_key(part) {
+                let Some(priority) = pending.priority(*part) else {
+                    break;
+                };
+                matched.pending_priority = matched.pending_priority.max(Some(priority));
+            }
+            matched.expected_tokens += tokens;
+            if matched.pending_priority.is_none() {
+                matched.cached_tokens = matched.expected_tokens;
+            }
+        }
+        matched
+    }
+
     /// Records that the engine has completed prefill of a prompt, and evicts parts over the limit in LRU order.
     pub fn insert(&mut self, prompt: &PromptParts) {
         // A part is useless without the parts before it, so the earlier parts are marked as the more recently used.
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -40,7 +40,8 @@
 sends requests to.
 
 [`place_prompt`] selects the prefill and decode engines of a prompt from their [`PrefillQueue`]s and
-[`KvCacheEstimate`]s. [`plan_roles`] divides the engines of a service between the roles by the [`Demand`] for each
+[`KvCacheEstimate`]s. [`PendingParts`] tracks what the queued
+prompts will add to the caches. [`plan_roles`] divides the engines of a service between the roles by the [`Demand`] for each
 phase, which a [`DemandMeter`] samples from the reports of gateways.
 
 [`EngineMemory`] predicts the memory that the requests of an engine use. [`EngineActivity`] detects engines that have stopped responding, from their signs of life and what they have in progress.
@@ -75,6 +76,7 @@
 mod inspection;
 mod kv_cache;
 mod output_length;
+mod pending_parts;
 mod placement;
 mod prefill_queue;
 mod prefix;
@@ -116,13 +118,14 @@
 pub use crate::forecast::{finish_times, prefill_wait_time};
 pub use crate::health::TargetHealth;
 pub use crate::inspection::inspection_delay;
-pub use crate::kv_cache::{KvCacheEstimate, PartId, PromptParts, part_id};
+pub use crate::kv_cache::{CacheMatch, KvCacheEstimate, PartId, PromptParts, part_id};
 pub use crate::output_length::OutputPredictor;
+pub use crate::pending_parts::PendingParts;
 pub use crate::placement::{
     EngineView, FIRST_TOKEN_OVERHEAD, NoRoom, Placement, PromptView, place_prompt,
 };
 pub use crate::prefill_queue::{
-    LATE_PRIORITY, PrefillId, PrefillQueue, prefill_priority, prefill_work,
+    LATE_PRIORITY, PrefillEstimate, PrefillId, PrefillQueue, prefill_priority, prefill_work,
 };
 pub use crate::prefix::{PrefixHashes, PrefixIndex};
 pub use crate::rates::{EngineRates, RateMeter};
--- a/laburnumlug-policy/src/placement.rs
+++ b/laburnumlug-policy/src/placement.rs
@@ -365,3 +365,7 @@
 #[cfg(test)]
 #[path = "placement_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "first_reads_tests.rs"]
+mod first_reads_tests;
--- a/laburnumlug-policy/src/prefill_queue.rs
+++ b/laburnumlug-policy/src/prefill_queue.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::kv_cache::CacheMatch;
+
 /// Minimum weight of the newest prompt in the moving average of an engine's prefill rate. The first prompts weigh more,
 /// as the initial estimate may be far off.
 const MIN_NEWEST_RATE_WEIGHT: f64 = 0.1;
@@ -55,6 +57,17 @@
     (priority as u8).min(LATE_PRIORITY - 1)
 }
 
+/// Predicted prefill of a prompt that is not sent yet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PrefillEstimate {
+    /// Time until the engine starts the prefill.
+    pub wait: Duration,
+    /// Leading tokens that it has cached by then.
+    pub cached_tokens: u64,
+    /// Priority that the prompt needs for that.
+    pub priority: u8,
+}
+
 #[derive(Clone, Debug)]
 struct QueuedPrompt {
     id: PrefillId,
@@ -224,6 +237,41 @@
         queued.saturating_sub(progress) + self.recent_delay(now)
     }
 
+    /// Predicts the prefill of a prompt of `tokens` tokens from a route with this rank.
+    ///
+    /// If queued prompts will add leading parts of it to the cache, it waits for them unless its own prefill of these parts
+    /// would end sooner.
+    pub fn estimate(
+        &self,
+        now: Instant,
+        rank: u32,
+        tokens: u64,
+        matched: &CacheMatch,
+    ) -> PrefillEstimate {
+        let work = |cached: u64| prefill_work(tokens.saturating_sub(cached), tokens);
+        let own_priority = prefill_priority(rank, work(matched.cached_tokens));
+        let at = |priority, cached_tokens| PrefillEstimate {
+            wait: self.waiting_time(now, priority),
+            cached_tokens,
+            priority,
+        };
+        let Some(pending_priority) = matched.pending_priority else {
+            return at(own_priority, matched.cached_tokens);
+        };
+        let after_pending = at(own_priority.max(pending_priority), matched.expected_tokens);
+        if pending_priority <= own_priority {
+            return after_pending;
+        }
+        let before_pending = at(own_priority, matched.cached_tokens);
+        let end = |estimate: &PrefillEstimate| {
+            estimate.wait + self.prefill_time(work(estimate.cached_tokens))
+        };
+        match end(&before_pending) < end(&after_pending) {
+            true => before_pending,
+            false => after_pending,
+        }
+    }
+
     /// Predicts how long the engine takes to prefill `work`.
     pub fn prefill_time(&self, work: u64) -> Duration {
         Duration::from_secs_f64(work as f64 / self.rate())
