Leave out overtaken prompts when the delay of an engine is measured

A prompt that is predicted to be late gets the lowest priority, and all that are sent later overtake it. The time that this took counted as a delay of its engine, which was added to the predicted wait of all others there. They were taken for late or sent elsewhere, although the engine had no more to do than was known.

The work that overtakes a queued prompt is now subtracted from its delay.

The unit test has a late prompt that is overtaken for 1 s; the recorded delay would have been 1 s and is 0.

--- a/laburnumlug-forward/src/engine_request_guard.rs
+++ b/laburnumlug-forward/src/engine_request_guard.rs
@@ -123,9 +123,11 @@
         self.remove_pending_parts();
         self.forwarder.record_sign_of_life(now, &self.target);
         let taken = now.saturating_duration_since(self.sent_at);
-        let delay = taken.saturating_sub(self.predicted_prefill + FIRST_TOKEN_OVERHEAD);
+        let id = (LOCAL_SENDER, self.number);
         let mut prefill_queue = self.target.prefill_queue.borrow_mut();
-        prefill_queue.complete(now, (LOCAL_SENDER, self.number), FIRST_TOKEN_OVERHEAD);
+        let expected = self.predicted_prefill + prefill_queue.overtaken_time(id);
+        let delay = taken.saturating_sub(expected + FIRST_TOKEN_OVERHEAD);
+        prefill_queue.complete(now, id, FIRST_TOKEN_OVERHEAD);
         prefill_queue.record_delay(now, delay);
         self.target.kv_cache.borrow_mut().insert(&self.prompt_parts);
         let number = self.number;
--- a/laburnumlug-policy/src/prefill_queue.rs
+++ b/laburnumlug-policy/src/prefill_queue.rs
@@ -76,6 +76,8 @@
     sent_at: Instant,
     /// Whether no other prompt was queued or in prefill when this one was sent.
     queue_was_empty: bool,
+    /// Work of the prompts of more urgent priorities that were sent after this one, before its prefill.
+    overtaken_by: u64,
 }
 
 /// Prompts that were sent to an engine and whose prefill is not known to have completed, in the order of sending.
@@ -155,12 +157,19 @@
 
     /// Adds a prompt whose prefill takes `work`.
     pub fn enqueue(&mut self, now: Instant, id: PrefillId, priority: u8, work: u64) {
+        let active = self.active.map(|(id, _)| id);
+        let overtaken = self
+            .prompts
+            .iter_mut()
+            .filter(|prompt| prompt.priority > priority && Some(prompt.id) != active);
+        overtaken.for_each(|prompt| prompt.overtaken_by += work);
         self.prompts.push(QueuedPrompt {
             id,
             priority,
             work,
             sent_at: now,
             queue_was_empty: self.prompts.is_empty(),
+            overtaken_by: 0,
         });
         self.activate_next(now);
     }
@@ -196,6 +205,15 @@
         }
     }
 
+    /// Returns the time for which a queued prompt was delayed by more urgent ones that were sent after it.
+    ///
+    /// No prompt that is sent now will wait for that. If it counted as a delay of the engine, one late prompt, which all
+    /// others overtake, would make the engine appear busy, and those sent next would be taken for late as well.
+    pub fn overtaken_time(&self, id: PrefillId) -> Duration {
+        let prompt = self.prompts.iter().find(|prompt| prompt.id == id);
+        self.prefill_time(prompt.map_or(0, |prompt| prompt.overtaken_by))
+    }
+
     /// Records by how much a first token came later than predicted.
     ///
     /// The recorded delay is at least half of what remains of the previous one after its decay.
--- a/laburnumlug-policy/src/prefill_queue_tests.rs
+++ b/laburnumlug-policy/src/prefill_queue_tests.rs
@@ -193,3 +193,32 @@
     assert!(prefill_work(1_000, 1_000) < 1_020);
     assert!(prefill_work(1_000, 50_000) > 1_900);
 }
+
+/// A late prompt is overtaken for a second by urgent ones. The engine is not slow, and prompts sent next must not be taken for
+/// late.
+#[test]
+fn overtaken_time_of_late_prompt() {
+    let start = Instant::now();
+    let mut now = start;
+    let mut queue = PrefillQueue::new(now, 50_000.0);
+    queue.enqueue(now, (0, 0), 5, 5_000);
+    let predicted = queue.waiting_time(now, LATE_PRIORITY) + queue.prefill_time(10_000);
+    queue.enqueue(now, (0, 1), LATE_PRIORITY, 10_000);
+    for number in 2..12 {
+        queue.enqueue(now, (0, number), 3, 5_000);
+        now += Duration::from_millis(100);
+        queue.complete(
+            now,
+            (0, if number == 2 { 0 } else { number - 1 }),
+            Duration::ZERO,
+        );
+    }
+    now += Duration::from_millis(100);
+    queue.complete(now, (0, 11), Duration::ZERO);
+    // Sent during the prefill of the late prompt, so that it does not delay that one.
+    queue.enqueue(now, (0, 12), 3, 5_000);
+    now += Duration::from_millis(200);
+    let overtaken = queue.overtaken_time((0, 1));
+    assert_eq!(overtaken, Duration::from_secs(1));
+    assert_eq!(now - start, predicted + overtaken);
+}
