Inspect engines one at a time, and not while they prefill

After a restart of all gateways, the second and the third gateway inspected an engine 0.4 s and 0.8 s after the first, whose inspection may take 0.8 s. An engine under load thus had two lists to make at once, and each delayed the prompts there.

The delay between inspectors now exceeds an inspection's longest time, and an inspection is put off for up to 0.5 s while the engine has prompts to prefill.

Not measured under load; the tests check the schedule.

--- a/laburnumlug-forward/src/probe.rs
+++ b/laburnumlug-forward/src/probe.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{EngineEvent, TargetName};
-use laburnumlug_policy::{inspection_delay, part_id};
+use laburnumlug_policy::{INSPECTION_TIMEOUT, inspection_delay, may_inspect, part_id};
 use rand::Rng;
 
 use crate::forwarder::Forwarder;
@@ -32,8 +32,8 @@
 /// inspect engines before they are connected to each other.
 const INSPECTION_REPORT_TIME: Duration = Duration::from_secs(10);
 
-/// Timeout for an engine to list its cached prompt parts.
-const INSPECTION_TIMEOUT: Duration = Duration::from_millis(800);
+/// Interval at which an inspection that is put off checks whether the engine is idle.
+const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
 /// A prompt part in the cache of an engine.
 #[derive(Clone, Debug, PartialEq)]
@@ -152,6 +152,13 @@
         let forwarder = self.clone();
         compio::runtime::spawn(async move {
             forwarder.wait_for_inspection_turn(&target.instance).await;
+            let mut waited = Duration::ZERO;
+            while !may_inspect(waited, target.prefill_queue.borrow().pending_work() > 0)
+                && !target.is_cache_known.get()
+            {
+                compio::time::sleep(IDLE_POLL_INTERVAL).await;
+                waited += IDLE_POLL_INTERVAL;
+            }
             let declines = target.status.borrow().decline(Instant::now()).is_some();
             if target.is_cache_known.get() || declines {
                 return;
--- a/laburnumlug-policy/src/inspection_tests.rs
+++ b/laburnumlug-policy/src/inspection_tests.rs
@@ -31,3 +31,23 @@
     }
     assert!(inspection_delay(None, 0.99) < FALLBACK_DELAY);
 }
+
+/// An engine under load needs almost the whole timeout. Two lists at once would delay its prompts for twice as long.
+#[test]
+fn inspection_delay_one_at_a_time() {
+    for rank in 1..INSPECTORS {
+        let end_of_previous =
+            inspection_delay(Some(rank - 1), 0.5) + MAX_BUSY_WAIT + INSPECTION_TIMEOUT;
+        assert!(inspection_delay(Some(rank), 0.5) > end_of_previous);
+    }
+    // One that was put off ends before the gateways inspect that are to do so only if no result reached them.
+    let last = inspection_delay(Some(INSPECTORS - 1), 0.5) + MAX_BUSY_WAIT + INSPECTION_TIMEOUT;
+    assert!(inspection_delay(Some(INSPECTORS), 0.0) > last);
+}
+
+#[test]
+fn may_inspect_busy_engine_in_the_end() {
+    assert!(may_inspect(Duration::ZERO, false));
+    assert!(!may_inspect(Duration::from_millis(100), true));
+    assert!(may_inspect(MAX_BUSY_WAIT, true));
+}
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -117,7 +117,7 @@
 pub use crate::fairness::CallerActivity;
 pub use crate::forecast::{finish_times, prefill_wait_time};
 pub use crate::health::TargetHealth;
-pub use crate::inspection::inspection_delay;
+pub use crate::inspection::{INSPECTION_TIMEOUT, inspection_delay, may_inspect};
 pub use crate::kv_cache::{CacheMatch, KvCacheEstimate, PartId, PromptParts, part_id};
 pub use crate::output_length::OutputPredictor;
 pub use crate::pending_parts::PendingParts;
