Tell measured prefill rates to gateways that connect

A gateway that restarted assumed 45,000 tokens a second for each prefill engine until it had measured them itself, while the others knew their rates.

The gateways that send the cached prompts to a new one now send the measured rates first. A reported rate counts as one sample and is kept within the bounds of a measurement; 0 is ignored, and values that are no whole numbers make the event one that cannot be decoded, which is skipped. After a stop of all gateways nobody knows rates.

--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -120,8 +120,8 @@
     /// Returns the events that bring a newly connected gateway up to date about the requests of this one, the crashes of
     /// targets and their statements.
     ///
-    /// Includes the long lists of what most gateways know if `includes_shared_state`: the cached prompts of all engines and the
-    /// streams that callers may resume. Otherwise it includes the cached prompts of recently inspected engines.
+    /// Includes the long lists of what most gateways know if `includes_shared_state`: the rates and cached prompts of all engines
+    /// and the streams that callers may resume. Otherwise it includes the cached prompts of recently inspected engines.
     pub fn engine_snapshot(&self, now: Instant, includes_shared_state: bool) -> Vec<EngineEvent> {
         let engines_with_known_cache = self.engines().into_iter().filter(|target| {
             let is_included = includes_shared_state || self.has_recent_inspection(now, target);
@@ -131,12 +131,20 @@
             engine: target.instance.clone(),
             parts: target.kv_cache.borrow().parts(),
         });
+        let rates = self.engines().into_iter().filter_map(|target| {
+            let tokens_per_s = target.prefill_queue.borrow().measured_rate();
+            Some(EngineEvent::PrefillRate {
+                engine: target.instance.clone(),
+                tokens_per_s: tokens_per_s.filter(|_| includes_shared_state)?,
+            })
+        });
         let stream_events = match includes_shared_state {
             true => self.stream_events(now),
             false => Vec::new(),
         };
         let local = self.engine_requests.local.borrow();
-        cache_contents
+        rates
+            .chain(cache_contents)
             .chain(self.crash_events(now))
             .chain(self.statement_events(now))
             .chain(stream_events)
@@ -279,6 +287,15 @@
                     self.report_unfinished_requests(now, &target, age);
                 }
             }
+            EngineEvent::PrefillRate {
+                engine,
+                tokens_per_s,
+            } => {
+                if let Some(target) = self.live_target(&engine) {
+                    let mut prefill_queue = target.prefill_queue.borrow_mut();
+                    prefill_queue.record_reported_rate(tokens_per_s);
+                }
+            }
             EngineEvent::CacheContents { engine, parts } => {
                 if let Some(target) = self.live_target(&engine) {
                     target.is_cache_known.set(true);
--- a/laburnumlug-mesh/src/unknown_events_tests.rs
+++ b/laburnumlug-mesh/src/unknown_events_tests.rs
@@ -43,12 +43,26 @@
     Value::Map(vec![(Value::from(kind), fields)])
 }
 
+fn rate(tokens_per_s: Value) -> Value {
+    event(
+        "Rate",
+        &[
+            ("engine", Value::from("i-1")),
+            ("tokens_per_s", tokens_per_s),
+        ],
+    )
+}
+
 /// Returns events that this version cannot decode: of an unknown kind, with a field missing or of another type, and values
 /// that are no events.
 fn unknown_events() -> Vec<Value> {
     vec![
         event("Planned", &[("target", Value::from("i-1"))]),
         event("Leaving", &[]),
+        rate(Value::from(0.0)),
+        rate(Value::from(f64::NAN)),
+        rate(Value::from(1e308)),
+        rate(Value::from(-1)),
         event("Leaving", &[("target", Value::from(5))]),
         event("Sent", &[("number", Value::from("x"))]),
         Value::from("Leaving"),
--- a/laburnumlug-policy/src/prefill_queue.rs
+++ b/laburnumlug-policy/src/prefill_queue.rs
@@ -134,6 +134,22 @@
         (self.rate_samples > 0).then(|| self.rate / self.initial_rate)
     }
 
+    /// Returns the measured rate in whole tokens of work per second, or `None` without rate samples.
+    pub fn measured_rate(&self) -> Option<u64> {
+        (self.rate_samples > 0).then_some(self.rate as u64)
+    }
+
+    /// Records the rate that another process has measured, unless this process knows one.
+    ///
+    /// It counts as one sample, so that own measurements soon outweigh it. It is clamped to the bounds of a measurement, and 0
+    /// is ignored, as no engine can have that rate.
+    pub fn record_reported_rate(&mut self, tokens_per_second: u64) {
+        if tokens_per_second > 0 && self.rate_samples == 0 {
+            self.rate_samples = 1;
+            self.rate = self.clamp_rate(tokens_per_second as f64);
+        }
+    }
+
     /// Sets the typical rate of the engines with the same service and role.
     pub fn set_peer_rate(&mut self, rate: f64) {
         self.peer_rate = Some(rate);
@@ -195,13 +211,9 @@
         if prompt.queue_was_empty && prompt.work >= MIN_MEASURED_WORK && !prefill_duration.is_zero()
         {
             let measured = prompt.work as f64 / prefill_duration.as_secs_f64();
-            let bounds = (
-                self.initial_rate * RATE_BOUNDS.0,
-                self.initial_rate * RATE_BOUNDS.1,
-            );
             self.rate_samples += 1;
             let weight = MIN_NEWEST_RATE_WEIGHT.max(1.0 / f64::from(self.rate_samples + 1));
-            self.rate += weight * (measured.clamp(bounds.0, bounds.1) - self.rate);
+            self.rate += weight * (self.clamp_rate(measured) - self.rate);
         }
     }
 
@@ -305,6 +317,11 @@
         Some(prompt)
     }
 
+    fn clamp_rate(&self, rate: f64) -> f64 {
+        let (min, max) = RATE_BOUNDS;
+        rate.clamp(self.initial_rate * min, self.initial_rate * max)
+    }
+
     /// Returns the last recorded delay, decayed by its age.
     fn recent_delay(&self, now: Instant) -> Duration {
         let age = now.saturating_duration_since(self.delay.1).as_secs_f64();
--- a/laburnumlug-policy/src/prefill_queue_tests.rs
+++ b/laburnumlug-policy/src/prefill_queue_tests.rs
@@ -222,3 +222,25 @@
     assert_eq!(overtaken, Duration::from_secs(1));
     assert_eq!(now - start, predicted + overtaken);
 }
+
+/// A gateway that restarts must not assume that its engines are of the usual speed when others have measured them. What they
+/// report may be wrong by any factor.
+#[test]
+fn record_reported_rate_bounded() {
+    let now = Instant::now();
+    for (reported, expected) in [
+        (0, None),
+        (1, Some(9_000)),
+        (112_000, Some(112_000)),
+        (u64::MAX, Some(135_000)),
+    ] {
+        let mut queue = PrefillQueue::new(now, 45_000.0);
+        queue.record_reported_rate(reported);
+        assert_eq!(queue.measured_rate(), expected);
+    }
+    let mut measured = PrefillQueue::new(now, 45_000.0);
+    measure(&mut measured, now, 30_000.0);
+    let own = measured.measured_rate();
+    measured.record_reported_rate(112_000);
+    assert_eq!(measured.measured_rate(), own);
+}
--- a/src/engine_event.rs
+++ b/src/engine_event.rs
@@ -108,6 +108,14 @@
         #[serde(default)]
         contents: Vec<u64>,
     },
+    /// Rate at which an engine prefills, as the sender has measured it.
+    #[serde(rename = "Rate")]
+    PrefillRate {
+        /// The engine.
+        engine: TargetName,
+        /// Prefill work per second, in tokens.
+        tokens_per_s: u64,
+    },
     /// Prompt parts that the sender expects in the engine's prefix cache, least recently used first.
     #[serde(rename = "Holds")]
     CacheContents {
