Send prompts elsewhere while an engine is overdue with one

An engine that pauses for half a second was predicted to be done with its active prompt within a tenth of that prompt's time, whatever it had taken. Gateways went on to send it prompts until it was doubted after 600 ms.

From 120 ms after the predicted end of the active prompt, the engine is assumed to pause for as long again as it has so far. That ends with its next prefill, and does not change its rate. A long prompt is not overdue, and lasting slowness shows in the rate.

In the test, an engine has paused for 300 ms with a prompt of 100 ms; the predicted wait there was less than 20 ms and is more than 150 ms.

--- a/laburnumlug-policy/src/prefill_queue.rs
+++ b/laburnumlug-policy/src/prefill_queue.rs
@@ -23,6 +23,13 @@
 /// Maximum fraction of the active prompt that is assumed to be done.
 const MAX_ACTIVE_PROGRESS: f64 = 0.9;
 
+/// Time after the predicted end of the active prompt's prefill from which the engine counts as paused. It covers the time
+/// until the first token arrives, and until another gateway reports it.
+const OVERDUE_GRACE: Duration = Duration::from_millis(120);
+
+/// Maximum time that an overdue prompt adds to the predicted wait. Engines that are silent for longer are probed.
+const MAX_OVERDUE: Duration = Duration::from_secs(2);
+
 /// Relative increase of a token's prefill time for each token before it. Attention over a prompt of 50,000 tokens costs
 /// about as much as the rest of the network.
 const ATTENTION_COST_PER_TOKEN: f64 = 2e-5;
@@ -94,6 +101,8 @@
     prompts: Vec<QueuedPrompt>,
     /// Prompt that is assumed to be in prefill, and since when.
     active: Option<(PrefillId, Instant)>,
+    /// When the engine last completed a prefill, or when this queue was created.
+    last_completed_at: Instant,
     /// Delay of a first token beyond its prediction, and when it was recorded.
     delay: (Duration, Instant),
 }
@@ -108,6 +117,7 @@
             peer_rate: None,
             prompts: Vec::new(),
             active: None,
+            last_completed_at: now,
             delay: (Duration::ZERO, now),
         }
     }
@@ -206,6 +216,9 @@
         let Some(prompt) = self.remove(now, id) else {
             return;
         };
+        if prompt.work > 0 {
+            self.last_completed_at = now;
+        }
         let elapsed = now.saturating_duration_since(prompt.sent_at);
         let prefill_duration = elapsed.saturating_sub(overhead);
         if prompt.queue_was_empty && prompt.work >= MIN_MEASURED_WORK && !prefill_duration.is_zero()
@@ -256,15 +269,20 @@
             .iter()
             .filter(|prompt| is_active(prompt) || prompt.priority <= priority);
         let queued = self.prefill_time(ahead.map(|prompt| prompt.work).sum());
-        let progress = match (self.prompts.iter().find(is_active), self.active) {
+        let (progress, overdue) = match (self.prompts.iter().find(is_active), self.active) {
             (Some(prompt), Some((_, active_since))) => {
-                let max_progress = self.prefill_time(prompt.work).mul_f64(MAX_ACTIVE_PROGRESS);
-                now.saturating_duration_since(active_since)
-                    .min(max_progress)
+                let predicted = self.prefill_time(prompt.work);
+                let elapsed = now.saturating_duration_since(active_since);
+                let progress = elapsed.min(predicted.mul_f64(MAX_ACTIVE_PROGRESS));
+                // The engine may have prefilled another prompt first.
+                let since = active_since.max(self.last_completed_at);
+                let overdue =
+                    overdue_time(prompt.work, now.saturating_duration_since(since), predicted);
+                (progress, overdue)
             }
-            _ => Duration::ZERO,
+            _ => (Duration::ZERO, Duration::ZERO),
         };
-        queued.saturating_sub(progress) + self.recent_delay(now)
+        queued.saturating_sub(progress) + self.recent_delay(now).max(overdue)
     }
 
     /// Predicts the prefill of a prompt of `tokens` tokens from a route with this rank.
@@ -331,6 +349,18 @@
     }
 }
 
+/// Returns how much longer an engine is assumed to pause that should have prefilled a prompt by now: as long again.
+///
+/// A prompt without work waits for its transfer, which says nothing about the engine's prefill.
+fn overdue_time(work: u64, elapsed: Duration, predicted: Duration) -> Duration {
+    match work {
+        0 => Duration::ZERO,
+        _ => elapsed
+            .saturating_sub(predicted + OVERDUE_GRACE)
+            .min(MAX_OVERDUE),
+    }
+}
+
 #[cfg(test)]
 #[path = "prefill_queue_tests.rs"]
 mod tests;
--- a/laburnumlug-policy/src/prefill_queue_tests.rs
+++ b/laburnumlug-policy/src/prefill_queue_tests.rs
@@ -244,3 +244,35 @@
     measured.record_reported_rate(112_000);
     assert_eq!(measured.measured_rate(), own);
 }
+
+/// An engine pauses for half a second. While others are idle, it must get no further prompts before the end of the pause is
+/// seen, and must be used again from then on. A long prompt is not a pause.
+#[test]
+fn waiting_time_while_engine_pauses() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut paused = PrefillQueue::new(start, 40_000.0);
+    paused.enqueue(start, (0, 1), 2, 4_000);
+    // The prompt takes 100 ms, and its first token some time more.
+    assert!(paused.waiting_time(at(200), 2) < Duration::from_millis(20));
+    assert!(paused.waiting_time(at(400), 2) > Duration::from_millis(150));
+    assert!(paused.waiting_time(at(600), 2) > Duration::from_millis(350));
+    paused.complete(at(620), (0, 1), Duration::ZERO);
+    assert_eq!(paused.waiting_time(at(620), 2), Duration::ZERO);
+    assert!(paused.rate() > 20_000.0);
+
+    let mut long = PrefillQueue::new(start, 40_000.0);
+    long.enqueue(start, (0, 1), 5, 40_000);
+    assert_eq!(long.waiting_time(at(600), 2), Duration::from_millis(400));
+
+    // The engine has prefilled another prompt before the one that is assumed to be active.
+    let mut reordered = PrefillQueue::new(start, 40_000.0);
+    reordered.enqueue(start, (0, 1), 2, 4_000);
+    reordered.enqueue(start, (1, 1), 5, 20_000);
+    reordered.complete(at(500), (1, 1), Duration::ZERO);
+    assert!(reordered.waiting_time(at(590), 2) < Duration::from_millis(20));
+
+    let mut transfer = PrefillQueue::new(start, 40_000.0);
+    transfer.enqueue(start, (0, 1), 2, 0);
+    assert_eq!(transfer.waiting_time(at(600), 2), Duration::ZERO);
+}
