Refuse requests whose first token would come after their deadline

Only the wait for a slot was compared with the deadline. With long prefill queues, after a loss of engines, requests were accepted whose first token was predicted to come after their deadline: they failed there and had delayed those that could be served.

The prediction of room moves to a module of its own.

--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -89,6 +89,7 @@
 mod retry_budget;
 mod retry_schedule;
 mod role_plan;
+mod room;
 mod route;
 mod software_history;
 mod stream_origins;
@@ -121,9 +122,7 @@
 pub use crate::kv_cache::{CacheMatch, KvCacheEstimate, PartId, PromptParts, part_id};
 pub use crate::output_length::OutputPredictor;
 pub use crate::pending_parts::PendingParts;
-pub use crate::placement::{
-    EngineView, FIRST_TOKEN_OVERHEAD, NoRoom, Placement, PromptView, place_prompt,
-};
+pub use crate::placement::{EngineView, FIRST_TOKEN_OVERHEAD, Placement, PromptView, place_prompt};
 pub use crate::prefill_queue::{
     LATE_PRIORITY, PrefillEstimate, PrefillId, PrefillQueue, prefill_priority, prefill_work,
 };
@@ -136,6 +135,7 @@
 pub use crate::retry_budget::RetryBudget;
 pub use crate::retry_schedule::RetrySchedule;
 pub use crate::role_plan::{RoleChange, plan_roles};
+pub use crate::room::NoRoom;
 pub use crate::route::{
     ByRole, Candidate, LeastQueue, PredictedFinish, ReportedLoad, RouteQuery, Router, router,
 };
--- a/laburnumlug-policy/src/placement.rs
+++ b/laburnumlug-policy/src/placement.rs
@@ -5,10 +5,10 @@
 
 use laburnumlug::Role;
 
-use crate::engine_memory::memory_excess;
 use crate::kv_cache::PartId;
 use crate::prefill_queue::prefill_work;
 use crate::request_limit::max_limit_wait;
+use crate::room::{NoRoom, has_memory, may_wait_at, slot_wait};
 
 /// Time from the end of prefill until the caller receives the first token.
 pub const FIRST_TOKEN_OVERHEAD: Duration = Duration::from_millis(20);
@@ -29,9 +29,6 @@
 /// cache is not known; otherwise the credit lowers only the cost of the placement, and not the predicted TTFT.
 const AFFINITY_CACHED_FRACTION: f64 = 0.3;
 
-/// Maximum number of requests that wait at an engine for a slot, relative to its slots.
-const MAX_QUEUED_SHARE: f64 = 1.0;
-
 /// Maximum time by which a separate prefill is assumed to be delayed by an engine's rate limit.
 const MAX_PREFILL_LIMIT_WAIT: Duration = Duration::from_millis(100);
 
@@ -92,7 +89,7 @@
 
 impl PromptView {
     /// Returns the tokens that the request may use in the memory of the engine that generates the answer.
-    fn decode_tokens(&self) -> u64 {
+    pub(crate) fn decode_tokens(&self) -> u64 {
         self.tokens.saturating_add(self.output_tokens)
     }
 }
@@ -119,38 +116,16 @@
     }
 }
 
-/// Error of [`place_prompt`]: no engine has room for the prompt.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct NoRoom {
-    /// Predicted time until an engine has room for a prompt with the same [`PromptView::time_left`], or zero if unknown.
-    pub room_after: Duration,
-    /// Mean interval at which requests complete at all engines together.
-    pub completion_interval: Duration,
-}
-
-impl NoRoom {
-    fn new(prompt: &PromptView, engines: &[EngineView]) -> NoRoom {
-        let decode_engines = engines.iter().filter(|engine| engine.role != Role::Prefill);
-        let slots: u32 = decode_engines.clone().map(|engine| engine.slots).sum();
-        let slot_time = engines.first().map(|engine| engine.slot_time);
-        NoRoom {
-            room_after: decode_engines
-                .map(|engine| time_until_room(prompt, engine))
-                .min()
-                .unwrap_or_default(),
-            completion_interval: slot_time.unwrap_or_default() / slots.max(1),
-        }
-    }
-}
-
 /// Selects the engines with the lowest cost for a prompt.
 ///
 /// If no slot is free, a request waits at an engine: slots of many engines become free more often than a refused caller
-/// can return. It is refused if its turn there is predicted to come after its deadline.
+/// can return. It is refused if its first token is predicted to come after its deadline at each engine: it would delay
+/// others in vain. One that is only predicted to miss its objective is not.
 ///
 /// # Errors
 ///
-/// Returns [`NoRoom`] if the slots and queues or the memory of all engines are full, or the deadline would pass before a slot is free.
+/// Returns [`NoRoom`] if the slots and queues or the memory of all engines are full, or the deadline would pass before the
+/// first token.
 ///
 /// Rendezvous hashing assigns each shared part an affinity engine, which is credited with having some of the shared
 /// tokens cached. Requests with the same shared parts thus reach the same engine without coordination between the
@@ -235,6 +210,7 @@
         });
     single_engine
         .chain(disaggregated)
+        .filter(|placement| placement.time_to_first_token <= prompt.time_left)
         .min_by_key(|placement| cost(prompt, placement))
 }
 
@@ -273,13 +249,10 @@
             } else {
                 2
             };
-            let load = f64::from(engine.running) / f64::from(engine.slots.max(1));
-            // Prefill on the decode engine slows down its token generation.
-            let interference = engine.queue_wait / 4 + Duration::from_millis(30).mul_f64(load);
             (
                 i,
                 per_token * tokens * transfer_factor
-                    + interference
+                    + interference(engine)
                     + slot_wait(engine)
                     + engine.limit_wait
                     + engine.jitter,
@@ -288,54 +261,11 @@
         .min_by_key(|(_, time)| *time)
 }
 
-/// Returns whether a request may wait for a slot at an engine: few others do, and its turn comes before its deadline.
-fn may_wait_at(prompt: &PromptView, engine: &EngineView) -> bool {
-    engine.running < max_running(engine) && slot_wait(engine) <= prompt.time_left
-}
-
-/// Returns whether an engine's memory holds `tokens` more beside what its requests may use.
-fn has_memory(engine: &EngineView, tokens: u64) -> bool {
-    excess_tokens(engine, tokens) == 0
-}
-
-/// Returns by how many tokens a request that needs `tokens` would exceed an engine's memory.
-fn excess_tokens(engine: &EngineView, tokens: u64) -> u64 {
-    memory_excess(
-        engine.memory_tokens,
-        engine.used_tokens,
-        tokens,
-        engine.running,
-        engine.slots,
-    )
-}
-
-/// Returns the number of requests, waiting ones included, at which an engine is full.
-fn max_running(engine: &EngineView) -> u32 {
-    (f64::from(engine.slots) * (1.0 + MAX_QUEUED_SHARE)) as u32
-}
-
-/// Predicts how long it takes until a request may wait for a slot at an engine.
-fn time_until_room(prompt: &PromptView, engine: &EngineView) -> Duration {
-    let excess = (engine.running + 1).saturating_sub(max_running(engine));
-    let until_queue_has_room = engine.slot_time * excess / engine.slots.max(1);
-    let until_turn_is_in_time = slot_wait(engine).saturating_sub(prompt.time_left);
-    let until_limit_allows = engine
-        .limit_wait
-        .saturating_sub(max_limit_wait(prompt.ttft_objective));
-    // Within the time that a request holds a slot, all that the running ones use becomes free.
-    let excess = excess_tokens(engine, prompt.decode_tokens());
-    let excess_share = excess as f64 / engine.used_tokens.max(1) as f64;
-    let until_memory_is_free = engine.slot_time.mul_f64(excess_share.min(1.0));
-    until_queue_has_room
-        .max(until_memory_is_free)
-        .max(until_turn_is_in_time)
-        .max(until_limit_allows)
-}
-
-/// Predicts how long a request waits for a slot: until as many requests have ended as are ahead of it.
-fn slot_wait(engine: &EngineView) -> Duration {
-    let ahead = (engine.running + 1).saturating_sub(engine.slots);
-    engine.slot_time * ahead / engine.slots.max(1)
+/// Predicts by how much other requests at a decode engine delay the first token after a separate prefill.
+pub(crate) fn interference(engine: &EngineView) -> Duration {
+    let load = f64::from(engine.running) / f64::from(engine.slots.max(1));
+    // Prefill on the decode engine slows down its token generation.
+    engine.queue_wait / 4 + Duration::from_millis(30).mul_f64(load)
 }
 
 /// Returns the tokens that an engine is credited with if it is the affinity engine of a prompt.
@@ -347,7 +277,7 @@
 }
 
 /// Returns the tokens that an engine has to prefill.
-fn uncached_tokens(prompt: &PromptView, engine: &EngineView, credit: u64) -> u64 {
+pub(crate) fn uncached_tokens(prompt: &PromptView, engine: &EngineView, credit: u64) -> u64 {
     let assumed = match engine.is_cache_known {
         true => 0,
         false => credit,
@@ -362,7 +292,7 @@
     prefill_time(prompt.tokens.saturating_sub(cached).max(1), prompt, engine)
 }
 
-fn prefill_time(uncached: u64, prompt: &PromptView, engine: &EngineView) -> Duration {
+pub(crate) fn prefill_time(uncached: u64, prompt: &PromptView, engine: &EngineView) -> Duration {
     let work = prefill_work(uncached, prompt.tokens);
     Duration::from_secs_f64(work as f64 / engine.prefill_rate.max(1.0))
 }
