--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{CustomerId, DemandReport, EngineEvent, SendNumber, StreamOrigin};
-use laburnumlug_policy::{FIRST_TOKEN_OVERHEAD, PrefillId, PromptParts};
+use laburnumlug_policy::{FIRST_TOKEN_OVERHEAD, PrefillId, PromptParts, cache_reports};
 
 use crate::customer_shares::{SentWork, ServiceShares};
 use crate::demand::DemandTotals;
@@ -46,9 +46,20 @@
         prompt_tokens.saturating_add(self.output_tokens)
     }
 
+    /// Removes the parts that the request was to add to the engine's cache, unless it only decodes a prompt.
+    fn remove_pending_parts(&self) {
+        if self.work > 0 {
+            let mut pending_parts = self.target.pending_parts.borrow_mut();
+            pending_parts.remove(&self.prompt_parts);
+        }
+    }
+
     /// Records that the engine no longer processes the request.
     fn end(&self, now: Instant, id: PrefillId) {
         let target = &self.target;
+        if !self.is_prefilled {
+            self.remove_pending_parts();
+        }
         target.prefill_queue.borrow_mut().cancel(now, id);
         target.in_flight.set(target.in_flight.get() - 1);
         let mut memory = target.memory.borrow_mut();
@@ -120,23 +131,36 @@
     /// Returns the events that bring a newly connected gateway up to date about the requests of this one, the crashes of
     /// targets and their statements.
     ///
-    /// Includes the long lists of what most gateways know if `includes_shared_state`: the cached prompts of all engines and the
-    /// streams that callers may resume. Otherwise it includes the cached prompts of recently inspected engines.
+    /// Includes the long lists of what most gateways know if `includes_shared_state`: the rates and cached prompts of all engines
+    /// and the streams that callers may resume. Otherwise it includes the largest cached parts of recently inspected engines.
     pub fn engine_snapshot(&self, now: Instant, includes_shared_state: bool) -> Vec<EngineEvent> {
         let engines_with_known_cache = self.engines().into_iter().filter(|target| {
             let is_included = includes_shared_state || self.has_recent_inspection(now, target);
             target.is_cache_known.get() && is_included
         });
-        let cache_contents = engines_with_known_cache.map(|target| EngineEvent::CacheContents {
-            engine: target.instance.clone(),
-            parts: target.kv_cache.borrow().parts(),
+        let cache_contents = engines_with_known_cache.filter_map(|target| {
+            let parts = target.kv_cache.borrow().parts();
+            let engine = target.instance.clone();
+            let parts = match includes_shared_state {
+                true => parts,
+                false => cache_reports(parts).into_iter().next()?,
+            };
+            Some(EngineEvent::CacheContents { engine, parts })
+        });
+        let rates = self.engines().into_iter().filter_map(|target| {
+            let tokens_per_s = target.prefill_queue.borrow().measured_rate();
+            Some(EngineEvent::PrefillRate {
+                engine: target.instance.clone(),
+                tokens_per_s: tokens_per_s.filter(|_| includes_shared_state)?,
+            })
         });
         let stream_events = match includes_shared_state {
             true => self.stream_events(now),
             false => Vec::new(),
         };
         let local = self.engine_requests.local.borrow();
-        cache_contents
+        rates
+            .chain(cache_contents)
             .chain(self.crash_events(now))
             .chain(self.statement_events(now))
             .chain(stream_events)
@@ -186,6 +210,10 @@
                     let shares = &self.engine_requests.shares;
                     shares.record_sent(now, &target, customer, work, decode_share)
                 });
+                if work > 0 {
+                    let mut pending_parts = target.pending_parts.borrow_mut();
+                    pending_parts.add(&prompt_parts, priority);
+                }
                 let request = RemoteRequest {
                     target,
                     prompt_parts,
@@ -206,7 +234,9 @@
             }
             EngineEvent::PrefillDone { number } => {
                 if let Some(request) = remote.get_mut(&(sender, number)) {
-                    request.is_prefilled = true;
+                    if !std::mem::replace(&mut request.is_prefilled, true) {
+                        request.remove_pending_parts();
+                    }
                     self.record_sign_of_life(now, &request.target);
                     let mut prefill_queue = request.target.prefill_queue.borrow_mut();
                     prefill_queue.complete(now, (sender, number), FIRST_TOKEN_OVERHEAD);
@@ -290,6 +320,15 @@
                     self.report_unfinished_requests(now, &target, age);
                 }
             }
+            EngineEvent::PrefillRate {
+                engine,
+                tokens_per_s,
+            } => {
+                if let Some(target) = self.live_target(&engine) {
+                    let mut prefill_queue = target.prefill_queue.borrow_mut();
+                    prefill_queue.record_reported_rate(tokens_per_s);
+                }
+            }
             EngineEvent::CacheContents { engine, parts } => {
                 if let Some(target) = self.live_target(&engine) {
                     target.is_cache_known.set(true);
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -40,7 +40,8 @@
 sends requests to.
 
 [`place_prompt`] selects the prefill and decode engines of a prompt from their [`PrefillQueue`]s and
-[`KvCacheEstimate`]s. [`plan_roles`] divides the engines of a service between the roles by the [`Demand`] for each
+[`KvCacheEstimate`]s. [`PendingParts`] tracks what the queued
+prompts will add to the caches. [`plan_roles`] divides the engines of a service between the roles by the [`Demand`] for each
 phase, which a [`DemandMeter`] samples from the reports of gateways.
 
 [`EngineMemory`] predicts the memory that the requests of an engine use. [`EngineActivity`] detects engines that have stopped responding, from their signs of life and what they have in progress.
@@ -49,8 +50,8 @@
 [`RateMeter`] measures an engine's rates from its answers. [`TargetHealth`] ejects failing targets, [`RetryBudget`]
 limits retries, [`TargetStatus`] keeps what a target states about itself, [`RequestLimit`] spaces the requests to one that limits them, [`CrashAttribution`] blocks prompt parts and repeated requests that crash targets, [`StreamOrigins`] remembers the software versions at which streams began while [`SoftwareHistory`] has several, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
 processes without coordination. [`CustomerShares`] keeps customers to their shares of the engines while there is too little
-room. [`select_exchange_links`] and [`event_batch_interval`] bound the messages that gateways
-exchange about prompts sent to engines, and [`inspection_delay`] divides the inspections of engines among them.
+room. [`select_exchange_links`] and [`event_batch_interval`] bound the messages that gateways exchange about prompts sent to
+engines, [`inspection_delay`] divides the inspections of engines among them, and [`cache_reports`] divides the results.
 
 [`authorize`] decides by its API key whether a request is served.
 
@@ -61,6 +62,7 @@
 
 mod admission;
 mod authorization;
+mod cache_report;
 mod clock_offset;
 mod crash_attribution;
 mod crash_blame;
@@ -79,6 +81,7 @@
 mod inspection;
 mod kv_cache;
 mod output_length;
+mod pending_parts;
 mod placement;
 mod prefill_queue;
 mod prefix;
@@ -91,6 +94,7 @@
 mod retry_budget;
 mod retry_schedule;
 mod role_plan;
+mod room;
 mod route;
 mod software_history;
 mod stream_origins;
@@ -104,6 +108,7 @@
     Admission, CapacityAdmission, DeadlineAdmission, QueueView, Refusal, RefusalCause, admission,
 };
 pub use crate::authorization::{Authorization, Credentials, DocumentStatus, KeyHash, authorize};
+pub use crate::cache_report::{CACHE_REPORT_INTERVAL, cache_reports};
 pub use crate::clock_offset::ClockOffset;
 pub use crate::crash_attribution::{
     BlockedSuspect, ContentId, CrashAttribution, Suspect, TargetCrash,
@@ -121,14 +126,13 @@
 pub use crate::fairness::CallerActivity;
 pub use crate::forecast::{finish_times, prefill_wait_time};
 pub use crate::health::TargetHealth;
-pub use crate::inspection::inspection_delay;
-pub use crate::kv_cache::{KvCacheEstimate, PartId, PromptParts, part_id};
+pub use crate::inspection::{INSPECTION_TIMEOUT, inspection_delay, may_inspect};
+pub use crate::kv_cache::{CacheMatch, KvCacheEstimate, PartId, PromptParts, part_id};
 pub use crate::output_length::OutputPredictor;
-pub use crate::placement::{
-    EngineView, FIRST_TOKEN_OVERHEAD, NoRoom, Placement, PromptView, place_prompt,
-};
+pub use crate::pending_parts::PendingParts;
+pub use crate::placement::{EngineView, FIRST_TOKEN_OVERHEAD, Placement, PromptView, place_prompt};
 pub use crate::prefill_queue::{
-    LATE_PRIORITY, PrefillId, PrefillQueue, prefill_priority, prefill_work,
+    LATE_PRIORITY, PrefillEstimate, PrefillId, PrefillQueue, prefill_priority, prefill_work,
 };
 pub use crate::prefix::{PrefixHashes, PrefixIndex};
 pub use crate::rates::{EngineRates, RateMeter};
@@ -139,6 +143,7 @@
 pub use crate::retry_budget::RetryBudget;
 pub use crate::retry_schedule::RetrySchedule;
 pub use crate::role_plan::{RoleChange, plan_roles};
+pub use crate::room::NoRoom;
 pub use crate::route::{
     ByRole, Candidate, LeastQueue, PredictedFinish, ReportedLoad, RouteQuery, Router, router,
 };
--- a/laburnumlug-policy/src/prefill_queue.rs
+++ b/laburnumlug-policy/src/prefill_queue.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::kv_cache::CacheMatch;
+
 /// Minimum weight of the newest prompt in the moving average of an engine's prefill rate. The first prompts weigh more,
 /// as the initial estimate may be far off.
 const MIN_NEWEST_RATE_WEIGHT: f64 = 0.1;
@@ -21,6 +23,13 @@
 /// Maximum fraction of the active prompt that is assumed to be done.
 const MAX_ACTIVE_PROGRESS: f64 = 0.9;
 
+/// Time after the predicted end of the active prompt's prefill from which the engine counts as paused. It covers the time
+/// until the first token arrives, and until another gateway reports it.
+const OVERDUE_GRACE: Duration = Duration::from_millis(120);
+
+/// Maximum time that an overdue prompt adds to the predicted wait. Engines that are silent for longer are probed.
+const MAX_OVERDUE: Duration = Duration::from_secs(2);
+
 /// Relative increase of a token's prefill time for each token before it. Attention over a prompt of 50,000 tokens costs
 /// about as much as the rest of the network.
 const ATTENTION_COST_PER_TOKEN: f64 = 2e-5;
@@ -55,6 +64,17 @@
     (priority as u8).min(LATE_PRIORITY - 1)
 }
 
+/// Predicted prefill of a prompt that is not sent yet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PrefillEstimate {
+    /// Time until the engine starts the prefill.
+    pub wait: Duration,
+    /// Leading tokens that it has cached by then.
+    pub cached_tokens: u64,
+    /// Priority that the prompt needs for that.
+    pub priority: u8,
+}
+
 #[derive(Clone, Debug)]
 struct QueuedPrompt {
     id: PrefillId,
@@ -63,6 +83,8 @@
     sent_at: Instant,
     /// Whether no other prompt was queued or in prefill when this one was sent.
     queue_was_empty: bool,
+    /// Work of the prompts of more urgent priorities that were sent after this one, before its prefill.
+    overtaken_by: u64,
 }
 
 /// Prompts that were sent to an engine and whose prefill is not known to have completed, in the order of sending.
@@ -79,6 +101,8 @@
     prompts: Vec<QueuedPrompt>,
     /// Prompt that is assumed to be in prefill, and since when.
     active: Option<(PrefillId, Instant)>,
+    /// When the engine last completed a prefill, or when this queue was created.
+    last_completed_at: Instant,
     /// Delay of a first token beyond its prediction, and when it was recorded.
     delay: (Duration, Instant),
 }
@@ -93,6 +117,7 @@
             peer_rate: None,
             prompts: Vec::new(),
             active: None,
+            last_completed_at: now,
             delay: (Duration::ZERO, now),
         }
     }
@@ -119,6 +144,22 @@
         (self.rate_samples > 0).then(|| self.rate / self.initial_rate)
     }
 
+    /// Returns the measured rate in whole tokens of work per second, or `None` without rate samples.
+    pub fn measured_rate(&self) -> Option<u64> {
+        (self.rate_samples > 0).then_some(self.rate as u64)
+    }
+
+    /// Records the rate that another process has measured, unless this process knows one.
+    ///
+    /// It counts as one sample, so that own measurements soon outweigh it. It is clamped to the bounds of a measurement, and 0
+    /// is ignored, as no engine can have that rate.
+    pub fn record_reported_rate(&mut self, tokens_per_second: u64) {
+        if tokens_per_second > 0 && self.rate_samples == 0 {
+            self.rate_samples = 1;
+            self.rate = self.clamp_rate(tokens_per_second as f64);
+        }
+    }
+
     /// Sets the typical rate of the engines with the same service and role.
     pub fn set_peer_rate(&mut self, rate: f64) {
         self.peer_rate = Some(rate);
@@ -142,12 +183,19 @@
 
     /// Adds a prompt whose prefill takes `work`.
     pub fn enqueue(&mut self, now: Instant, id: PrefillId, priority: u8, work: u64) {
+        let active = self.active.map(|(id, _)| id);
+        let overtaken = self
+            .prompts
+            .iter_mut()
+            .filter(|prompt| prompt.priority > priority && Some(prompt.id) != active);
+        overtaken.for_each(|prompt| prompt.overtaken_by += work);
         self.prompts.push(QueuedPrompt {
             id,
             priority,
             work,
             sent_at: now,
             queue_was_empty: self.prompts.is_empty(),
+            overtaken_by: 0,
         });
         self.activate_next(now);
     }
@@ -168,21 +216,29 @@
         let Some(prompt) = self.remove(now, id) else {
             return;
         };
+        if prompt.work > 0 {
+            self.last_completed_at = now;
+        }
         let elapsed = now.saturating_duration_since(prompt.sent_at);
         let prefill_duration = elapsed.saturating_sub(overhead);
         if prompt.queue_was_empty && prompt.work >= MIN_MEASURED_WORK && !prefill_duration.is_zero()
         {
             let measured = prompt.work as f64 / prefill_duration.as_secs_f64();
-            let bounds = (
-                self.initial_rate * RATE_BOUNDS.0,
-                self.initial_rate * RATE_BOUNDS.1,
-            );
             self.rate_samples += 1;
             let weight = MIN_NEWEST_RATE_WEIGHT.max(1.0 / f64::from(self.rate_samples + 1));
-            self.rate += weight * (measured.clamp(bounds.0, bounds.1) - self.rate);
+            self.rate += weight * (self.clamp_rate(measured) - self.rate);
         }
     }
 
+    /// Returns the time for which a queued prompt was delayed by more urgent ones that were sent after it.
+    ///
+    /// No prompt that is sent now will wait for that. If it counted as a delay of the engine, one late prompt, which all
+    /// others overtake, would make the engine appear busy, and those sent next would be taken for late as well.
+    pub fn overtaken_time(&self, id: PrefillId) -> Duration {
+        let prompt = self.prompts.iter().find(|prompt| prompt.id == id);
+        self.prefill_time(prompt.map_or(0, |prompt| prompt.overtaken_by))
+    }
+
     /// Records by how much a first token came later than predicted.
     ///
     /// The recorded delay is at least half of what remains of the previous one after its decay.
@@ -213,15 +269,55 @@
             .iter()
             .filter(|prompt| is_active(prompt) || prompt.priority <= priority);
         let queued = self.prefill_time(ahead.map(|prompt| prompt.work).sum());
-        let progress = match (self.prompts.iter().find(is_active), self.active) {
+        let (progress, overdue) = match (self.prompts.iter().find(is_active), self.active) {
             (Some(prompt), Some((_, active_since))) => {
-                let max_progress = self.prefill_time(prompt.work).mul_f64(MAX_ACTIVE_PROGRESS);
-                now.saturating_duration_since(active_since)
-                    .min(max_progress)
+                let predicted = self.prefill_time(prompt.work);
+                let elapsed = now.saturating_duration_since(active_since);
+                let progress = elapsed.min(predicted.mul_f64(MAX_ACTIVE_PROGRESS));
+                // The engine may have prefilled another prompt first.
+                let since = active_since.max(self.last_completed_at);
+                let overdue =
+                    overdue_time(prompt.work, now.saturating_duration_since(since), predicted);
+                (progress, overdue)
             }
-            _ => Duration::ZERO,
+            _ => (Duration::ZERO, Duration::ZERO),
         };
-        queued.saturating_sub(progress) + self.recent_delay(now)
+        queued.saturating_sub(progress) + self.recent_delay(now).max(overdue)
+    }
+
+    /// Predicts the prefill of a prompt of `tokens` tokens from a route with this rank.
+    ///
+    /// If queued prompts will add leading parts of it to the cache, it waits for them unless its own prefill of these parts
+    /// would end sooner.
+    pub fn estimate(
+        &self,
+        now: Instant,
+        rank: u32,
+        tokens: u64,
+        matched: &CacheMatch,
+    ) -> PrefillEstimate {
+        let work = |cached: u64| prefill_work(tokens.saturating_sub(cached), tokens);
+        let own_priority = prefill_priority(rank, work(matched.cached_tokens));
+        let at = |priority, cached_tokens| PrefillEstimate {
+            wait: self.waiting_time(now, priority),
+            cached_tokens,
+            priority,
+        };
+        let Some(pending_priority) = matched.pending_priority else {
+            return at(own_priority, matched.cached_tokens);
+        };
+        let after_pending = at(own_priority.max(pending_priority), matched.expected_tokens);
+        if pending_priority <= own_priority {
+            return after_pending;
+        }
+        let before_pending = at(own_priority, matched.cached_tokens);
+        let end = |estimate: &PrefillEstimate| {
+            estimate.wait + self.prefill_time(work(estimate.cached_tokens))
+        };
+        match end(&before_pending) < end(&after_pending) {
+            true => before_pending,
+            false => after_pending,
+        }
     }
 
     /// Predicts how long the engine takes to prefill `work`.
@@ -239,6 +335,11 @@
         Some(prompt)
     }
 
+    fn clamp_rate(&self, rate: f64) -> f64 {
+        let (min, max) = RATE_BOUNDS;
+        rate.clamp(self.initial_rate * min, self.initial_rate * max)
+    }
+
     /// Returns the last recorded delay, decayed by its age.
     fn recent_delay(&self, now: Instant) -> Duration {
         let age = now.saturating_duration_since(self.delay.1).as_secs_f64();
@@ -248,6 +349,18 @@
     }
 }
 
+/// Returns how much longer an engine is assumed to pause that should have prefilled a prompt by now: as long again.
+///
+/// A prompt without work waits for its transfer, which says nothing about the engine's prefill.
+fn overdue_time(work: u64, elapsed: Duration, predicted: Duration) -> Duration {
+    match work {
+        0 => Duration::ZERO,
+        _ => elapsed
+            .saturating_sub(predicted + OVERDUE_GRACE)
+            .min(MAX_OVERDUE),
+    }
+}
+
 #[cfg(test)]
 #[path = "prefill_queue_tests.rs"]
 mod tests;
--- a/laburnumlug-policy/src/prefill_queue_tests.rs
+++ b/laburnumlug-policy/src/prefill_queue_tests.rs
@@ -154,6 +154,7 @@
             queue_wait: queue.waiting_time(now, 0),
             prefill_rate: queue.rate(),
             cached_tokens: 0,
+            is_cache_known: false,
             running: 0,
             slots: 64,
             memory_tokens: 600_000,
@@ -192,3 +193,86 @@
     assert!(prefill_work(1_000, 1_000) < 1_020);
     assert!(prefill_work(1_000, 50_000) > 1_900);
 }
+
+/// A late prompt is overtaken for a second by urgent ones. The engine is not slow, and prompts sent next must not be taken for
+/// late.
+#[test]
+fn overtaken_time_of_late_prompt() {
+    let start = Instant::now();
+    let mut now = start;
+    let mut queue = PrefillQueue::new(now, 50_000.0);
+    queue.enqueue(now, (0, 0), 5, 5_000);
+    let predicted = queue.waiting_time(now, LATE_PRIORITY) + queue.prefill_time(10_000);
+    queue.enqueue(now, (0, 1), LATE_PRIORITY, 10_000);
+    for number in 2..12 {
+        queue.enqueue(now, (0, number), 3, 5_000);
+        now += Duration::from_millis(100);
+        queue.complete(
+            now,
+            (0, if number == 2 { 0 } else { number - 1 }),
+            Duration::ZERO,
+        );
+    }
+    now += Duration::from_millis(100);
+    queue.complete(now, (0, 11), Duration::ZERO);
+    // Sent during the prefill of the late prompt, so that it does not delay that one.
+    queue.enqueue(now, (0, 12), 3, 5_000);
+    now += Duration::from_millis(200);
+    let overtaken = queue.overtaken_time((0, 1));
+    assert_eq!(overtaken, Duration::from_secs(1));
+    assert_eq!(now - start, predicted + overtaken);
+}
+
+/// A gateway that restarts must not assume that its engines are of the usual speed when others have measured them. What they
+/// report may be wrong by any factor.
+#[test]
+fn record_reported_rate_bounded() {
+    let now = Instant::now();
+    for (reported, expected) in [
+        (0, None),
+        (1, Some(9_000)),
+        (112_000, Some(112_000)),
+        (u64::MAX, Some(135_000)),
+    ] {
+        let mut queue = PrefillQueue::new(now, 45_000.0);
+        queue.record_reported_rate(reported);
+        assert_eq!(queue.measured_rate(), expected);
+    }
+    let mut measured = PrefillQueue::new(now, 45_000.0);
+    measure(&mut measured, now, 30_000.0);
+    let own = measured.measured_rate();
+    measured.record_reported_rate(112_000);
+    assert_eq!(measured.measured_rate(), own);
+}
+
+/// An engine pauses for half a second. While others are idle, it must get no further prompts before the end of the pause is
+/// seen, and must be used again from then on. A long prompt is not a pause.
+#[test]
+fn waiting_time_while_engine_pauses() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut paused = PrefillQueue::new(start, 40_000.0);
+    paused.enqueue(start, (0, 1), 2, 4_000);
+    // The prompt takes 100 ms, and its first token some time more.
+    assert!(paused.waiting_time(at(200), 2) < Duration::from_millis(20));
+    assert!(paused.waiting_time(at(400), 2) > Duration::from_millis(150));
+    assert!(paused.waiting_time(at(600), 2) > Duration::from_millis(350));
+    paused.complete(at(620), (0, 1), Duration::ZERO);
+    assert_eq!(paused.waiting_time(at(620), 2), Duration::ZERO);
+    assert!(paused.rate() > 20_000.0);
+
+    let mut long = PrefillQueue::new(start, 40_000.0);
+    long.enqueue(start, (0, 1), 5, 40_000);
+    assert_eq!(long.waiting_time(at(600), 2), Duration::from_millis(400));
+
+    // The engine has prefilled another prompt before the one that is assumed to be active.
+    let mut reordered = PrefillQueue::new(start, 40_000.0);
+    reordered.enqueue(start, (0, 1), 2, 4_000);
+    reordered.enqueue(start, (1, 1), 5, 20_000);
+    reordered.complete(at(500), (1, 1), Duration::ZERO);
+    assert!(reordered.waiting_time(at(590), 2) < Duration::from_millis(20));
+
+    let mut transfer = PrefillQueue::new(start, 40_000.0);
+    transfer.enqueue(start, (0, 1), 2, 0);
+    assert_eq!(transfer.waiting_time(at(600), 2), Duration::ZERO);
+}
