Decide how many targets of a service are ordered in each zone

Cause: the platform starts and stops targets on order and bills all of them by the second. Too few refuse callers, and numbers that swing pay for starts that bring nothing.

Change: ServerCount derives the total from the samples of DemandMeter with the headroom of the role plan and from growth over the start time, and divides it over zones so that few change. A number is not reversed within the start time and the drain time, unless callers are refused. Targets that do not appear by twice the start time are ordered anew, and other zones take over. Without samples the last number stays. DemandMeter tells a service whose requests have stopped from one without reports.

--- a/laburnumlug-policy/src/engine_demand.rs
+++ b/laburnumlug-policy/src/engine_demand.rs
@@ -195,6 +195,24 @@
             _ => Demand::Unknown,
         }
     }
+
+    /// Returns the demand for the engines of a service, without samples that are older than the window.
+    ///
+    /// A service whose requests have stopped counts as idle, unless no gateway reports.
+    pub fn recent_demand(&self, now: Instant, service: &str) -> Demand {
+        let newest = self.services.get(service).and_then(|s| s.samples.back());
+        let is_recent = newest.is_none_or(|(at, _)| now.saturating_duration_since(*at) <= WINDOW);
+        match self.totals.is_empty() {
+            true => Demand::Unknown,
+            false if is_recent => self.demand(now, service),
+            false => Demand::Idle,
+        }
+    }
+
+    /// Returns the number of gateways in the latest update.
+    pub fn reporters(&self) -> usize {
+        self.totals.len()
+    }
 }
 
 fn seconds_since(total_us: u64, previous_us: u64) -> f64 {
--- a/laburnumlug-policy/src/engine_demand_tests.rs
+++ b/laburnumlug-policy/src/engine_demand_tests.rs
@@ -121,3 +121,20 @@
         "1.5 engines busy with prefill and 4.5 with decoding, on average over 2 samples"
     );
 }
+
+/// Requests stop while gateways still report. The samples of before must not keep engines ordered forever; without reports,
+/// the demand is not known.
+#[test]
+fn recent_demand_after_requests_stop() {
+    let start = Instant::now();
+    let mut meter = DemandMeter::default();
+    for i in 0..80 {
+        let seconds = (STEP * i.min(40)).as_secs_f64();
+        meter.update(start + STEP * i, &[report(1, seconds)]);
+    }
+    let now = start + STEP * 79;
+    assert_eq!(meter.recent_demand(now, "s"), Demand::Idle);
+    assert!(matches!(meter.demand(now, "s"), Demand::Sampled(_)));
+    meter.update(now, &[]);
+    assert_eq!(meter.recent_demand(now, "s"), Demand::Unknown);
+}
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -51,7 +51,7 @@
 
 A [`UsageMeter`] counts the requests of customers by windows of true time, which a [`ClockOffset`] estimates. A [`DutyTurn`]
 and [`CallPermit`]s keep two successive leaders from acting in turn, and a [`ReportSchedule`] spaces the calls that report
-the counts.
+the counts. A [`ServerCount`] decides how many targets of a service are ordered in each availability zone.
 */
 
 mod admission;
@@ -81,6 +81,8 @@
 mod retry_schedule;
 mod role_plan;
 mod route;
+mod server_count;
+mod server_forecast;
 mod software_history;
 mod stream_origins;
 mod subset;
@@ -126,6 +128,9 @@
 pub use crate::route::{
     ByRole, Candidate, LeastQueue, PredictedFinish, ReportedLoad, RouteQuery, Router, router,
 };
+pub use crate::server_count::{
+    OrderReason, ServerCount, ServerOrder, ServiceLoad, StandingOrder, ZoneTargets,
+};
 pub use crate::software_history::{AssumedOrigin, SoftwareHistory};
 pub use crate::stream_origins::StreamOrigins;
 pub use crate::subset::select_subset;
--- a/laburnumlug-policy/src/role_plan.rs
+++ b/laburnumlug-policy/src/role_plan.rs
@@ -26,14 +26,14 @@
 const MIN_IMPROVEMENT: f64 = 1.25;
 
 /// Share of an engine's time in use up to which its queue is predicted to be stationary.
-const MAX_STATIONARY_USE: f64 = 0.8;
+pub(crate) const MAX_STATIONARY_USE: f64 = 0.8;
 
 /// Share of a decode engine's slots and memory that requests can hold without slowing each other down much. The time
 /// that requests hold an engine, and so the demand, grows fast beyond it.
-const MAX_DECODE_USE: f64 = 0.6;
+pub(crate) const MAX_DECODE_USE: f64 = 0.6;
 
 /// Number of samples of which one may exceed the engines of a phase without a change of roles.
-const SAMPLES_PER_BURST: usize = 8;
+pub(crate) const SAMPLES_PER_BURST: usize = 8;
 
 /// Maximum share of the engines that keep running decode because an idle service would have as many decode engines.
 const MAX_KEPT_DECODE_SHARE: f64 = 1.0 / 3.0;
