Keep the last order of targets in the control log

Cause: a new leader must know what was ordered, when and why, so that it neither reverses nor repeats the orders of its predecessor.

Change: two commands record the decision and its acceptance, for each service and zone. A decision names the order that it replaces, so that one of a deposed leader has no effect. Orders of services without scaling are removed. The holder of the duties is kept by the replica, as there may be duties other than usage.

--- a/laburnumlug-control/src/command.rs
+++ b/laburnumlug-control/src/command.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::intents::RoleRefusal;
+use crate::scaling::ServerChange;
 use crate::usage::{UsageFix, UsageFixOutcome};
 
 /// Change of the fleet document that an operator submits.
@@ -74,6 +75,13 @@
         /// Number of the window.
         window: WindowNumber,
     },
+    /// Decides to order a number of targets. Only logged where targets are ordered, as earlier versions cannot read it.
+    OrderServers(ServerChange),
+    /// Records that an order of targets was accepted.
+    AcknowledgeServers {
+        /// Number of the order.
+        number: u64,
+    },
 }
 
 impl Command {
@@ -101,6 +109,10 @@
     UsageFix(UsageFixOutcome),
     /// Whether the window of a [`Command::AcknowledgeUsage`] was waiting for that.
     UsageAcknowledged(bool),
+    /// Whether a [`Command::OrderServers`] replaced the last order.
+    ServersOrdered(bool),
+    /// Whether the order of a [`Command::AcknowledgeServers`] was waiting for that.
+    ServersAcknowledged(bool),
 }
 
 /// Reason for which a change of the fleet document was refused.
--- a/laburnumlug-control/src/replica/config.rs
+++ b/laburnumlug-control/src/replica/config.rs
@@ -28,6 +28,7 @@
     pub(super) may_bootstrap: bool,
     pub(super) voters: Option<usize>,
     pub(super) usage: Option<UsageConfig>,
+    pub(super) scaling: bool,
 }
 
 /// Default number of entries between two snapshots.
@@ -46,6 +47,7 @@
             may_bootstrap: true,
             voters: None,
             usage: None,
+            scaling: false,
         }
     }
 
@@ -82,6 +84,12 @@
         self
     }
 
+    /// Sets whether targets are ordered; without it, no orders are logged.
+    pub fn scaling(mut self, enabled: bool) -> ReplicaConfig {
+        self.scaling = enabled;
+        self
+    }
+
     /// Sets the number of entries between two snapshots.
     pub fn snapshot_entries(mut self, entries: u64) -> ReplicaConfig {
         self.snapshot_entries = entries;
--- a/laburnumlug-control/src/replica/mod.rs
+++ b/laburnumlug-control/src/replica/mod.rs
@@ -23,6 +23,7 @@
 use event_listener::{Event, EventListener};
 use laburnumlug_mesh::{Message, NodeReport, OrderReport, Pool, VotingStatus};
 use laburnumlug_operator::{AuditFilter, AuditRecord};
+use serde_json::Value;
 
 pub use self::config::{PeerReplica, ReplicaConfig};
 use self::core::Core;
@@ -30,9 +31,10 @@
 use crate::command::Command;
 use crate::entry::Payload;
 use crate::peer::{PeerAnswer, PeerRequest};
+use crate::scaling::Scaling;
 use crate::state::{FleetSnapshot, State};
 use crate::storage::{Meta, MetaFile};
-use crate::usage::Usage;
+use crate::usage::{DutyHolder, Usage};
 
 /// Timeout for connecting to another replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -55,6 +57,10 @@
     pool: Pool,
     /// Usage of customers; `None` if it is not reported.
     usage: Option<Usage>,
+    /// Orders of targets; `None` if none are ordered.
+    scaling: Option<Scaling>,
+    /// Holder of the duties; `None` while this replica does not hold them.
+    duty_holder: RefCell<Option<DutyHolder>>,
     /// Notified when a change in `core` may concern a waiting task.
     changed: Event,
     /// Lock that keeps other processes from using the data folder.
@@ -95,6 +101,28 @@
         self.usage.as_ref()
     }
 
+    /// Returns the orders of targets, if any are ordered.
+    pub(crate) fn scaling(&self) -> Option<&Scaling> {
+        self.scaling.as_ref()
+    }
+
+    /// Sets the holder of the duties; `None` while this replica does not hold them.
+    pub fn set_duty_holder(&self, holder: Option<DutyHolder>) {
+        *self.duty_holder.borrow_mut() = holder;
+    }
+
+    /// Returns the duties as the operator interface shows them, or `Null` if there are none.
+    pub(crate) fn duties_json(&self, now: Instant) -> Value {
+        if self.usage.is_none() && self.scaling.is_none() {
+            return Value::Null;
+        }
+        let holder = self.duty_holder.borrow();
+        let mut duties = self.usage_json();
+        duties["held"] = holder.as_ref().map(|holder| holder.to_json(now)).into();
+        duties["servers"] = self.servers_json();
+        duties
+    }
+
     /// Calls `read` with the committed state.
     pub(crate) fn with_state<T, F>(&self, read: F) -> T
     where
--- a/laburnumlug-control/src/replica/open.rs
+++ b/laburnumlug-control/src/replica/open.rs
@@ -14,6 +14,7 @@
 use crate::entry::Membership;
 use crate::entry_log::Log;
 use crate::error::{Error, ErrorKind};
+use crate::scaling::Scaling;
 use crate::storage::{
     Journal, JournalRecord, Meta, MetaFile, RecoveredJournal, Snapshot, SnapshotFile,
     StoredSnapshot,
@@ -69,6 +70,8 @@
         let replica = Rc::new(Replica {
             pool: Pool::new(cfg.key.clone(), CONNECT_TIMEOUT),
             usage: cfg.usage.map(|cfg| Usage::new(Instant::now(), cfg)),
+            scaling: cfg.scaling.then(Scaling::default),
+            duty_holder: RefCell::default(),
             cfg,
             core: RefCell::new(core),
             peers: RefCell::default(),
--- a/laburnumlug-control/src/state.rs
+++ b/laburnumlug-control/src/state.rs
@@ -18,6 +18,7 @@
 use crate::command::{Accepted, Command, FleetChange, FleetRefusal, Outcome};
 use crate::intents::{Intents, RoleRefusal, TargetIntent};
 use crate::load_queue::LoadQueue;
+use crate::scaling::ServerLedger;
 use crate::usage::UsageLedger;
 
 /// Operator and client address in the audit records of changes that the system itself makes.
@@ -89,6 +90,9 @@
     /// Usage of customers by window; missing in snapshots of earlier versions.
     #[serde(default)]
     usage: UsageLedger,
+    /// Last orders of targets; missing in snapshots of earlier versions.
+    #[serde(default)]
+    servers: ServerLedger,
 }
 
 impl State {
@@ -111,6 +115,7 @@
             intents: Intents::default(),
             claims: Claims::default(),
             usage: UsageLedger::default(),
+            servers: ServerLedger::default(),
         }
     }
 
@@ -171,6 +176,12 @@
             Command::AcknowledgeUsage { window } => {
                 Outcome::UsageAcknowledged(self.usage.acknowledge(window))
             }
+            Command::OrderServers(change) => {
+                Outcome::ServersOrdered(self.servers.order(record.time_ms, change))
+            }
+            Command::AcknowledgeServers { number } => {
+                Outcome::ServersAcknowledged(self.servers.acknowledge(record.time_ms, number))
+            }
         }
     }
 
@@ -179,6 +190,11 @@
         &self.usage
     }
 
+    /// Returns the last orders of targets.
+    pub(crate) fn servers(&self) -> &ServerLedger {
+        &self.servers
+    }
+
     /// Returns the latest report of each process, sorted by name.
     pub(crate) fn nodes(&self) -> Vec<NodeReport> {
         self.nodes.values().cloned().collect()
@@ -293,6 +309,7 @@
 
     fn accept(&mut self, time_ms: u64, change: FleetChange, document: &FleetDocument) -> Accepted {
         self.intents.apply_document(document);
+        self.servers.apply_document(document);
         self.control_names = document.control.iter().map(|vm| vm.name.clone()).collect();
         let version = self.fleet.version + 1;
         let differences = self.differences(&change.document);
--- a/laburnumlug-control/src/state/tests.rs
+++ b/laburnumlug-control/src/state/tests.rs
@@ -100,18 +100,20 @@
     assert_eq!(records, expected);
 }
 
-/// A replica that is upgraded must read the snapshot of the version before, which has no usage.
+/// A replica that is upgraded must read the snapshot of an earlier version, which has no usage and no orders of targets.
 #[test]
-fn decode_without_usage() {
+fn decode_without_duties() {
     let mut state = State::new();
     submit(&mut state, FleetChange::new("anna", 0, DOCUMENT)).unwrap();
     let ciborium::Value::Map(mut fields) = ciborium::Value::serialized(&state).unwrap() else {
         panic!("the state is not a map");
     };
     let fields_before = fields.len();
-    fields.retain(|(name, _)| *name != ciborium::Value::from("usage"));
-    assert_eq!(fields.len() + 1, fields_before);
+    let added = ["usage", "servers"].map(ciborium::Value::from);
+    fields.retain(|(name, _)| !added.contains(name));
+    assert_eq!(fields.len() + added.len(), fields_before);
     let decoded: State = ciborium::Value::Map(fields).deserialized().unwrap();
     assert_eq!(decoded.fleet().version, 1);
     assert_eq!(decoded.usage().pending().count(), 0);
+    assert!(decoded.servers().orders().is_empty());
 }
--- a/laburnumlug-control/src/usage/replica.rs
+++ b/laburnumlug-control/src/usage/replica.rs
@@ -6,7 +6,7 @@
 use laburnumlug::{CustomerCounts, UsageReport, WindowNumber};
 use serde_json::{Value, json};
 
-use super::{DutyHolder, UsageCollector, UsageConfig, UsageFix, UsageTotals};
+use super::{UsageCollector, UsageConfig, UsageFix, UsageTotals};
 use crate::replica::Replica;
 
 /// Counts, totals and status of one replica.
@@ -14,7 +14,6 @@
     cfg: UsageConfig,
     collector: RefCell<UsageCollector>,
     totals: Cell<UsageTotals>,
-    holder: RefCell<Option<DutyHolder>>,
 }
 
 impl Usage {
@@ -23,7 +22,6 @@
             cfg,
             collector: RefCell::new(UsageCollector::new(now, cfg)),
             totals: Cell::default(),
-            holder: RefCell::default(),
         }
     }
 
@@ -104,21 +102,12 @@
         Some(self.usage()?.totals.get())
     }
 
-    /// Sets the holder of the duties; `None` while this replica does not hold them.
-    pub fn set_duty_holder(&self, holder: Option<DutyHolder>) {
-        if let Some(usage) = self.usage() {
-            *usage.holder.borrow_mut() = holder;
-        }
-    }
-
-    /// Returns the duties as the operator interface shows them, or `Null` if there are none.
-    pub(crate) fn duties_json(&self, now: Instant) -> Value {
+    /// Returns the state of the usage reports as the operator interface shows it, or `Null` if there are none.
+    pub(crate) fn usage_json(&self) -> Value {
         let Some(usage) = self.usage() else {
             return Value::Null;
         };
-        let holder = usage.holder.borrow();
         json!({
-            "held": holder.as_ref().map(|holder| holder.to_json(now)),
             "pending_windows": self.pending_usage(),
             "gateways": usage.collector.borrow().gateways(),
         })
