Order numbers of targets from the platform

Cause: the platform starts and stops targets of services with scaling on orders that one holder makes at a time.

The setting duties of control, rendered from the platform's list, switches it on; unknown duties are logged. A service with engines never falls below one for each phase, as without any no work is measured. Status, metrics and log lines show orders, present and starting targets.

--- a/laburnumlug-cli/src/status.rs
+++ b/laburnumlug-cli/src/status.rs
@@ -144,18 +144,49 @@
             };
             let windows = array_items(duties, "pending_windows");
             let pending = match windows.first() {
-                None => "none".to_string(),
-                Some(oldest) => format!("{} since {oldest}", windows.len()),
+                _ if duties["pending_windows"].is_null() => String::new(),
+                None => "; windows to report: none".to_string(),
+                Some(oldest) => format!("; windows to report: {} since {oldest}", windows.len()),
             };
-            format!(
-                "duties: held by {} for {seconds} s with fence {}{state}; windows to report: {pending}\n",
+            let held = format!(
+                "duties: held by {} for {seconds} s with fence {}{state}{pending}\n",
                 cell_text(&held["holder"]),
                 cell_text(&held["fence"]),
-            )
+            );
+            held + &server_table(duties)
         }
     }
 }
 
+/// Lists the numbers of targets that are ordered from the platform, by service and zone.
+fn server_table(duties: &Value) -> String {
+    let servers = array_items(duties, "servers");
+    if servers.is_empty() {
+        return String::new();
+    }
+    let header = [
+        "service", "zone", "ordered", "present", "starting", "order", "reason",
+    ];
+    let mut table = Table::new(&header);
+    for server in servers {
+        let order = match &server["is_accepted"] {
+            Value::Bool(true) => "accepted",
+            Value::Bool(false) => "not accepted yet",
+            _ => "-",
+        };
+        table.push_row(&[
+            cell_text(&server["service"]),
+            cell_text(&server["zone"]),
+            cell_text(&server["ordered"]),
+            cell_text(&server["present"]),
+            cell_text(&server["starting"]),
+            order.to_string(),
+            cell_text(&server["reason"]),
+        ]);
+    }
+    format!("\n{}", table.render())
+}
+
 fn target_table(status: &Value, document: &Value) -> String {
     let mut table = Table::new(&[
         "target",
--- a/laburnumlug-cli/src/status_tests.rs
+++ b/laburnumlug-cli/src/status_tests.rs
@@ -32,3 +32,28 @@
 fn duties_none() {
     assert_eq!(duties(&[status(Value::Null)]), "");
 }
+
+/// Where no usage is reported, the numbers of targets must be shown all the same, also before the first order.
+#[test]
+fn duties_servers_without_usage() {
+    let mut duties_json = held("front-1", 4, true, &[]);
+    duties_json["pending_windows"] = Value::Null;
+    duties_json["servers"] = json!([
+        { "service": "s", "zone": "z1", "ordered": 6, "present": 4, "starting": 2, "reason": "surplus", "is_accepted": true },
+        { "service": "s", "zone": "z2", "ordered": null, "present": 4, "starting": 0, "reason": null, "is_accepted": null },
+    ]);
+    let text = duties(&[status(duties_json)]);
+    let words = |line: usize| {
+        text.lines()
+            .nth(line)
+            .unwrap()
+            .split_whitespace()
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(
+        text.lines().next().unwrap(),
+        "duties: held by front-1 for 7 s with fence 4"
+    );
+    assert_eq!(words(3), ["s", "z1", "6", "4", "2", "accepted", "surplus"]);
+    assert_eq!(words(4), ["s", "z2", "-", "4", "0", "-", "-"]);
+}
--- a/laburnumlug-daemon/src/control.rs
+++ b/laburnumlug-daemon/src/control.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::control_metrics::ControlMetrics;
-use crate::duties::UsageDuty;
+use crate::duties::{ScalingDuty, UsageDuty};
 use crate::error::Error;
 use crate::fleet_store::ControlLogStore;
 use crate::listener::bind;
@@ -102,6 +102,9 @@
         gauges.refresh(Instant::now());
         metrics.prometheus_text()
     });
+    for name in &settings.unknown_duties {
+        log::warn!("ignored the duty {name:?} in the settings, which this version does not know");
+    }
     if let Some(addr) = settings.target_list {
         let source = Rc::new(InstanceListClient::new(addr));
         let planner = Rc::new(RolePlanner::new(
@@ -110,9 +113,18 @@
             &settings.process.vm,
             settings.handover_time,
         ));
-        compio::runtime::spawn(target_reader::run(replica.clone(), source, planner)).detach();
+        let client = Rc::new(PlatformDutyClient::new(addr));
+        let scaling = settings.scaling.then(|| {
+            ScalingDuty::start(
+                replica.clone(),
+                client.clone(),
+                &settings.process.vm,
+                settings.handover_time,
+            )
+        });
+        let reader = target_reader::run(replica.clone(), source, planner, scaling);
+        compio::runtime::spawn(reader).detach();
         if settings.usage.is_some() {
-            let client = Rc::new(PlatformDutyClient::new(addr));
             UsageDuty::start(
                 replica.clone(),
                 client,
--- a/laburnumlug-daemon/src/control_metrics.rs
+++ b/laburnumlug-daemon/src/control_metrics.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use laburnumlug_control::{Replica, UsageTotals};
+use laburnumlug_control::{Replica, ScalingTotals, UsageTotals};
+use opentelemetry::KeyValue;
 use opentelemetry::metrics::Gauge;
 
 use crate::metrics::Metrics;
@@ -18,6 +19,72 @@
     committed: Gauge<u64>,
     fleet_version: Gauge<u64>,
     usage: Option<UsageMetrics>,
+    scaling: Option<ScalingMetrics>,
+}
+
+/// Gauges of the targets that are ordered.
+struct ScalingMetrics {
+    ordered: Gauge<u64>,
+    present: Gauge<u64>,
+    starting: Gauge<u64>,
+    pending: Gauge<u64>,
+    accepted: Gauge<u64>,
+    failed: Gauge<u64>,
+}
+
+impl ScalingMetrics {
+    fn new(metrics: &Metrics) -> ScalingMetrics {
+        ScalingMetrics {
+            ordered: metrics.gauge(
+                "laburnumlug.control.servers.ordered",
+                "Number of targets that was ordered last, by service and zone",
+            ),
+            present: metrics.gauge(
+                "laburnumlug.control.servers.present",
+                "Listed targets that are not leaving, by service and zone, while this replica leads",
+            ),
+            starting: metrics.gauge(
+                "laburnumlug.control.servers.starting",
+                "Targets that were ordered and are not listed, by service and zone, while this replica leads",
+            ),
+            pending: metrics.gauge(
+                "laburnumlug.control.servers.pending",
+                "Orders of targets that are not known to have been accepted",
+            ),
+            accepted: metrics.gauge(
+                "laburnumlug.control.servers.accepted",
+                "Orders of this replica that were accepted since its start",
+            ),
+            failed: metrics.gauge(
+                "laburnumlug.control.servers.failed",
+                "Calls of this replica to order targets that are not known to have been accepted, since its start",
+            ),
+        }
+    }
+
+    fn refresh(&self, replica: &Replica, totals: ScalingTotals) {
+        let labels = |service: &str, zone: &str| {
+            [
+                KeyValue::new("service", service.to_string()),
+                KeyValue::new("target_zone", zone.to_string()),
+            ]
+        };
+        for (service, zones) in replica.server_orders() {
+            for (zone, order) in zones {
+                let desired = u64::from(order.desired);
+                self.ordered.record(desired, &labels(&service, &zone));
+            }
+        }
+        for status in replica.server_status() {
+            let labels = labels(&status.service, &status.zone);
+            self.present.record(status.present.into(), &labels);
+            self.starting.record(status.starting.into(), &labels);
+        }
+        let pending = replica.pending_server_orders().len() as u64;
+        self.pending.record(pending, &[]);
+        self.accepted.record(totals.accepted, &[]);
+        self.failed.record(totals.failed, &[]);
+    }
 }
 
 /// Gauges of the usage that this replica has fixed and reported since its start.
@@ -69,9 +136,13 @@
     /// Registers the gauges with the process's metrics.
     pub(crate) fn new(metrics: &Metrics, replica: Rc<Replica>) -> ControlMetrics {
         let usage = replica.usage_totals().map(|_| UsageMetrics::new(metrics));
+        let scaling = replica
+            .scaling_totals()
+            .map(|_| ScalingMetrics::new(metrics));
         ControlMetrics {
             replica,
             usage,
+            scaling,
             is_leader: metrics.gauge(
                 "laburnumlug.control.is_leader",
                 "1 while this replica leads, else 0",
@@ -111,5 +182,8 @@
         if let (Some(usage), Some(totals)) = (&self.usage, self.replica.usage_totals()) {
             usage.refresh(&self.replica, totals);
         }
+        if let (Some(scaling), Some(totals)) = (&self.scaling, self.replica.scaling_totals()) {
+            scaling.refresh(&self.replica, totals);
+        }
     }
 }
--- a/laburnumlug-daemon/src/dev.rs
+++ b/laburnumlug-daemon/src/dev.rs
@@ -87,6 +87,8 @@
             platform_operator: false,
             handover_time: Duration::from_secs(3),
             usage: None,
+            scaling: false,
+            unknown_duties: Vec::new(),
         },
         metrics.clone(),
     )
--- a/laburnumlug-daemon/src/role_planner.rs
+++ b/laburnumlug-daemon/src/role_planner.rs
@@ -1,6 +1,6 @@
 //! Role planner: the leading control replica decides which engines change role and sends them the orders.
 
-use std::cell::RefCell;
+use std::cell::{Ref, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Returns the demand for the engines, as of the last list.
+    pub(crate) fn demand_meter(&self) -> Ref<'_, DemandMeter> {
+        self.demand.borrow()
+    }
+
     /// Plans role changes for a list that was just read, marks the changing engines in it and sends the orders due.
     ///
     /// A replica that does not lead only discards its pending changes. A new leader sends no order before the handover
--- a/laburnumlug-daemon/src/settings/control.rs
+++ b/laburnumlug-daemon/src/settings/control.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use laburnumlug_control::{OperatorToken, OperatorTokens, PeerReplica, ReplicaConfig, UsageConfig};
+use laburnumlug_platform::Duty;
 
 use super::common::{
     LOG, LogSettings, MESH, METRICS, MeshSettings, PROCESS, ProcessSettings, read_metrics_addr,
@@ -36,6 +37,7 @@
         "order_turn_ms",
         "usage_window_s",
         "usage_late_s",
+        "duties",
         "others",
     ],
 };
@@ -75,6 +77,10 @@
     pub(crate) handover_time: Duration,
     /// Windows whose usage is reported to the platform while this replica leads; `None` if it is not.
     pub(crate) usage: Option<UsageConfig>,
+    /// Whether numbers of targets are ordered from the platform while this replica leads.
+    pub(crate) scaling: bool,
+    /// Names of duties in the settings that this version does not know.
+    pub(crate) unknown_duties: Vec<String>,
 }
 
 impl ControlSettings {
@@ -91,6 +97,12 @@
             (text == "mesh").then(|| peers_by_address(&mesh, listen))
         })?;
         let allowed_losses = "a whole number";
+        let allowed_duties = "names of duties, separated by commas, or nothing";
+        let (duties, unknown_duties) = reader
+            .optional("control", "duties", allowed_duties, |text| {
+                Some(parse_duties(text))
+            })?
+            .unwrap_or_default();
         let data: String =
             reader.required("control", "data", "the path of a folder", parse_text)?;
         Ok(ControlSettings {
@@ -132,6 +144,8 @@
                 )?
                 .unwrap_or(DEFAULT_HANDOVER_TIME),
             usage: read_usage(&reader)?,
+            scaling: duties.contains(&Duty::Scaling),
+            unknown_duties,
             platform_operator: reader
                 .optional("control", "platform_operator", "yes or no", parse_yes_or_no)?
                 .unwrap_or(false),
@@ -152,7 +166,8 @@
         let cfg = ReplicaConfig::new(&self.name, &self.data, self.mesh.key.clone())
             .peers(self.replicas.clone())
             .group_commit(self.group_commit)
-            .may_bootstrap(self.may_bootstrap);
+            .may_bootstrap(self.may_bootstrap)
+            .scaling(self.scaling && self.target_list.is_some());
         let cfg = match self.usage {
             Some(usage) => cfg.usage(usage),
             None => cfg,
@@ -186,6 +201,21 @@
     }
 }
 
+/// Parses the duties that the platform lists; returns the known ones, and the names of the others.
+fn parse_duties(text: &str) -> (Vec<Duty>, Vec<String>) {
+    let names = text
+        .split(',')
+        .map(str::trim)
+        .filter(|name| !name.is_empty());
+    let (known, unknown): (Vec<&str>, Vec<&str>) =
+        names.partition(|name| Duty::from_name(name).is_some());
+    let known = known.into_iter().filter_map(Duty::from_name);
+    (
+        known.collect(),
+        unknown.into_iter().map(str::to_string).collect(),
+    )
+}
+
 fn parse_operator_tokens(text: &str) -> Option<Vec<OperatorToken>> {
     text.split(',')
         .map(|item| {
@@ -224,3 +254,21 @@
         _ => None,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A platform that lists duties which this version does not know, or none, must not keep the process from starting.
+    #[test]
+    fn parse_duties_unknown_and_empty() {
+        let (known, unknown) = parse_duties("usage_report, backup,autoscale,");
+        assert_eq!(known, [Duty::Usage, Duty::Scaling]);
+        assert_eq!(unknown, ["backup"]);
+        let text = "[control]\nduties = \nusage_late_s = 2\n".to_string();
+        let reader = Reader::parse(Path::new("control.ini"), text, &[CONTROL]).unwrap();
+        let parse = |text: &str| Some(parse_duties(text));
+        let duties = reader.optional("control", "duties", "", parse).unwrap();
+        assert_eq!(duties, Some((Vec::new(), Vec::new())));
+    }
+}
--- a/laburnumlug-daemon/src/target_reader.rs
+++ b/laburnumlug-daemon/src/target_reader.rs
@@ -6,6 +6,7 @@
 use laburnumlug_control::Replica;
 use laburnumlug_platform::TargetSource;
 
+use crate::duties::ScalingDuty;
 use crate::role_planner::RolePlanner;
 
 /// Interval between reads of the list while this replica leads; calls to the platform are limited.
@@ -19,6 +20,7 @@
     replica: Rc<Replica>,
     source: Rc<dyn TargetSource>,
     planner: Rc<RolePlanner>,
+    scaling: Option<Rc<ScalingDuty>>,
 ) {
     let mut is_failing = false;
     loop {
@@ -36,7 +38,11 @@
             }
             is_failing = result.is_err();
             if let Ok(mut list) = result {
-                planner.plan(Instant::now(), &mut list);
+                let now = Instant::now();
+                planner.plan(now, &mut list);
+                if let Some(scaling) = &scaling {
+                    scaling.observe(now, &list, &planner.demand_meter());
+                }
                 replica.publish_targets(requested_at, list);
             }
         }
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -14,6 +14,7 @@
 mod operators;
 mod platform;
 mod platform_fleet;
+mod scaling;
 mod settings;
 mod settings_page;
 mod targets;
--- a/laburnumlug-policy/src/server_count.rs
+++ b/laburnumlug-policy/src/server_count.rs
@@ -242,7 +242,9 @@
         );
         let present: u32 = zones.iter().map(|zone| zone.present).sum();
         let newest = self.forecast.newest();
-        let is_refusing = newest.is_some_and(|(busy, _)| busy > f64::from(present) * REFUSAL_USE);
+        // A list without any target is wrong, or all machines have stopped and return: further targets bring nothing.
+        let is_refusing =
+            present > 0 && newest.is_some_and(|(busy, _)| busy > f64::from(present) * REFUSAL_USE);
         let mut plans = self.observe(now, &load, zones, is_refusing);
         // Bounds apply at once, before all other rules.
         let mut reason = OrderReason::Bounds;
--- a/laburnumlug-policy/src/server_count_tests.rs
+++ b/laburnumlug-policy/src/server_count_tests.rs
@@ -321,3 +321,14 @@
     sim.run(30, |_| None);
     assert_eq!(sim.desired(), [2, 3]);
 }
+
+/// Work that is too small to be sampled must not lead to zero engines: then no request runs that could raise the number.
+#[test]
+fn plan_idle_without_minimum() {
+    let mut sim = Simulation::new(&[3, 3], 0, 8);
+    for _ in 0..100 {
+        sim.second += 1;
+        sim.step(&Demand::Idle);
+    }
+    assert_eq!(sim.present(), 2, "{:?}", sim.orders);
+}
--- a/laburnumlug-policy/src/server_forecast.rs
+++ b/laburnumlug-policy/src/server_forecast.rs
@@ -15,6 +15,10 @@
 /// Maximum growth that is expected within a start time, as a share of the present work.
 const MAX_GROWTH: f64 = 1.0;
 
+/// Minimum number of engines that a service needs, one for each phase. Without any, all requests are refused, and no work is
+/// measured from which further engines could be ordered.
+const MIN_NEEDED: u32 = 2;
+
 /// Work of a service at one time, and what it was expected to become.
 #[derive(Clone, Copy, Debug)]
 struct Record {
@@ -63,7 +67,7 @@
         self.records.push_back(Record {
             at: now,
             busy,
-            needed: engines as u32,
+            needed: (engines as u32).max(MIN_NEEDED),
             reporters,
         });
         let kept = kept.max(trend_time(start_time));
