--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -57,7 +57,7 @@
 
 A [`UsageMeter`] counts the requests of customers by windows of true time, which a [`ClockOffset`] estimates. A [`DutyTurn`]
 and [`CallPermit`]s keep two successive leaders from acting in turn, and a [`ReportSchedule`] spaces the calls that report
-the counts.
+the counts. A [`ServerCount`] decides how many targets of a service are ordered in each availability zone.
 */
 
 mod admission;
@@ -96,6 +96,8 @@
 mod role_plan;
 mod room;
 mod route;
+mod server_count;
+mod server_forecast;
 mod software_history;
 mod stream_origins;
 mod subset;
@@ -147,6 +149,9 @@
 pub use crate::route::{
     ByRole, Candidate, LeastQueue, PredictedFinish, ReportedLoad, RouteQuery, Router, router,
 };
+pub use crate::server_count::{
+    OrderReason, ServerCount, ServerOrder, ServiceLoad, StandingOrder, ZoneTargets,
+};
 pub use crate::software_history::{AssumedOrigin, SoftwareHistory};
 pub use crate::stream_origins::StreamOrigins;
 pub use crate::subset::select_subset;
