Pass on bodies without a length whose connection is closed in an orderly way

Cause: a body without a length or chunks counted as broken off unless it was JSON, since the end of a connection does not show that it is whole. Plain services may answer so, and their whole answers became errors. The platform states that such an answer ends with its connection and is incomplete only if the connection is reset.

Change: only a reset, or a transfer coding that is not supported, breaks such a body off.

--- a/laburnumlug-http/src/body_reader.rs
+++ b/laburnumlug-http/src/body_reader.rs
@@ -3,9 +3,8 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Body;
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, StatusCode};
-use serde::de::IgnoredAny;
 
 use crate::error::Error;
 
@@ -14,8 +13,10 @@
 pub(crate) enum Framing {
     /// By its length or by its last chunk.
     Framed,
-    /// By the end of the connection, which may also have been broken off. A whole JSON object or array shows its end.
-    Unframed { is_json: bool },
+    /// By the end of the connection; a connection that is reset instead breaks the body off.
+    Unframed,
+    /// By a transfer coding that is not decoded here, so that the bytes are not the body.
+    Unsupported,
 }
 
 impl Framing {
@@ -28,29 +29,22 @@
             let value = value.as_bytes().to_ascii_lowercase();
             value.trim_ascii_end().ends_with(b"chunked")
         });
-        let has_length = coding.is_none() && headers.contains_key(CONTENT_LENGTH);
-        match has_no_body || is_chunked || has_length {
-            true => Framing::Framed,
-            false => Framing::Unframed {
-                is_json: has_json_type(headers),
-            },
+        match coding {
+            _ if has_no_body || is_chunked => Framing::Framed,
+            Some(_) => Framing::Unsupported,
+            None if headers.contains_key(CONTENT_LENGTH) => Framing::Framed,
+            None => Framing::Unframed,
         }
     }
 }
 
-fn has_json_type(headers: &HeaderMap) -> bool {
-    let content_type = headers.get(CONTENT_TYPE);
-    let content_type = content_type.and_then(|value| value.to_str().ok());
-    let essence = content_type.and_then(|value| value.split(';').next());
-    let essence = essence.unwrap_or("").trim().to_ascii_lowercase();
-    essence == "application/json" || essence.ends_with("+json")
-}
-
 /// Reads a response body to its end, up to `limit` bytes.
 ///
+/// A body without a length or chunks is whole when its connection is closed in an orderly way.
+///
 /// # Errors
 ///
-/// Fails when the body is longer than `limit`, its connection breaks, or nothing shows that it is whole.
+/// Fails when the body is longer than `limit`, its connection breaks, or its transfer coding is not supported.
 pub(crate) async fn read_whole_body<B>(
     framing: Framing,
     body: B,
@@ -59,23 +53,12 @@
 where
     B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
 {
-    let bytes = read_body(body, limit).await?;
-    let is_whole = match framing {
-        Framing::Framed => true,
-        Framing::Unframed { is_json } => is_json && is_json_container(&bytes),
-    };
-    match is_whole {
-        true => Ok(bytes),
-        false => Err(Error::unframed()),
+    match framing {
+        Framing::Unsupported => Err(Error::unsupported_coding()),
+        Framing::Framed | Framing::Unframed => read_body(body, limit).await,
     }
 }
 
-/// Returns whether a text is a whole JSON object or array; a part of one is not.
-fn is_json_container(text: &[u8]) -> bool {
-    let first = text.trim_ascii_start().first();
-    matches!(first, Some(b'{' | b'[')) && serde_json::from_slice::<IgnoredAny>(text).is_ok()
-}
-
 /// Returns the next non-empty chunk of a body, or `None` at its end; skips trailers.
 pub(crate) async fn next_chunk<B>(body: &mut B) -> Result<Option<Bytes>, Error>
 where
--- a/laburnumlug-http/src/client.rs
+++ b/laburnumlug-http/src/client.rs
@@ -100,7 +100,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body is longer than `limit`, its connection breaks, or nothing shows that the body is whole.
+    /// Fails when the body is longer than `limit`, its connection breaks, or its transfer coding is not supported.
     pub async fn bytes(&mut self, limit: usize) -> Result<Bytes, Error> {
         let reading = read_whole_body(self.framing, &mut self.body, limit);
         drive(&mut self.driver, reading).await
--- a/laburnumlug-http/src/error.rs
+++ b/laburnumlug-http/src/error.rs
@@ -15,7 +15,7 @@
     Exchange(hyper::Error),
     TimedOut,
     BodyTooLarge { limit: usize },
-    Unframed,
+    UnsupportedCoding,
 }
 
 impl Error {
@@ -43,9 +43,9 @@
         }
     }
 
-    pub(crate) fn unframed() -> Error {
+    pub(crate) fn unsupported_coding() -> Error {
         Error {
-            kind: ErrorKind::Unframed,
+            kind: ErrorKind::UnsupportedCoding,
         }
     }
 
@@ -77,9 +77,9 @@
             ErrorKind::BodyTooLarge { limit } => {
                 write!(f, "the body is longer than {limit} bytes")
             }
-            ErrorKind::Unframed => f.write_str(
-                "the connection ended after a body without a length, which may be incomplete",
-            ),
+            ErrorKind::UnsupportedCoding => {
+                f.write_str("the body has a transfer coding that is not supported")
+            }
         }
     }
 }
--- a/laburnumlug-http/src/pool.rs
+++ b/laburnumlug-http/src/pool.rs
@@ -305,7 +305,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body is longer than `limit`, its connection breaks, or nothing shows that the body is whole.
+    /// Fails when the body is longer than `limit`, its connection breaks, or its transfer coding is not supported.
     pub async fn bytes(&mut self, limit: usize) -> Result<Bytes, Error> {
         let bytes = read_whole_body(self.framing, &mut self.body, limit).await?;
         self.is_complete = true;
