Keep the work of targets that are only silent

A read was given up after twice its latency objective, and a stream that may be repeated once its engine was silent, although no other target or no retry was left, so the caller got 504 long before its deadline. Work is now given up only once another target is known and the retry for it is spent; otherwise its answer is awaited until the deadline.

The timer of a stalled stream that fires late extends the gap by the time for which the gateway did not run, instead of measuring it anew, so that a dripping stream also ends on a busy machine.

On the entry's path, a target process that is frozen for 4 s goes on with its call or generation, since neither side limits its silence, and the kernel acknowledges data.

Tests: silent (platform), of which two of three fail without the change, and silent_process (daemon), which shows the entry's path.

--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -18,4 +18,5 @@
 mod platform_fleet;
 mod settings;
 mod settings_page;
+mod silent_process;
 mod targets;
--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -65,13 +65,13 @@
 }
 
 /// Timeout and priority settings of one attempt.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct AttemptOptions {
+#[derive(Clone, Copy)]
+pub(crate) struct AttemptOptions<'a> {
     /// Time without a response head after which the target is probed.
     pub(crate) probe_after: Duration,
-    /// Whether to abandon the attempt when the probe fails, or after waiting `probe_after` once more when it succeeds.
-    /// Otherwise the attempt waits until the request's deadline.
-    pub(crate) abandon_if_silent: bool,
+    /// Returns whether the attempt may be abandoned now when the probe fails, or after waiting `probe_after` once more when
+    /// it succeeds. Otherwise the attempt waits until the request's deadline, as its target may only be silent for a while.
+    pub(crate) may_abandon: &'a dyn Fn(Instant) -> bool,
     /// Priority at an engine; 0 is the most urgent.
     pub(crate) priority: Option<u8>,
 }
@@ -90,6 +90,8 @@
     pub(crate) at_prefill: bool,
     /// Predicted time until a retry can succeed, if known.
     pub(crate) retry_after: Option<Duration>,
+    /// Whether a retry of the service's budget was spent on the next attempt.
+    pub(crate) has_retry: bool,
 }
 
 impl AttemptFailure {
@@ -106,6 +108,7 @@
             is_connection_broken: false,
             at_prefill: false,
             retry_after: None,
+            has_retry: false,
         }
     }
 
@@ -203,7 +206,7 @@
         target: &Rc<TargetHandle>,
         stage: AttemptStage,
         last_event_id: Option<String>,
-        options: AttemptOptions,
+        options: AttemptOptions<'_>,
     ) -> Result<PooledResponse, AttemptFailure> {
         let now = Instant::now();
         let time_left = request.time_left(now);
@@ -242,7 +245,7 @@
         request: &CallerRequest,
         target: &Rc<TargetHandle>,
         attempt: AttemptHeaders,
-        options: AttemptOptions,
+        options: AttemptOptions<'_>,
     ) -> Option<Result<PooledResponse, SendError>> {
         let mut headers = request.headers.clone();
         self.header_codec
@@ -264,13 +267,21 @@
             let reason = "it answers neither requests nor a health probe";
             self.suspect(Instant::now(), target, reason);
         }
-        let time_left = request.time_left(Instant::now());
-        let extra_wait = match (options.abandon_if_silent, is_healthy) {
-            (true, false) => return None,
-            (true, true) => limit.min(time_left),
-            (false, _) => time_left,
-        };
-        compio::time::timeout(extra_wait, sending).await.ok()
+        let now = Instant::now();
+        if !is_healthy && (options.may_abandon)(now) {
+            return None;
+        }
+        let extra_wait = limit.min(request.time_left(now));
+        if let Ok(sent) = compio::time::timeout(extra_wait, sending.as_mut()).await {
+            return Some(sent);
+        }
+        let now = Instant::now();
+        if (options.may_abandon)(now) {
+            return None;
+        }
+        compio::time::timeout(request.time_left(now), sending)
+            .await
+            .ok()
     }
 
     /// Turns the outcome of a send into a response or a failure, and counts a failed send against the target's health.
--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -1,5 +1,6 @@
 //! Forwarding of requests whose response is buffered whole, with retries at other targets.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -52,6 +53,7 @@
         self.record_request(Instant::now(), service);
         let mut tried: Vec<Rc<TargetHandle>> = Vec::new();
         let mut attempts_made = 0;
+        let mut has_retry = false;
         let mut last_failure: Option<AttemptFailure> = None;
         for _ in 0..request.route.max_attempts + MAX_EXTRA_TARGETS {
             let now = Instant::now();
@@ -67,13 +69,18 @@
             else {
                 break;
             };
-            if attempts_made > 0 && !self.try_acquire_retry(now, service) {
+            if attempts_made > 0 && !has_retry && !self.try_acquire_retry(now, service) {
                 break;
             }
             let is_last_attempt = attempts_made + 1 >= request.route.max_attempts;
             tried.push(target.clone());
             compio::time::sleep_until(self.reserve_request(now, &target)).await;
-            let attempt = self.attempt_buffered(request, &target, is_last_attempt);
+            // The target may only be silent for a while, so its work is given up only for an attempt that can be made.
+            let acquire_resend = |now| {
+                let other = self.least_loaded_target(now, service, &tried, None, max_wait);
+                other.is_some() && self.try_acquire_retry(now, service)
+            };
+            let attempt = self.attempt_buffered(request, &target, is_last_attempt, &acquire_resend);
             let result = self
                 .unless_blocked(Verdict::MayHaveRun, request, attempt)
                 .await;
@@ -90,6 +97,7 @@
                 "attempt failed: {}", failure.detail
             );
             attempts_made += u32::from(failure.reached_target);
+            has_retry = failure.has_retry;
             let may_repeat = failure.verdict == Verdict::NotRun || request.route.is_repeatable();
             if failure.is_connection_broken {
                 self.check_for_crash(&target);
@@ -126,13 +134,14 @@
         request: &CallerRequest,
         target: &Rc<TargetHandle>,
         is_last_attempt: bool,
+        acquire_resend: &dyn Fn(Instant) -> bool,
     ) -> Result<Response, AttemptFailure> {
         let _in_flight = target.track_request();
         let mut run = RunGuard::start(target, request);
         let exchange = async {
             let options = AttemptOptions {
                 probe_after: request.route.latency_objective * PROBE_OBJECTIVE_MULTIPLE,
-                abandon_if_silent: false,
+                may_abandon: &|_| false,
                 priority: None,
             };
             let sent = self
@@ -155,7 +164,8 @@
             run.mark_complete(Instant::now(), self);
             Ok((response, body))
         };
-        let resend_after = match request.route.is_repeatable() && !is_last_attempt {
+        let may_resend = request.route.is_repeatable() && !is_last_attempt;
+        let resend_after = match may_resend {
             true => request.route.latency_objective * RESEND_OBJECTIVE_MULTIPLE,
             false => Duration::MAX,
         };
@@ -163,12 +173,25 @@
         if time_left.is_zero() {
             return Err(AttemptFailure::expired());
         }
-        let limit = resend_after.min(time_left);
-        let (response, body) = match compio::time::timeout(limit, exchange).await {
+        let mut exchange = pin!(exchange);
+        let mut exchanged =
+            compio::time::timeout(resend_after.min(time_left), exchange.as_mut()).await;
+        let now = Instant::now();
+        let has_retry = exchanged.is_err()
+            && may_resend
+            && !request.time_left(now).is_zero()
+            && acquire_resend(now);
+        if exchanged.is_err() && !has_retry {
+            exchanged = compio::time::timeout(request.time_left(now), exchange).await;
+        }
+        let (response, body) = match exchanged {
             Ok(exchanged) => exchanged?,
             Err(_) => {
                 self.record_failure(Instant::now(), target);
-                return Err(AttemptFailure::timed_out("no whole answer in time"));
+                return Err(AttemptFailure {
+                    has_retry,
+                    ..AttemptFailure::timed_out("no whole answer in time")
+                });
             }
         };
         let status = response.status();
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -254,6 +254,11 @@
     }
 }
 
+/// Returns whether a target can generate a response, as prefill engines cannot.
+pub(crate) fn can_respond(target: &Rc<TargetHandle>) -> bool {
+    target.listing.borrow().role != Some(Role::Prefill)
+}
+
 /// Returns the targets to which a request may be sent.
 ///
 /// These are the healthy ones. If no healthy target can generate a response, as prefill engines cannot, the least
@@ -262,8 +267,6 @@
     now: Instant,
     targets: Vec<Rc<TargetHandle>>,
 ) -> Vec<Rc<TargetHandle>> {
-    let can_respond =
-        |target: &Rc<TargetHandle>| target.listing.borrow().role != Some(Role::Prefill);
     let is_usable = |target: &Rc<TargetHandle>| target.health.borrow().is_usable(now);
     let (mut selected, unusable): (Vec<_>, Vec<_>) = targets.into_iter().partition(is_usable);
     if selected.iter().any(can_respond) {
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -111,9 +111,10 @@
             AttemptStage::Full => selection.time_to_first_token,
             _ => Duration::ZERO,
         };
+        let may_abandon = |now| self.may_abandon(now, stream, &target);
         let options = AttemptOptions {
             probe_after: probe_delay(expected),
-            abandon_if_silent: request.route.is_repeatable(),
+            may_abandon: &may_abandon,
             priority: Some(selection.priority),
         };
         let uses_remote_prompt = matches!(stage, AttemptStage::DecodeFrom { .. });
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -5,6 +5,7 @@
 mod relay;
 mod upstream;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -18,7 +19,7 @@
 use crate::engine_selection::EngineSelection;
 use crate::forwarder::Forwarder;
 use crate::refusal::{FailureCause, Refusal};
-use crate::registry::TargetHandle;
+use crate::registry::{TargetHandle, can_respond};
 use crate::routes::RouteTable;
 use crate::stream_origins::RequiredSoftware;
 
@@ -43,6 +44,8 @@
     prefills_made: u32,
     /// Arrivals at engines of which all but the first draw on the retry budget: attempts and failed separate prefills.
     counted_arrivals: u32,
+    /// Whether a retry was spent on the next attempt.
+    has_retry: Cell<bool>,
 }
 
 impl StreamRequest {
@@ -88,6 +91,7 @@
             attempts_made: 0,
             prefills_made: 0,
             counted_arrivals: 0,
+            has_retry: Cell::new(false),
         };
         let mut may_have_run = false;
         loop {
@@ -132,7 +136,23 @@
         has_attempts
             && !stream.request.time_left(now).is_zero()
             && self.check_not_blocked(now, &stream.request).is_ok()
-            && (stream.counted_arrivals == 0 || self.try_acquire_retry(now, &stream.service))
+            && (stream.counted_arrivals == 0
+                || stream.has_retry.take()
+                || self.try_acquire_retry(now, &stream.service))
+    }
+
+    /// Returns whether an attempt at a silent target may be given up for one at another target, and spends a retry for
+    /// that one.
+    fn may_abandon(&self, now: Instant, stream: &StreamRequest, target: &Rc<TargetHandle>) -> bool {
+        let software = stream.software.as_ref();
+        let others = self.untried_targets(now, &stream.service, &stream.tried, software);
+        let mut others = others.iter();
+        let may_abandon = stream.request.route.is_repeatable()
+            && stream.attempts_made + 1 < stream.request.route.max_attempts
+            && others.any(|other| !Rc::ptr_eq(other, target) && can_respond(other))
+            && self.try_acquire_retry(now, &stream.service);
+        stream.has_retry.set(may_abandon);
+        may_abandon
     }
 
     /// Selects targets, makes one attempt there until its first event arrives, and logs the outcome.
--- a/laburnumlug-forward/src/stream/prefill.rs
+++ b/laburnumlug-forward/src/stream/prefill.rs
@@ -38,7 +38,8 @@
         let result = async {
             let options = AttemptOptions {
                 probe_after: probe_delay(expected),
-                abandon_if_silent: true,
+                // The decode engine can prefill the prompt itself.
+                may_abandon: &|_| true,
                 priority: Some(selection.priority),
             };
             let sent = self
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -67,13 +67,14 @@
                 RelayStep::CallerLeft => return,
                 RelayStep::TimedOut => {
                     let now = Instant::now();
+                    let timer_delay = now.saturating_duration_since(wait_until);
                     match () {
                         () if stream.request.time_left(now).is_zero() => {
                             return self.abort_expired(&stream, tx);
                         }
-                        // This process has not run, so it cannot tell whether events have arrived.
-                        () if now.saturating_duration_since(wait_until) > MAX_TIMER_DELAY => {
-                            upstream.restart_gap(now);
+                        // This process has not run, so events may have arrived that it has not read.
+                        () if timer_delay > MAX_TIMER_DELAY => {
+                            upstream.extend_gap(timer_delay + MAX_TIMER_DELAY);
                             StreamStep::Other
                         }
                         () if is_partial_overdue(now, &stream, &upstream) => {
--- a/laburnumlug-forward/src/stream/upstream.rs
+++ b/laburnumlug-forward/src/stream/upstream.rs
@@ -81,6 +81,12 @@
         self.stalled_since = now;
     }
 
+    /// Leaves `time` out of the gap until the next event.
+    pub(super) fn extend_gap(&mut self, time: Duration) {
+        self.last_event_at += time;
+        self.stalled_since += time;
+    }
+
     /// Waits for the next part of the stream; nothing is lost if the returned future is dropped.
     pub(super) async fn next(&mut self) -> StreamStep {
         let chunk = match self.response.chunk().await {
