Keep requests at silent engines that cannot be sent elsewhere

Cause: a request that may not be repeated got 504 about a second after its engine fell silent, although the engine may only be silent for a while and still answer.

Change: a waiting request is given up only if another attempt may be made and a retry of the budget is spent on it.

--- a/laburnumlug-cli/src/status_tests.rs
+++ b/laburnumlug-cli/src/status_tests.rs
@@ -12,7 +12,7 @@
     json!({ "held": held, "pending_windows": windows, "gateways": 4 })
 }
 
-/// A deposed leader that has not heard of its successor must not be shown as the holder.
+/// A deposed leader that does not know its successor must not be shown as the holder.
 #[test]
 fn duties_newest_holder() {
     let follower = status(json!({ "held": null, "pending_windows": [8, 9], "gateways": 4 }));
--- a/laburnumlug-control/src/usage/model.rs
+++ b/laburnumlug-control/src/usage/model.rs
@@ -284,7 +284,7 @@
             .is_some_and(|term| term < self.term)
             && self.rng.random_bool(0.2)
         {
-            // The replica hears of the newer term.
+            // The replica receives the newer term.
             self.replicas[index].leads = None;
         }
         let replica = &mut self.replicas[index];
--- a/laburnumlug-engine/src/client.rs
+++ b/laburnumlug-engine/src/client.rs
@@ -130,7 +130,7 @@
             body.extend_from_slice(&chunk);
         }
     };
-    // The status tells the verdict, so an incomplete message is no error of its own.
+    // The status tells the verdict, so an incomplete message is not an error.
     let _ = compio::time::timeout(ERROR_BODY_TIMEOUT, reading).await;
     body.truncate(MAX_ERROR_BODY_BYTES);
     String::from_utf8_lossy(&body).into_owned()
--- a/laburnumlug-forward/src/engine_watch.rs
+++ b/laburnumlug-forward/src/engine_watch.rs
@@ -70,23 +70,26 @@
         }
     }
 
-    /// Waits for an attempt, but abandons it once its engine is lost.
+    /// Waits for an attempt, but abandons it if its engine is lost and `may_abandon` returns true then.
     ///
-    /// The engine may run the request or have run it. An engine that was suspected before, and is used because there is no
-    /// other, is not abandoned.
-    pub(crate) async fn unless_lost<T, F>(
+    /// The engine may run the request or have run it, and may only be silent for a while. An engine that was suspected
+    /// before, and is used because there is no other, is not abandoned.
+    pub(crate) async fn unless_lost<T, F, A>(
         &self,
         engine: &TargetHandle,
         attempt: F,
+        may_abandon: A,
     ) -> Result<T, AttemptFailure>
     where
         F: Future<Output = Result<T, AttemptFailure>>,
+        A: Fn(Instant) -> bool,
     {
         if engine.health.borrow().is_suspected(Instant::now()) {
             return attempt.await;
         }
         match select(pin!(attempt), pin!(self.await_loss(engine))).await {
             Either::Left((result, _)) => result,
+            Either::Right((_, attempt)) if !may_abandon(Instant::now()) => attempt.await,
             Either::Right(_) => {
                 let failure = AttemptFailure::engine_lost();
                 self.observe(|observer| observer.attempt_finished(failure.cause.as_str()));
@@ -95,7 +98,7 @@
         }
     }
 
-    /// Waits until a target is suspected and nothing has been heard of it meanwhile.
+    /// Waits until a target is suspected and has sent nothing for the time of a loss.
     async fn await_loss(&self, target: &TargetHandle) {
         loop {
             let suspected = target.suspected.listen();
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -76,7 +76,8 @@
         let stream = &*stream;
         let engine = selection.decode_engine.clone();
         let decode = self.decode(stream, selection, stage, last_event_id);
-        let decode = self.unless_lost(&engine, decode);
+        let may_abandon = |now| self.may_abandon(now, stream, &engine);
+        let decode = self.unless_lost(&engine, decode, may_abandon);
         self.unless_blocked(Verdict::MayHaveRun, &stream.request, decode)
             .await
     }
--- a/laburnumlug-forward/src/stream/prefill.rs
+++ b/laburnumlug-forward/src/stream/prefill.rs
@@ -62,7 +62,7 @@
                 ))),
             }
         };
-        match self.unless_lost(prefill_engine, result).await {
+        match self.unless_lost(prefill_engine, result, |_| true).await {
             Ok(handle) => {
                 engine_request.mark_prefilled(Instant::now());
                 prefill_engine.health.borrow_mut().record_success();
