--- a/laburnumlug-control/src/scaling/ledger.rs
+++ b/laburnumlug-control/src/scaling/ledger.rs
@@ -16,7 +16,7 @@
     pub replaces: u64,
     /// Number of targets.
     pub desired: u32,
-    /// Number of targets that was in force before; the same if targets failed to start and are ordered anew.
+    /// Number of targets that was in force before; the same if targets failed to start and are ordered again.
     pub previous: u32,
     /// Reason for the order.
     pub reason: String,
--- a/laburnumlug-daemon/src/duties/scaling.rs
+++ b/laburnumlug-daemon/src/duties/scaling.rs
@@ -139,7 +139,7 @@
                 ),
                 Err(err) => log::warn!(
                     service = change.service.as_str(), target_zone = change.zone.as_str();
-                    "a decision about the number of targets is not known to be logged: {err}"
+                    "a decision about the number of targets may not have been logged: {err}"
                 ),
             }
         }
@@ -229,7 +229,7 @@
             Err(err) => log::warn!(
                 service = service.as_str(), target_zone = zone.as_str(), desired = order.desired,
                 fence = permit.fence, taken_ms = taken_ms;
-                "an order of targets is not known to have been accepted, and is sent again: {err}"
+                "an order of targets may not have been accepted, and is sent again: {err}"
             ),
         }
         let mut schedule = self.schedule.borrow_mut();
@@ -243,7 +243,7 @@
             .replica
             .submit_within(SystemTime::now(), command, SUBMIT_TIMEOUT);
         if let Err(err) = submission.await {
-            log::warn!(service = service, target_zone = zone; "the acceptance of an order of targets is not known to be logged: {err}");
+            log::warn!(service = service, target_zone = zone; "the acceptance of an order of targets may not have been logged: {err}");
         }
     }
 }
--- a/laburnumlug-daemon/src/duties/usage.rs
+++ b/laburnumlug-daemon/src/duties/usage.rs
@@ -99,7 +99,7 @@
             }
             Err(err) => {
                 log::warn!(
-                    window = window; "the usage of a window is not known to be fixed, trying again: {err}"
+                    window = window; "the usage of a window may not have been fixed, trying again: {err}"
                 );
                 true
             }
@@ -177,7 +177,7 @@
             ),
             Err(err) => log::warn!(
                 window = window, fence = permit.fence, taken_ms = taken_ms;
-                "the usage of a window is not known to have been accepted, and is sent again: {err}"
+                "the usage of a window may not have been accepted, and is sent again: {err}"
             ),
         }
         let now = Instant::now();
@@ -192,7 +192,7 @@
             .replica
             .submit_within(SystemTime::now(), command, SUBMIT_TIMEOUT);
         if let Err(err) = submission.await {
-            log::warn!(window = window; "the acceptance of a usage report is not known to be logged: {err}");
+            log::warn!(window = window; "the acceptance of a usage report may not have been logged: {err}");
         }
     }
 }
--- a/laburnumlug-http/tests/revocable.rs
+++ b/laburnumlug-http/tests/revocable.rs
@@ -40,8 +40,8 @@
     assert_eq!(answer, (200, Bytes::from("ok")));
 }
 
-/// A connection that is merely closed goes on sending what the peer has not acknowledged, and a superseded sender would
-/// still be heard. It must be reset.
+/// A connection that is merely closed goes on sending what the peer has not acknowledged, so the call of a
+/// superseded sender could still arrive. It must be reset.
 #[test]
 fn send_before_unanswered_is_reset() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/laburnumlug-policy/src/server_count.rs
+++ b/laburnumlug-policy/src/server_count.rs
@@ -32,7 +32,7 @@
     pub is_lowering: bool,
     /// Time at which the number changed.
     pub changed_at: Instant,
-    /// Time of the order; later than the change if targets failed to start and were ordered anew.
+    /// Time of the order; later than the change if targets failed to start and were ordered again.
     pub ordered_at: Instant,
 }
 
@@ -178,7 +178,7 @@
         }
     }
 
-    /// Returns whether missing targets count as failed, so that the number is ordered anew.
+    /// Returns whether missing targets count as failed, so that the number is ordered again.
     fn is_overdue(&self, now: Instant, order: Option<StandingOrder>, start_time: Duration) -> bool {
         let (Some(since), Some(order)) = (self.missing_since, order) else {
             return false;
--- a/laburnumlug-policy/src/server_count_tests.rs
+++ b/laburnumlug-policy/src/server_count_tests.rs
@@ -235,7 +235,7 @@
     );
 }
 
-/// Starts fail in one zone: its number is ordered anew after twice the start time, and the other zone covers the work.
+/// Starts fail in one zone: its number is ordered again after twice the start time, and the other zone covers the work.
 #[test]
 fn plan_failed_starts() {
     let mut sim = Simulation::new(&[4, 4], 1, 12);
