Show that changes wait for control replicas whose connections have gone silent

Change: a test that silences all open connections between control replicas and from the gateway to them, changes the configuration and lists a target as leaving.

--- a/laburnumlug-daemon/tests/it/harness.rs
+++ b/laburnumlug-daemon/tests/it/harness.rs
@@ -161,6 +161,7 @@
     booking_timing: BookingTiming,
     snapshot_entries: usize,
     extra_target_settings: String,
+    extra_control_settings: String,
 }
 
 impl Default for FleetConfig {
@@ -174,6 +175,7 @@
             booking_timing: BookingTiming::default(),
             snapshot_entries: 4096,
             extra_target_settings: String::new(),
+            extra_control_settings: String::new(),
         }
     }
 }
@@ -219,6 +221,12 @@
         self
     }
 
+    /// Sets lines to append to the section `[control]` of each control replica's settings.
+    pub fn extra_control_settings(mut self, lines: &str) -> FleetConfig {
+        self.extra_control_settings = lines.to_string();
+        self
+    }
+
     /// Sets the delays and the response size of the booking servers.
     pub fn booking_timing(mut self, timing: BookingTiming) -> FleetConfig {
         self.booking_timing = timing;
@@ -249,6 +257,7 @@
     extra_target_settings: String,
     client: cyper::Client,
     snapshot_entries: usize,
+    extra_control_settings: String,
 }
 
 impl Fleet {
@@ -267,6 +276,7 @@
             extra_target_settings: config.extra_target_settings.clone(),
             client: cyper::Client::new().unwrap(),
             snapshot_entries: config.snapshot_entries,
+            extra_control_settings: config.extra_control_settings.clone(),
         };
         let control_addrs: Vec<SocketAddr> =
             (0..config.control_replicas).map(|_| free_addr()).collect();
@@ -415,10 +425,11 @@
         };
         let text = format!(
             "{common}[control]\nname = {name}\nlisten = {}\noperators = {operator_addr}\n\
-             data = {}\ntokens = dev:{TOKEN_HASH}\nsnapshot_entries = {}\n{replicas}",
+             data = {}\ntokens = dev:{TOKEN_HASH}\nsnapshot_entries = {}\n{replicas}{}\n",
             control_addrs[index],
             data.display(),
-            self.snapshot_entries
+            self.snapshot_entries,
+            self.extra_control_settings
         );
         self.operator_addrs.push(operator_addr);
         self.start_process(&name, "control", &text);
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -20,6 +20,7 @@
 mod scaling;
 mod settings;
 mod settings_page;
+mod silent_connections;
 mod silent_process;
 #[path = "../../../platform/tests/it/standin.rs"]
 mod standin;
