Take targets out of use that state in a health check that they are leaving

A target that told only by a health check that it is leaving was suspended like one that fails, its requests were abandoned, and it was used again once its probes had ended. Cause: of the answer to a health check, only the status was read. Change: an answer of the target itself is read for its statements, and the other gateways are told. The target counts as responding, so requests in progress there go on. Measured: leaving_in_health_check failed before and passes now, as do the other 113 tests of the package.

--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -63,5 +63,5 @@
     Resumption, TargetStatements,
 };
 pub use crate::observer::ForwardObserver;
-pub use crate::probe::{CachedPart, Inspector};
+pub use crate::probe::{CachedPart, HealthAnswer, Inspector};
 pub use crate::usage::PendingUsageReport;
--- a/laburnumlug-forward/src/probe.rs
+++ b/laburnumlug-forward/src/probe.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 
 use crate::forwarder::Forwarder;
+use crate::header_codec::TargetStatements;
 use crate::registry::TargetHandle;
 
 /// Interval between probes of a suspected target; each probe has a cost.
@@ -46,15 +47,24 @@
     pub tokens: u64,
 }
 
+/// Answer of a target to a health check.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct HealthAnswer {
+    /// Whether the target passes the check.
+    pub is_healthy: bool,
+    /// Statements of the target about itself.
+    pub statements: TargetStatements,
+}
+
 /// Queries targets about their health and their cached prompts.
 pub trait Inspector {
-    /// Returns whether the instance at `addr` passes its health check.
-    fn is_healthy(
+    /// Returns the answer of the instance at `addr` to a health check; without one, the target does not pass.
+    fn check_health(
         &self,
         addr: SocketAddr,
         instance: TargetName,
         health_path: String,
-    ) -> Pin<Box<dyn Future<Output = bool>>>;
+    ) -> Pin<Box<dyn Future<Output = HealthAnswer>>>;
 
     /// Returns the prompt parts that an engine has cached, or `None` if it does not report them.
     fn cached_parts(
@@ -100,9 +110,9 @@
         }
     }
 
-    /// Returns whether a target passes a health check within the probe timeout.
+    /// Returns whether a target passes a health check within the probe timeout, and records what it states there.
     ///
-    /// One that has declined requests is not probed, as it has answered just before.
+    /// One that declines requests has answered, although it may refuse the check, and is not probed again.
     pub(crate) async fn is_healthy(&self, target: &TargetHandle) -> bool {
         if target.status.borrow().decline(Instant::now()).is_some() {
             return true;
@@ -111,8 +121,13 @@
         let path = self.health_path(&listing.service);
         let probe = self
             .inspector
-            .is_healthy(listing.addr, listing.instance, path);
-        matches!(compio::time::timeout(PROBE_TIMEOUT, probe).await, Ok(true))
+            .check_health(listing.addr, listing.instance, path);
+        let Ok(answer) = compio::time::timeout(PROBE_TIMEOUT, probe).await else {
+            return false;
+        };
+        let now = Instant::now();
+        self.record_health_statements(now, target, answer.statements);
+        answer.is_healthy || target.status.borrow().decline(now).is_some()
     }
 
     /// Probes a suspected target until it is healthy, is no longer listed or has used up its probes.
--- a/laburnumlug-forward/src/target_statements.rs
+++ b/laburnumlug-forward/src/target_statements.rs
@@ -26,10 +26,7 @@
         if self.record_limit(now, target, statements.request_limit) {
             self.engine_requests.publish(limit_event(now, target));
         }
-        if statements.leaving && self.record_leaving(now, target) {
-            self.engine_requests
-                .publish(leaving_event(target.instance.clone()));
-        }
+        self.record_health_statements(now, target, statements);
         if let Some(time) = statements.retry_after.filter(|time| !time.is_zero()) {
             log::info!(
                 target = target.instance.as_str(), retry_after_ms = time.as_millis() as u64;
@@ -39,6 +36,20 @@
         }
     }
 
+    /// Records what a target states in the answer to a health check. Such an answer does not end a limit that it omits, as
+    /// answers to requests do.
+    pub(crate) fn record_health_statements(
+        &self,
+        now: Instant,
+        target: &TargetHandle,
+        statements: TargetStatements,
+    ) {
+        if statements.leaving && self.record_leaving(now, target) {
+            self.engine_requests
+                .publish(leaving_event(target.instance.clone()));
+        }
+    }
+
     /// Records that a target is leaving, by its own statement, and logs and returns whether that is new.
     pub(crate) fn record_leaving(&self, now: Instant, target: &TargetHandle) -> bool {
         let is_new = target.status.borrow_mut().record_leaving(now);
