Send no health checks to targets that want no requests

A target that refused a health check with Retry-After got one every half second, and requests as soon as its probes had ended. Cause: of the answer to a health check, only the status and whether the target is leaving were read. Change: Retry-After of a health check is recorded like that of a request. The target counts as responding and gets nothing until the time is over.

--- a/laburnumlug-forward/src/probe.rs
+++ b/laburnumlug-forward/src/probe.rs
@@ -126,7 +126,8 @@
             return false;
         };
         let now = Instant::now();
-        self.record_health_statements(now, target, answer.statements);
+        // An answer to a health check that states no limit does not end one.
+        self.record_decline(now, target, answer.statements);
         answer.is_healthy || target.status.borrow().decline(now).is_some()
     }
 
--- a/laburnumlug-forward/src/target_statements.rs
+++ b/laburnumlug-forward/src/target_statements.rs
@@ -14,7 +14,7 @@
 const EVENT_RATE_SECONDS: f64 = 1000.0;
 
 impl Forwarder {
-    /// Records what a target states about itself, and reports a change to the other gateways.
+    /// Records what a target states about itself in the answer to a request, and reports a change to the other gateways.
     ///
     /// How long a target wants no requests concerns only the gateway that it has told.
     pub(crate) fn record_statements(
@@ -26,19 +26,11 @@
         if self.record_limit(now, target, statements.request_limit) {
             self.engine_requests.publish(limit_event(now, target));
         }
-        self.record_health_statements(now, target, statements);
-        if let Some(time) = statements.retry_after.filter(|time| !time.is_zero()) {
-            log::info!(
-                target = target.instance.as_str(), retry_after_ms = time.as_millis() as u64;
-                "the target wants no requests of this gateway"
-            );
-            target.status.borrow_mut().record_retry_after(now, time);
-        }
+        self.record_decline(now, target, statements);
     }
 
-    /// Records what a target states in the answer to a health check. Such an answer does not end a limit that it omits, as
-    /// answers to requests do.
-    pub(crate) fn record_health_statements(
+    /// Records that a target declines requests, if it states so.
+    pub(crate) fn record_decline(
         &self,
         now: Instant,
         target: &TargetHandle,
@@ -48,6 +40,13 @@
             self.engine_requests
                 .publish(leaving_event(target.instance.clone()));
         }
+        if let Some(time) = statements.retry_after.filter(|time| !time.is_zero()) {
+            log::info!(
+                target = target.instance.as_str(), retry_after_ms = time.as_millis() as u64;
+                "the target wants no requests of this gateway"
+            );
+            target.status.borrow_mut().record_retry_after(now, time);
+        }
     }
 
     /// Records that a target is leaving, by its own statement, and logs and returns whether that is new.
