Refuse to resume streams that versions of before the start may have begun

Seen, by the users: text joined from two software versions when all gateways were killed during or just after a release. Cause: the versions that were in service, and where streams began, are state of gateways only. One that starts takes the only version in its first list for that of each stream that it knows nothing of. The class is state of a client session that is lost with the last process that holds it, and whose absence is taken for a statement. Change: a gateway knows since when it knows all versions of a service, and refuses resumptions of streams that may be older. The leading control replica logs the versions of each service that runs several, or has, and reports them with the list of targets, so that gateways of services without a release resume as before after a restart of all. While that time lasts, the origins of new streams are reported. A new leader reads the list of targets at once, and gateways ask for it every 100 ms until they have one, as resumptions wait for the report, at most 0.4 s.

--- a/laburnumlug-control/src/command.rs
+++ b/laburnumlug-control/src/command.rs
@@ -9,6 +9,7 @@
 
 use crate::intents::RoleRefusal;
 use crate::scaling::ServerChange;
+use crate::software::SoftwareChange;
 use crate::usage::{UsageFix, UsageFixOutcome};
 
 /// Change of the fleet document that an operator submits.
@@ -82,6 +83,8 @@
         /// Number of the order.
         number: u64,
     },
+    /// Records the software versions of a service. Only logged once it has run several, as earlier versions cannot read it.
+    RecordSoftware(SoftwareChange),
 }
 
 impl Command {
@@ -113,6 +116,8 @@
     ServersOrdered(bool),
     /// Whether the order of a [`Command::AcknowledgeServers`] was waiting for that.
     ServersAcknowledged(bool),
+    /// Whether a [`Command::RecordSoftware`] changed the record.
+    SoftwareRecorded(bool),
 }
 
 /// Reason for which a change of the fleet document was refused.
--- a/laburnumlug-control/src/mesh.rs
+++ b/laburnumlug-control/src/mesh.rs
@@ -64,7 +64,8 @@
                 demand,
             }) => {
                 let gateway = gateway_addr.map(|addr| (ListedGateway { addr, zone }, demand));
-                let report = replica.targets_report(Instant::now(), known, gateway);
+                let (now, unix_now) = (Instant::now(), SystemTime::now());
+                let report = replica.targets_report(now, unix_now, known, gateway);
                 Some(Message::Control(ControlMessage::Targets(report)))
             }
             Message::Replica { body } => replica.answer_peer(&body).await,
--- a/laburnumlug-control/src/replica/targets.rs
+++ b/laburnumlug-control/src/replica/targets.rs
@@ -1,12 +1,13 @@
 //! Target list that this replica has read from the platform, published to other nodes.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use laburnumlug::{DemandReport, ListedGateway, TargetList, ZoneName};
 use laburnumlug_mesh::TargetsReport;
 use sha2::{Digest, Sha256};
 
-use super::Replica;
+use super::{Replica, unix_millis};
+use crate::software::SoftwareChange;
 
 /// Age from which a list is no longer published; another replica then reads it from the platform.
 const MAX_LIST_AGE: Duration = Duration::from_secs(5);
@@ -39,6 +40,11 @@
         });
     }
 
+    /// Returns the changes of software versions that a list of live targets shows and that are not logged.
+    pub fn software_changes(&self, list: &TargetList) -> Vec<SoftwareChange> {
+        self.with_state(|state| state.software().changes(list))
+    }
+
     /// Returns the latest demand that each gateway has reported to this replica.
     pub fn demand_reports(&self) -> Vec<DemandReport> {
         let gateways = self.gateways.borrow();
@@ -56,6 +62,7 @@
     pub(crate) fn targets_report(
         &self,
         now: Instant,
+        unix_now: SystemTime,
         known: u64,
         gateway: Option<(ListedGateway, Option<DemandReport>)>,
     ) -> Option<TargetsReport> {
@@ -79,6 +86,9 @@
                 .map(|contact| contact.zone.clone())
                 .collect(),
             list: (published.digest != known).then(|| published.list.clone()),
+            software: Some(
+                self.with_state(|state| state.software().records(unix_millis(unix_now))),
+            ),
         })
     }
 }
--- a/laburnumlug-control/src/state.rs
+++ b/laburnumlug-control/src/state.rs
@@ -19,6 +19,7 @@
 use crate::intents::{Intents, RoleRefusal, TargetIntent};
 use crate::load_queue::LoadQueue;
 use crate::scaling::ServerLedger;
+use crate::software::SoftwareLedger;
 use crate::usage::UsageLedger;
 
 /// Operator and client address in the audit records of changes that the system itself makes.
@@ -93,6 +94,9 @@
     /// Last orders of targets; missing in snapshots of earlier versions.
     #[serde(default)]
     servers: ServerLedger,
+    /// Software versions of services; missing in snapshots of earlier versions.
+    #[serde(default)]
+    software: SoftwareLedger,
 }
 
 impl State {
@@ -116,6 +120,7 @@
             claims: Claims::default(),
             usage: UsageLedger::default(),
             servers: ServerLedger::default(),
+            software: SoftwareLedger::default(),
         }
     }
 
@@ -182,6 +187,9 @@
             Command::AcknowledgeServers { number } => {
                 Outcome::ServersAcknowledged(self.servers.acknowledge(record.time_ms, number))
             }
+            Command::RecordSoftware(change) => {
+                Outcome::SoftwareRecorded(self.software.record(record.time_ms, change))
+            }
         }
     }
 
@@ -190,6 +198,11 @@
         &self.usage
     }
 
+    /// Returns the software versions of services.
+    pub(crate) fn software(&self) -> &SoftwareLedger {
+        &self.software
+    }
+
     /// Returns the last orders of targets.
     pub(crate) fn servers(&self) -> &ServerLedger {
         &self.servers
@@ -310,6 +323,7 @@
     fn accept(&mut self, time_ms: u64, change: FleetChange, document: &FleetDocument) -> Accepted {
         self.intents.apply_document(document);
         self.servers.apply_document(document);
+        self.software.apply_document(document);
         self.control_names = document.control.iter().map(|vm| vm.name.clone()).collect();
         let version = self.fleet.version + 1;
         let differences = self.differences(&change.document);
--- a/laburnumlug-control/src/state/tests.rs
+++ b/laburnumlug-control/src/state/tests.rs
@@ -100,7 +100,8 @@
     assert_eq!(records, expected);
 }
 
-/// A replica that is upgraded must read the snapshot of an earlier version, which has no usage and no orders of targets.
+/// A replica that is upgraded must read the snapshot of an earlier version, which has no usage, no orders of targets and no
+/// software versions.
 #[test]
 fn decode_without_duties() {
     let mut state = State::new();
@@ -109,11 +110,12 @@
         panic!("the state is not a map");
     };
     let fields_before = fields.len();
-    let added = ["usage", "servers"].map(ciborium::Value::from);
+    let added = ["usage", "servers", "software"].map(ciborium::Value::from);
     fields.retain(|(name, _)| !added.contains(name));
     assert_eq!(fields.len() + added.len(), fields_before);
     let decoded: State = ciborium::Value::Map(fields).deserialized().unwrap();
     assert_eq!(decoded.fleet().version, 1);
     assert_eq!(decoded.usage().pending().count(), 0);
     assert!(decoded.servers().orders().is_empty());
+    assert!(decoded.software().records(0).is_empty());
 }
--- a/laburnumlug-daemon/src/control.rs
+++ b/laburnumlug-daemon/src/control.rs
@@ -19,6 +19,7 @@
 use crate::metrics::{self, Metrics};
 use crate::role_planner::RolePlanner;
 use crate::settings::ControlSettings;
+use crate::software_recorder::SoftwareRecorder;
 use crate::{logging, settings_watch, signal, target_reader};
 
 /// Runs a control replica until it is asked to stop.
@@ -122,7 +123,8 @@
                 settings.handover_time,
             )
         });
-        let reader = target_reader::run(replica.clone(), source, planner, scaling);
+        let software = SoftwareRecorder::new(replica.clone());
+        let reader = target_reader::run(replica.clone(), source, planner, software, scaling);
         compio::runtime::spawn(reader).detach();
         if settings.usage.is_some() {
             UsageDuty::start(
--- a/laburnumlug-daemon/src/fleet_watch/mod.rs
+++ b/laburnumlug-daemon/src/fleet_watch/mod.rs
@@ -9,7 +9,7 @@
 
 use laburnumlug::{
     BootTime, DemandReport, FleetDocument, FleetVersion, ListedGateway, QuorumConfirmation,
-    ReplicaId, Service, Target, TargetList,
+    ReplicaId, Service, SoftwareRecord, Target, TargetList,
 };
 use laburnumlug_forward::PendingUsageReport;
 use laburnumlug_mesh::TargetsReport;
@@ -22,7 +22,8 @@
 /// Interval between polls of one replica.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Interval between polls of one replica, and between attempts to connect to it, until a document is known.
+/// Interval between polls of one replica, and between attempts to connect to it, until a document and the live targets are
+/// known.
 const INITIAL_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Minimum interval between polls of one replica.
@@ -125,6 +126,9 @@
     /// Called when the list of live targets was still the same at `read_at`.
     fn targets_unchanged(&self, read_at: Instant);
 
+    /// Called with the software versions that the control replicas have recorded at `at`, after the list of live targets.
+    fn software_reported(&self, at: Instant, records: &[SoftwareRecord]);
+
     /// Called with the gateways that were recently active.
     fn gateways_updated(&self, gateways: &[ListedGateway]);
 
@@ -181,9 +185,10 @@
 
     /// Returns the interval between polls of one replica if no counts are reported.
     fn base_interval(&self) -> Duration {
+        let awaits_targets = self.observer.is_some() && self.targets_read_at.is_none();
         match self.view {
-            Some(_) => POLL_INTERVAL,
-            None => INITIAL_POLL_INTERVAL,
+            Some(_) if !awaits_targets => POLL_INTERVAL,
+            _ => INITIAL_POLL_INTERVAL,
         }
     }
 
@@ -295,6 +300,9 @@
         (Some(observer), None) => observer.targets_unchanged(read_at),
         (None, _) => {}
     }
+    if let (Some(observer), Some(records)) = (&state.observer, &report.software) {
+        observer.software_reported(requested_at, records);
+    }
 }
 
 /// Applies a replica's answer: a newer document comes into force, and the confirmation by a majority is updated.
--- a/laburnumlug-daemon/src/fleet_watch/tests.rs
+++ b/laburnumlug-daemon/src/fleet_watch/tests.rs
@@ -74,6 +74,8 @@
 
     fn targets_updated(&self, _read_at: Instant, _list: TargetList) {}
 
+    fn software_reported(&self, _: Instant, _: &[SoftwareRecord]) {}
+
     fn targets_unchanged(&self, _read_at: Instant) {}
 
     fn gateways_updated(&self, _gateways: &[ListedGateway]) {}
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -7,7 +7,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use laburnumlug::{BootTime, CallerLimits, DemandReport, ListedGateway, TargetList};
+use laburnumlug::{
+    BootTime, CallerLimits, DemandReport, ListedGateway, SoftwareRecord, TargetList,
+};
 use laburnumlug_forward::{ForwardConfig, ForwardHandler, Forwarder, PendingUsageReport};
 use laburnumlug_http::{Limits, LimitsHandle, Request, Server, text_response};
 use laburnumlug_platform::{
@@ -82,6 +84,10 @@
         self.forwarder.confirm_targets(read_at);
     }
 
+    fn software_reported(&self, at: Instant, records: &[SoftwareRecord]) {
+        self.forwarder.set_software_records(at, records);
+    }
+
     fn gateways_updated(&self, gateways: &[ListedGateway]) {
         self.exchange.set_gateways(Instant::now(), gateways);
         let own_addr = self.exchange.own_listing().addr;
--- a/laburnumlug-daemon/src/lib.rs
+++ b/laburnumlug-daemon/src/lib.rs
@@ -36,6 +36,7 @@
 mod settings;
 mod settings_watch;
 mod signal;
+mod software_recorder;
 mod target;
 mod target_reader;
 
--- a/laburnumlug-daemon/src/target_reader.rs
+++ b/laburnumlug-daemon/src/target_reader.rs
@@ -8,10 +8,14 @@
 
 use crate::duties::ScalingDuty;
 use crate::role_planner::RolePlanner;
+use crate::software_recorder::SoftwareRecorder;
 
 /// Interval between reads of the list while this replica leads; calls to the platform are limited.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval at which a replica checks whether it leads.
+const LEADERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Timeout of one read; after it, the last published list stays until the next read.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -20,12 +24,14 @@
     replica: Rc<Replica>,
     source: Rc<dyn TargetSource>,
     planner: Rc<RolePlanner>,
+    software: Rc<SoftwareRecorder>,
     scaling: Option<Rc<ScalingDuty>>,
 ) {
     let mut is_failing = false;
     loop {
         let requested_at = Instant::now();
-        if replica.is_leader(requested_at) {
+        let is_leader = replica.is_leader(requested_at);
+        if is_leader {
             let result = source.fetch(READ_TIMEOUT).await;
             match (&result, is_failing) {
                 (Err(err), false) => {
@@ -40,12 +46,18 @@
             if let Ok(mut list) = result {
                 let now = Instant::now();
                 planner.plan(now, &mut list);
+                software.observe(&list);
                 if let Some(scaling) = &scaling {
                     scaling.observe(now, &list, &planner.demand_meter());
                 }
                 replica.publish_targets(requested_at, list);
             }
         }
-        compio::time::sleep(READ_INTERVAL).await;
+        // Gateways that have all restarted wait for the first list of a new leader.
+        let interval = match is_leader {
+            true => READ_INTERVAL,
+            false => LEADERSHIP_CHECK_INTERVAL,
+        };
+        compio::time::sleep(interval).await;
     }
 }
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -17,6 +17,7 @@
 mod planned_stop;
 mod platform;
 mod platform_fleet;
+mod restart_of_all;
 mod scaling;
 mod settings;
 mod settings_page;
--- a/laburnumlug-daemon/tests/it/platform_fleet.rs
+++ b/laburnumlug-daemon/tests/it/platform_fleet.rs
@@ -3,6 +3,7 @@
 // Each test binary that includes this module uses only a part of it.
 #![allow(dead_code)]
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -154,11 +155,23 @@
 
 /// Serves `text` as the target list on every path of a new address, and returns the address.
 pub async fn serve_target_list(text: String) -> SocketAddr {
+    serve_list(move || text.clone()).await
+}
+
+/// Serves a target list that may change, like [`serve_target_list`].
+pub async fn serve_changing_list(list: Rc<RefCell<Value>>) -> SocketAddr {
+    serve_list(move || list.borrow().to_string()).await
+}
+
+async fn serve_list<F>(text: F) -> SocketAddr
+where
+    F: Fn() -> String + 'static,
+{
     let list_addr = free_addr();
     let listener = compio::net::TcpListener::bind(list_addr).await.unwrap();
     let server = laburnumlug_http::Server::new(listener, laburnumlug_http::Limits::default());
     let handler = Rc::new(move |_req: laburnumlug_http::Request| {
-        let text = text.clone();
+        let text = text();
         async { hyper::Response::new(laburnumlug_http::full_body(text)) }
     });
     compio::runtime::spawn(server.run(handler)).detach();
--- a/laburnumlug-daemon/tests/it/silent_connections.rs
+++ b/laburnumlug-daemon/tests/it/silent_connections.rs
@@ -5,14 +5,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use compio::net::TcpListener;
 use futures_util::future::join;
-use laburnumlug_http::{Limits, Request, Server, full_body};
 use laburnumlug_standin::Fault;
 use serde_json::{Value, json};
 
 use crate::client;
 use crate::harness::{Fleet, FleetConfig, block_on, free_addr, wait_for};
+use crate::platform_fleet::serve_changing_list;
 use crate::standin::{Behaviour, ServerStandIn};
 
 /// Time within which a change of the configuration must be in force.
@@ -137,18 +136,6 @@
     }
 }
 
-/// Serves a list of targets that may change, and returns the address.
-async fn serve_changing_list(list: Rc<RefCell<Value>>) -> SocketAddr {
-    let addr = free_addr();
-    let listener = TcpListener::bind(addr).await.unwrap();
-    let handler = Rc::new(move |_req: Request| {
-        let text = list.borrow().to_string();
-        async { hyper::Response::new(full_body(text)) }
-    });
-    compio::runtime::spawn(Server::new(listener, Limits::default()).run(handler)).detach();
-    addr
-}
-
 fn row(id: &str, service: &str, server: &ServerStandIn) -> Value {
     let text = include_str!("../../../platform/tests/soak-row.json")
         .replace("INSTANCE", id)
--- a/laburnumlug-forward/src/engine_request_guard.rs
+++ b/laburnumlug-forward/src/engine_request_guard.rs
@@ -79,7 +79,7 @@
         target.memory.borrow_mut().assign(memory_tokens);
         let held_share = decode_share.unwrap_or_default();
         engine_requests.demand.hold(now, &service, held_share);
-        let generates_stream = decode_share.is_some() && forwarder.has_mixed_software(&service);
+        let generates_stream = decode_share.is_some() && forwarder.needs_origins(now, &service);
         let stream = generates_stream.then(|| StreamOrigin {
             stream: request.stream_id(),
             software: target.listing.borrow().software.clone(),
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -62,6 +62,8 @@
     pub(crate) crash_attribution: RefCell<CrashAttribution>,
     pub(crate) stream_origins: RefCell<StreamOrigins>,
     pub(crate) software_histories: RefCell<HashMap<ServiceName, SoftwareHistory>>,
+    /// Whether the control replicas have reported which software versions they have recorded.
+    pub(crate) knows_software_records: Cell<bool>,
     /// Whether the signs of life of engines are observed.
     pub(crate) watches_engines: Cell<bool>,
     pub(crate) usage: UsageRecorder,
@@ -95,6 +97,7 @@
             crash_attribution: RefCell::default(),
             stream_origins: RefCell::default(),
             software_histories: RefCell::default(),
+            knows_software_records: Cell::default(),
             watches_engines: Cell::new(false),
             usage: UsageRecorder::default(),
             cache_reports: CacheReportQueue::default(),
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -81,7 +81,8 @@
     ) -> Result<Response, Refusal> {
         self.record_request(Instant::now(), service);
         let software = self
-            .required_software(Instant::now(), &request, service)
+            .required_software(&request, service)
+            .await
             .map_err(|failure| failure.to_refusal(RETRY_AFTER))?;
         let mut stream = StreamRequest {
             software,
--- a/laburnumlug-forward/src/stream_origins.rs
+++ b/laburnumlug-forward/src/stream_origins.rs
@@ -1,16 +1,23 @@
 //! Software versions at which streams began, so that broken streams are resumed at the same version only.
 
 use std::collections::{BTreeSet, HashMap};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use laburnumlug::{EngineEvent, Role, ServiceName, SoftwareVersion, StreamOrigin};
-use laburnumlug_policy::{AssumedOrigin, SoftwareHistory};
+use laburnumlug::{EngineEvent, Role, ServiceName, SoftwareRecord, SoftwareVersion, StreamOrigin};
+use laburnumlug_policy::AssumedOrigin;
 
 use crate::attempt::{AttemptFailure, CallerRequest};
 use crate::forwarder::Forwarder;
 use crate::refusal::FailureCause;
 use crate::registry::TargetHandle;
 
+/// How long the resumption of a stream of unknown origin waits until the control replicas have reported which versions they have
+/// recorded; after most starts, they have within that time.
+const RECORDS_WAIT: Duration = Duration::from_millis(400);
+
+/// Interval at which it checks whether they have.
+const RECORDS_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Software version of the targets that may generate a stream, where `None` is that of targets that state none.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct RequiredSoftware(pub(crate) Option<SoftwareVersion>);
@@ -69,12 +76,29 @@
         stream_origins.resumable(now).map(event).collect()
     }
 
-    /// Returns the software version that a request needs because it resumes a stream, or `None` if any will do.
+    /// Returns the software version that a request needs because it resumes a stream, or `None` if any will do. Waits a short
+    /// time if this process has only just started.
     ///
     /// # Errors
     ///
     /// Fails if it is not known at which of several versions the stream began.
-    pub(crate) fn required_software(
+    pub(crate) async fn required_software(
+        &self,
+        request: &CallerRequest,
+        service: &str,
+    ) -> Result<Option<RequiredSoftware>, AttemptFailure> {
+        loop {
+            let now = Instant::now();
+            let waited = now.saturating_duration_since(request.arrived_at);
+            match self.known_software(now, request, service) {
+                Err(_) if !self.knows_software_records.get() && waited < RECORDS_WAIT => {}
+                result => return result,
+            }
+            compio::time::sleep(RECORDS_POLL_INTERVAL).await;
+        }
+    }
+
+    fn known_software(
         &self,
         now: Instant,
         request: &CallerRequest,
@@ -103,12 +127,21 @@
         }
     }
 
-    /// Returns whether targets of several software versions serve in a service, so that the origins of streams matter.
-    pub(crate) fn has_mixed_software(&self, service: &str) -> bool {
+    /// Returns whether the origins of the streams of a service matter, as its targets may have several software versions.
+    pub(crate) fn needs_origins(&self, now: Instant, service: &str) -> bool {
         let histories = self.software_histories.borrow();
         histories
             .get(service)
-            .is_some_and(SoftwareHistory::is_mixed)
+            .is_some_and(|history| history.needs_origins(now))
+    }
+
+    /// Sets the software versions that the control replicas have recorded of all services that have run several, at `now`.
+    pub fn set_software_records(&self, now: Instant, records: &[SoftwareRecord]) {
+        self.knows_software_records.set(true);
+        for (service, history) in self.software_histories.borrow_mut().iter_mut() {
+            let record = records.iter().find(|record| record.service == *service);
+            history.add_record(now, record);
+        }
     }
 
     /// Updates the software versions of each service from the targets that are or were recently listed.
--- a/laburnumlug-mesh/src/targets_report.rs
+++ b/laburnumlug-mesh/src/targets_report.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use laburnumlug::{ListedGateway, TargetList, ZoneName};
+use laburnumlug::{ListedGateway, SoftwareRecord, TargetList, ZoneName};
 use serde::{Deserialize, Serialize};
 
 /// List of live targets and its age.
@@ -19,6 +19,9 @@
     pub gateway_zones: Vec<Option<ZoneName>>,
     /// The list; `None` if the requester already holds it.
     pub list: Option<TargetList>,
+    /// Software versions of each service that has run several; `None` from replicas of earlier versions.
+    #[serde(default)]
+    pub software: Option<Vec<SoftwareRecord>>,
 }
 
 impl TargetsReport {
--- a/laburnumlug-policy/src/software_history.rs
+++ b/laburnumlug-policy/src/software_history.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use laburnumlug::SoftwareVersion;
+use laburnumlug::{SoftwareRecord, SoftwareVersion};
 
 /// Time by which gateways may differ in learning of a version from the platform's list.
 const LISTING_SKEW: Duration = Duration::from_secs(3);
 
+/// Time for which origins are reported although only one version is known, as a resumption may need them.
+const UNCERTAIN_TIME: Duration = Duration::from_secs(60);
+
 /// Software version at which a stream began whose origin nobody has reported.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum AssumedOrigin {
@@ -29,6 +32,8 @@
     versions: BTreeSet<Option<SoftwareVersion>>,
     /// The last version that was the only one, and until when, if others have been seen since.
     only_until: Option<(Option<SoftwareVersion>, Instant)>,
+    /// Time before which targets of other versions may have served that this process does not know of.
+    unknown_before: Option<Instant>,
 }
 
 impl SoftwareHistory {
@@ -37,26 +42,48 @@
         if versions.is_empty() || versions == self.versions {
             return;
         }
+        if self.versions.is_empty() {
+            self.unknown_before = Some(now);
+        }
         if self.versions.len() == 1 {
             self.only_until = self.versions.pop_first().map(|version| (version, now));
         }
         self.versions = versions;
     }
 
+    /// Adds what the control replicas have recorded of the time before this process has started: their record at `now`, or
+    /// `None` if they have never seen several versions at once.
+    pub fn add_record(&mut self, now: Instant, record: Option<&SoftwareRecord>) {
+        let known_since = match record {
+            None => None,
+            Some(record) if record.versions == self.versions => {
+                now.checked_sub(Duration::from_millis(record.unchanged_ms))
+            }
+            Some(_) => return,
+        };
+        let earlier = |before: Instant| known_since.map(|since| before.min(since));
+        self.unknown_before = self.unknown_before.and_then(earlier);
+    }
+
     /// Returns whether there are targets of several versions.
-    pub fn is_mixed(&self) -> bool {
+    fn is_mixed(&self) -> bool {
         self.versions.len() > 1
     }
 
+    /// Returns whether the origins of streams matter: there are targets of several versions, or there may have been shortly
+    /// before this process started.
+    pub fn needs_origins(&self, now: Instant) -> bool {
+        let is_recent = |at| now.saturating_duration_since(at) < UNCERTAIN_TIME;
+        self.is_mixed() || self.unknown_before.is_some_and(is_recent)
+    }
+
     /// Returns where a stream began that nobody has reported, and that is at most `max_age` old.
     pub fn assumed_origin(&self, now: Instant, max_age: Duration) -> AssumedOrigin {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < max_age + LISTING_SKEW;
         match &self.only_until {
+            _ if self.unknown_before.is_some_and(is_recent) => AssumedOrigin::Unknown,
             _ if !self.is_mixed() => AssumedOrigin::Any,
-            Some((version, until))
-                if now.saturating_duration_since(*until) < max_age + LISTING_SKEW =>
-            {
-                AssumedOrigin::Version(version.clone())
-            }
+            Some((version, until)) if is_recent(*until) => AssumedOrigin::Version(version.clone()),
             _ => AssumedOrigin::Unknown,
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 mod id;
 mod listed_gateway;
 mod live_target;
+mod software_record;
 mod usage_report;
 mod verdict;
 mod voting_status;
@@ -62,6 +63,7 @@
 };
 pub use crate::listed_gateway::ListedGateway;
 pub use crate::live_target::{LiveTarget, TargetList};
+pub use crate::software_record::SoftwareRecord;
 pub use crate::usage_report::{CustomerCounts, UsageReport};
 pub use crate::verdict::{ParseVerdictError, Verdict};
 pub use crate::voting_status::{ReplicaId, VotingStatus};
