Probe targets that are leaving, as they may be gone

A request that waited at a leaving engine which had gone dark waited until its deadline. Cause: a target that had stated that it is leaving passed each health check without one being made, for as long as it was known. The class is a statement of the past that is taken for a sign of life. Change: only a target that has asked for no requests for some time passes without a check. One that is leaving is probed, and passes by its answer, although it refuses the check. Measured: waiting_request_is_resent_when_leaving_engine_is_lost failed before (no answer after 3 s) and passes now; 98 of 98 integration tests of the package pass.

--- a/laburnumlug-forward/src/header_codec.rs
+++ b/laburnumlug-forward/src/header_codec.rs
@@ -86,6 +86,13 @@
     pub retry_after: Option<Duration>,
 }
 
+impl TargetStatements {
+    /// Returns whether the target wants no requests.
+    pub(crate) fn declines_requests(&self) -> bool {
+        self.leaving || self.retry_after.is_some_and(|time| !time.is_zero())
+    }
+}
+
 /// Metadata from the head of a response.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ResponseMetadata {
--- a/laburnumlug-forward/src/probe.rs
+++ b/laburnumlug-forward/src/probe.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{EngineEvent, TargetName};
-use laburnumlug_policy::{INSPECTION_TIMEOUT, inspection_delay, may_inspect, part_id};
+use laburnumlug_policy::{Decline, INSPECTION_TIMEOUT, inspection_delay, may_inspect, part_id};
 use rand::Rng;
 
 use crate::forwarder::Forwarder;
@@ -112,9 +112,11 @@
 
     /// Returns whether a target passes a health check within the probe timeout, and records what it states there.
     ///
-    /// One that declines requests has answered, although it may refuse the check, and is not probed again.
+    /// One that has asked for no requests for some time has just answered, and is not probed. One that is leaving is probed,
+    /// as it may be gone, and passes although it refuses the check.
     pub(crate) async fn is_healthy(&self, target: &TargetHandle) -> bool {
-        if target.status.borrow().decline(Instant::now()).is_some() {
+        let decline = target.status.borrow().decline(Instant::now());
+        if let Some((Decline::RetryAfter, _)) = decline {
             return true;
         }
         let listing = target.listing.borrow().clone();
@@ -128,7 +130,7 @@
         let now = Instant::now();
         // An answer to a health check that states no limit does not end one.
         self.record_decline(now, target, answer.statements);
-        answer.is_healthy || target.status.borrow().decline(now).is_some()
+        answer.is_healthy || answer.statements.declines_requests()
     }
 
     /// Probes a suspected target until it is healthy, is no longer listed or has used up its probes.
