Bound the time in which gateways ask for the list of targets every 100 ms

Cause: where control replicas do not report targets, a gateway would have gone on for good. Replicas that do not lead checked every 50 ms whether they do. Change: at most 5 s after the start, and a check every 100 ms.

--- a/laburnumlug-daemon/src/fleet_watch/mod.rs
+++ b/laburnumlug-daemon/src/fleet_watch/mod.rs
@@ -26,6 +26,9 @@
 /// known.
 const INITIAL_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time after the start in which the live targets are awaited; control replicas need not report them.
+const MAX_TARGETS_WAIT: Duration = Duration::from_secs(5);
+
 /// Minimum interval between polls of one replica.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -94,6 +97,7 @@
 }
 
 struct WatchState {
+    started_at: Instant,
     view: Option<FleetView>,
     /// Index of the latest control log change that `view` includes.
     applied_change: u64,
@@ -155,8 +159,9 @@
 }
 
 impl WatchState {
-    fn new(replicas: usize) -> WatchState {
+    fn new(now: Instant, replicas: usize) -> WatchState {
         WatchState {
+            started_at: now,
             view: None,
             applied_change: 0,
             confirmation: QuorumConfirmation::new(replicas),
@@ -184,8 +189,10 @@
     }
 
     /// Returns the interval between polls of one replica if no counts are reported.
-    fn base_interval(&self) -> Duration {
-        let awaits_targets = self.observer.is_some() && self.targets_read_at.is_none();
+    fn base_interval(&self, now: Instant) -> Duration {
+        let is_starting = now.saturating_duration_since(self.started_at) < MAX_TARGETS_WAIT;
+        let awaits_targets =
+            is_starting && self.observer.is_some() && self.targets_read_at.is_none();
         match self.view {
             Some(_) if !awaits_targets => POLL_INTERVAL,
             _ => INITIAL_POLL_INTERVAL,
@@ -209,7 +216,8 @@
 impl FleetWatch {
     /// Starts one polling task for each control replica.
     pub(crate) fn start(mesh: &MeshSettings) -> FleetWatch {
-        let state = Rc::new(RefCell::new(WatchState::new(mesh.control.len())));
+        let state = WatchState::new(Instant::now(), mesh.control.len());
+        let state = Rc::new(RefCell::new(state));
         let watch = FleetWatch {
             state,
             mesh: mesh.clone(),
@@ -243,7 +251,7 @@
     /// Returns the interval between polls of one replica, or between attempts to connect to it.
     fn poll_interval(&self) -> Duration {
         let state = self.state.borrow();
-        let interval = state.base_interval();
+        let interval = state.base_interval(Instant::now());
         let usage_window = state.observer.as_ref().and_then(|o| o.usage_window());
         match usage_window {
             Some(window) => interval.min(usage_interval(window, state.gateways)),
--- a/laburnumlug-daemon/src/fleet_watch/poll.rs
+++ b/laburnumlug-daemon/src/fleet_watch/poll.rs
@@ -88,7 +88,8 @@
             _ => return,
         }
         let now = Instant::now();
-        let has_passed = |at| now.saturating_duration_since(at) >= state.borrow().base_interval();
+        let interval = state.borrow().base_interval(now);
+        let has_passed = |at| now.saturating_duration_since(at) >= interval;
         let is_due = targets_requested_at.is_none_or(has_passed);
         if is_due && (reports_targets || state.borrow().needs_targets(now)) {
             let known = state.borrow().targets_digest;
--- a/laburnumlug-daemon/src/fleet_watch/tests.rs
+++ b/laburnumlug-daemon/src/fleet_watch/tests.rs
@@ -41,7 +41,7 @@
 #[test]
 fn apply_fleet_answer_lagging_replica() {
     let now = RequestTime::now();
-    let mut state = WatchState::new(2);
+    let mut state = WatchState::new(Instant::now(), 2);
     apply_fleet_answer(&mut state, 0, now, answer(2, 7, true));
     apply_fleet_answer(&mut state, 1, now, answer(1, 5, true));
     assert_eq!(
@@ -134,7 +134,7 @@
         monotonic,
     };
     let recorder = Rc::new(ViewRecorder::default());
-    let mut state = WatchState::new(3);
+    let mut state = WatchState::new(Instant::now(), 3);
     state.observer = Some(recorder.clone());
     let mut apply = |replica, seconds, answer| {
         apply_fleet_answer(&mut state, replica, at(seconds), answer_of(replica, answer));
@@ -164,7 +164,7 @@
 #[test]
 fn may_fetch_document_one_at_a_time() {
     let now = Instant::now();
-    let mut state = WatchState::new(3);
+    let mut state = WatchState::new(Instant::now(), 3);
     assert!(state.may_fetch_document(now));
     state.fetching_since = Some(now);
     assert!(!state.may_fetch_document(now + FETCH_HEDGE_DELAY));
@@ -174,7 +174,7 @@
 #[test]
 fn apply_fleet_answer_newer_version_not_applied_yet() {
     let now = RequestTime::now();
-    let mut state = WatchState::new(1);
+    let mut state = WatchState::new(Instant::now(), 1);
     let mut first = answer(1, 5, true);
     first.voting_status.voters = vec![first.voting_status.replica.clone()];
     let second_is_logged = FleetAnswer {
--- a/laburnumlug-daemon/src/target_reader.rs
+++ b/laburnumlug-daemon/src/target_reader.rs
@@ -14,7 +14,7 @@
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Interval at which a replica checks whether it leads.
-const LEADERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const LEADERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Timeout of one read; after it, the last published list stays until the next read.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
