Log apart which targets state that they are leaving and which other gateways report

Cause: a report of another gateway, which may come from its list only, was logged as a statement of the target.

--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -301,9 +301,11 @@
             }
             EngineEvent::TargetLeaving { target } => {
                 match self.live_target(&target) {
-                    Some(target) => {
-                        self.record_leaving(now, &target);
-                    }
+                    Some(target) if self.record_leaving(now, &target) => log::info!(
+                        target = target.instance.as_str();
+                        "another gateway reports that the target is leaving: it gets no new requests"
+                    ),
+                    Some(_) => {}
                     // The events of other gateways may arrive before the first list.
                     None => self.record_departed(now, &target),
                 }
--- a/laburnumlug-forward/src/target_statements.rs
+++ b/laburnumlug-forward/src/target_statements.rs
@@ -37,6 +37,10 @@
         statements: TargetStatements,
     ) {
         if statements.leaving && self.record_leaving(now, target) {
+            log::info!(
+                target = target.instance.as_str();
+                "the target states that it is leaving: it gets no new requests"
+            );
             self.engine_requests
                 .publish(leaving_event(target.instance.clone()));
         }
@@ -49,15 +53,11 @@
         }
     }
 
-    /// Records that a target is leaving, by its own statement, and logs and returns whether that is new.
+    /// Records that a target is leaving, by its own statement or as another gateway reports, and returns whether that is new.
     pub(crate) fn record_leaving(&self, now: Instant, target: &TargetHandle) -> bool {
         let is_new = target.status.borrow_mut().record_leaving(now);
         if is_new {
             self.record_departed(now, &target.instance);
-            log::info!(
-                target = target.instance.as_str();
-                "the target states that it is leaving: it gets no new requests"
-            );
         }
         is_new
     }
--- a/src/engine_event.rs
+++ b/src/engine_event.rs
@@ -96,7 +96,7 @@
         /// The target, which need not be an engine.
         target: TargetName,
     },
-    /// A target states that it is leaving.
+    /// A target is leaving, by its own statement or by the platform's list.
     #[serde(rename = "Leaving")]
     TargetLeaving {
         /// The target, which need not be an engine.
