--- a/laburnumlug-control/src/software_tests.rs
+++ b/laburnumlug-control/src/software_tests.rs
@@ -22,8 +22,8 @@
     }
 }
 
-/// Records a list and returns the time for which its versions are known to be the same at `NOW_MS`, or `None` without a
-/// record.
+/// Records the versions of a list, and returns how long the ledger reports them as unchanged at `NOW_MS`; `None` if it has no
+/// entry.
 fn unchanged_ms(ledger: &mut SoftwareLedger, time_ms: u64, versions: &[&str]) -> Option<u64> {
     for change in ledger.changes(&list(versions)) {
         assert!(ledger.record(time_ms, change.clone()));
--- a/laburnumlug-control/src/state/tests.rs
+++ b/laburnumlug-control/src/state/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the replicated state.
 
 use super::*;
+use crate::command::{Accepted, FleetChange, FleetRefusal};
 
 const DOCUMENT: &str = r#"{"name":"g","models":[],"services":[],"targets":[]}"#;
 
