Reword comments of the record of software versions

Cause: some could be understood only with the account of the incident at hand. Change: comments only.

--- a/laburnumlug-control/src/software.rs
+++ b/laburnumlug-control/src/software.rs
@@ -6,7 +6,7 @@
 use laburnumlug::{FleetDocument, ServiceName, SoftwareRecord, SoftwareVersion, TargetList};
 use serde::{Deserialize, Serialize};
 
-/// Time by which the clocks of two replicas may differ, or one of them may jump.
+/// Upper bound of the error of an age that is measured with the clocks of two replicas, which may differ or jump.
 const MAX_CLOCK_ERROR: Duration = Duration::from_secs(5);
 
 /// Change of the software versions that the listed targets of a service run.
--- a/laburnumlug-daemon/src/software_recorder.rs
+++ b/laburnumlug-daemon/src/software_recorder.rs
@@ -1,4 +1,7 @@
-//! Keeps the software versions of each service in the control log, for gateways that have all restarted.
+//! Records the software versions of each service in the control log.
+//!
+//! Gateways know which versions have served since they started. After all of them have restarted, only the log tells which
+//! versions served before.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -7,7 +10,7 @@
 use laburnumlug::TargetList;
 use laburnumlug_control::{Command, Replica, SoftwareChange};
 
-/// Timeout of one submission; what the next list shows is submitted after it.
+/// Timeout of one submission. A change that was not logged is submitted again with the next list.
 const SUBMIT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Logs changes of the software versions in the lists that the leader reads.
--- a/laburnumlug-daemon/src/target_reader.rs
+++ b/laburnumlug-daemon/src/target_reader.rs
@@ -53,7 +53,7 @@
                 replica.publish_targets(requested_at, list);
             }
         }
-        // Gateways that have all restarted wait for the first list of a new leader.
+        // Gateways that start wait for the first list of a new leader.
         let interval = match is_leader {
             true => READ_INTERVAL,
             false => LEADERSHIP_CHECK_INTERVAL,
--- a/laburnumlug-forward/src/stream_origins.rs
+++ b/laburnumlug-forward/src/stream_origins.rs
@@ -11,11 +11,11 @@
 use crate::refusal::FailureCause;
 use crate::registry::TargetHandle;
 
-/// How long the resumption of a stream of unknown origin waits until the control replicas have reported which versions they have
-/// recorded; after most starts, they have within that time.
+/// Maximum time for which the resumption of a stream of unknown origin waits for the first report of the control replicas on
+/// which software versions they have recorded.
 const RECORDS_WAIT: Duration = Duration::from_millis(400);
 
-/// Interval at which it checks whether they have.
+/// Interval at which such a resumption checks whether the report has arrived.
 const RECORDS_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Software version of the targets that may generate a stream, where `None` is that of targets that state none.
@@ -98,6 +98,7 @@
         }
     }
 
+    /// Returns the software version that a resumption needs by what is known now, like [`Forwarder::required_software`].
     fn known_software(
         &self,
         now: Instant,
@@ -135,7 +136,8 @@
             .is_some_and(|history| history.needs_origins(now))
     }
 
-    /// Sets the software versions that the control replicas have recorded of all services that have run several, at `now`.
+    /// Sets what the control replicas have recorded at `now`: the software versions of each service that has run several at
+    /// once.
     pub fn set_software_records(&self, now: Instant, records: &[SoftwareRecord]) {
         self.knows_software_records.set(true);
         for (service, history) in self.software_histories.borrow_mut().iter_mut() {
--- a/laburnumlug-forward/src/target_statements.rs
+++ b/laburnumlug-forward/src/target_statements.rs
@@ -29,7 +29,7 @@
         self.record_decline(now, target, statements);
     }
 
-    /// Records that a target declines requests, if it states so.
+    /// Records whether a target states that it is leaving, or that it wants no requests for a while.
     pub(crate) fn record_decline(
         &self,
         now: Instant,
--- a/laburnumlug-policy/src/software_history.rs
+++ b/laburnumlug-policy/src/software_history.rs
@@ -32,7 +32,7 @@
     versions: BTreeSet<Option<SoftwareVersion>>,
     /// The last version that was the only one, and until when, if others have been seen since.
     only_until: Option<(Option<SoftwareVersion>, Instant)>,
-    /// Time before which targets of other versions may have served that this process does not know of.
+    /// Time before which targets of versions that this process does not know of may have served; `None` if there were none.
     unknown_before: Option<Instant>,
 }
 
@@ -51,8 +51,8 @@
         self.versions = versions;
     }
 
-    /// Adds what the control replicas have recorded of the time before this process has started: their record at `now`, or
-    /// `None` if they have never seen several versions at once.
+    /// Extends what is known of the time before this process started by the record of the control replicas at `now`, which is
+    /// `None` if they have never seen several versions at once. A record of other versions than those listed is ignored.
     pub fn add_record(&mut self, now: Instant, record: Option<&SoftwareRecord>) {
         let known_since = match record {
             None => None,
