Answer the request that follows a response in progress at shutdown

Seen: a client whose response was in progress when the server shut down, and which then used its connection again, got no answer. Cause: a response whose head is sent before the shutdown does not say that its connection is closed, and the server closed the connection as soon as the response was complete. The time in which late requests are answered applied only to connections without a request at the shutdown. The class is a connection closed without notice. Change: the server itself states the close in each response after the shutdown. A connection stays open for a second after a response that did not, for one more request. Evidence: shut_down_answers_request_after_answer_in_progress failed before (the connection ended without an answer). Measured: the four tests of the shutdown pass. Every role that serves HTTP uses this server.

--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -12,6 +12,7 @@
 use cyper_core::{CompioTimer, HyperStream};
 use event_listener::Event;
 use futures_util::future::{Either, select};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use rustix::net::sockopt::set_socket_send_buffer_size;
@@ -29,8 +30,8 @@
 /// Maximum time for discarding the body of a rejected request.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Time after the shutdown for which a connection without a request in progress stays open. A caller may have sent a
-/// request that has not arrived yet, and would lose it without an answer.
+/// Time for which a connection without a request in progress stays open after the shutdown or after an answer that did not
+/// announce it. A caller may have sent a request that has not arrived yet, and would lose it without an answer.
 const SHUTDOWN_LINGER: Duration = Duration::from_secs(1);
 
 /// Request as a [`Handler`] receives it.
@@ -144,7 +145,8 @@
     /// Stops accepting connections; responses in progress are completed.
     ///
     /// Connections that were accepted, or are in the kernel's queue, get an answer to the request that their client is
-    /// sending, and are then closed; those without a request are closed after a second.
+    /// sending, and are then closed; those without a request are closed after a second. Each answer states that its
+    /// connection is closed. A connection whose answer began before the shutdown stays open for the next request, too.
     pub fn shut_down(&self) {
         self.shared.stopping.set(true);
         self.shared.notify();
@@ -259,9 +261,9 @@
             if over_limit {
                 let overload_handler =
                     Rc::new(|_| async { text_response(503, "too many connections") });
-                serve_connection(stream, peer, overload_handler, &limits, &shared).await;
+                serve_connection(stream, peer, overload_handler, &limits, shared.clone()).await;
             } else {
-                serve_connection(stream, peer, handler, &limits, &shared).await;
+                serve_connection(stream, peer, handler, &limits, shared.clone()).await;
             }
             shared.connections.set(shared.connections.get() - 1);
             shared.notify();
@@ -275,7 +277,7 @@
     peer: SocketAddr,
     handler: Rc<H>,
     limits: &Limits,
-    shared: &Shared,
+    shared: Rc<Shared>,
 ) where
     H: Handler,
 {
@@ -289,12 +291,21 @@
     let socket = stream.clone();
     let is_http_1_0 = Rc::new(Cell::new(false));
     let set_http_1_0 = is_http_1_0.clone();
+    let is_stopping = shared.clone();
     let service = service_fn(move |mut req: Request| {
         set_http_1_0.set(req.version() == hyper::Version::HTTP_10);
         req.extensions_mut().insert(PeerAddr(peer));
         let guard = started.clone().start();
         let response = handler.handle(req);
-        async move { Ok::<_, Infallible>(hold_until_sent(response.await, guard)) }
+        let shared = is_stopping.clone();
+        async move {
+            let mut resp = response.await;
+            if shared.stopping.get() {
+                let close = HeaderValue::from_static("close");
+                resp.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(hold_until_sent(resp, guard))
+        }
     });
     let conn = http1::Builder::new()
         .timer(CompioTimer)
@@ -304,9 +315,14 @@
         .serve_connection(HyperStream::new_plain(stream), service);
     let mut conn = pin!(conn);
     let stop_reading = pin!(async {
-        with_timeout(limits.lifetime, shared.stopped()).await?;
-        // A request that begins now is answered; its response tells the client that the connection is closed.
-        with_timeout(Some(SHUTDOWN_LINGER), requests.any()).await
+        if with_timeout(limits.lifetime, shared.stopped())
+            .await
+            .is_some()
+        {
+            // The response to a request that begins now states that the connection is closed, and closes it.
+            let unused = requests.unused_for(SHUTDOWN_LINGER);
+            with_timeout(limits.lifetime, unused).await;
+        }
     });
     let result = match select(conn.as_mut(), stop_reading).await {
         Either::Left((result, _)) => Some(result),
@@ -330,21 +346,33 @@
 #[derive(Default)]
 struct RequestsInProgress {
     count: Cell<usize>,
-    started: Event,
+    changed: Event,
 }
 
 impl RequestsInProgress {
     /// Counts a request until the returned guard is dropped.
     fn start(self: Rc<Self>) -> RequestGuard {
         self.count.set(self.count.get() + 1);
-        self.started.notify(usize::MAX);
+        self.changed.notify(usize::MAX);
         RequestGuard { requests: self }
     }
 
     /// Waits until a request is in progress.
     async fn any(&self) {
         while self.count.get() == 0 {
-            self.started.listen().await;
+            self.changed.listen().await;
+        }
+    }
+
+    /// Waits until no request has been in progress for `time`.
+    async fn unused_for(&self, time: Duration) {
+        loop {
+            while self.count.get() > 0 {
+                self.changed.listen().await;
+            }
+            if with_timeout(Some(time), self.any()).await.is_none() {
+                return;
+            }
         }
     }
 }
@@ -356,6 +384,7 @@
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.requests.count.set(self.requests.count.get() - 1);
+        self.requests.changed.notify(usize::MAX);
     }
 }
 
--- a/laburnumlug-http/tests/shutdown.rs
+++ b/laburnumlug-http/tests/shutdown.rs
@@ -9,13 +9,18 @@
 
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
-use laburnumlug_http::{Limits, Request, Server, ShutdownHandle, text_response};
+use laburnumlug_http::{
+    Handler, Limits, Request, Response, Server, ShutdownHandle, channel_body, text_response,
+};
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: h.example\r\n\r\n";
 
 /// Time that the server takes to answer.
 const ANSWER_TIME: Duration = Duration::from_millis(5);
 
+/// Time between the head and the body of a slow answer.
+const STREAM_TIME: Duration = Duration::from_millis(300);
+
 /// Number of answers under load after which the server shuts down.
 const MIN_ANSWERS: usize = 500;
 
@@ -23,18 +28,39 @@
 const MAX_SHUTDOWN_TIME: Duration = Duration::from_secs(4);
 
 async fn start() -> (SocketAddr, ShutdownHandle, JoinHandle<()>) {
+    start_with(|_req: Request| async {
+        compio::time::sleep(ANSWER_TIME).await;
+        text_response(200, "answer")
+    })
+    .await
+}
+
+async fn start_with<H>(handler: H) -> (SocketAddr, ShutdownHandle, JoinHandle<()>)
+where
+    H: Handler,
+{
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     let server = Server::new(listener, Limits::default());
     let shutdown = server.shutdown_handle();
-    let handler = Rc::new(|_req: Request| async {
-        compio::time::sleep(ANSWER_TIME).await;
-        text_response(200, "answer")
-    });
-    let task = compio::runtime::spawn(server.run(handler));
+    let task = compio::runtime::spawn(server.run(Rc::new(handler)));
     (addr, shutdown, task)
 }
 
+/// Responds with a head at once and with the body after [`STREAM_TIME`].
+async fn respond_slowly(_req: Request) -> Response {
+    let (mut tx, body) = channel_body();
+    compio::runtime::spawn(async move {
+        compio::time::sleep(STREAM_TIME).await;
+        let _ = tx.send("answer".into()).await;
+    })
+    .detach();
+    let mut resp = hyper::Response::new(body);
+    let length = hyper::header::HeaderValue::from_static("6");
+    resp.headers_mut().insert("content-length", length);
+    resp
+}
+
 /// Reads one answer and returns it; it is empty if the connection was closed or reset instead.
 fn read_answer(stream: &mut TcpStream) -> String {
     let (mut answer, mut chunk) = (Vec::new(), [0; 4096]);
@@ -108,6 +134,27 @@
     });
 }
 
+/// Guards against a request without an answer after one that was in progress when the server shut down: the head of that
+/// answer had been sent, so it did not announce that the connection would be closed.
+#[test]
+fn shut_down_answers_request_after_answer_in_progress() {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let (addr, shutdown, task) = start_with(respond_slowly).await;
+        let mut stream = TcpStream::connect(addr).unwrap();
+        stream.write_all(REQUEST).unwrap();
+        compio::time::sleep(STREAM_TIME / 2).await;
+        shutdown.shut_down();
+        let answer = read_answer_async(stream.try_clone().unwrap()).await;
+        assert!(answer.ends_with("answer"), "{answer:?}");
+        assert!(!answer.contains("connection: close"), "{answer:?}");
+        stream.write_all(REQUEST).unwrap();
+        let answer = read_answer_async(stream).await;
+        assert!(answer.ends_with("answer"), "{answer:?}");
+        assert!(answer.contains("connection: close"), "{answer:?}");
+        task.await.unwrap();
+    });
+}
+
 /// Under load, each request whose connection was established gets an answer. Clients open connections until they are
 /// refused, and send on each of them until the server announces that it closes it.
 #[test]
