Refuse requests that a stopping gateway may not finish

Cause: the gateway accepts new requests for 3 s after SIGTERM, and the HTTP server answers what arrives on open connections for a second more. Nothing compared how long such a request may last with the time until the exit. The class is a promise that is given without regard to the time that is left to keep it. Ruled out: closing those connections at once, as a request that is on its way then gets no answer. Change: ShutdownSchedule decides when a process accepts requests, gives them up and exits. After the notice time a request is passed on only if its deadline is before the time at which requests are given up; any other is refused at once as not run, so that its caller can send it to another gateway. This is checked when the head has arrived and again when the body has, before anything is sent, on the one path that plain requests, streams and resumptions share. With a grace period shorter than the notice time, the latter ends no later than requests are given up. Evidence: gateway_stop_refuses_requests_that_outlast_exit failed before: the request on a kept connection and the one whose body arrived late were answered 200 by the server. The same test shows that a request with a short deadline is served.

--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -15,7 +15,7 @@
 use laburnumlug_platform::{
     InstanceListClient, PlatformHeaderCodec, PlatformInspector, TargetSource,
 };
-use laburnumlug_policy::ChangeNumber;
+use laburnumlug_policy::{ChangeNumber, ShutdownSchedule};
 use rand::Rng;
 
 use crate::error::Error;
@@ -27,20 +27,9 @@
 use crate::settings::GatewaySettings;
 use crate::{logging, settings_watch, signal};
 
-/// Time after the request to stop in which new requests are still accepted, but at most half of the grace period: the
-/// platform probes readiness once a second and acts on the second failed probe.
-const UNREADY_NOTICE_TIME: Duration = Duration::from_millis(3000);
-
-/// Time before the end of the grace period at which the process exits even if answers are in progress.
-const GRACE_MARGIN: Duration = Duration::from_millis(300);
-
 /// Time in which a gateway that stops reports the counts of its last requests: an interval between polls and an exchange.
 const LAST_REPORT_TIME: Duration = Duration::from_millis(700);
 
-/// Time before the exit at which callers without an answer are told that there will be none; sending the errors takes
-/// a few milliseconds.
-const GIVE_UP_MARGIN: Duration = Duration::from_millis(200);
-
 /// Age of the list of live targets from which this process reads the platform's list itself.
 const STALE_LIST_AGE: Duration = Duration::from_secs(3);
 
@@ -187,16 +176,22 @@
     let server_task = compio::runtime::spawn(server.run(handler));
     log::info!("the gateway serves callers on {}", settings.listen);
     signal::stop_requested().await;
-    let exit_at = Instant::now() + settings.grace_period.saturating_sub(GRACE_MARGIN);
-    log::info!("the gateway is stopping");
+    let now = Instant::now();
+    let schedule = ShutdownSchedule::new(now, settings.grace_period);
+    let ms_until = |at: Instant| at.saturating_duration_since(now).as_millis() as u64;
+    log::info!(
+        accepts_for_ms = ms_until(schedule.accept_until()), gives_up_after_ms = ms_until(schedule.give_up_at()),
+        exits_after_ms = ms_until(schedule.exit_at());
+        "the gateway is stopping"
+    );
     stopping.set(true);
-    forwarder.close_connections();
-    compio::time::sleep(UNREADY_NOTICE_TIME.min(settings.grace_period / 2)).await;
+    forwarder.begin_shutdown(schedule);
+    compio::time::sleep_until(schedule.accept_until()).await;
     shutdown.shut_down();
     let time_left = |until: Instant| until.saturating_duration_since(Instant::now());
     let mut server_task = pin!(server_task);
-    let give_up_at = exit_at - GIVE_UP_MARGIN.min(settings.grace_period / 4);
-    if compio::time::timeout(time_left(give_up_at), &mut server_task)
+    let exit_at = schedule.exit_at();
+    if compio::time::timeout(time_left(schedule.give_up_at()), &mut server_task)
         .await
         .is_err()
     {
--- a/laburnumlug-daemon/tests/it/planned_stop.rs
+++ b/laburnumlug-daemon/tests/it/planned_stop.rs
@@ -1,5 +1,6 @@
 //! Planned stops while requests are on their way.
 
+use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -21,17 +22,23 @@
 /// Time between the signals, or between a signal and a request.
 const SIGNAL_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Starts a server that answers each request after `answer_time`, and returns the list that shows it.
-async fn start_listed_server(answer_time: Duration) -> String {
+/// Time after the first signal at which the gateway no longer accepts every request: half of its grace period of 4 s.
+const NOTICE_TIME: Duration = Duration::from_secs(2);
+
+/// Starts a server that counts its requests and answers each after `answer_time`, and returns the list that shows it.
+async fn start_listed_server(answer_time: Duration, received: Rc<Cell<usize>>) -> String {
     let addr = free_addr();
     let listener = TcpListener::bind(addr).await.unwrap();
-    let handler = Rc::new(move |req: Request| async move {
-        compio::time::sleep(answer_time).await;
-        let mut resp = text_response(200, "answer");
-        if let Some(id) = req.headers().get("x-request-id") {
-            resp.headers_mut().insert("x-request-id", id.clone());
+    let handler = Rc::new(move |req: Request| {
+        received.set(received.get() + 1);
+        async move {
+            compio::time::sleep(answer_time).await;
+            let mut resp = text_response(200, "answer");
+            if let Some(id) = req.headers().get("x-request-id") {
+                resp.headers_mut().insert("x-request-id", id.clone());
+            }
+            resp
         }
-        resp
     });
     compio::runtime::spawn(Server::new(listener, Limits::default()).run(handler)).detach();
     let row = json!({ "id": "i-0", "service": "plain", "address": addr.to_string(), "zone": "z",
@@ -41,7 +48,17 @@
 
 /// Starts a gateway in front of a server, with a route whose requests time out after 30 s.
 async fn start_gateway(cluster: &Cluster, answer_time: Duration) -> Gateway {
-    let list_addr = serve_target_list(start_listed_server(answer_time).await).await;
+    start_counted_gateway(cluster, answer_time, Rc::default()).await
+}
+
+/// Starts a gateway like [`start_gateway`], in front of a server that counts its requests in `received`.
+async fn start_counted_gateway(
+    cluster: &Cluster,
+    answer_time: Duration,
+    received: Rc<Cell<usize>>,
+) -> Gateway {
+    let list = start_listed_server(answer_time, received).await;
+    let list_addr = serve_target_list(list).await;
     let gateway = Gateway::start_with_list(&cluster.folder, "g", list_addr, &cluster.seeds());
     cluster.replace_config(0, 1, 30_000).await;
     wait_for("a ready gateway", || async {
@@ -52,8 +69,13 @@
 }
 
 fn send_request(stream: &mut TcpStream, path: &str) -> bool {
-    let request = format!("GET {path} HTTP/1.1\r\nhost: h.example\r\nx-request-id: r\r\n\r\n");
-    stream.write_all(request.as_bytes()).is_ok()
+    send_head(stream, path, "")
+}
+
+/// Sends the head of a request with further header lines.
+fn send_head(stream: &mut TcpStream, path: &str, lines: &str) -> bool {
+    let head = format!("GET {path} HTTP/1.1\r\nhost: h.example\r\nx-request-id: r\r\n{lines}\r\n");
+    stream.write_all(head.as_bytes()).is_ok()
 }
 
 /// Reads one answer and returns its head; it is empty if the connection ends before the answer does.
@@ -143,6 +165,43 @@
     });
 }
 
+/// Guards against requests that a stopping gateway accepts although they may last beyond its exit, which cuts them: those
+/// on kept connections, and those whose body arrives late. They are refused as not run. A request that ends before the exit is
+/// served.
+#[test]
+fn gateway_stop_refuses_requests_that_outlast_exit() {
+    block_on(async {
+        let cluster = Cluster::start();
+        let received = Rc::new(Cell::new(0));
+        let mut gateway = start_counted_gateway(&cluster, ANSWER_TIME, received.clone()).await;
+        let addr = gateway.caller_addr;
+        let mut streams: Vec<_> = (0..3).map(|_| TcpStream::connect(addr).unwrap()).collect();
+        for stream in &mut streams[..2] {
+            assert!(send_request(stream, "/p/x"));
+            let head = read_answer_async(stream.try_clone().unwrap()).await;
+            assert!(head.starts_with("HTTP/1.1 200 "), "{head:?}");
+        }
+        let received_before = received.get();
+        gateway.process.signal(Signal::TERM);
+        assert!(send_head(&mut streams[2], "/p/x", "content-length: 4\r\n"));
+        compio::time::sleep(NOTICE_TIME + SIGNAL_INTERVAL).await;
+        gateway.process.signal(Signal::TERM);
+        assert!(send_request(&mut streams[0], "/p/x"));
+        assert!(send_head(&mut streams[1], "/p/x", "x-deadline-ms: 500\r\n"));
+        streams[2].write_all(b"body").unwrap();
+        let mut heads = Vec::new();
+        for stream in streams {
+            heads.push(read_answer_async(stream).await);
+        }
+        assert!(heads[0].starts_with("HTTP/1.1 503 "), "{heads:?}");
+        assert!(heads[1].starts_with("HTTP/1.1 200 "), "{heads:?}");
+        assert!(heads[2].starts_with("HTTP/1.1 503 "), "{heads:?}");
+        assert!(heads.iter().all(|head| head.contains("connection: close")));
+        assert_eq!(received.get() - received_before, 1);
+        assert_eq!(gateway.process.wait().await.code(), Some(0));
+    });
+}
+
 /// Opens a connection, asks the process to stop twice, sends a request on the connection and checks that it is answered.
 async fn assert_stop_answers_request(process: &mut Process, addr: SocketAddr) {
     let mut stream = TcpStream::connect(addr).unwrap();
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -22,6 +22,7 @@
 use crate::probe::Inspector;
 use crate::registry::{TargetHandle, TargetRegistry};
 use crate::routes::RouteTable;
+use crate::shutdown::Shutdown;
 use crate::usage::UsageRecorder;
 
 /// Timeout for connecting to a target; connecting takes about a millisecond within a region.
@@ -56,7 +57,6 @@
     retry_schedules: RefCell<HashMap<ServiceName, RetrySchedule>>,
     /// Addresses of this gateway and of the others, or `None` until they are known.
     gateways: RefCell<Option<(SocketAddr, Vec<SocketAddr>)>>,
-    close_after_response: Cell<bool>,
     observer: RefCell<Option<Rc<dyn ForwardObserver>>>,
     pub(crate) engine_requests: EngineRequests,
     pub(crate) crash_attribution: RefCell<CrashAttribution>,
@@ -70,9 +70,7 @@
     pub(crate) cache_reports: CacheReportQueue,
     /// Notified whenever a prompt part or the content of a request is blocked.
     pub(crate) request_blocked: Event,
-    /// Whether requests without an answer are given up, as the process is about to exit.
-    is_exiting: Cell<bool>,
-    exit_began: Event,
+    pub(crate) shutdown: Shutdown,
 }
 
 impl Forwarder {
@@ -91,7 +89,6 @@
             retry_budgets: RefCell::default(),
             retry_schedules: RefCell::default(),
             gateways: RefCell::default(),
-            close_after_response: Cell::new(false),
             observer: RefCell::default(),
             engine_requests: EngineRequests::new(),
             crash_attribution: RefCell::default(),
@@ -102,8 +99,7 @@
             usage: UsageRecorder::default(),
             cache_reports: CacheReportQueue::default(),
             request_blocked: Event::new(),
-            is_exiting: Cell::new(false),
-            exit_began: Event::new(),
+            shutdown: Shutdown::default(),
         })
     }
 
@@ -210,29 +206,6 @@
         self.view.borrow().confirmed_at
     }
 
-    /// Returns whether responses close their connections.
-    pub(crate) fn closes_connections(&self) -> bool {
-        self.close_after_response.get()
-    }
-
-    /// Sends `connection: close` with every response from now on.
-    pub fn close_connections(&self) {
-        self.close_after_response.set(true);
-    }
-
-    /// Gives up all requests that have no answer yet; their callers are told at once.
-    pub fn give_up_requests(&self) {
-        self.is_exiting.set(true);
-        self.exit_began.notify(usize::MAX);
-    }
-
-    /// Waits until [`Forwarder::give_up_requests`] is called.
-    pub(crate) async fn exiting(&self) {
-        while !self.is_exiting.get() {
-            self.exit_began.listen().await;
-        }
-    }
-
     /// Returns the health check path of a service, or [`DEFAULT_HEALTH_PATH`] if none is configured.
     pub(crate) fn health_path(&self, service: &str) -> String {
         let view = self.view.borrow();
--- a/laburnumlug-forward/src/handler.rs
+++ b/laburnumlug-forward/src/handler.rs
@@ -47,6 +47,21 @@
     }
 }
 
+/// A request whose body has not been read yet.
+struct RequestHead {
+    arrived_at: Instant,
+    metadata: RequestMetadata,
+    parts: hyper::http::request::Parts,
+}
+
+impl RequestHead {
+    /// Returns when the timeout of the caller or of the route expires, whichever is earlier.
+    fn deadline(&self, route: &RouteEntry) -> Instant {
+        let timeout = self.metadata.time_left.unwrap_or(DEFAULT_DEADLINE);
+        self.arrived_at + timeout.min(route.timeout)
+    }
+}
+
 impl Handler for ForwardHandler {
     fn handle(&self, req: Request) -> Pin<Box<dyn Future<Output = Response>>> {
         Box::pin(self.forwarder.clone().handle(req))
@@ -67,13 +82,15 @@
             .and_then(|metadata| metadata.time_left);
         let result = match metadata {
             Ok(metadata) => {
-                let forwarding = self.clone().forward(arrived_at, metadata, parts, &mut body);
+                let head = RequestHead {
+                    arrived_at,
+                    metadata,
+                    parts,
+                };
+                let forwarding = self.clone().forward(head, &mut body);
                 match select(pin!(forwarding), pin!(self.exiting())).await {
                     Either::Left((result, _)) => result,
-                    Either::Right(_) => Err(Refusal::new(
-                        FailureCause::AnswerLost,
-                        "the gateway is stopping, and the answer was not complete in time",
-                    )),
+                    Either::Right((refusal, _)) => Err(refusal),
                 }
             }
             Err(reason) => Err(Refusal::new(FailureCause::BadRequest, reason)),
@@ -110,12 +127,12 @@
 
     async fn forward(
         self: Rc<Self>,
-        arrived_at: Instant,
-        metadata: RequestMetadata,
-        parts: hyper::http::request::Parts,
+        head: RequestHead,
         body: &mut hyper::body::Incoming,
     ) -> Result<Response, Refusal> {
-        let (table, route) = self.route_request(arrived_at, &parts).await?;
+        let arrived_at = head.arrived_at;
+        let (table, route) = self.route_request(arrived_at, &head.parts).await?;
+        self.check_not_stopping(Instant::now(), head.deadline(&route))?;
         let limit = usize::try_from(table.limits.body_bytes).unwrap_or(usize::MAX);
         let reading_body = read_body(body, limit);
         let body = match compio::time::timeout(REQUEST_BODY_TIMEOUT, reading_body).await {
@@ -131,8 +148,9 @@
                 ));
             }
         };
-        let request =
-            self.caller_request(arrived_at, metadata, parts, body, &table, route.clone())?;
+        // A process that stops accepts what is complete in time, not what has begun.
+        self.check_not_stopping(Instant::now(), head.deadline(&route))?;
+        let request = self.caller_request(head, body, &table, route.clone())?;
         let customer = request.customer.clone();
         let customer_name = customer.as_ref().map(|customer| customer.name.as_str());
         let sample = rand::rng().random_range(0.0..1.0);
@@ -153,13 +171,17 @@
     /// Authorizes a request whose body has arrived, and builds what is forwarded of it.
     fn caller_request(
         &self,
-        arrived_at: Instant,
-        metadata: RequestMetadata,
-        parts: hyper::http::request::Parts,
+        head: RequestHead,
         body: Bytes,
         table: &Rc<RouteTable>,
         route: Rc<RouteEntry>,
     ) -> Result<CallerRequest, Refusal> {
+        let deadline = head.deadline(&route);
+        let RequestHead {
+            arrived_at,
+            metadata,
+            parts,
+        } = head;
         // The key may have been revoked while the caller sent the body.
         let newest_table = self.route_table().unwrap_or_else(|| table.clone());
         let customer = self.authorize(BootTime::now(), &newest_table, &route, &parts.headers)?;
@@ -176,10 +198,6 @@
                 credentials.map_or(&[][..], |value| value.as_bytes())
             }
         };
-        let timeout = metadata
-            .time_left
-            .unwrap_or(DEFAULT_DEADLINE)
-            .min(route.timeout);
         let path = parts.uri.path_and_query().cloned();
         let path = path.map_or(parts.uri, hyper::Uri::from);
         let prompt_parts = match &metadata.prompt {
@@ -196,7 +214,7 @@
             path,
             body,
             arrived_at,
-            deadline: arrived_at + timeout,
+            deadline,
             rank: rank.unwrap_or(route.rank),
             customer,
             route,
--- a/laburnumlug-forward/src/refusal.rs
+++ b/laburnumlug-forward/src/refusal.rs
@@ -21,6 +21,8 @@
     /// The request may have a valid API key, but the fleet document may be outdated.
     OutdatedKeys,
     NoConfiguration,
+    /// The gateway is stopping, and no target has got the request.
+    Stopping,
     NoTarget,
     /// Engines are busy, and the customer uses more than its share of them.
     AboveShare,
@@ -59,6 +61,7 @@
             FailureCause::NoRoute => 404,
             FailureCause::NoConfiguration
             | FailureCause::OutdatedKeys
+            | FailureCause::Stopping
             | FailureCause::NoTarget
             | FailureCause::AboveShare
             | FailureCause::PromptBlocked
@@ -83,6 +86,7 @@
             FailureCause::Unauthorized => "unauthorized",
             FailureCause::OutdatedKeys => "outdated-keys",
             FailureCause::NoConfiguration => "no-configuration",
+            FailureCause::Stopping => "stopping",
             FailureCause::NoTarget => "no-target",
             FailureCause::AboveShare => "above-share",
             FailureCause::PromptBlocked => "prompt-blocked",
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -98,6 +98,7 @@
 mod route;
 mod server_count;
 mod server_forecast;
+mod shutdown_schedule;
 mod software_history;
 mod stream_origins;
 mod subset;
@@ -152,6 +153,7 @@
 pub use crate::server_count::{
     OrderReason, ServerCount, ServerOrder, ServiceLoad, StandingOrder, ZoneTargets,
 };
+pub use crate::shutdown_schedule::ShutdownSchedule;
 pub use crate::software_history::{AssumedOrigin, SoftwareHistory};
 pub use crate::stream_origins::StreamOrigins;
 pub use crate::subset::select_subset;
--- /dev/null
+++ b/laburnumlug-policy/src/shutdown_schedule.rs
@@ -0,0 +1,65 @@
+//! When a process that was asked to stop accepts requests, gives up those without a response, and exits.
+
+use std::time::{Duration, Instant};
+
+/// Time after the request to stop in which every request is accepted: a load balancer that probes readiness once a second
+/// and acts on the second failed probe still sends callers here.
+const NOTICE_TIME: Duration = Duration::from_millis(3000);
+
+/// Time before the end of the grace period at which the process exits even if responses are in progress.
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
+
+/// Time before the exit at which callers without a response are told that there will be none; sending the errors takes
+/// a few milliseconds.
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(200);
+
+/// Schedule of a graceful shutdown.
+///
+/// A request that arrives after the notice time is accepted only if it ends before the exit, which would cut it. Refused
+/// as not run, it can be sent again to another process at once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ShutdownSchedule {
+    accept_until: Instant,
+    give_up_at: Instant,
+    exit_at: Instant,
+}
+
+impl ShutdownSchedule {
+    /// Creates the schedule of a process that is asked to stop at `now` and is killed after `grace_period`.
+    ///
+    /// A grace period below twice the notice time shortens the latter to its half.
+    pub fn new(now: Instant, grace_period: Duration) -> ShutdownSchedule {
+        let exit_after = grace_period.saturating_sub(EXIT_MARGIN);
+        let give_up_after = exit_after.saturating_sub(GIVE_UP_MARGIN.min(grace_period / 4));
+        let accept_for = NOTICE_TIME.min(grace_period / 2).min(give_up_after);
+        ShutdownSchedule {
+            accept_until: now + accept_for,
+            give_up_at: now + give_up_after,
+            exit_at: now + exit_after,
+        }
+    }
+
+    /// Returns when the notice time ends.
+    pub fn accept_until(&self) -> Instant {
+        self.accept_until
+    }
+
+    /// Returns when requests without a response are given up.
+    pub fn give_up_at(&self) -> Instant {
+        self.give_up_at
+    }
+
+    /// Returns when the process exits.
+    pub fn exit_at(&self) -> Instant {
+        self.exit_at
+    }
+
+    /// Returns whether a request that is complete at `now` and ends at `deadline` at the latest is accepted.
+    pub fn accepts(&self, now: Instant, deadline: Instant) -> bool {
+        now < self.accept_until || (now < self.give_up_at && deadline <= self.give_up_at)
+    }
+}
+
+#[cfg(test)]
+#[path = "shutdown_schedule_tests.rs"]
+mod tests;
--- /dev/null
+++ b/laburnumlug-policy/src/shutdown_schedule_tests.rs
@@ -0,0 +1,33 @@
+use super::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Guards against requests that are accepted after the notice time and cut by the exit.
+#[test]
+fn accepts_after_notice_time_what_ends_in_time() {
+    let now = Instant::now();
+    let schedule = ShutdownSchedule::new(now, 8 * SECOND);
+    let deadline = now + 20 * SECOND;
+    assert!(schedule.accepts(now, deadline));
+    assert!(schedule.accepts(now + Duration::from_millis(2999), deadline));
+    let later = now + Duration::from_millis(3400);
+    assert!(!schedule.accepts(later, deadline));
+    assert!(!schedule.accepts(later, schedule.exit_at()));
+    assert!(schedule.accepts(later, schedule.give_up_at()));
+    assert!(schedule.accepts(later, later + SECOND));
+}
+
+/// A request that arrives once others are given up would get no response, however early it ends.
+#[test]
+fn accepts_nothing_once_given_up() {
+    let now = Instant::now();
+    for grace_ms in [0, 100, 400, 1000, 8000] {
+        let schedule = ShutdownSchedule::new(now, Duration::from_millis(grace_ms));
+        let at = schedule.give_up_at();
+        assert!(!schedule.accepts(at, at), "{grace_ms}");
+        assert!(schedule.accept_until() <= at, "{grace_ms}");
+        assert!(at <= schedule.exit_at(), "{grace_ms}");
+        let grace_end = now + Duration::from_millis(grace_ms);
+        assert!(schedule.exit_at() <= grace_end, "{grace_ms}");
+    }
+}
