Tell callers of a stopping gateway that an unsent request has not run

Seen: a request that no server had got at the end of the grace period, as its body was still arriving or it waited for its turn, was answered 502, which promises nothing. Its caller could not send it again. Cause: the answer at the end of the grace period did not depend on whether anything had been sent. It is the only verdict that was formed without the outcome of an attempt. Change: a request records when it is sent to a target that may run it, and that it was not if the attempt states so. At the end of the grace period a request that no target can have run is refused as not run.

--- a/laburnumlug-daemon/tests/it/planned_stop.rs
+++ b/laburnumlug-daemon/tests/it/planned_stop.rs
@@ -202,6 +202,23 @@
     });
 }
 
+/// A caller whose request no server has got at the end of the grace period is told that it has not run, so that it may be
+/// sent again.
+#[test]
+fn gateway_stop_refuses_unsent_requests_at_end_of_grace() {
+    block_on(async {
+        let cluster = Cluster::start();
+        let mut gateway = start_gateway(&cluster, ANSWER_TIME).await;
+        let mut stream = TcpStream::connect(gateway.caller_addr).unwrap();
+        assert!(send_head(&mut stream, "/p/x", "content-length: 4\r\n"));
+        compio::time::sleep(SIGNAL_INTERVAL).await;
+        gateway.process.signal(Signal::TERM);
+        let head = read_answer_async(stream).await;
+        assert!(head.starts_with("HTTP/1.1 503 "), "{head:?}");
+        assert_eq!(gateway.process.wait().await.code(), Some(0));
+    });
+}
+
 /// Opens a connection, asks the process to stop twice, sends a request on the connection and checks that it is answered.
 async fn assert_stop_answers_request(process: &mut Process, addr: SocketAddr) {
     let mut stream = TcpStream::connect(addr).unwrap();
--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -1,5 +1,6 @@
 //! A single attempt to send a request to one target.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -43,6 +44,8 @@
     pub(crate) arrived_at: Instant,
     /// When the timeout of the caller or of the route expires, whichever is earlier.
     pub(crate) deadline: Instant,
+    /// Whether a target may have run the request; it is known while the request waits for a response, too.
+    pub(crate) may_have_run: Rc<Cell<bool>>,
 }
 
 impl CallerRequest {
@@ -251,10 +254,23 @@
                     stage,
                     last_event_id,
                 };
+                let may_have_run = &request.may_have_run;
+                let may_have_run_before = match attempt.stage {
+                    AttemptStage::Prefill => may_have_run.get(),
+                    AttemptStage::Full | AttemptStage::DecodeFrom { .. } => {
+                        may_have_run.replace(true)
+                    }
+                };
                 let sent = self
                     .await_response_head(now, request, target, attempt, options)
                     .await;
-                self.classify_result(request, target, sent).await
+                let result = self.classify_result(request, target, sent).await;
+                if let Err(failure) = &result
+                    && failure.verdict == Verdict::NotRun
+                {
+                    may_have_run.set(may_have_run_before);
+                }
+                result
             }
         };
         let outcome = match &result {
--- a/laburnumlug-forward/src/handler.rs
+++ b/laburnumlug-forward/src/handler.rs
@@ -1,5 +1,6 @@
 //! HTTP handler: routing of a request, and the error response if it is refused.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -52,6 +53,8 @@
     arrived_at: Instant,
     metadata: RequestMetadata,
     parts: hyper::http::request::Parts,
+    /// Set once a target may have run the request.
+    may_have_run: Rc<Cell<bool>>,
 }
 
 impl RequestHead {
@@ -80,15 +83,17 @@
             .as_ref()
             .ok()
             .and_then(|metadata| metadata.time_left);
+        let may_have_run = Rc::new(Cell::new(false));
         let result = match metadata {
             Ok(metadata) => {
                 let head = RequestHead {
                     arrived_at,
                     metadata,
                     parts,
+                    may_have_run: may_have_run.clone(),
                 };
                 let forwarding = self.clone().forward(head, &mut body);
-                match select(pin!(forwarding), pin!(self.exiting())).await {
+                match select(pin!(forwarding), pin!(self.exiting(&may_have_run))).await {
                     Either::Left((result, _)) => result,
                     Either::Right((refusal, _)) => Err(refusal),
                 }
@@ -181,6 +186,7 @@
             arrived_at,
             metadata,
             parts,
+            may_have_run,
         } = head;
         // The key may have been revoked while the caller sent the body.
         let newest_table = self.route_table().unwrap_or_else(|| table.clone());
@@ -215,6 +221,7 @@
             body,
             arrived_at,
             deadline,
+            may_have_run,
             rank: rank.unwrap_or(route.rank),
             customer,
             route,
--- a/laburnumlug-forward/src/shutdown.rs
+++ b/laburnumlug-forward/src/shutdown.rs
@@ -37,14 +37,17 @@
     }
 
     /// Waits until [`Forwarder::give_up_requests`] is called, and returns the refusal of a request without a response.
-    pub(crate) async fn exiting(&self) -> Refusal {
+    pub(crate) async fn exiting(&self, may_have_run: &Cell<bool>) -> Refusal {
         while !self.shutdown.is_exiting.get() {
             self.shutdown.exit_began.listen().await;
         }
-        Refusal::new(
-            FailureCause::AnswerLost,
-            "the gateway is stopping, and the answer was not complete in time",
-        )
+        match may_have_run.get() {
+            true => Refusal::new(
+                FailureCause::AnswerLost,
+                "the gateway is stopping, and the answer was not complete in time",
+            ),
+            false => stopping("the gateway is stopping, and no target has got the request"),
+        }
     }
 
     /// Checks that a request which ends at `deadline` at the latest ends before this process exits.
