Ask again, when a request is sent, whether its target accepts it

Cause: the decode engine is chosen before the prefill, and the list is consulted at the choice only. Before the send, only what the target itself states was checked. The class is a decision that outlives what it rested on. The same held for requests that wait for the rate limit of a target (plain services, streams, engines) and, for up to 250 ms, for a connection. Ruled out: a list that is late, as the gateways log within 0.6 s of the change that the engine is leaving. Change: check_sendable looks at the newest list and the statements of the target (leaving, unlisted, changing or changed role, other service) and is called by the connection pool when the request is about to be written, also after connecting: the one path that all sends share. If the decode engine of a prefilled prompt no longer accepts it, or has become suspect, another engine that decodes fetches the prompt: nothing has been sent, so no retry is needed. Without another one the caller is refused at once. A retry that was acquired for an attempt that reached no target is kept for the next one. A prompt that an engine has refused to fetch is not sent to it once more if the refusal states that it is leaving.

--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -88,6 +88,8 @@
 /// Timeout and priority settings of one attempt.
 #[derive(Clone, Copy)]
 pub(crate) struct AttemptOptions<'a> {
+    /// Service that the target must belong to.
+    pub(crate) service: &'a str,
     /// Time without a response head after which the target is probed.
     pub(crate) probe_after: Duration,
     /// Returns whether the attempt may be abandoned now when the probe fails, or after waiting `probe_after` once more when
@@ -245,7 +247,6 @@
         let result = match time_left.is_zero() {
             true => Err(AttemptFailure::expired()),
             false => {
-                self.check_accepted(now, &request.metadata.id, target)?;
                 target.health.borrow_mut().record_selection(now);
                 let attempt = AttemptHeaders {
                     instance: target.instance.clone(),
@@ -283,7 +284,7 @@
 
     /// Sends a request and waits for the response head, probing the target if it stays silent.
     ///
-    /// Returns `None` if no head arrives in time.
+    /// Returns `None` if no head arrives in time. Whether the target still accepts the request is checked when it is written.
     async fn await_response_head(
         self: &Rc<Self>,
         now: Instant,
@@ -300,7 +301,13 @@
         *req.uri_mut() = request.path.clone();
         *req.headers_mut() = headers;
         let addr = target.listing.borrow().addr;
-        let mut sending = Box::pin(self.pool.send(now, addr, &request.metadata.id, req));
+        let id = &request.metadata.id;
+        let may_send = || {
+            let now = Instant::now();
+            self.check_sendable(now, id, options.service, target, &attempt.stage)
+                .is_ok()
+        };
+        let mut sending = Box::pin(self.pool.send_if(now, addr, id, req, may_send));
         let limit = options.probe_after.min(attempt.time_left);
         let sent = compio::time::timeout(limit, sending.as_mut()).await;
         if sent.is_ok() || limit >= attempt.time_left {
@@ -352,6 +359,10 @@
                     err.to_string(),
                 ))
             }
+            Some(Err(SendError::Withdrawn)) => Err(AttemptFailure::unsent(
+                FailureCause::TargetDeclined,
+                "the target no longer accepts the request",
+            )),
             Some(Err(SendError::Sent(err))) => {
                 self.record_failure(now, target);
                 Err(AttemptFailure::connection_broken(err.to_string()))
--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -71,7 +71,8 @@
             else {
                 break;
             };
-            if attempts_made > 0 && !has_retry && !self.try_acquire_retry(now, service) {
+            let needs_retry = attempts_made > 0;
+            if needs_retry && !has_retry && !self.try_acquire_retry(now, service) {
                 break;
             }
             let is_last_attempt = attempts_made + 1 >= request.route.max_attempts;
@@ -82,8 +83,20 @@
                 let other = self.least_loaded_target(now, service, &tried, None, max_wait);
                 other.is_some() && self.try_acquire_retry(now, service)
             };
-            let attempt =
-                self.attempt_buffered(request, &target, &usage, is_last_attempt, &acquire_resend);
+            let options = AttemptOptions {
+                service,
+                probe_after: request.route.latency_objective * PROBE_OBJECTIVE_MULTIPLE,
+                may_abandon: &|_| false,
+                priority: None,
+            };
+            let attempt = self.attempt_buffered(
+                request,
+                &target,
+                &usage,
+                options,
+                is_last_attempt,
+                &acquire_resend,
+            );
             let result = self
                 .unless_blocked(Verdict::MayHaveRun, request, attempt)
                 .await;
@@ -101,7 +114,8 @@
                 "attempt failed: {}", failure.detail
             );
             attempts_made += u32::from(failure.reached_target);
-            has_retry = failure.has_retry;
+            // A retry is spent by what reaches a target.
+            has_retry = failure.has_retry || (needs_retry && !failure.reached_target);
             let may_repeat = failure.verdict == Verdict::NotRun || request.route.is_repeatable();
             if failure.is_connection_broken {
                 self.check_for_crash(&target);
@@ -138,17 +152,13 @@
         request: &CallerRequest,
         target: &Rc<TargetHandle>,
         usage: &UsageGuard,
+        options: AttemptOptions<'_>,
         is_last_attempt: bool,
         acquire_resend: &dyn Fn(Instant) -> bool,
     ) -> Result<Response, AttemptFailure> {
         let _in_flight = target.track_request();
         let mut run = RunGuard::start(target, request);
         let exchange = async {
-            let options = AttemptOptions {
-                probe_after: request.route.latency_objective * PROBE_OBJECTIVE_MULTIPLE,
-                may_abandon: &|_| false,
-                priority: None,
-            };
             usage.mark_sent();
             let sent = self
                 .send_attempt(request, target, AttemptStage::Full, None, options)
--- a/laburnumlug-forward/src/engine_selection.rs
+++ b/laburnumlug-forward/src/engine_selection.rs
@@ -4,9 +4,7 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{EngineTraits, Role};
-use laburnumlug_policy::{
-    EngineView, LATE_PRIORITY, NoRoom, PromptParts, PromptView, place_prompt,
-};
+use laburnumlug_policy::{EngineView, LATE_PRIORITY, NoRoom, PromptView, place_prompt};
 use rand::Rng;
 
 use crate::attempt::CallerRequest;
@@ -39,6 +37,13 @@
     pub(crate) priority: u8,
 }
 
+/// State of engines as inputs of a placement.
+pub(crate) struct EngineViews {
+    pub(crate) engines: Vec<EngineView>,
+    /// Priorities of the prompt at these engines.
+    priorities: Vec<u8>,
+}
+
 impl Forwarder {
     /// Selects the engines for a prompt from `targets`, or returns [`NoRoom`] if all of them are full.
     pub(crate) fn choose_engines(
@@ -48,23 +53,54 @@
         traits: &EngineTraits,
         request: &CallerRequest,
         prompt: &PromptMetadata,
-        prompt_parts: &PromptParts,
     ) -> Result<EngineSelection, NoRoom> {
-        let route = &request.route;
+        let views = self.engine_views(now, targets, traits, request, prompt);
+        let view = prompt_view(now, traits, request, prompt);
+        let placement = place_prompt(&view, &views.engines)?;
+        let reader = placement.prefill_engine.unwrap_or(placement.decode_engine);
+        let priority = match placement.is_late(request.route.latency_objective) {
+            true => LATE_PRIORITY,
+            false => views.priorities[reader],
+        };
+        let decode_engine = targets[placement.decode_engine].clone();
+        let prefill_engine = placement.prefill_engine.map(|i| targets[i].clone());
+        if let Some(prefill_engine) = &prefill_engine {
+            self.reserve_request(now, prefill_engine);
+        }
+        Ok(EngineSelection {
+            send_at: self.reserve_request(now, &decode_engine),
+            decode_engine,
+            prefill_engine,
+            uncached_tokens: placement.uncached_tokens,
+            time_to_first_token: placement.time_to_first_token,
+            priority,
+        })
+    }
+
+    /// Returns the state of engines as inputs of the placement of a prompt.
+    pub(crate) fn engine_views(
+        &self,
+        now: Instant,
+        targets: &[Rc<TargetHandle>],
+        traits: &EngineTraits,
+        request: &CallerRequest,
+        prompt: &PromptMetadata,
+    ) -> EngineViews {
         set_peer_rates(targets);
         let slot_time = targets.first().map_or(Duration::ZERO, |target| {
             let service = &target.listing.borrow().service;
             self.engine_requests.demand.hold_time(service)
         });
         let kv_cache_tokens = (traits.memory_tokens.get() as f64 * KV_CACHE_SHARE) as u64;
-        let (views, priorities): (Vec<EngineView>, Vec<u8>) = targets
+        let (engines, priorities) = targets
             .iter()
             .map(|target| {
                 let listing = target.listing.borrow();
                 let prefill_queue = target.prefill_queue.borrow();
                 let mut kv_cache = target.kv_cache.borrow_mut();
                 kv_cache.resize(kv_cache_tokens);
-                let matched = kv_cache.match_prompt(prompt_parts, &target.pending_parts.borrow());
+                let matched =
+                    kv_cache.match_prompt(&request.prompt_parts, &target.pending_parts.borrow());
                 let estimate =
                     prefill_queue.estimate(now, request.rank, prompt.prompt_tokens, &matched);
                 let view = EngineView {
@@ -87,35 +123,30 @@
                 (view, estimate.priority)
             })
             .unzip();
-        let unshared_tokens = prompt_parts.parts().last().map_or(0, |part| part.1);
-        let view = PromptView {
-            affinity_part: prompt_parts.affinity_part(),
-            tokens: prompt.prompt_tokens,
-            shared_tokens: prompt_parts.tokens().saturating_sub(unshared_tokens),
-            output_tokens: prompt.output_tokens,
-            ttft_objective: route.latency_objective,
-            time_left: request.time_left(now),
-            kv_transfer_time_per_token: kv_transfer_time_per_token(traits),
-        };
-        let placement = place_prompt(&view, &views)?;
-        let reader = placement.prefill_engine.unwrap_or(placement.decode_engine);
-        let priority = match placement.is_late(route.latency_objective) {
-            true => LATE_PRIORITY,
-            false => priorities[reader],
-        };
-        let decode_engine = targets[placement.decode_engine].clone();
-        let prefill_engine = placement.prefill_engine.map(|i| targets[i].clone());
-        if let Some(prefill_engine) = &prefill_engine {
-            self.reserve_request(now, prefill_engine);
+        EngineViews {
+            engines,
+            priorities,
         }
-        Ok(EngineSelection {
-            send_at: self.reserve_request(now, &decode_engine),
-            decode_engine,
-            prefill_engine,
-            uncached_tokens: placement.uncached_tokens,
-            time_to_first_token: placement.time_to_first_token,
-            priority,
-        })
+    }
+}
+
+/// Returns a prompt as an input of its placement.
+pub(crate) fn prompt_view(
+    now: Instant,
+    traits: &EngineTraits,
+    request: &CallerRequest,
+    prompt: &PromptMetadata,
+) -> PromptView {
+    let prompt_parts = &request.prompt_parts;
+    let unshared_tokens = prompt_parts.parts().last().map_or(0, |part| part.1);
+    PromptView {
+        affinity_part: prompt_parts.affinity_part(),
+        tokens: prompt.prompt_tokens,
+        shared_tokens: prompt_parts.tokens().saturating_sub(unshared_tokens),
+        output_tokens: prompt.output_tokens,
+        ttft_objective: request.route.latency_objective,
+        time_left: request.time_left(now),
+        kv_transfer_time_per_token: kv_transfer_time_per_token(traits),
     }
 }
 
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -49,6 +49,7 @@
 mod registry;
 mod request_content;
 mod routes;
+mod send_check;
 mod shutdown;
 mod stream;
 mod stream_origins;
--- a/laburnumlug-forward/src/refusal.rs
+++ b/laburnumlug-forward/src/refusal.rs
@@ -34,7 +34,7 @@
     OriginUnknown,
     /// A target stated that it did not execute the request.
     TargetRefused,
-    /// A target has stated before that it wants no requests.
+    /// The target that was chosen no longer accepts the request when it is to be sent.
     TargetDeclined,
     /// No connection to a target could be established.
     Unreachable,
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -5,12 +5,13 @@
 
 use laburnumlug::Verdict;
 use laburnumlug_http::{PooledResponse, Response};
+use laburnumlug_policy::place_decode;
 
 use super::upstream::{ENDED_INSIDE_EVENT, EVENT_TOO_LONG, StreamStep, Upstream};
 use super::{OpenStream, StreamAttempt, StreamRequest};
 use crate::attempt::{AttemptFailure, AttemptOptions, CallerRequest, read_body};
 use crate::engine_request_guard::EngineRequestGuard;
-use crate::engine_selection::{EngineSelection, decode_share};
+use crate::engine_selection::{EngineSelection, decode_share, prompt_view};
 use crate::forwarder::Forwarder;
 use crate::header_codec::AttemptStage;
 use crate::refusal::FailureCause;
@@ -48,9 +49,10 @@
     pub(super) async fn attempt_stream_at(
         self: &Rc<Self>,
         stream: &mut StreamRequest,
-        mut selection: EngineSelection,
+        selection: &mut EngineSelection,
         last_event_id: Option<String>,
     ) -> Result<StreamAttempt, AttemptFailure> {
+        let chosen_at = Instant::now();
         // The first separate prefill is free. Later ones count as retries; without one, the decode engine prefills.
         let is_repeat_prefill = selection.prefill_engine.is_some() && stream.prefills_made > 0;
         if is_repeat_prefill && !self.try_acquire_retry(Instant::now(), &stream.service) {
@@ -58,7 +60,7 @@
         }
         let stage = match &selection.prefill_engine {
             Some(prefill_engine) => {
-                let prefill = self.prefill(stream, prefill_engine, &selection);
+                let prefill = self.prefill(stream, prefill_engine, selection);
                 let prefilled = self
                     .unless_blocked(Verdict::NotRun, &stream.request, prefill)
                     .await;
@@ -71,8 +73,10 @@
             }
             None => AttemptStage::Full,
         };
+        let now = Instant::now();
         // An engine may have crashed while another one prefilled the prompt.
-        self.check_not_blocked(Instant::now(), &stream.request)?;
+        self.check_not_blocked(now, &stream.request)?;
+        self.update_decode_engine(now, chosen_at, stream, &stage, selection);
         let stream = &*stream;
         let engine = selection.decode_engine.clone();
         let decode = self.decode(stream, selection, stage, last_event_id);
@@ -82,11 +86,59 @@
             .await
     }
 
+    /// Replaces the decode engine of a prompt that another engine has prefilled since, if it no longer accepts the request or
+    /// has become suspect. Any engine that decodes can fetch the prompt, and nothing has been sent to the first one.
+    fn update_decode_engine(
+        &self,
+        now: Instant,
+        chosen_at: Instant,
+        stream: &StreamRequest,
+        stage: &AttemptStage,
+        selection: &mut EngineSelection,
+    ) {
+        let AttemptStage::DecodeFrom { .. } = stage else {
+            return;
+        };
+        let engine = &selection.decode_engine;
+        let is_suspected = engine.health.borrow().is_suspected_since(now, chosen_at);
+        if !is_suspected && self.is_sendable(now, &stream.service, engine, stage) {
+            return;
+        }
+        let other = self.choose_decode_engine(now, stream, selection);
+        log::info!(
+            request_id = stream.request.metadata.id.as_str(), target = engine.instance.as_str(),
+            next = other.as_ref().map_or("", |other| other.instance.as_str()), suspected = is_suspected;
+            "the engine that was to decode the prefilled prompt no longer can"
+        );
+        if let Some(other) = other {
+            selection.send_at = self.reserve_request(now, &other);
+            selection.decode_engine = other;
+        }
+    }
+
+    /// Chooses another decode engine for a prompt that the selected prefill engine has prefilled.
+    fn choose_decode_engine(
+        &self,
+        now: Instant,
+        stream: &StreamRequest,
+        selection: &EngineSelection,
+    ) -> Option<Rc<TargetHandle>> {
+        let prompt = stream.request.metadata.prompt.as_ref()?;
+        let traits = stream.table.engine_traits(&stream.service)?;
+        let source = selection.prefill_engine.as_ref()?;
+        let software = stream.software.as_ref();
+        let engines = self.untried_targets(now, &stream.service, &stream.tried, software);
+        let views = self.engine_views(now, &engines, traits, &stream.request, prompt);
+        let view = prompt_view(now, traits, &stream.request, prompt);
+        let is_same_zone = source.listing.borrow().zone == self.cfg.zone;
+        place_decode(&view, is_same_zone, &views.engines).map(|i| engines[i].clone())
+    }
+
     /// Sends a request to the selected decode engine and waits for its first event.
     async fn decode(
         self: &Rc<Self>,
         stream: &StreamRequest,
-        selection: EngineSelection,
+        selection: &EngineSelection,
         stage: AttemptStage,
         last_event_id: Option<String>,
     ) -> Result<StreamAttempt, AttemptFailure> {
@@ -116,6 +168,7 @@
         };
         let may_abandon = |now| self.may_abandon(now, stream, &target);
         let options = AttemptOptions {
+            service: &stream.service,
             probe_after: probe_delay(expected),
             may_abandon: &may_abandon,
             priority: Some(selection.priority),
@@ -130,6 +183,12 @@
                 if uses_remote_prompt
                     && failure.cause == FailureCause::TargetRefused
                     && target.health.borrow().failure_rate() < MAX_RESEND_FAILURE_RATE
+                    && self.is_sendable(
+                        Instant::now(),
+                        &stream.service,
+                        &target,
+                        &AttemptStage::Full,
+                    )
                     && self.try_acquire_retry(Instant::now(), &stream.service) =>
             {
                 let options = AttemptOptions {
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -172,9 +172,7 @@
     ) -> Result<StreamAttempt, AttemptFailure> {
         let now = Instant::now();
         self.check_not_blocked(now, &stream.request)?;
-        let selection = self.choose_targets(now, stream)?;
-        let target = selection.decode_engine.clone();
-        let tried = (target.clone(), selection.prefill_engine.clone());
+        let mut selection = self.choose_targets(now, stream)?;
         let prefill_engine_name = selection
             .prefill_engine
             .as_ref()
@@ -183,8 +181,9 @@
             (selection.uncached_tokens, selection.time_to_first_token);
         let waited = now.saturating_duration_since(stream.request.arrived_at);
         let result = self
-            .attempt_stream_at(stream, selection, last_event_id)
+            .attempt_stream_at(stream, &mut selection, last_event_id)
             .await;
+        let target = selection.decode_engine.clone();
         log::info!(
             request_id = stream.request.metadata.id.as_str(), target = target.instance.as_str(),
             reader = prefill_engine_name.as_str(), unread = uncached_tokens, tokens = stream.request.prompt_parts.tokens(),
@@ -194,15 +193,17 @@
             customer = stream.request.customer_name();
             "stream attempt finished"
         );
-        stream.tried.push(match (&result, tried) {
-            (
-                Err(AttemptFailure {
-                    at_prefill: true, ..
-                }),
-                (_, Some(prefill_engine)),
-            ) => prefill_engine,
-            (_, (target, _)) => target,
-        });
+        stream
+            .tried
+            .push(match (&result, &selection.prefill_engine) {
+                (
+                    Err(AttemptFailure {
+                        at_prefill: true, ..
+                    }),
+                    Some(prefill_engine),
+                ) => prefill_engine.clone(),
+                _ => target.clone(),
+            });
         match &result {
             Ok(attempt) => {
                 if let StreamAttempt::Stream(_) = attempt {
@@ -213,6 +214,9 @@
                 stream.counted_arrivals += 1;
             }
             Err(failure) => {
+                // A retry is spent by what reaches a target.
+                let keeps_retry = stream.counted_arrivals > 0 && !failure.reached_target;
+                stream.has_retry.set(stream.has_retry.get() || keeps_retry);
                 stream.counted_arrivals += u32::from(failure.reached_target);
                 stream.attempts_made += u32::from(failure.reached_target && !failure.at_prefill);
                 log::info!(
@@ -248,7 +252,6 @@
                 traits,
                 &stream.request,
                 prompt,
-                &stream.request.prompt_parts,
             ),
             _ => {
                 let max_wait = max_limit_wait(stream.request.route.latency_objective);
--- a/laburnumlug-forward/src/stream/prefill.rs
+++ b/laburnumlug-forward/src/stream/prefill.rs
@@ -37,6 +37,7 @@
         );
         let result = async {
             let options = AttemptOptions {
+                service: &stream.service,
                 probe_after: probe_delay(expected),
                 // The decode engine can prefill the prompt itself.
                 may_abandon: &|_| true,
--- a/laburnumlug-forward/src/target_statements.rs
+++ b/laburnumlug-forward/src/target_statements.rs
@@ -2,12 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use laburnumlug::{EngineEvent, RequestId, TargetName};
+use laburnumlug::{EngineEvent, TargetName};
 
-use crate::attempt::AttemptFailure;
 use crate::forwarder::Forwarder;
 use crate::header_codec::TargetStatements;
-use crate::refusal::FailureCause;
 use crate::registry::TargetHandle;
 
 /// Unit of rates in events: requests per 1,000 seconds, which are whole numbers.
@@ -62,25 +60,6 @@
         is_new
     }
 
-    /// Checks that a target accepts requests, by its own statements.
-    pub(crate) fn check_accepted(
-        &self,
-        now: Instant,
-        request_id: &RequestId,
-        target: &TargetHandle,
-    ) -> Result<(), AttemptFailure> {
-        let Some((decline, age)) = target.status.borrow().decline(now) else {
-            return Ok(());
-        };
-        log::info!(
-            request_id = request_id.as_str(), target = target.instance.as_str(),
-            statement = decline.as_str(), age_ms = age.as_millis() as u64;
-            "the request is not sent: the target declines requests"
-        );
-        let detail = "the target declines requests";
-        Err(AttemptFailure::unsent(FailureCause::TargetDeclined, detail))
-    }
-
     /// Records a limit that a target stated at `stated_at`, and logs and returns whether it has changed.
     fn record_limit(&self, stated_at: Instant, target: &TargetHandle, limit: Option<f64>) -> bool {
         let limit_state = &mut target.status.borrow_mut().limit;
--- a/laburnumlug-http/src/pool.rs
+++ b/laburnumlug-http/src/pool.rs
@@ -31,6 +31,8 @@
 pub enum SendError {
     /// No byte of the request was written.
     NotSent(Error),
+    /// No byte of the request was written, as it was not to be sent any more.
+    Withdrawn,
     /// At least a part of the request was written, so the peer may have seen it.
     Sent(Error),
 }
@@ -72,20 +74,45 @@
         }
     }
 
+    /// Sends one request like [`ConnectionPool::send_if`], whatever happens before it is written.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError`] states whether the peer may have seen the request.
+    pub async fn send(
+        &self,
+        now: Instant,
+        addr: SocketAddr,
+        id: &str,
+        req: hyper::Request<Full<Bytes>>,
+    ) -> Result<PooledResponse, SendError> {
+        self.send_if(now, addr, id, req, || true).await
+    }
+
     /// Sends one request and waits for the head of its response, whose id the calling method compares to `id`.
     ///
+    /// `may_send` is called whenever the request is about to be written, which may be some time after the call, as a
+    /// connection may have to be opened. If it returns `false`, the request is not sent.
+    ///
     /// Dropping the returned future, or the response before its body has been read to the end, closes the connection.
     ///
     /// # Errors
     ///
     /// [`SendError`] states whether the peer may have seen the request.
-    pub async fn send(
+    pub async fn send_if<F>(
         &self,
         now: Instant,
         addr: SocketAddr,
         id: &str,
         mut req: hyper::Request<Full<Bytes>>,
-    ) -> Result<PooledResponse, SendError> {
+        may_send: F,
+    ) -> Result<PooledResponse, SendError>
+    where
+        F: Fn() -> bool,
+    {
+        if !may_send() {
+            return Err(SendError::Withdrawn);
+        }
         let tag = self.tag_hasher.hash_one(id);
         while let Some((conn, idle_for)) = self.take_idle(now, addr, tag) {
             let sent_at = Instant::now();
@@ -104,6 +131,11 @@
             }
         }
         let conn = self.connect(addr).await.map_err(SendError::NotSent)?;
+        if !may_send() {
+            let expires_at = now + self.idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION);
+            self.add_idle(Instant::now(), addr, conn, expires_at);
+            return Err(SendError::Withdrawn);
+        }
         let exchanged = exchange(addr, conn, tag, req).await;
         self.idle_limit
             .borrow_mut()
--- a/laburnumlug-http/tests/pool.rs
+++ b/laburnumlug-http/tests/pool.rs
@@ -1,5 +1,6 @@
 //! Connection pool against loopback servers that close idle connections early.
 
+use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -38,20 +39,23 @@
     }
 }
 
-/// Sends one request and returns whether it was answered.
-async fn send(pool: &ConnectionPool, addr: SocketAddr, id: &str) -> bool {
-    let req = hyper::Request::get("/")
+fn request() -> hyper::Request<Full<bytes::Bytes>> {
+    hyper::Request::get("/")
         .header("host", "h.example")
         .body(Full::new(bytes::Bytes::new()))
-        .unwrap();
-    match pool.send(Instant::now(), addr, id, req).await {
+        .unwrap()
+}
+
+/// Sends one request and returns whether it was answered.
+async fn send(pool: &ConnectionPool, addr: SocketAddr, id: &str) -> bool {
+    match pool.send(Instant::now(), addr, id, request()).await {
         Ok(mut response) => {
             response.bytes(100).await.unwrap();
             pool.recycle(Instant::now(), response);
             true
         }
         Err(SendError::Sent(_)) => false,
-        Err(SendError::NotSent(err)) => panic!("{err}"),
+        Err(err) => panic!("{err:?}"),
     }
 }
 
@@ -77,3 +81,28 @@
         assert!((2..=6).contains(&lost), "{lost} requests were lost");
     });
 }
+
+/// Guards against requests to a peer that stops accepting them while the pool connects to it. The connection is kept for
+/// another request.
+#[test]
+fn send_if_withdrawn_while_connecting() {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let pool = ConnectionPool::new(TIMEOUT, TIMEOUT);
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let checks = Cell::new(0);
+        let may_send = || checks.replace(checks.get() + 1) == 0;
+        let sent = pool
+            .send_if(Instant::now(), addr, "1", request(), may_send)
+            .await;
+        assert!(matches!(sent, Err(SendError::Withdrawn)));
+        assert_eq!(checks.get(), 2);
+        let (stream, _) = listener.accept().unwrap();
+        stream.set_nonblocking(true).unwrap();
+        let received = (&stream).read(&mut [0; 1]);
+        assert!(received.is_err_and(|err| err.kind() == std::io::ErrorKind::WouldBlock));
+        stream.set_nonblocking(false).unwrap();
+        std::thread::spawn(move || serve(stream));
+        assert!(send(&pool, addr, "2").await);
+    });
+}
--- a/laburnumlug-policy/src/health.rs
+++ b/laburnumlug-policy/src/health.rs
@@ -61,6 +61,12 @@
         self.suspected_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether the target is suspected and was marked so after `since`.
+    pub fn is_suspected_since(&self, now: Instant, since: Instant) -> bool {
+        let is_later = |until: Instant| now < until && until > since + MAX_SUSPICION_TIME;
+        self.suspected_until.is_some_and(is_later)
+    }
+
     /// Marks the target as suspected to be unreachable.
     pub fn mark_suspected(&mut self, now: Instant) {
         self.suspected_until = Some(now + MAX_SUSPICION_TIME);
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -133,7 +133,9 @@
 pub use crate::kv_cache::{CacheMatch, KvCacheEstimate, PartId, PromptParts, part_id};
 pub use crate::output_length::OutputPredictor;
 pub use crate::pending_parts::PendingParts;
-pub use crate::placement::{EngineView, FIRST_TOKEN_OVERHEAD, Placement, PromptView, place_prompt};
+pub use crate::placement::{
+    EngineView, FIRST_TOKEN_OVERHEAD, Placement, PromptView, place_decode, place_prompt,
+};
 pub use crate::prefill_queue::{
     LATE_PRIORITY, PrefillEstimate, PrefillId, PrefillQueue, prefill_priority, prefill_work,
 };
--- a/laburnumlug-policy/src/placement.rs
+++ b/laburnumlug-policy/src/placement.rs
@@ -192,7 +192,7 @@
             let credit = affinity_credit(prompt, affinity_index == Some(i));
             let uncached = uncached_tokens(prompt, engine, credit);
             let (decode_engine, transfer_time) =
-                select_decode_engine(prompt, engine, engines, may_decode)?;
+                select_decode_engine(prompt, engine.is_same_zone, engines, may_decode)?;
             let prefill = prefill_time(uncached, prompt, engine);
             Some(Placement {
                 decode_engine,
@@ -224,10 +224,34 @@
         + lateness.mul_f64(LATENESS_WEIGHT)
 }
 
+/// Selects the decode engine of a prompt that another engine has prefilled, or returns `None` if no engine has room.
+///
+/// `is_same_zone` is whether the engine that holds the prompt is in the availability zone of this process.
+pub fn place_decode(
+    prompt: &PromptView,
+    is_same_zone: bool,
+    engines: &[EngineView],
+) -> Option<usize> {
+    let max_wait = max_limit_wait(prompt.ttft_objective);
+    let select = |has_room: &dyn Fn(&EngineView) -> bool| {
+        let may_decode = |engine: &EngineView| {
+            has_room(engine)
+                && has_memory(engine, prompt.decode_tokens())
+                && engine.limit_wait <= max_wait
+        };
+        select_decode_engine(prompt, is_same_zone, engines, may_decode)
+    };
+    let selected = select(&|engine| engine.running < engine.slots)
+        .or_else(|| select(&|engine| may_wait_at(prompt, engine)));
+    selected.map(|(engine, _)| engine)
+}
+
 /// Returns the best decode engine for a prompt after prefill elsewhere, and the predicted time of the transfer.
+///
+/// `is_same_zone` is whether the engine that prefills the prompt is in the availability zone of this process.
 fn select_decode_engine<F>(
     prompt: &PromptView,
-    prefill_engine: &EngineView,
+    is_same_zone: bool,
     engines: &[EngineView],
     has_room: F,
 ) -> Option<(usize, Duration)>
@@ -244,7 +268,7 @@
         .map(|(i, engine)| {
             // A transfer between zones is assumed to take twice as long. All engines outside the zone of this process
             // count as one zone.
-            let transfer_factor = if engine.is_same_zone == prefill_engine.is_same_zone {
+            let transfer_factor = if engine.is_same_zone == is_same_zone {
                 1
             } else {
                 2
