Resume streams of unknown origin only with a recent list and all reports

Reported by another operator: while servers of a new software version joined, one gateway was cut off from the others or stood still for some seconds. Streams that had begun on these servers through other gateways were resumed there at servers of another version. Seen here: stream_resumed_by_caller_while_cut_off and stream_resumed_by_caller_after_cut, against stand-ins, got status 200 from the other version before. Cause: a gateway takes a stream that nobody has reported for one of the only version that it knew. It did so however old its list was, and, once it learned of a second version, up to the time at which it learned that, which is too late by as long as it had been out of step. Reports that were sent meanwhile were missing as well. The class is the absence of a report that is taken for a statement, by a process that could not have received it. Change: SoftwareHistory knows when the newest list was read, by a clock that counts suspensions. While the list is older than 1.5 s the origin is unknown; the resumption then asks for a list, at the platform itself if need be, and waits at most 0.4 s, in which reports that are on their way arrive as well. After 6 s without a list other versions may have come and gone, and only the record of the control replicas ends that doubt. A resumption is bound to the only version known, not to any, as it may wait while another one joins.

--- a/laburnumlug-daemon/src/fleet_watch/mod.rs
+++ b/laburnumlug-daemon/src/fleet_watch/mod.rs
@@ -9,7 +9,7 @@
 
 use laburnumlug::{
     BootTime, DemandReport, FleetDocument, FleetVersion, ListedGateway, QuorumConfirmation,
-    ReplicaId, Service, SoftwareRecord, Target, TargetList,
+    ReadTime, ReplicaId, Service, SoftwareRecord, Target, TargetList,
 };
 use laburnumlug_forward::PendingUsageReport;
 use laburnumlug_mesh::TargetsReport;
@@ -79,31 +79,14 @@
     }
 }
 
-/// Time at which an answer was requested.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct RequestTime {
-    /// Time that includes suspensions of the machine.
-    boot: BootTime,
-    monotonic: Instant,
-}
-
-impl RequestTime {
-    fn now() -> RequestTime {
-        RequestTime {
-            boot: BootTime::now(),
-            monotonic: Instant::now(),
-        }
-    }
-}
-
 struct WatchState {
     started_at: Instant,
     view: Option<FleetView>,
     /// Index of the latest control log change that `view` includes.
     applied_change: u64,
-    confirmation: QuorumConfirmation<RequestTime>,
+    confirmation: QuorumConfirmation<ReadTime>,
     /// Latest time at which a majority of the control replicas confirmed a view as the newest; never decreases.
-    last_confirmed_at: Option<RequestTime>,
+    last_confirmed_at: Option<ReadTime>,
     /// Start of the pending document request to one replica; the other replicas are asked only for the version.
     fetching_since: Option<Instant>,
     /// Addresses of the replicas that are polled.
@@ -125,13 +108,13 @@
     fn view_confirmed(&self, at: BootTime);
 
     /// Called with a list of live targets that was read at `read_at`.
-    fn targets_updated(&self, read_at: Instant, list: TargetList);
+    fn targets_updated(&self, read_at: ReadTime, list: TargetList);
 
     /// Called when the list of live targets was still the same at `read_at`.
-    fn targets_unchanged(&self, read_at: Instant);
+    fn targets_unchanged(&self, read_at: ReadTime);
 
     /// Called with the software versions that the control replicas have recorded at `at`, after the list of live targets.
-    fn software_reported(&self, at: Instant, records: &[SoftwareRecord]);
+    fn software_reported(&self, at: BootTime, records: &[SoftwareRecord]);
 
     /// Called with the gateways that were recently active.
     fn gateways_updated(&self, gateways: &[ListedGateway]);
@@ -287,13 +270,13 @@
 }
 
 /// Applies a replica's report of the live targets, unless it is older than the latest one.
-fn apply_targets_report(state: &mut WatchState, requested_at: Instant, report: TargetsReport) {
+fn apply_targets_report(state: &mut WatchState, requested_at: ReadTime, report: TargetsReport) {
     let Some(read_at) = requested_at.checked_sub(Duration::from_millis(report.age_ms)) else {
         return;
     };
     if state
         .targets_read_at
-        .is_some_and(|latest| read_at <= latest)
+        .is_some_and(|latest| read_at.monotonic <= latest)
     {
         return;
     }
@@ -301,7 +284,7 @@
     if let Some(observer) = &state.observer {
         observer.gateways_updated(&report.listed_gateways());
     }
-    state.targets_read_at = Some(read_at);
+    state.targets_read_at = Some(read_at.monotonic);
     state.targets_digest = report.digest;
     match (&state.observer, report.list) {
         (Some(observer), Some(list)) => observer.targets_updated(read_at, list),
@@ -309,7 +292,7 @@
         (None, _) => {}
     }
     if let (Some(observer), Some(records)) = (&state.observer, &report.software) {
-        observer.software_reported(requested_at, records);
+        observer.software_reported(requested_at.boot, records);
     }
 }
 
@@ -317,7 +300,7 @@
 fn apply_fleet_answer(
     state: &mut WatchState,
     replica: usize,
-    requested_at: RequestTime,
+    requested_at: ReadTime,
     answer: FleetAnswer,
 ) {
     state.confirmation.record_answer(
--- a/laburnumlug-daemon/src/fleet_watch/poll.rs
+++ b/laburnumlug-daemon/src/fleet_watch/poll.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use laburnumlug::{DemandReport, FleetVersion, ListedGateway, UsageReport};
+use laburnumlug::{DemandReport, FleetVersion, ListedGateway, ReadTime, UsageReport};
 use laburnumlug_mesh::{
     CompressedText, Connection, ControlMessage, Message, TargetsReport, VotingStatus,
 };
 
-use super::{FleetWatch, RequestTime, apply_fleet_answer, apply_targets_report};
+use super::{FleetWatch, apply_fleet_answer, apply_targets_report};
 
 /// Timeout for one answer of a replica, or for its next bytes where it may contain a document.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -52,7 +52,7 @@
     loop {
         // Concurrent transfers of one large document from several replicas would delay each other, so one replica at a
         // time is asked for it. The others are told that the highest possible version is known, so they send none.
-        let requested_at = RequestTime::now();
+        let requested_at = ReadTime::now();
         let fetches_document = state.borrow().may_fetch_document(requested_at.monotonic);
         let known = match fetches_document {
             true => state.borrow().view_version(),
@@ -93,8 +93,8 @@
         let is_due = targets_requested_at.is_none_or(has_passed);
         if is_due && (reports_targets || state.borrow().needs_targets(now)) {
             let known = state.borrow().targets_digest;
-            let requested_at = Instant::now();
-            targets_requested_at = Some(requested_at);
+            let requested_at = ReadTime::now();
+            targets_requested_at = Some(requested_at.monotonic);
             let own_listing = observer.as_ref().and_then(|o| o.own_listing());
             let demand = observer.and_then(|o| o.demand_report());
             let fetch = fetch_targets(&mut conn, known, own_listing, demand);
--- a/laburnumlug-daemon/src/fleet_watch/tests.rs
+++ b/laburnumlug-daemon/src/fleet_watch/tests.rs
@@ -27,8 +27,8 @@
 }
 
 /// Returns the time of a request that is sent `duration` after another one, while the machine is not suspended.
-fn later(at: RequestTime, duration: Duration) -> RequestTime {
-    RequestTime {
+fn later(at: ReadTime, duration: Duration) -> ReadTime {
+    ReadTime {
         boot: BootTime::from_reading(
             at.boot
                 .saturating_duration_since(BootTime::from_reading(Duration::ZERO))
@@ -40,7 +40,7 @@
 
 #[test]
 fn apply_fleet_answer_lagging_replica() {
-    let now = RequestTime::now();
+    let now = ReadTime::now();
     let mut state = WatchState::new(Instant::now(), 2);
     apply_fleet_answer(&mut state, 0, now, answer(2, 7, true));
     apply_fleet_answer(&mut state, 1, now, answer(1, 5, true));
@@ -72,11 +72,11 @@
         }
     }
 
-    fn targets_updated(&self, _read_at: Instant, _list: TargetList) {}
+    fn targets_updated(&self, _read_at: ReadTime, _list: TargetList) {}
 
-    fn software_reported(&self, _: Instant, _: &[SoftwareRecord]) {}
+    fn software_reported(&self, _: BootTime, _: &[SoftwareRecord]) {}
 
-    fn targets_unchanged(&self, _read_at: Instant) {}
+    fn targets_unchanged(&self, _read_at: ReadTime) {}
 
     fn gateways_updated(&self, _gateways: &[ListedGateway]) {}
 
@@ -129,7 +129,7 @@
     };
     // The requests are sent at these readings, and the machine is suspended for an hour before the last ones.
     let monotonic = Instant::now();
-    let at = |seconds| RequestTime {
+    let at = |seconds| ReadTime {
         boot: BootTime::from_reading(Duration::from_secs(seconds)),
         monotonic,
     };
@@ -173,7 +173,7 @@
 
 #[test]
 fn apply_fleet_answer_newer_version_not_applied_yet() {
-    let now = RequestTime::now();
+    let now = ReadTime::now();
     let mut state = WatchState::new(Instant::now(), 1);
     let mut first = answer(1, 5, true);
     first.voting_status.voters = vec![first.voting_status.replica.clone()];
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{
-    BootTime, CallerLimits, DemandReport, ListedGateway, SoftwareRecord, TargetList,
+    BootTime, CallerLimits, DemandReport, ListedGateway, ReadTime, SoftwareRecord, TargetList,
 };
 use laburnumlug_forward::{ForwardConfig, ForwardHandler, Forwarder, PendingUsageReport};
 use laburnumlug_http::{Limits, LimitsHandle, Request, Server, text_response};
@@ -39,6 +39,9 @@
 /// Maximum time between two checks while no list of live targets is known.
 const MAX_INITIAL_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Minimum time between two reads of the list by this process.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Timeout for reading the platform's list of live targets.
 const LIST_READ_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -65,15 +68,15 @@
         self.forwarder.set_confirmed_at(at);
     }
 
-    fn targets_updated(&self, read_at: Instant, list: TargetList) {
+    fn targets_updated(&self, read_at: ReadTime, list: TargetList) {
         self.forwarder.set_targets(read_at, list);
     }
 
-    fn targets_unchanged(&self, read_at: Instant) {
+    fn targets_unchanged(&self, read_at: ReadTime) {
         self.forwarder.confirm_targets(read_at);
     }
 
-    fn software_reported(&self, at: Instant, records: &[SoftwareRecord]) {
+    fn software_reported(&self, at: BootTime, records: &[SoftwareRecord]) {
         self.forwarder.set_software_records(at, records);
     }
 
@@ -232,7 +235,8 @@
     Ok(())
 }
 
-/// Reads the platform's list of live targets whenever none younger than [`STALE_LIST_AGE`] is known.
+/// Reads the platform's list of live targets whenever none younger than [`STALE_LIST_AGE`] is known, or a request needs a
+/// recent one.
 async fn poll_stale_targets(addr: SocketAddr, forwarder: Rc<Forwarder>) {
     let source = InstanceListClient::new(addr);
     loop {
@@ -240,20 +244,23 @@
             Some(_) => MAX_CHECK_INTERVAL,
             None => MAX_INITIAL_CHECK_INTERVAL,
         };
-        compio::time::sleep(rand::rng().random_range(max_interval / 2..max_interval)).await;
-        let now = Instant::now();
+        let interval = rand::rng().random_range(max_interval / 2..max_interval);
+        let needed = compio::time::timeout(interval, forwarder.recent_list_needed()).await;
+        let read_at = ReadTime::now();
         let age = forwarder
             .targets_read_at()
-            .map(|at| now.saturating_duration_since(at));
-        if age.is_some_and(|age| age < STALE_LIST_AGE) {
+            .map(|at| read_at.monotonic.saturating_duration_since(at));
+        if needed.is_err() && age.is_some_and(|age| age < STALE_LIST_AGE) {
             continue;
         }
         match source.fetch(LIST_READ_TIMEOUT).await {
-            Ok(list) => forwarder.set_targets(now, list),
+            Ok(list) => forwarder.set_targets(read_at, list),
             Err(err) => {
                 log::warn!("failed to read the list of live targets from the platform: {err}")
             }
         }
+        // Calls to the platform are limited; requests wait for each other's list.
+        compio::time::sleep(MIN_READ_INTERVAL).await;
     }
 }
 
--- a/laburnumlug-daemon/src/gateway_exchange/mod.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/mod.rs
@@ -16,10 +16,10 @@
 
 use compio::net::TcpListener;
 use event_listener::Event;
-use laburnumlug::{EngineEvent, ListedGateway, ZoneName};
+use laburnumlug::{BootTime, EngineEvent, ListedGateway, ZoneName};
 use laburnumlug_forward::{EventSink, Forwarder};
 use laburnumlug_mesh::{MeshKey, SessionChange, accept_connections};
-use laburnumlug_policy::{ExchangeLink, SenderSessions, select_exchange_links};
+use laburnumlug_policy::{EventCoverage, ExchangeLink, SenderSessions, select_exchange_links};
 
 use self::outbox::Outbox;
 
@@ -105,6 +105,7 @@
     /// Number of the latest connection that was accepted.
     last_path: Cell<u64>,
     sessions: RefCell<SenderSessions>,
+    coverage: RefCell<EventCoverage>,
     /// Sessions of the senders whose events this gateway forwards to its zone.
     forwarded_sessions: RefCell<HashMap<u64, u64>>,
 }
@@ -130,6 +131,7 @@
             last_session: Cell::default(),
             last_path: Cell::default(),
             sessions: RefCell::default(),
+            coverage: RefCell::default(),
             forwarded_sessions: RefCell::default(),
         });
         let receiver = exchange.clone();
@@ -151,6 +153,10 @@
     /// Sets the gateways that exchange events, which may include this one.
     pub(crate) fn set_gateways(self: &Rc<Self>, now: Instant, gateways: &[ListedGateway]) {
         *self.gateways.borrow_mut() = gateways.to_vec();
+        let others = gateways.iter().filter(|other| other.addr != self.own_addr);
+        let mut coverage = self.coverage.borrow_mut();
+        coverage.set_listed(BootTime::now(), others.count());
+        drop(coverage);
         self.update_links(now);
     }
 
@@ -197,6 +203,14 @@
             .is_some_and(|current| Rc::ptr_eq(current, link))
     }
 
+    /// Removes the unfinished requests of a sender whose session has ended.
+    fn remove_sender(&self, sender: u64) {
+        let mut coverage = self.coverage.borrow_mut();
+        coverage.record_end(BootTime::now(), sender);
+        drop(coverage);
+        self.state.remove_sender(Instant::now(), sender);
+    }
+
     /// Forwards a change of another gateway's session to the gateways of this zone.
     fn forward(&self, sender: u64, session: u64, change: &SessionChange) {
         for link in self.links.borrow().values() {
@@ -213,6 +227,10 @@
             link.queue(|outbox| outbox.push(event.clone()));
         }
     }
+
+    fn events_missing_at(&self, now: BootTime) -> Option<BootTime> {
+        self.coverage.borrow().missing_at(now)
+    }
 }
 
 #[cfg(test)]
--- a/laburnumlug-daemon/src/gateway_exchange/receiver.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/receiver.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use compio::net::TcpStream;
+use laburnumlug::BootTime;
 use laburnumlug_mesh::{Connection, ForwardedEvents, GatewayMessage, Message, SessionChange};
 use laburnumlug_policy::PathId;
 
@@ -43,7 +44,7 @@
         if !self.sessions.borrow_mut().begin(sender, session, path) {
             return log::debug!("closed a gateway connection: its sender has opened a newer one");
         }
-        self.state.remove_sender(Instant::now(), sender);
+        self.remove_sender(sender);
         if forwards {
             let mut forwarded_sessions = self.forwarded_sessions.borrow_mut();
             forwarded_sessions.insert(sender, session);
@@ -58,8 +59,9 @@
         self.receive_messages(&mut conn, incoming).await;
         let ended = self.sessions.borrow_mut().end_path(path);
         for sender in ended {
-            self.state.remove_sender(Instant::now(), sender);
+            self.remove_sender(sender);
         }
+        self.coverage.borrow_mut().record_path_end(path);
         let mut forwarded_sessions = self.forwarded_sessions.borrow_mut();
         if forwards && forwarded_sessions.get(&sender) == Some(&session) {
             forwarded_sessions.remove(&sender);
@@ -74,6 +76,9 @@
             match compio::time::timeout(KEEPALIVE_INTERVAL, conn.recv()).await {
                 Ok(Ok((_, Message::Gateway(message)))) => {
                     last_received_at = Instant::now();
+                    let mut coverage = self.coverage.borrow_mut();
+                    coverage.record_message(BootTime::now(), incoming.path);
+                    drop(coverage);
                     if !self.apply_message(last_received_at, &mut incoming, message) {
                         return log::debug!("closed a gateway connection: its session ended");
                     }
@@ -113,8 +118,8 @@
         if !self.sessions.borrow().is_current(sender, session, path) {
             return false;
         }
+        let is_first = !std::mem::replace(&mut incoming.has_begun, true);
         if incoming.forwards {
-            let is_first = !std::mem::replace(&mut incoming.has_begun, true);
             match (is_first, events.is_empty()) {
                 (true, _) => {
                     self.forward(sender, session, &SessionChange::Begun(events.clone()));
@@ -128,6 +133,9 @@
         for event in events {
             self.state.apply(now, sender, event);
         }
+        if is_first {
+            self.record_snapshot(sender, path);
+        }
         for events in forwarded {
             self.apply_forwarded(now, path, events);
         }
@@ -137,16 +145,18 @@
     fn apply_forwarded(&self, now: Instant, path: PathId, forwarded: ForwardedEvents) {
         let (sender, session) = (forwarded.sender, forwarded.session);
         let mut sessions = self.sessions.borrow_mut();
+        let mut is_first = false;
         let events = match forwarded.change {
             SessionChange::Begun(events) if sessions.begin(sender, session, path) => {
-                self.state.remove_sender(now, sender);
+                self.remove_sender(sender);
+                is_first = true;
                 events
             }
             SessionChange::Continued(events) if sessions.is_current(sender, session, path) => {
                 events
             }
             SessionChange::Ended if sessions.end(sender, session, path) => {
-                self.state.remove_sender(now, sender);
+                self.remove_sender(sender);
                 Vec::new()
             }
             _ => Vec::new(),
@@ -154,5 +164,14 @@
         for event in events {
             self.state.apply(now, sender, event);
         }
+        if is_first {
+            self.record_snapshot(sender, path);
+        }
+    }
+
+    /// Records that the state of a sender at the beginning of its session has been applied.
+    fn record_snapshot(&self, sender: u64, path: PathId) {
+        let mut coverage = self.coverage.borrow_mut();
+        coverage.record_snapshot(BootTime::now(), sender, path);
     }
 }
--- a/laburnumlug-forward/src/engine_request_guard.rs
+++ b/laburnumlug-forward/src/engine_request_guard.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use laburnumlug::{EngineEvent, SendNumber, StreamOrigin};
+use laburnumlug::{BootTime, EngineEvent, SendNumber, StreamOrigin};
 use laburnumlug_policy::{FIRST_TOKEN_OVERHEAD, PromptParts, Suspect, prefill_work};
 
 use crate::attempt::CallerRequest;
@@ -79,7 +79,8 @@
         target.memory.borrow_mut().assign(memory_tokens);
         let held_share = decode_share.unwrap_or_default();
         engine_requests.demand.hold(now, &service, held_share);
-        let generates_stream = decode_share.is_some() && forwarder.needs_origins(now, &service);
+        let generates_stream =
+            decode_share.is_some() && forwarder.needs_origins(BootTime::now(), &service);
         let stream = generates_stream.then(|| StreamOrigin {
             stream: request.stream_id(),
             software: target.listing.borrow().software.clone(),
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use laburnumlug::{CustomerId, DemandReport, EngineEvent, SendNumber, StreamOrigin};
+use laburnumlug::{BootTime, CustomerId, DemandReport, EngineEvent, SendNumber, StreamOrigin};
 use laburnumlug_policy::{FIRST_TOKEN_OVERHEAD, PrefillId, PromptParts, cache_reports};
 
 use crate::customer_shares::{SentWork, ServiceShares};
@@ -24,6 +24,9 @@
 pub trait EventSink {
     /// Queues an event for the other gateways, without waiting for its delivery.
     fn publish(&self, event: EngineEvent);
+
+    /// Returns the latest time at which an event of another gateway may not have arrived, or `None` if all have.
+    fn events_missing_at(&self, now: BootTime) -> Option<BootTime>;
 }
 
 /// An unfinished request to an engine that another gateway reported.
@@ -110,6 +113,12 @@
         }
     }
 
+    /// Returns the latest time at which events of other gateways may not have arrived; see
+    /// [`EventSink::events_missing_at`].
+    pub(crate) fn reports_missing_at(&self, now: BootTime) -> Option<BootTime> {
+        self.sink.borrow().as_ref()?.events_missing_at(now)
+    }
+
     pub(crate) fn publish(&self, event: EngineEvent) {
         if let Some(sink) = &*self.sink.borrow() {
             sink.publish(event);
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use event_listener::Event;
-use laburnumlug::{BootTime, FleetDocument, FleetVersion, ServiceName, TargetList, TargetName};
+use laburnumlug::{
+    BootTime, FleetDocument, FleetVersion, ReadTime, ServiceName, TargetList, TargetName,
+};
 use laburnumlug_http::ConnectionPool;
 use laburnumlug_policy::{
     CrashAttribution, NoRoom, RetryBudget, RetrySchedule, SoftwareHistory, StreamOrigins,
@@ -62,8 +64,11 @@
     pub(crate) crash_attribution: RefCell<CrashAttribution>,
     pub(crate) stream_origins: RefCell<StreamOrigins>,
     pub(crate) software_histories: RefCell<HashMap<ServiceName, SoftwareHistory>>,
-    /// Whether the control replicas have reported which software versions they have recorded.
+    /// Whether the control replicas have reported which software versions they have recorded, since this process last was
+    /// without a list of targets.
     pub(crate) knows_software_records: Cell<bool>,
+    /// Notified when a request needs a more recent list of targets.
+    pub(crate) recent_list_needed: Event,
     /// Whether the signs of life of engines are observed.
     pub(crate) watches_engines: Cell<bool>,
     pub(crate) usage: UsageRecorder,
@@ -95,6 +100,7 @@
             stream_origins: RefCell::default(),
             software_histories: RefCell::default(),
             knows_software_records: Cell::default(),
+            recent_list_needed: Event::new(),
             watches_engines: Cell::new(false),
             usage: UsageRecorder::default(),
             cache_reports: CacheReportQueue::default(),
@@ -136,9 +142,12 @@
     ///
     /// Also fetches the cached prompts of newly listed engines, and closes idle connections to addresses that no target
     /// has any more.
-    pub fn set_targets(self: &Rc<Self>, read_at: Instant, list: TargetList) {
-        let discovered = self.view.borrow_mut().registry.update(read_at, list);
-        self.update_software(read_at);
+    pub fn set_targets(self: &Rc<Self>, read_at: ReadTime, list: TargetList) {
+        let discovered = {
+            let registry = &mut self.view.borrow_mut().registry;
+            registry.update(read_at.monotonic, list)
+        };
+        self.update_software(read_at.boot);
         self.watch_engines();
         for target in discovered
             .into_iter()
@@ -152,8 +161,10 @@
     }
 
     /// Records that a list read at `read_at` contained the same targets.
-    pub fn confirm_targets(&self, read_at: Instant) {
-        self.view.borrow_mut().registry.confirm_unchanged(read_at);
+    pub fn confirm_targets(&self, read_at: ReadTime) {
+        let registry = &mut self.view.borrow_mut().registry;
+        registry.confirm_unchanged(read_at.monotonic);
+        self.confirm_software(read_at.boot);
     }
 
     /// Returns when the newest list of targets was read.
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -3,9 +3,8 @@
 
 ```no_run
 use std::rc::Rc;
-use std::time::Instant;
 
-use laburnumlug::{FleetDocument, TargetList};
+use laburnumlug::{FleetDocument, ReadTime, TargetList};
 use laburnumlug_forward::{ForwardConfig, Forwarder, HeaderCodec, Inspector};
 
 # fn example(
@@ -13,7 +12,7 @@
 # ) {
 let forwarder = Forwarder::new(ForwardConfig::new("zone-a"), header_codec, inspector);
 forwarder.set_routes(1, document);
-forwarder.set_targets(Instant::now(), list);
+forwarder.set_targets(ReadTime::now(), list);
 # }
 ```
 
--- a/laburnumlug-forward/src/stream_origins.rs
+++ b/laburnumlug-forward/src/stream_origins.rs
@@ -3,16 +3,18 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-use laburnumlug::{EngineEvent, Role, ServiceName, SoftwareRecord, SoftwareVersion, StreamOrigin};
-use laburnumlug_policy::AssumedOrigin;
+use laburnumlug::{
+    BootTime, EngineEvent, Role, ServiceName, SoftwareRecord, SoftwareVersion, StreamOrigin,
+};
+use laburnumlug_policy::{AssumedOrigin, SoftwareHistory};
 
 use crate::attempt::{AttemptFailure, CallerRequest};
 use crate::forwarder::Forwarder;
 use crate::refusal::FailureCause;
 use crate::registry::TargetHandle;
 
-/// Maximum time for which the resumption of a stream of unknown origin waits for the first report of the control replicas on
-/// which software versions they have recorded.
+/// Maximum time for which the resumption of a stream of unknown origin waits for a recent list of targets, and for the report
+/// of the control replicas on which software versions they have recorded.
 const RECORDS_WAIT: Duration = Duration::from_millis(400);
 
 /// Interval at which such a resumption checks whether the report has arrived.
@@ -76,8 +78,10 @@
         stream_origins.resumable(now).map(event).collect()
     }
 
-    /// Returns the software version that a request needs because it resumes a stream, or `None` if any will do. Waits a short
-    /// time if this process has only just started.
+    /// Returns the software version that a request needs because it resumes a stream, or `None` if any will do.
+    ///
+    /// Waits a short time if this process has only just started, or has been without lists of targets, as one that was frozen
+    /// or cut off: reports on where streams began arrive meanwhile, too.
     ///
     /// # Errors
     ///
@@ -91,13 +95,30 @@
             let now = Instant::now();
             let waited = now.saturating_duration_since(request.arrived_at);
             match self.known_software(now, request, service) {
-                Err(_) if !self.knows_software_records.get() && waited < RECORDS_WAIT => {}
+                Err(_)
+                    if waited < RECORDS_WAIT && self.awaits_versions(BootTime::now(), service) => {}
                 result => return result,
             }
             compio::time::sleep(RECORDS_POLL_INTERVAL).await;
         }
     }
 
+    /// Returns whether more about the versions of a service is about to be learned, and asks for it.
+    fn awaits_versions(&self, now: BootTime, service: &str) -> bool {
+        let histories = self.software_histories.borrow();
+        let is_current = |history: &SoftwareHistory| history.is_current(now);
+        let is_current = histories.get(service).is_none_or(is_current);
+        if !is_current {
+            self.recent_list_needed.notify(usize::MAX);
+        }
+        !is_current || !self.knows_software_records.get()
+    }
+
+    /// Waits until a request needs a more recent list of targets than is known.
+    pub async fn recent_list_needed(&self) {
+        self.recent_list_needed.listen().await;
+    }
+
     /// Returns the software version that a resumption needs by what is known now, like [`Forwarder::required_software`].
     fn known_software(
         &self,
@@ -113,10 +134,12 @@
             return Ok(Some(RequiredSoftware(software.clone())));
         }
         let histories = self.software_histories.borrow();
+        let (boot_now, max_age) = (BootTime::now(), request.route.timeout);
+        let reports_missing_at = self.engine_requests.reports_missing_at(boot_now);
         let assumed = histories
             .get(service)
             .map_or(AssumedOrigin::Any, |history| {
-                history.assumed_origin(now, request.route.timeout)
+                history.assumed_origin(boot_now, max_age, reports_missing_at)
             });
         match assumed {
             AssumedOrigin::Any => Ok(None),
@@ -129,7 +152,7 @@
     }
 
     /// Returns whether the origins of the streams of a service matter, as its targets may have several software versions.
-    pub(crate) fn needs_origins(&self, now: Instant, service: &str) -> bool {
+    pub(crate) fn needs_origins(&self, now: BootTime, service: &str) -> bool {
         let histories = self.software_histories.borrow();
         histories
             .get(service)
@@ -138,7 +161,7 @@
 
     /// Sets what the control replicas have recorded at `now`: the software versions of each service that has run several at
     /// once.
-    pub fn set_software_records(&self, now: Instant, records: &[SoftwareRecord]) {
+    pub fn set_software_records(&self, now: BootTime, records: &[SoftwareRecord]) {
         self.knows_software_records.set(true);
         for (service, history) in self.software_histories.borrow_mut().iter_mut() {
             let record = records.iter().find(|record| record.service == *service);
@@ -146,8 +169,9 @@
         }
     }
 
-    /// Updates the software versions of each service from the targets that are or were recently listed.
-    pub(crate) fn update_software(&self, now: Instant) {
+    /// Updates the software versions of each service from the targets that are or were recently listed, after a list was read at
+    /// `read_at`.
+    pub(crate) fn update_software(&self, read_at: BootTime) {
         let mut versions: HashMap<ServiceName, BTreeSet<Option<SoftwareVersion>>> = HashMap::new();
         for target in self.recent_targets() {
             let listing = target.listing.borrow();
@@ -156,7 +180,19 @@
         }
         let mut histories = self.software_histories.borrow_mut();
         for (service, versions) in versions {
-            histories.entry(service).or_default().update(now, versions);
+            let history = histories.entry(service).or_default();
+            if history.update(read_at, versions) {
+                self.knows_software_records.set(false);
+            }
+        }
+    }
+
+    /// Records that a list read at `read_at` showed the same targets.
+    pub(crate) fn confirm_software(&self, read_at: BootTime) {
+        for history in self.software_histories.borrow_mut().values_mut() {
+            if history.confirm(read_at) {
+                self.knows_software_records.set(false);
+            }
         }
     }
 }
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -73,6 +73,7 @@
 mod engine_demand;
 mod engine_memory;
 mod event_batch;
+mod event_coverage;
 mod exchange;
 mod fair_level;
 mod fairness;
@@ -123,6 +124,7 @@
 pub use crate::engine_demand::{Demand, DemandMeter, PhaseDemand};
 pub use crate::engine_memory::EngineMemory;
 pub use crate::event_batch::event_batch_interval;
+pub use crate::event_coverage::EventCoverage;
 pub use crate::exchange::{
     ExchangeLink, PathId, SenderSessions, select_exchange_links, sends_cache_contents,
 };
--- a/src/boot_time.rs
+++ b/src/boot_time.rs
@@ -1,5 +1,6 @@
 //! Clock that includes the time for which the machine was suspended.
 
+use std::ops::Add;
 use std::time::Duration;
 
 use rustix::time::{ClockId, clock_gettime};
@@ -53,6 +54,14 @@
     }
 }
 
+impl Add<Duration> for BootTime {
+    type Output = BootTime;
+
+    fn add(self, duration: Duration) -> BootTime {
+        BootTime(self.0 + duration)
+    }
+}
+
 #[cfg(test)]
 #[path = "boot_time_tests.rs"]
 mod tests;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,7 +25,8 @@
 `schema/fleet.json`.
 
 A [`QuorumConfirmation`] tells when a local copy of replicated state was last known to be up to date, from the
-answers of a majority of control replicas. [`BootTime`] is a clock that does not stop while the machine is suspended.
+answers of a majority of control replicas. [`BootTime`] is a clock that does not stop while the machine is suspended, and
+[`ReadTime`] the time at which information was requested.
 
 Type aliases ([`RequestId`], [`TargetName`], …) name the identifiers that the crates share.
 */
@@ -41,6 +42,7 @@
 mod id;
 mod listed_gateway;
 mod live_target;
+mod read_time;
 mod software_record;
 mod usage_report;
 mod verdict;
@@ -63,6 +65,7 @@
 };
 pub use crate::listed_gateway::ListedGateway;
 pub use crate::live_target::{LiveTarget, TargetList};
+pub use crate::read_time::ReadTime;
 pub use crate::software_record::SoftwareRecord;
 pub use crate::usage_report::{CustomerCounts, UsageReport};
 pub use crate::verdict::{ParseVerdictError, Verdict};
