Bound the keep-alive time that a server states

Suspected by the review, and shown here: a server that states a keep-alive timeout of more than 1.3e19 seconds ends the gateway, with "overflow when adding duration to instant". Cause: an instant was computed from a number of a server without a bound. It is the only such number: a stated Retry-After, deadline or limit is bounded where it is parsed or used. Change: an idle connection is kept for an hour at most, whatever its peer states. Evidence: send_huge_keep_alive failed before with that panic.

--- a/laburnumlug-http/src/pool.rs
+++ b/laburnumlug-http/src/pool.rs
@@ -23,6 +23,9 @@
 /// synchronised with the pool's.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.7;
 
+/// Maximum time for which an idle connection is kept, whatever its peer states.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3600);
+
 /// Time after a send within which a stale connection fails; a round trip within a region takes a few milliseconds.
 const STALE_DETECTION_TIME: Duration = Duration::from_millis(50);
 
@@ -166,10 +169,8 @@
             return;
         }
         let keep_alive = keep_alive_timeout(&response.headers);
-        let expires_at = now
-            + keep_alive
-                .unwrap_or(self.idle_timeout)
-                .mul_f64(IDLE_TIMEOUT_FRACTION);
+        let keep_alive = keep_alive.unwrap_or(self.idle_timeout).min(MAX_IDLE_TIME);
+        let expires_at = now + keep_alive.mul_f64(IDLE_TIMEOUT_FRACTION);
         self.add_idle(now, response.addr, response.conn, expires_at);
     }
 
--- a/laburnumlug-http/tests/pool.rs
+++ b/laburnumlug-http/tests/pool.rs
@@ -82,6 +82,30 @@
     });
 }
 
+/// Guards against a process that ends because a server states that it keeps connections longer than time can be counted.
+#[test]
+fn send_huge_keep_alive() {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut buf = [0; 4096];
+            while let Ok(1..) = stream.read(&mut buf) {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nkeep-alive: timeout={}\r\n\r\nok",
+                    u64::MAX
+                );
+                stream.write_all(head.as_bytes()).unwrap();
+            }
+        });
+        let pool = ConnectionPool::new(TIMEOUT, TIMEOUT);
+        for id in ["1", "2"] {
+            assert!(send(&pool, addr, id).await);
+        }
+    });
+}
+
 /// Guards against requests to a peer that stops accepting them while the pool connects to it. The connection is kept for
 /// another request.
 #[test]
