Keep the short interval between reads of the first list of targets

Cause: with the reads of the list that resumptions ask for, every read was followed by a pause of 0.5 s, also a failed one of a gateway that has just started and knows no list. Change: only reads for the sake of requests are 0.5 s apart. Measured: the eight tests of restarts, leaving targets and planned stops with real processes pass.

--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -39,7 +39,7 @@
 /// Maximum time between two checks while no list of live targets is known.
 const MAX_INITIAL_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Minimum time between two reads of the list by this process.
+/// Minimum time between two reads of the list because requests need a recent one.
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Timeout for reading the platform's list of live targets.
@@ -239,28 +239,34 @@
 /// recent one.
 async fn poll_stale_targets(addr: SocketAddr, forwarder: Rc<Forwarder>) {
     let source = InstanceListClient::new(addr);
+    let mut last_read: Option<Instant> = None;
     loop {
         let max_interval = match forwarder.targets_read_at() {
             Some(_) => MAX_CHECK_INTERVAL,
             None => MAX_INITIAL_CHECK_INTERVAL,
         };
         let interval = rand::rng().random_range(max_interval / 2..max_interval);
-        let needed = compio::time::timeout(interval, forwarder.recent_list_needed()).await;
+        let waiting = compio::time::timeout(interval, forwarder.recent_list_needed());
+        let is_needed = waiting.await.is_ok();
         let read_at = ReadTime::now();
-        let age = forwarder
-            .targets_read_at()
-            .map(|at| read_at.monotonic.saturating_duration_since(at));
-        if needed.is_err() && age.is_some_and(|age| age < STALE_LIST_AGE) {
+        let is_younger = |at: Instant, age| read_at.monotonic.saturating_duration_since(at) < age;
+        // Requests share the list that one of them needs, as calls to the platform are limited.
+        let is_enough = match is_needed {
+            true => last_read.is_some_and(|at| is_younger(at, MIN_READ_INTERVAL)),
+            false => forwarder
+                .targets_read_at()
+                .is_some_and(|at| is_younger(at, STALE_LIST_AGE)),
+        };
+        if is_enough {
             continue;
         }
+        last_read = Some(read_at.monotonic);
         match source.fetch(LIST_READ_TIMEOUT).await {
             Ok(list) => forwarder.set_targets(read_at, list),
             Err(err) => {
                 log::warn!("failed to read the list of live targets from the platform: {err}")
             }
         }
-        // Calls to the platform are limited; requests wait for each other's list.
-        compio::time::sleep(MIN_READ_INTERVAL).await;
     }
 }
 
