Split the failures of attempts and the requests in progress off

Change: AttemptFailure and RequestsInProgress have files of their own; two comments are reworded. No logic is changed.

--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -10,7 +10,8 @@
 use laburnumlug_policy::max_limit_wait;
 use rand::Rng;
 
-use crate::attempt::{AttemptFailure, AttemptOptions, CallerRequest};
+use crate::attempt::{AttemptOptions, CallerRequest};
+use crate::attempt_failure::AttemptFailure;
 use crate::crashes::RunGuard;
 use crate::forwarder::Forwarder;
 use crate::header_codec::AttemptStage;
--- a/laburnumlug-forward/src/crashes.rs
+++ b/laburnumlug-forward/src/crashes.rs
@@ -8,7 +8,8 @@
 use laburnumlug::{EngineEvent, TargetName, Verdict};
 use laburnumlug_policy::{BlockedSuspect, ContentId, PartId, Suspect, TargetCrash};
 
-use crate::attempt::{AttemptFailure, CallerRequest};
+use crate::attempt::CallerRequest;
+use crate::attempt_failure::AttemptFailure;
 use crate::forwarder::Forwarder;
 use crate::refusal::FailureCause;
 use crate::registry::TargetHandle;
--- a/laburnumlug-forward/src/engine_watch.rs
+++ b/laburnumlug-forward/src/engine_watch.rs
@@ -7,7 +7,7 @@
 use futures_util::future::{Either, select};
 use laburnumlug_policy::{InProgress, ObservationWindow};
 
-use crate::attempt::AttemptFailure;
+use crate::attempt_failure::AttemptFailure;
 use crate::forwarder::Forwarder;
 use crate::registry::TargetHandle;
 
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -26,6 +26,7 @@
 */
 
 mod attempt;
+mod attempt_failure;
 mod buffered;
 mod cache_reports;
 mod config;
--- a/laburnumlug-forward/src/refusal.rs
+++ b/laburnumlug-forward/src/refusal.rs
@@ -34,7 +34,7 @@
     OriginUnknown,
     /// A target stated that it did not execute the request.
     TargetRefused,
-    /// The target that was chosen no longer accepts the request when it is to be sent.
+    /// The target that was chosen has ceased to accept the request before the send.
     TargetDeclined,
     /// No connection to a target could be established.
     Unreachable,
--- a/laburnumlug-forward/src/send_check.rs
+++ b/laburnumlug-forward/src/send_check.rs
@@ -8,7 +8,7 @@
 
 use laburnumlug::{RequestId, Role};
 
-use crate::attempt::AttemptFailure;
+use crate::attempt_failure::AttemptFailure;
 use crate::forwarder::Forwarder;
 use crate::header_codec::AttemptStage;
 use crate::refusal::FailureCause;
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -9,7 +9,8 @@
 
 use super::upstream::{ENDED_INSIDE_EVENT, EVENT_TOO_LONG, StreamStep, Upstream};
 use super::{OpenStream, StreamAttempt, StreamRequest};
-use crate::attempt::{AttemptFailure, AttemptOptions, CallerRequest, read_body};
+use crate::attempt::{AttemptOptions, CallerRequest, read_body};
+use crate::attempt_failure::AttemptFailure;
 use crate::engine_request_guard::EngineRequestGuard;
 use crate::engine_selection::{EngineSelection, decode_share, prompt_view};
 use crate::forwarder::Forwarder;
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -16,7 +16,8 @@
 use laburnumlug_policy::{NoRoom, max_limit_wait};
 
 use self::upstream::Upstream;
-use crate::attempt::{AttemptFailure, CallerRequest};
+use crate::attempt::CallerRequest;
+use crate::attempt_failure::AttemptFailure;
 use crate::engine_selection::EngineSelection;
 use crate::forwarder::Forwarder;
 use crate::refusal::{FailureCause, Refusal};
--- a/laburnumlug-forward/src/stream/prefill.rs
+++ b/laburnumlug-forward/src/stream/prefill.rs
@@ -7,7 +7,8 @@
 
 use super::StreamRequest;
 use super::attempt::{MAX_RESPONSE_BYTES, probe_delay};
-use crate::attempt::{AttemptFailure, AttemptOptions, read_body};
+use crate::attempt::{AttemptOptions, read_body};
+use crate::attempt_failure::AttemptFailure;
 use crate::engine_request_guard::EngineRequestGuard;
 use crate::engine_selection::EngineSelection;
 use crate::forwarder::Forwarder;
--- a/laburnumlug-forward/src/stream/share.rs
+++ b/laburnumlug-forward/src/stream/share.rs
@@ -9,7 +9,7 @@
 };
 
 use super::StreamRequest;
-use crate::attempt::AttemptFailure;
+use crate::attempt_failure::AttemptFailure;
 use crate::customer_shares::customer_of;
 use crate::engine_selection::{EngineSelection, decode_share};
 use crate::forwarder::Forwarder;
--- a/laburnumlug-forward/src/stream_origins.rs
+++ b/laburnumlug-forward/src/stream_origins.rs
@@ -8,7 +8,8 @@
 };
 use laburnumlug_policy::{AssumedOrigin, SoftwareHistory};
 
-use crate::attempt::{AttemptFailure, CallerRequest};
+use crate::attempt::CallerRequest;
+use crate::attempt_failure::AttemptFailure;
 use crate::forwarder::Forwarder;
 use crate::refusal::FailureCause;
 use crate::registry::TargetHandle;
--- a/laburnumlug-http/src/lib.rs
+++ b/laburnumlug-http/src/lib.rs
@@ -30,6 +30,7 @@
 mod error;
 mod idle_limit;
 mod pool;
+mod requests_in_progress;
 mod revocable;
 mod server;
 mod socket;
--- a/laburnumlug-http/src/pool.rs
+++ b/laburnumlug-http/src/pool.rs
@@ -34,7 +34,7 @@
 pub enum SendError {
     /// No byte of the request was written.
     NotSent(Error),
-    /// No byte of the request was written, as it was not to be sent any more.
+    /// No byte of the request was written, as the caller of the pool has withdrawn it.
     Withdrawn,
     /// At least a part of the request was written, so the peer may have seen it.
     Sent(Error),
--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -19,6 +19,7 @@
 use rustix::net::{Shutdown, SocketFlags};
 
 use crate::body_reader::next_chunk;
+use crate::requests_in_progress::RequestsInProgress;
 use crate::{Response, hold_until_sent, text_response};
 
 /// Kernel send buffer of one connection.
@@ -342,52 +343,6 @@
     }
 }
 
-/// Number of requests of one connection whose responses have not been sent.
-#[derive(Default)]
-struct RequestsInProgress {
-    count: Cell<usize>,
-    changed: Event,
-}
-
-impl RequestsInProgress {
-    /// Counts a request until the returned guard is dropped.
-    fn start(self: Rc<Self>) -> RequestGuard {
-        self.count.set(self.count.get() + 1);
-        self.changed.notify(usize::MAX);
-        RequestGuard { requests: self }
-    }
-
-    /// Waits until a request is in progress.
-    async fn any(&self) {
-        while self.count.get() == 0 {
-            self.changed.listen().await;
-        }
-    }
-
-    /// Waits until no request has been in progress for `time`.
-    async fn unused_for(&self, time: Duration) {
-        loop {
-            while self.count.get() > 0 {
-                self.changed.listen().await;
-            }
-            if with_timeout(Some(time), self.any()).await.is_none() {
-                return;
-            }
-        }
-    }
-}
-
-struct RequestGuard {
-    requests: Rc<RequestsInProgress>,
-}
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        self.requests.count.set(self.requests.count.get() - 1);
-        self.requests.changed.notify(usize::MAX);
-    }
-}
-
 /// Runs `future` with an optional timeout; returns `None` if the timeout elapses.
 async fn with_timeout<F>(timeout: Option<Duration>, future: F) -> Option<F::Output>
 where
