--- a/laburnumlug-daemon/src/gateway_exchange/tests.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/tests.rs
@@ -307,3 +307,48 @@
         assert!(gateway.state.others.borrow().is_empty());
     });
 }
+
+/// Guards against a gateway that takes events which it could not receive for events that were not sent.
+#[test]
+fn exchange_events_missing_until_others_are_heard() {
+    block_on(async {
+        let gateway = Gateway::start("zone-0").await;
+        let is_missing = || {
+            let now = BootTime::now();
+            gateway.exchange.events_missing_at(now) == Some(now)
+        };
+        let own = gateway.exchange.own_listing();
+        let other = ListedGateway {
+            addr: ([127, 0, 0, 1], 1).into(),
+            ..own.clone()
+        };
+        assert!(!is_missing());
+        connect(std::slice::from_ref(&gateway), &[own.clone(), other]);
+        assert!(is_missing());
+        let timeout = Duration::from_secs(1);
+        let addr = own.addr;
+        let mut conn = Connection::connect(addr, &key(), timeout).await.unwrap();
+        let hello = GatewayMessage::Hello {
+            sender: 7,
+            session: 1,
+            forwards: false,
+        };
+        conn.send("", &Message::Gateway(hello)).await.unwrap();
+        compio::time::sleep(Duration::from_millis(100)).await;
+        assert!(is_missing());
+        let alive = Message::Gateway(GatewayMessage::Engines(Vec::new()));
+        conn.send("", &alive).await.unwrap();
+        compio::time::sleep(Duration::from_millis(100)).await;
+        assert!(!is_missing());
+        compio::time::sleep(Duration::from_millis(1100)).await;
+        assert!(is_missing());
+        conn.send("", &alive).await.unwrap();
+        compio::time::sleep(Duration::from_millis(100)).await;
+        assert!(!is_missing());
+        drop(conn);
+        compio::time::sleep(Duration::from_millis(100)).await;
+        assert!(is_missing());
+        connect(std::slice::from_ref(&gateway), &[own]);
+        assert!(!is_missing());
+    });
+}
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod control;
 mod customers;
 mod end_to_end;
+mod frozen_control;
 mod gateway_fleet;
 mod harness;
 mod leaving_after_restart;
