Simplify the check before a send and the tracking of events

Cause: check_sendable built a failure that no caller used, and the exchange held borrows over several lines. Change: the check returns whether the request may be sent, and what counts as an obstacle is documented where it is decided. No logic is changed.

--- a/laburnumlug-daemon/src/gateway_exchange/mod.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/mod.rs
@@ -154,9 +154,9 @@
     pub(crate) fn set_gateways(self: &Rc<Self>, now: Instant, gateways: &[ListedGateway]) {
         *self.gateways.borrow_mut() = gateways.to_vec();
         let others = gateways.iter().filter(|other| other.addr != self.own_addr);
-        let mut coverage = self.coverage.borrow_mut();
-        coverage.set_listed(BootTime::now(), others.count());
-        drop(coverage);
+        self.coverage
+            .borrow_mut()
+            .set_listed(BootTime::now(), others.count());
         self.update_links(now);
     }
 
@@ -205,9 +205,9 @@
 
     /// Removes the unfinished requests of a sender whose session has ended.
     fn remove_sender(&self, sender: u64) {
-        let mut coverage = self.coverage.borrow_mut();
-        coverage.record_end(BootTime::now(), sender);
-        drop(coverage);
+        self.coverage
+            .borrow_mut()
+            .record_end(BootTime::now(), sender);
         self.state.remove_sender(Instant::now(), sender);
     }
 
--- a/laburnumlug-daemon/src/gateway_exchange/receiver.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/receiver.rs
@@ -76,9 +76,9 @@
             match compio::time::timeout(KEEPALIVE_INTERVAL, conn.recv()).await {
                 Ok(Ok((_, Message::Gateway(message)))) => {
                     last_received_at = Instant::now();
-                    let mut coverage = self.coverage.borrow_mut();
-                    coverage.record_message(BootTime::now(), incoming.path);
-                    drop(coverage);
+                    self.coverage
+                        .borrow_mut()
+                        .record_message(BootTime::now(), incoming.path);
                     if !self.apply_message(last_received_at, &mut incoming, message) {
                         return log::debug!("closed a gateway connection: its session ended");
                     }
@@ -171,7 +171,8 @@
 
     /// Records that the state of a sender at the beginning of its session has been applied.
     fn record_snapshot(&self, sender: u64, path: PathId) {
-        let mut coverage = self.coverage.borrow_mut();
-        coverage.record_snapshot(BootTime::now(), sender, path);
+        self.coverage
+            .borrow_mut()
+            .record_snapshot(BootTime::now(), sender, path);
     }
 }
--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -189,7 +189,6 @@
         let may_send = || {
             let now = Instant::now();
             self.check_sendable(now, id, options.service, target, &attempt.stage)
-                .is_ok()
         };
         let mut sending = Box::pin(self.pool.send_if(now, addr, id, req, may_send));
         let limit = options.probe_after.min(attempt.time_left);
--- a/laburnumlug-forward/src/send_check.rs
+++ b/laburnumlug-forward/src/send_check.rs
@@ -8,10 +8,8 @@
 
 use laburnumlug::{RequestId, Role};
 
-use crate::attempt_failure::AttemptFailure;
 use crate::forwarder::Forwarder;
 use crate::header_codec::AttemptStage;
-use crate::refusal::FailureCause;
 use crate::registry::TargetHandle;
 
 /// Reason why a request is not sent to a target.
@@ -24,12 +22,8 @@
 }
 
 impl Forwarder {
-    /// Checks that a target accepts a request for this stage, by its own statements and by the newest list of targets.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the target is leaving, wants no requests, is no longer listed or is listed for another service or in a role
-    /// that does not suit the stage.
+    /// Returns whether a target accepts a request for this stage, by its own statements and by the newest list of targets, and
+    /// logs the reason if it does not.
     pub(crate) fn check_sendable(
         &self,
         now: Instant,
@@ -37,20 +31,19 @@
         service: &str,
         target: &Rc<TargetHandle>,
         stage: &AttemptStage,
-    ) -> Result<(), AttemptFailure> {
-        let Some(Obstacle { name, age }) = self.obstacle(now, service, target, stage) else {
-            return Ok(());
-        };
-        log::info!(
-            request_id = request_id.as_str(), target = target.instance.as_str(), reason = name,
-            age_ms = age.as_millis() as u64;
-            "the request is not sent: the target no longer accepts it"
-        );
-        let detail = format!("the target no longer accepts the request: {name}");
-        Err(AttemptFailure::unsent(FailureCause::TargetDeclined, detail))
+    ) -> bool {
+        let obstacle = self.obstacle(now, service, target, stage);
+        if let Some(Obstacle { name, age }) = obstacle {
+            log::info!(
+                request_id = request_id.as_str(), target = target.instance.as_str(), reason = name,
+                age_ms = age.as_millis() as u64;
+                "the request is not sent: the target no longer accepts it"
+            );
+        }
+        obstacle.is_none()
     }
 
-    /// Returns whether [`Forwarder::check_sendable`] would succeed.
+    /// Returns the same as [`Forwarder::check_sendable`], without a line in the log.
     pub(crate) fn is_sendable(
         &self,
         now: Instant,
@@ -61,6 +54,8 @@
         self.obstacle(now, service, target, stage).is_none()
     }
 
+    /// Returns why a target does not accept a request for this stage: it is leaving, wants no requests, is no longer listed, or
+    /// is listed for another service or in a role that does not suit the stage.
     fn obstacle(
         &self,
         now: Instant,
