Bound the control log by the size of the disk

The size of the disk is the new setting disk_mb. A command larger than an eighth of it is refused before it is logged, with 413. A start removes files of interrupted writes. Evidence: folder_bounded_with_large_changes and folder_already_large_at_start fail if only entries are counted ("the files have 2006471 bytes").

--- a/laburnumlug-control/src/error.rs
+++ b/laburnumlug-control/src/error.rs
@@ -25,7 +25,10 @@
     /// Too many log entries are uncommitted.
     Busy,
     /// The command exceeds the size limit.
-    TooLarge,
+    TooLarge {
+        bytes: u64,
+        limit: u64,
+    },
     /// The replica has stopped writing after a disk error.
     Storage(String),
     /// The command may have been appended, but this replica has not seen it committed.
@@ -58,6 +61,11 @@
         }
     }
 
+    /// Returns whether the submitted command is larger than the control log accepts; it was not logged.
+    pub fn is_too_large(&self) -> bool {
+        matches!(self.kind, ErrorKind::TooLarge { .. })
+    }
+
     /// Returns whether the submission can be retried: the command was not logged, and the cause may pass.
     pub(crate) fn is_transient(&self) -> bool {
         match &self.kind {
@@ -81,7 +89,10 @@
             ErrorKind::Locked => f.write_str("control log: another process uses the data folder"),
             ErrorKind::NoLeader => f.write_str("no majority of the control replicas has a leader"),
             ErrorKind::Busy => f.write_str("too many changes wait to be committed"),
-            ErrorKind::TooLarge => f.write_str("the change is too large for the control log"),
+            ErrorKind::TooLarge { bytes, limit } => write!(
+                f,
+                "the change has {bytes} bytes, and the control log accepts at most {limit}"
+            ),
             ErrorKind::Storage(reason) => {
                 write!(f, "the control replica cannot write its data folder: {reason}")
             }
--- a/laburnumlug-control/src/lib.rs
+++ b/laburnumlug-control/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod claims;
 mod command;
+mod encoded_len;
 mod entry;
 mod entry_log;
 mod error;
--- a/laburnumlug-control/src/operator/fleet.rs
+++ b/laburnumlug-control/src/operator/fleet.rs
@@ -110,6 +110,9 @@
             }
             Ok(Outcome::Fleet(Err(refusal))) => refusal_response(&refusal),
             Ok(_) => error_response(500, "internal", "crossed outcome"),
+            Err(err) if err.is_too_large() => {
+                error_with_verdict(413, "too_large", &err.to_string(), err.verdict())
+            }
             Err(err) => {
                 let status = match err.verdict() {
                     Verdict::NotRun => 503,
--- a/laburnumlug-control/src/replica/bootstrap.rs
+++ b/laburnumlug-control/src/replica/bootstrap.rs
@@ -125,7 +125,7 @@
             "the data folder is an older copy or of another cluster; backing up its files and rejoining with an empty \
              log under a new incarnation"
         );
-        open::back_up_files(&self.cfg.folder)?;
+        open::back_up_files(&self.cfg.folder, self.cfg.size_limits().backup)?;
         let file = self.meta.lock().await;
         let meta = Meta::new(&self.cfg.name);
         file.write(&meta).await?;
--- a/laburnumlug-control/src/replica/config.rs
+++ b/laburnumlug-control/src/replica/config.rs
@@ -5,6 +5,7 @@
 
 use laburnumlug_mesh::MeshKey;
 
+use super::size_limits::SizeLimits;
 use crate::usage::UsageConfig;
 
 /// Name and address of another replica.
@@ -29,6 +30,7 @@
     pub(super) voters: Option<usize>,
     pub(super) usage: Option<UsageConfig>,
     pub(super) scaling: bool,
+    pub(super) disk_bytes: Option<u64>,
 }
 
 /// Default number of entries between two snapshots.
@@ -48,6 +50,7 @@
             voters: None,
             usage: None,
             scaling: false,
+            disk_bytes: None,
         }
     }
 
@@ -90,6 +93,18 @@
         self
     }
 
+    /// Sets the size of the disk, to which the sizes of the log and of single commands are limited.
+    ///
+    /// Without it, a command may have 8 MiB and a snapshot is taken after 16 MiB of log records.
+    pub fn disk_bytes(mut self, bytes: u64) -> ReplicaConfig {
+        self.disk_bytes = Some(bytes);
+        self
+    }
+
+    pub(super) fn size_limits(&self) -> SizeLimits {
+        SizeLimits::for_disk(self.disk_bytes)
+    }
+
     /// Sets the number of entries between two snapshots.
     pub fn snapshot_entries(mut self, entries: u64) -> ReplicaConfig {
         self.snapshot_entries = entries;
--- a/laburnumlug-control/src/replica/core.rs
+++ b/laburnumlug-control/src/replica/core.rs
@@ -9,6 +9,7 @@
 use rand::Rng;
 
 use super::leadership::{Leadership, MAX_VOTERS};
+use super::size_limits::SizeLimits;
 use crate::command::{Command, Outcome};
 use crate::entry::{Entry, LogIndex, Membership, Payload, Term};
 use crate::entry_log::Log;
@@ -28,8 +29,8 @@
 /// Upper bound of the random time that is added to [`FIRST_ELECTION_TIMEOUT`].
 const FIRST_ELECTION_JITTER: Duration = Duration::from_millis(300);
 
-/// Divisor of the snapshot interval that gives the number of entries kept in the log after a snapshot, so that
-/// followers that lag slightly need no snapshot.
+/// Divisor of the snapshot interval that gives the number and the size of the entries kept in the log after a snapshot,
+/// so that followers that lag slightly need no snapshot.
 const RETAINED_ENTRIES_DIVISOR: u64 = 4;
 
 /// Number of uncommitted log entries at which the leader accepts no further command.
@@ -90,6 +91,11 @@
     pub(super) incoming_snapshot: IncomingSnapshot,
     pub(super) snapshot_index: LogIndex,
     pub(super) snapshot_entries: u64,
+    pub(super) limits: SizeLimits,
+    /// Length of the journal file in bytes.
+    pub(super) journal_bytes: u64,
+    /// Length of the journal file when the last snapshot was queued or written.
+    pub(super) journal_bytes_at_snapshot: u64,
     /// Maximum number of voters; further replicas are learners on standby.
     pub(super) max_voters: usize,
 }
@@ -118,6 +124,9 @@
             incoming_snapshot: IncomingSnapshot::default(),
             snapshot_index: 0,
             snapshot_entries,
+            limits: SizeLimits::for_disk(None),
+            journal_bytes: 0,
+            journal_bytes_at_snapshot: 0,
             max_voters: MAX_VOTERS,
         }
     }
@@ -185,9 +194,12 @@
         self.role = ReplicaRole::Follower;
     }
 
-    /// Returns whether the limit of uncommitted entries allows another command.
-    pub(super) fn can_append_command(&self) -> bool {
-        self.log.last_index() - self.commit_index < MAX_UNCOMMITTED_ENTRIES
+    /// Returns whether the limits of uncommitted entries allow another command of `bytes` encoded bytes.
+    pub(super) fn can_append_command(&self, bytes: u64) -> bool {
+        let last_index = self.log.last_index();
+        let uncommitted = self.log.bytes_between(self.commit_index, last_index);
+        last_index - self.commit_index < MAX_UNCOMMITTED_ENTRIES
+            && uncommitted + bytes <= self.limits.uncommitted
     }
 
     /// Appends an entry as the leader and returns its index.
@@ -248,11 +260,26 @@
                 self.apply(&entry, command.clone());
             }
         }
-        if self.applied_index - self.snapshot_index >= self.snapshot_entries {
+        if self.is_snapshot_due() {
             self.compact();
         }
     }
 
+    /// Returns whether the entries or the journal records since the last snapshot have reached their limit.
+    fn is_snapshot_due(&self) -> bool {
+        let entries = self.applied_index - self.snapshot_index;
+        let growth = self.journal_bytes - self.journal_bytes_at_snapshot;
+        entries >= self.snapshot_entries || (entries > 0 && growth >= self.limits.snapshot_interval)
+    }
+
+    /// Records the length of the journal file after a write, which replaced the file or appended to it.
+    pub(super) fn record_journal_bytes(&mut self, bytes: u64, is_replaced: bool) {
+        self.journal_bytes = bytes;
+        if is_replaced {
+            self.journal_bytes_at_snapshot = bytes;
+        }
+    }
+
     fn apply(&mut self, entry: &Entry, command: Command) {
         let record = Record {
             time_ms: entry.time_ms,
@@ -284,13 +311,22 @@
     fn compact(&mut self) {
         let snapshot = Some(self.snapshot());
         self.snapshot_index = self.applied_index;
-        let retained = self.snapshot_entries / RETAINED_ENTRIES_DIVISOR;
-        self.log
-            .compact(self.applied_index.saturating_sub(retained));
+        self.journal_bytes_at_snapshot = self.journal_bytes;
+        self.log.compact(self.last_replaced_index());
         let records = self.journal_records();
         self.queue_write(QueuedWrite::Replace { snapshot, records });
     }
 
+    /// Returns the index of the last entry that a snapshot of the applied state replaces; later ones are retained.
+    fn last_replaced_index(&self) -> LogIndex {
+        let max_entries = self.snapshot_entries / RETAINED_ENTRIES_DIVISOR;
+        let max_bytes = self.limits.snapshot_interval / RETAINED_ENTRIES_DIVISOR;
+        let first = self.applied_index.saturating_sub(max_entries);
+        (first..self.applied_index)
+            .find(|index| self.log.bytes_between(*index, self.applied_index) <= max_bytes)
+            .unwrap_or(self.applied_index)
+    }
+
     /// Returns the journal records from which the log can be rebuilt.
     pub(super) fn journal_records(&self) -> Vec<JournalRecord> {
         let base = JournalRecord::Base {
--- a/laburnumlug-control/src/replica/mod.rs
+++ b/laburnumlug-control/src/replica/mod.rs
@@ -11,6 +11,9 @@
 mod peers;
 mod read;
 mod replication;
+mod size_limits;
+#[cfg(test)]
+mod storage_tests;
 mod submit;
 mod targets;
 mod writer;
--- a/laburnumlug-control/src/replica/open.rs
+++ b/laburnumlug-control/src/replica/open.rs
@@ -16,7 +16,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::scaling::Scaling;
 use crate::storage::{
-    Journal, JournalRecord, Meta, MetaFile, RecoveredJournal, Snapshot, SnapshotFile,
+    self, Journal, JournalRecord, Meta, MetaFile, RecoveredJournal, Snapshot, SnapshotFile,
     StoredSnapshot,
 };
 use crate::usage::Usage;
@@ -52,6 +52,7 @@
         let lock = lock_folder(&folder)?;
         let meta_file = MetaFile::new(&folder);
         let snapshots = SnapshotFile::new(&folder);
+        storage::remove_temporary_files(&folder).await;
         let (journal, recovered) = Journal::open(&folder).await.map_err(Error::io)?;
         let stored = FolderContent {
             meta: meta_file.read().await.map_err(Error::io)?,
@@ -66,6 +67,8 @@
                 core
             }
         };
+        core.limits = cfg.size_limits();
+        core.record_journal_bytes(journal.len(), false);
         core.max_voters = cfg.voters.unwrap_or(core.max_voters).min(core.max_voters);
         let replica = Rc::new(Replica {
             pool: Pool::new(cfg.key.clone(), CONNECT_TIMEOUT),
@@ -226,7 +229,7 @@
             )
         }
     }
-    back_up_files(folder).map_err(Error::io)?;
+    back_up_files(folder, cfg.size_limits().backup).map_err(Error::io)?;
     let now = Instant::now();
     let meta = Meta::new(&cfg.name);
     let log = Log::new(0, 0, Membership::empty());
@@ -236,8 +239,15 @@
     Ok(core)
 }
 
-/// Copies the files of a folder to a backup folder within it.
-pub(super) fn back_up_files(folder: &Path) -> io::Result<()> {
+/// Copies the files of a folder to a backup folder within it, unless they take more than `max_bytes`.
+pub(super) fn back_up_files(folder: &Path, max_bytes: u64) -> io::Result<()> {
+    let lengths =
+        BACKUP_FILES.map(|name| std::fs::metadata(folder.join(name)).map_or(0, |m| m.len()));
+    let bytes: u64 = lengths.iter().sum();
+    if bytes > max_bytes {
+        log::warn!("not backing up the data folder: its {bytes} bytes would fill the disk");
+        return Ok(());
+    }
     let backup = folder.join(format!("set-aside-{:016x}", rand::random::<u64>()));
     for name in BACKUP_FILES {
         let file = folder.join(name);
--- /dev/null
+++ b/laburnumlug-control/src/replica/storage_tests.rs
@@ -0,0 +1,121 @@
+//! Size of a replica's files, with a single replica and real files.
+
+use std::path::{Path, PathBuf};
+use std::time::SystemTime;
+
+use laburnumlug::Verdict;
+use laburnumlug_mesh::MeshKey;
+
+use super::{Replica, ReplicaConfig};
+use crate::command::{Command, FleetChange};
+
+/// Size of the disk that the replicas are told of, in bytes.
+const DISK_BYTES: u64 = 4_000_000;
+
+/// Folder that is removed when the test ends.
+struct Folder {
+    path: PathBuf,
+}
+
+impl Folder {
+    fn new() -> Folder {
+        let name = format!("laburnumlug-storage-{:016x}", rand::random::<u64>());
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path).unwrap();
+        Folder { path }
+    }
+
+    /// Returns the total length of the files in the folder.
+    fn bytes(&self) -> u64 {
+        let files = std::fs::read_dir(&self.path).unwrap();
+        files
+            .map(|f| f.unwrap().metadata().map_or(0, |m| m.len()))
+            .sum()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.path);
+    }
+}
+
+fn run<F>(test: F)
+where
+    F: Future<Output = ()>,
+{
+    compio::runtime::Runtime::new().unwrap().block_on(test);
+}
+
+fn config(folder: &Path) -> ReplicaConfig {
+    ReplicaConfig::new("control-1", folder, MeshKey::new("key"))
+}
+
+/// Returns a change of about `bytes` bytes, which is logged and then refused, as its document is not JSON.
+fn large_change(bytes: usize) -> Command {
+    Command::Fleet(FleetChange::new("anna", 0, &"x".repeat(bytes)))
+}
+
+async fn submit_large_changes(replica: &Replica, count: usize, bytes: usize) {
+    for _ in 0..count {
+        let change = large_change(bytes);
+        replica.submit(SystemTime::now(), change).await.unwrap();
+    }
+}
+
+/// Guards against a journal that fills the disk, as snapshots were taken by number of entries only.
+#[test]
+fn folder_bounded_with_large_changes() {
+    run(async {
+        let folder = Folder::new();
+        let replica = Replica::open(config(&folder.path).disk_bytes(DISK_BYTES))
+            .await
+            .unwrap();
+        for _ in 0..200 {
+            submit_large_changes(&replica, 1, 40_000).await;
+            let bytes = folder.bytes();
+            assert!(bytes < DISK_BYTES / 2, "the files have {bytes} bytes");
+        }
+    });
+}
+
+/// Guards against a replica that keeps a journal which already fills the disk, or files of an interrupted write.
+#[test]
+fn folder_already_large_at_start() {
+    run(async {
+        let folder = Folder::new();
+        let replica = Replica::open(config(&folder.path)).await.unwrap();
+        submit_large_changes(&replica, 50, 40_000).await;
+        drop(replica);
+        let temporary = folder.path.join("snapshot.new");
+        std::fs::write(&temporary, vec![0; 1_000_000]).unwrap();
+        let copy = Folder::new();
+        for name in ["log", "meta", "snapshot.new"] {
+            std::fs::copy(folder.path.join(name), copy.path.join(name)).unwrap();
+        }
+        let replica = Replica::open(config(&copy.path).disk_bytes(DISK_BYTES))
+            .await
+            .unwrap();
+        submit_large_changes(&replica, 2, 10).await;
+        let bytes = copy.bytes();
+        assert!(bytes < DISK_BYTES / 8, "the files have {bytes} bytes");
+    });
+}
+
+/// Guards against a change that is logged although its snapshots would not fit on the disk.
+#[test]
+fn submit_larger_than_share_of_disk() {
+    run(async {
+        let folder = Folder::new();
+        let replica = Replica::open(config(&folder.path).disk_bytes(DISK_BYTES))
+            .await
+            .unwrap();
+        let before = folder.bytes();
+        let change = large_change(DISK_BYTES as usize / 4);
+        let err = replica.submit(SystemTime::now(), change).await.unwrap_err();
+        assert!(err.is_too_large(), "{err}");
+        assert_eq!(err.verdict(), Verdict::NotRun);
+        assert_eq!(folder.bytes(), before);
+        submit_large_changes(&replica, 1, 40_000).await;
+    });
+}
--- a/laburnumlug-control/src/replica/submit.rs
+++ b/laburnumlug-control/src/replica/submit.rs
@@ -9,6 +9,7 @@
 use super::core::ReplicaRole;
 use super::{Replica, unix_millis, wait_for_event};
 use crate::command::{Command, Outcome};
+use crate::encoded_len::encoded_len;
 use crate::entry::Payload;
 use crate::error::{Error, ErrorKind};
 use crate::peer::{PeerAnswer, PeerRequest};
@@ -19,9 +20,6 @@
 /// Longest wait before a command that was not logged is submitted again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Maximum encoded size of a command.
-const MAX_COMMAND_BYTES: usize = 8 * 1024 * 1024;
-
 impl Replica {
     /// Logs a command with the time `now` and returns its outcome once it is committed.
     ///
@@ -46,6 +44,7 @@
         command: Command,
         timeout: Duration,
     ) -> Result<Outcome, Error> {
+        self.check_command_size(&command)?;
         let deadline = Instant::now() + timeout;
         let time_ms = unix_millis(now);
         loop {
@@ -98,13 +97,13 @@
         command: Command,
         remaining: Duration,
     ) -> Result<Outcome, Error> {
-        check_command_size(&command)?;
+        let bytes = self.check_command_size(&command)?;
         let rx = {
             let mut core = self.core.borrow_mut();
             if let Some(reason) = &core.storage_error {
                 return Err(Error::new(ErrorKind::Storage(reason.clone())));
             }
-            if !core.can_append_command() {
+            if !core.can_append_command(bytes) {
                 return Err(Error::new(ErrorKind::Busy));
             }
             let (tx, rx) = oneshot::channel();
@@ -120,6 +119,15 @@
         }
     }
 
+    /// Returns the encoded size of a command, or an error if it is too large to be logged.
+    fn check_command_size(&self, command: &Command) -> Result<u64, Error> {
+        let limit = self.core.borrow().limits.command;
+        match encoded_len(command) as u64 {
+            bytes if bytes > limit => Err(Error::new(ErrorKind::TooLarge { bytes, limit })),
+            bytes => Ok(bytes),
+        }
+    }
+
     fn storage_refusal(&self) -> Option<ErrorKind> {
         self.core
             .borrow()
@@ -148,12 +156,3 @@
         }
     }
 }
-
-fn check_command_size(command: &Command) -> Result<(), Error> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(command, &mut bytes).expect("serializing to a Vec should not fail");
-    match bytes.len() <= MAX_COMMAND_BYTES {
-        true => Ok(()),
-        false => Err(Error::new(ErrorKind::TooLarge)),
-    }
-}
--- a/laburnumlug-control/src/replica/writer.rs
+++ b/laburnumlug-control/src/replica/writer.rs
@@ -33,9 +33,15 @@
                 .await;
             let batch = self.core.borrow_mut().next_batch(self.cfg.group_commit);
             let (count, last) = batch.count_and_last_index();
+            let is_replacement = matches!(batch, WriteBatch::Replace { .. });
             let batch = self.with_observed_positions(batch, &mut written_positions);
             match write_batch(&mut journal, &snapshots, batch).await {
-                Ok(()) => self.record_synced(count, last),
+                Ok(()) => {
+                    let mut core = self.core.borrow_mut();
+                    core.record_journal_bytes(journal.len(), is_replacement);
+                    drop(core);
+                    self.record_synced(count, last);
+                }
                 Err(err) => return self.handle_storage_error(&err),
             }
         }
--- a/laburnumlug-control/src/storage/file.rs
+++ b/laburnumlug-control/src/storage/file.rs
@@ -1,7 +1,7 @@
 //! Durable replacement and removal of files: the change survives a power loss.
 
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use compio::BufResult;
 use compio::fs::{File, OpenOptions};
@@ -9,7 +9,7 @@
 
 /// Replaces a file atomically: after a crash it holds either the old bytes or the new ones.
 pub(super) async fn replace(path: &Path, bytes: Vec<u8>) -> io::Result<()> {
-    let temporary = path.with_extension("new");
+    let temporary = temporary_path(path);
     let mut file = OpenOptions::new()
         .write(true)
         .create(true)
@@ -23,6 +23,11 @@
     sync_folder(path).await
 }
 
+/// Returns the path of the file that is written before it replaces the one at `path`.
+pub(super) fn temporary_path(path: &Path) -> PathBuf {
+    path.with_extension("new")
+}
+
 /// Reads a whole file; returns `None` if it does not exist.
 pub(super) async fn read(path: &Path) -> io::Result<Option<Vec<u8>>> {
     match compio::fs::read(path).await {
--- a/laburnumlug-control/src/storage/journal.rs
+++ b/laburnumlug-control/src/storage/journal.rs
@@ -14,7 +14,7 @@
 use crate::entry::{Entry, LogIndex, Term};
 use crate::position::Position;
 
-const JOURNAL_FILE_NAME: &str = "log";
+pub(super) const JOURNAL_FILE_NAME: &str = "log";
 
 /// One change to the log.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -79,6 +79,11 @@
         Ok((Journal { path, file, end }, recovered))
     }
 
+    /// Returns the length of the file in bytes.
+    pub(crate) fn len(&self) -> u64 {
+        self.end
+    }
+
     /// Appends records in one frame and syncs the file.
     ///
     /// After an error the content of the file is unknown, so it must not be written again.
--- a/laburnumlug-control/src/storage/meta.rs
+++ b/laburnumlug-control/src/storage/meta.rs
@@ -9,7 +9,7 @@
 use super::{file, frame};
 use crate::entry::Term;
 
-const META_FILE_NAME: &str = "meta";
+pub(super) const META_FILE_NAME: &str = "meta";
 
 /// Identity of the data folder, and the term and vote that must survive a restart.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/laburnumlug-control/src/storage/snapshot.rs
+++ b/laburnumlug-control/src/storage/snapshot.rs
@@ -9,7 +9,7 @@
 use crate::entry::{LogIndex, Membership, Term};
 use crate::state::State;
 
-const SNAPSHOT_FILE_NAME: &str = "snapshot";
+pub(super) const SNAPSHOT_FILE_NAME: &str = "snapshot";
 
 /// Replicated state after the entry at `index` was applied.
 #[derive(Deserialize, Serialize)]
--- a/laburnumlug-daemon/src/dev.rs
+++ b/laburnumlug-daemon/src/dev.rs
@@ -81,6 +81,7 @@
             replicas: Vec::new(),
             group_commit: true,
             snapshot_entries: None,
+            disk_bytes: None,
             may_bootstrap: true,
             tolerated_losses: None,
             target_list: None,
--- a/laburnumlug-daemon/src/fleet_store.rs
+++ b/laburnumlug-daemon/src/fleet_store.rs
@@ -9,7 +9,7 @@
 use laburnumlug::{FleetVersion, Origin};
 use laburnumlug_control::{Command, FleetChange, FleetRefusal, FleetSnapshot, Outcome, Replica};
 use laburnumlug_operator::{Fault, parse_document};
-use laburnumlug_platform::FleetStore;
+use laburnumlug_platform::{FleetStore, ReplaceError};
 
 /// Operator name under which the audit trail records changes by the platform's operator.
 const OPERATOR_NAME: &str = "platform";
@@ -74,7 +74,7 @@
     /// # Errors
     ///
     /// Fails if the document is refused for another reason or [`REPLACE_TIMEOUT`] has passed.
-    async fn replace_document(&self, number: u64, document: String) -> Result<(), String> {
+    async fn replace_document(&self, number: u64, document: String) -> Result<(), ReplaceError> {
         let deadline = Instant::now() + REPLACE_TIMEOUT;
         loop {
             let (base, applied_number) = self.applied_version();
@@ -84,7 +84,8 @@
             }
             let time_left = deadline.saturating_duration_since(Instant::now());
             if time_left.is_zero() {
-                return Err("no majority took the change in time".to_string());
+                let reason = "no majority took the change in time";
+                return Err(ReplaceError::NotConfirmed(reason.to_string()));
             }
             let change = FleetChange::new(OPERATOR_NAME, base, &document);
             let submission =
@@ -98,9 +99,14 @@
                 Ok(Outcome::Fleet(Err(FleetRefusal::Conflict { version, .. }))) => {
                     self.catch_up(version, deadline).await;
                 }
-                Ok(Outcome::Fleet(Err(refusal))) => return Err(refusal.to_string()),
-                Ok(_) => return Err("crossed outcome".to_string()),
-                Err(err) => return Err(err.to_string()),
+                Ok(Outcome::Fleet(Err(refusal))) => {
+                    return Err(ReplaceError::NotConfirmed(refusal.to_string()));
+                }
+                Ok(_) => return Err(ReplaceError::NotConfirmed("crossed outcome".to_string())),
+                Err(err) if err.is_too_large() => {
+                    return Err(ReplaceError::TooLarge(err.to_string()));
+                }
+                Err(err) => return Err(ReplaceError::NotConfirmed(err.to_string())),
             }
         }
     }
@@ -118,7 +124,7 @@
         &self,
         number: u64,
         document: String,
-    ) -> Pin<Box<dyn Future<Output = Result<(), String>> + '_>> {
+    ) -> Pin<Box<dyn Future<Output = Result<(), ReplaceError>> + '_>> {
         Box::pin(self.replace_document(number, document))
     }
 
--- a/laburnumlug-daemon/src/settings/control.rs
+++ b/laburnumlug-daemon/src/settings/control.rs
@@ -29,6 +29,7 @@
         "replicas",
         "group_commit",
         "snapshot_entries",
+        "disk_mb",
         "peers",
         "may_found",
         "losses",
@@ -65,6 +66,8 @@
     pub(crate) group_commit: bool,
     /// Number of log entries between two snapshots; `None` for the default.
     pub(crate) snapshot_entries: Option<usize>,
+    /// Size of the disk that holds the data folder, in bytes; `None` if it is not known.
+    pub(crate) disk_bytes: Option<u64>,
     /// Whether this replica may bootstrap a cluster.
     pub(crate) may_bootstrap: bool,
     /// Number of replicas whose simultaneous loss is tolerated, which determines the number of voters.
@@ -158,6 +161,9 @@
                 "a whole number from 1",
                 parse_count,
             )?,
+            disk_bytes: reader
+                .optional("control", "disk_mb", "a whole number from 1", parse_count)?
+                .map(|megabytes| megabytes as u64 * 1_000_000),
         })
     }
 
@@ -177,6 +183,10 @@
             Some(losses) => cfg.voters(2 * losses + 1),
             None => cfg,
         };
+        let cfg = match self.disk_bytes {
+            Some(bytes) => cfg.disk_bytes(bytes),
+            None => cfg,
+        };
         match self.snapshot_entries {
             Some(entries) => cfg.snapshot_entries(entries as u64),
             None => cfg,
