--- a/laburnumlug-control/src/replica/core.rs
+++ b/laburnumlug-control/src/replica/core.rs
@@ -350,8 +350,19 @@
     }
 
     /// Replaces the state and the log by a received snapshot.
+    ///
+    /// Entries after the snapshot are kept if they follow from it: they may already count towards a majority.
     pub(super) fn install_snapshot(&mut self, snapshot: Snapshot, bytes: Vec<u8>) {
+        let later: Vec<Rc<Entry>> = match self.log.term(snapshot.index) {
+            Some(term) if term == snapshot.term => {
+                self.log.entries_from(snapshot.index + 1).cloned().collect()
+            }
+            _ => Vec::new(),
+        };
         self.log = Log::new(snapshot.index, snapshot.term, snapshot.membership);
+        for entry in later {
+            self.log.push(entry);
+        }
         self.durable_index = 0;
         self.commit_index = snapshot.index;
         self.applied_index = snapshot.index;
--- a/laburnumlug-control/src/replica/follower_tests.rs
+++ b/laburnumlug-control/src/replica/follower_tests.rs
@@ -6,12 +6,14 @@
 use laburnumlug_mesh::ReplicaId;
 use quickcheck::quickcheck;
 
+use crate::command::{Command, FleetChange};
 use crate::entry::{Entry, LogIndex, Membership, Payload, Term};
 use crate::entry_log::Log;
 use crate::peer::{AppendRequest, AppendResult};
 use crate::replica::core::Core;
 use crate::replica::replication::ReplicationStep;
-use crate::storage::Meta;
+use crate::state::State;
+use crate::storage::{Meta, Snapshot};
 
 fn replica(name: &str) -> ReplicaId {
     ReplicaId {
@@ -97,6 +99,51 @@
     assert_eq!(replicate(&mut leader, &mut follower), (2, 7));
 }
 
+/// Returns a leader that has applied `changes` changes of 300 kB each, and that lacks the answer of a new replica `b`.
+fn leader_with_large_changes(changes: u64) -> Core {
+    let mut leader = restarted("a", 1, &[]);
+    leader.start_leading(Instant::now(), 0);
+    for _ in 0..changes {
+        let change = FleetChange::new("anna", 0, &"x".repeat(300_000));
+        leader.append_as_leader(0, Payload::Command(Command::Fleet(change)));
+    }
+    leader.commit_to(leader.log.last_index());
+    leader.record_identity("b", replica("b"), Instant::now());
+    leader
+}
+
+/// Guards against a replica with an empty disk that is sent every change since the last snapshot, each with the whole
+/// document, and becomes a voter only after the next disk is lost.
+#[test]
+fn next_step_for_empty_replica() {
+    let leader = leader_with_large_changes(10);
+    let step = leader.next_step_for("b");
+    assert!(matches!(step, Some(ReplicationStep::Install(_))));
+    // Few entries are sent as they are.
+    let leader = leader_with_large_changes(2);
+    let step = leader.next_step_for("b");
+    assert!(matches!(step, Some(ReplicationStep::Append(_))));
+}
+
+/// Guards against entries that are lost with a snapshot of an earlier index, though they may count towards a majority.
+#[test]
+fn install_snapshot_before_end_of_log() {
+    for (term, last_index) in [(1, 5), (2, 3)] {
+        let mut follower = restarted("b", 1, &[1; 5]);
+        let membership = follower.log.membership().clone();
+        let state = State::new();
+        let snapshot = Snapshot {
+            index: 3,
+            term,
+            membership,
+            state,
+        };
+        follower.install_snapshot(snapshot, Vec::new());
+        assert_eq!(follower.log.last_index(), last_index);
+        assert_eq!(follower.commit_index, 3);
+    }
+}
+
 quickcheck! {
     /// The follower's log becomes equal to the leader's, whatever uncommitted entries either has.
     fn replicate_any_logs(common: u8, leaders: Vec<bool>, followers: Vec<bool>) -> bool {
--- a/laburnumlug-control/src/replica/leadership.rs
+++ b/laburnumlug-control/src/replica/leadership.rs
@@ -37,6 +37,10 @@
     pub(super) last_contact: Instant,
     /// Commit index in the last append whose entries the replica has synced.
     pub(super) acknowledged_commit: LogIndex,
+    /// When the identity was requested from which the other fields follow.
+    pub(super) identified_at: Instant,
+    /// Total size of the entries and snapshot chunks sent to the replica since then.
+    pub(super) sent_bytes: u64,
 }
 
 impl Core {
@@ -266,6 +270,8 @@
             match_index,
             last_contact: now,
             acknowledged_commit: 0,
+            identified_at: now,
+            sent_bytes: 0,
         };
         leadership.progress.insert(replica.name.clone(), progress);
     }
--- a/laburnumlug-control/src/replica/replication.rs
+++ b/laburnumlug-control/src/replica/replication.rs
@@ -49,7 +49,7 @@
     /// Ask for the replica's name and incarnation, to which all other messages are addressed.
     Identify,
     Append(AppendRequest),
-    /// Send a snapshot: the log no longer holds the entries that the replica lacks.
+    /// Send a snapshot: the log no longer holds the entries that the replica lacks, or they take more bytes.
     Install(LeaderHeader),
 }
 
@@ -126,6 +126,8 @@
                     at: Instant::now(),
                     commit: req.commit,
                 };
+                let bytes: usize = req.entries.iter().map(|entry| entry.len()).sum();
+                self.core.borrow_mut().record_sent(&peer.name, bytes);
                 let request = PeerRequest::Append(req);
                 let answer = self.call_peer(peer.addr, &request, APPEND_TIMEOUT).await;
                 self.handle_append_answer(peer, term, sent, answer.ok())
@@ -184,10 +186,10 @@
             let mut core = self.core.borrow_mut();
             (core.applied_index, core.snapshot())
         };
+        let (started_at, len) = (Instant::now(), bytes.len());
         log::info!(
-            "sending control replica {} a snapshot of {} bytes",
-            peer.name,
-            bytes.len()
+            "sending control replica {} a snapshot of {len} bytes",
+            peer.name
         );
         let chunk_count = bytes.chunks(SNAPSHOT_CHUNK_BYTES).count();
         for (i, chunk) in bytes.chunks(SNAPSHOT_CHUNK_BYTES).enumerate() {
@@ -202,11 +204,17 @@
                 return false;
             }
         }
+        log::info!(
+            replica = peer.name.as_str(), bytes = len,
+            duration_ms = started_at.elapsed().as_millis() as u64;
+            "a control replica has installed a snapshot"
+        );
         true
     }
 
     async fn send_snapshot_chunk(&self, addr: SocketAddr, name: &str, req: InstallRequest) -> bool {
         let term = req.header.term;
+        self.core.borrow_mut().record_sent(name, req.bytes.len());
         let sent = SentMessage {
             at: Instant::now(),
             commit: 0,
@@ -260,6 +268,8 @@
                 match_index: 0,
                 last_contact: sent_at,
                 acknowledged_commit: 0,
+                identified_at: sent_at,
+                sent_bytes: 0,
             };
             leadership.progress.insert(name.to_string(), progress);
         }
@@ -297,8 +307,9 @@
         };
         let header = self.header_for(name)?;
         let previous_index = progress.next_index - 1;
-        let Some(previous_term) = self.log.term(previous_index) else {
-            return Some(ReplicationStep::Install(header));
+        let previous_term = match self.log.term(previous_index) {
+            Some(term) if !self.is_snapshot_smaller(previous_index) => term,
+            _ => return Some(ReplicationStep::Install(header)),
         };
         Some(ReplicationStep::Append(AppendRequest {
             header,
@@ -310,6 +321,15 @@
         }))
     }
 
+    /// Returns whether a snapshot takes fewer bytes than the applied entries after `previous_index`.
+    ///
+    /// Entries that fit into one append are always sent. Applying a snapshot also takes less time, since each change
+    /// of the fleet document contains the whole document.
+    fn is_snapshot_smaller(&self, previous_index: LogIndex) -> bool {
+        let missing = self.log.bytes_between(previous_index, self.applied_index);
+        missing > MAX_APPEND_BYTES as u64 && missing > self.state.approximate_bytes()
+    }
+
     fn encoded_entries(&self, from: LogIndex) -> Vec<ByteBuf> {
         let mut encoded = Vec::new();
         let mut total = 0;
@@ -346,6 +366,12 @@
         }
     }
 
+    fn record_sent(&mut self, name: &str, bytes: usize) {
+        if let Some(progress) = self.progress_mut(name) {
+            progress.sent_bytes += bytes as u64;
+        }
+    }
+
     fn record_append_answer(&mut self, name: &str, sent: SentMessage, answer: &AppendAnswer) {
         let commit = self.commit_index;
         let Some(progress) = self.progress_mut(name) else {
@@ -377,14 +403,30 @@
         self.observe_position(&answer.replica, position);
     }
 
+    /// Logs the next voters; for a replica that becomes one, also how long it took to catch up and the bytes sent.
+    fn log_membership_change(&self, now: Instant, voters: &[ReplicaId]) {
+        let names: Vec<&str> = voters.iter().map(|voter| voter.name.as_str()).collect();
+        let names = names.join(", ");
+        let ReplicaRole::Leader(leadership) = &self.role else {
+            return;
+        };
+        let is_new = |voter: &&ReplicaId| !self.log.membership().contains(voter);
+        let progress = |voter: &ReplicaId| leadership.progress.get(&voter.name);
+        match voters.iter().find(is_new).and_then(progress) {
+            Some(learner) => log::info!(
+                replica = learner.replica.name.as_str(),
+                catch_up_ms = now.saturating_duration_since(learner.identified_at).as_millis() as u64,
+                sent_bytes = learner.sent_bytes;
+                "changing the voters of the control log to {names}, a replica has caught up"
+            ),
+            None => log::info!("changing the voters of the control log to {names}"),
+        }
+    }
+
     /// Appends the next membership change, if one is due.
     fn advance_membership(&mut self, now: Instant, time_ms: u64) {
         if let Some(voters) = self.next_membership(now) {
-            let names: Vec<&str> = voters.iter().map(|voter| voter.name.as_str()).collect();
-            log::info!(
-                "changing the voters of the control log to {}",
-                names.join(", ")
-            );
+            self.log_membership_change(now, &voters);
             self.append_as_leader(time_ms, Payload::Members(Rc::new(voters)));
         }
     }
--- a/laburnumlug-control/src/state.rs
+++ b/laburnumlug-control/src/state.rs
@@ -116,6 +116,11 @@
         self.control_names.is_empty() || self.control_names.iter().any(|name| name == replica)
     }
 
+    /// Returns about how many bytes a snapshot of the state takes, without encoding it.
+    pub(crate) fn approximate_bytes(&self) -> u64 {
+        (self.fleet.document.len() + self.audit.text_bytes()) as u64
+    }
+
     /// Returns the index of the last entry that could change the fleet document.
     pub(crate) fn fleet_index(&self) -> u64 {
         self.fleet_index
--- a/laburnumlug-operator/src/audit.rs
+++ b/laburnumlug-operator/src/audit.rs
@@ -171,6 +171,11 @@
 }
 
 impl AuditLog {
+    /// Returns the total text size of the records in bytes.
+    pub fn text_bytes(&self) -> usize {
+        self.text_bytes
+    }
+
     /// Creates an empty trail.
     pub fn new() -> AuditLog {
         AuditLog::default()
