Rewrite the data folder after an error in place of giving up

Cause: the writer of a replica ended at the first failed write, until its process was started again, which nothing does. Errors of the metadata, of founding and of resetting a folder had the same end. Why it works: new files are written, synced and renamed, so neither a torn append nor a sync after a failed one is relied on, and what was queued counts as synced only with them. Evidence: disk_full_in_turn, disk_full_at_all and disk_full_within_append, with real processes, fail if the writer ends ("timed out waiting for: a voter", "an accepted change").

--- a/laburnumlug-control/src/replica/bootstrap.rs
+++ b/laburnumlug-control/src/replica/bootstrap.rs
@@ -58,7 +58,8 @@
                 }
                 FolderStatus::Outdated => {
                     if let Err(err) = self.reset_folder().await {
-                        return self.handle_storage_error(&err);
+                        self.handle_storage_error(&err);
+                        self.wait_until(|core| core.storage_error.is_none()).await;
                     }
                 }
                 FolderStatus::Undecided => compio::time::sleep(HELLO_INTERVAL).await,
@@ -66,7 +67,8 @@
         }
         while self.core.borrow().meta.cluster.is_none() {
             if let Err(err) = self.bootstrap_if_first().await {
-                return self.handle_storage_error(&err);
+                self.handle_storage_error(&err);
+                self.wait_until(|core| core.storage_error.is_none()).await;
             }
             compio::time::sleep(HELLO_INTERVAL).await;
         }
--- a/laburnumlug-control/src/replica/core.rs
+++ b/laburnumlug-control/src/replica/core.rs
@@ -78,7 +78,7 @@
     pub(super) verified: bool,
     /// Whether all entries committed before this process started are known and applied.
     pub(super) caught_up: bool,
-    /// Error after which the data folder is no longer written.
+    /// Error of a write, until the data folder has been rewritten.
     pub(super) storage_error: Option<String>,
     /// Latest observed position of each replica's data folder.
     pub(super) observed_positions: BTreeMap<ReplicaId, Position>,
@@ -261,7 +261,9 @@
             }
         }
         if self.is_snapshot_due() {
-            self.compact();
+            let snapshot = Some(self.compact());
+            let records = self.journal_records();
+            self.queue_write(QueuedWrite::Replace { snapshot, records });
         }
     }
 
@@ -307,14 +309,13 @@
         bytes
     }
 
-    /// Queues a new snapshot and a journal with only the entries that are retained after it.
-    fn compact(&mut self) {
-        let snapshot = Some(self.snapshot());
+    /// Returns a new snapshot and removes the entries from the log that are not retained after it.
+    pub(super) fn compact(&mut self) -> Vec<u8> {
+        let snapshot = self.snapshot();
         self.snapshot_index = self.applied_index;
         self.journal_bytes_at_snapshot = self.journal_bytes;
         self.log.compact(self.last_replaced_index());
-        let records = self.journal_records();
-        self.queue_write(QueuedWrite::Replace { snapshot, records });
+        snapshot
     }
 
     /// Returns the index of the last entry that a snapshot of the applied state replaces; later ones are retained.
--- a/laburnumlug-control/src/replica/mod.rs
+++ b/laburnumlug-control/src/replica/mod.rs
@@ -256,10 +256,10 @@
         self.notify();
     }
 
-    /// Stops writing after a disk error, since the content of the files is then unknown.
+    /// Stops voting and replicating after a disk error, until the writer has rewritten the files.
     fn handle_storage_error(&self, err: &std::io::Error) {
         log::error!(
-            "cannot write the data folder, this replica stops voting and replicating: {err}"
+            "cannot write the data folder, this replica stops voting and replicating until it can: {err}"
         );
         self.core.borrow_mut().storage_error = Some(err.to_string());
         self.step_down(Instant::now());
--- a/laburnumlug-control/src/replica/writer.rs
+++ b/laburnumlug-control/src/replica/writer.rs
@@ -1,8 +1,9 @@
-//! Task that writes queued changes to the data folder, with group commit.
+//! Task that writes queued changes to the data folder, with group commit, and rewrites the folder after an error.
 
 use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use laburnumlug_mesh::ReplicaId;
 
@@ -15,6 +16,12 @@
 /// Maximum number of records in one sync.
 const MAX_BATCH_RECORDS: usize = 4096;
 
+/// Wait between an error and the first attempt to rewrite the data folder.
+const MIN_REWRITE_DELAY: Duration = Duration::from_millis(50);
+
+/// Longest wait between two attempts to rewrite the data folder.
+const MAX_REWRITE_DELAY: Duration = Duration::from_millis(500);
+
 /// Writes that are synced together.
 enum WriteBatch {
     Append(Vec<JournalRecord>),
@@ -25,12 +32,16 @@
 }
 
 impl Replica {
-    /// Writes and syncs the queued changes in order, until a write fails.
+    /// Writes and syncs the queued changes in order; after an error in any file, rewrites the data folder first.
     pub(super) async fn run_writer(self: Rc<Self>, mut journal: Journal, snapshots: SnapshotFile) {
         let mut written_positions = BTreeMap::new();
         loop {
-            self.wait_until(|core| !core.pending_writes.is_empty())
+            self.wait_until(|core| !core.pending_writes.is_empty() || core.storage_error.is_some())
                 .await;
+            if self.core.borrow().storage_error.is_some() {
+                self.recover_folder(&mut journal, &snapshots).await;
+                continue;
+            }
             let batch = self.core.borrow_mut().next_batch(self.cfg.group_commit);
             let (count, last) = batch.count_and_last_index();
             let is_replacement = matches!(batch, WriteBatch::Replace { .. });
@@ -42,7 +53,7 @@
                     drop(core);
                     self.record_synced(count, last);
                 }
-                Err(err) => return self.handle_storage_error(&err),
+                Err(err) => self.handle_storage_error(&err),
             }
         }
     }
@@ -71,6 +82,53 @@
         WriteBatch::Append(records)
     }
 
+    /// Rewrites the data folder until that succeeds, after which this replica votes and replicates again.
+    ///
+    /// What the files hold after an error is not known, and a later sync of the same file does not cover writes whose
+    /// sync has failed. So every file is written anew, from what this replica has in memory, and synced.
+    async fn recover_folder(&self, journal: &mut Journal, snapshots: &SnapshotFile) {
+        let failed_at = Instant::now();
+        let mut delay = MIN_REWRITE_DELAY;
+        loop {
+            compio::time::sleep(delay).await;
+            match self.rewrite_folder(journal, snapshots).await {
+                Ok(()) => break,
+                Err(err) => log::debug!("the data folder still cannot be written: {err}"),
+            }
+            delay = (2 * delay).min(MAX_REWRITE_DELAY);
+        }
+        let mut core = self.core.borrow_mut();
+        core.storage_error = None;
+        core.postpone_election(Instant::now());
+        drop(core);
+        log::warn!(
+            duration_ms = failed_at.elapsed().as_millis() as u64;
+            "the data folder was rewritten after an error, this replica votes and replicates again"
+        );
+        self.notify();
+    }
+
+    async fn rewrite_folder(
+        &self,
+        journal: &mut Journal,
+        snapshots: &SnapshotFile,
+    ) -> io::Result<()> {
+        let file = self.meta.lock().await;
+        let meta = self.core.borrow().meta.clone();
+        file.write(&meta).await?;
+        let (batch, queued) = {
+            let mut core = self.core.borrow_mut();
+            (core.rewrite_batch(), core.queued_write_count)
+        };
+        let (_, last) = batch.count_and_last_index();
+        write_batch(journal, snapshots, batch).await?;
+        let mut core = self.core.borrow_mut();
+        core.record_journal_bytes(journal.len(), true);
+        let count = queued - core.synced_write_count;
+        core.record_synced(count, last);
+        Ok(())
+    }
+
     fn record_synced(&self, count: u64, last: Option<LogIndex>) {
         let mut core = self.core.borrow_mut();
         core.record_synced(count, last);
@@ -116,6 +174,14 @@
 }
 
 impl Core {
+    /// Replaces all queued writes by one that writes the whole snapshot and log.
+    fn rewrite_batch(&mut self) -> WriteBatch {
+        self.pending_writes.clear();
+        let snapshot = (self.applied_index > 0).then(|| self.compact());
+        let records = self.journal_records();
+        WriteBatch::Replace { snapshot, records }
+    }
+
     /// Removes the writes of the next sync from the queue.
     fn next_batch(&mut self, group_commit: bool) -> WriteBatch {
         if let Some(QueuedWrite::Replace { .. }) = self.pending_writes.front()
--- a/laburnumlug-control/src/storage/file.rs
+++ b/laburnumlug-control/src/storage/file.rs
@@ -10,17 +10,25 @@
 /// Replaces a file atomically: after a crash it holds either the old bytes or the new ones.
 pub(super) async fn replace(path: &Path, bytes: Vec<u8>) -> io::Result<()> {
     let temporary = temporary_path(path);
+    if let Err(err) = write_synced(&temporary, bytes).await {
+        // What was written of it takes space that another file may need.
+        let _ = compio::fs::remove_file(&temporary).await;
+        return Err(err);
+    }
+    compio::fs::rename(&temporary, path).await?;
+    sync_folder(path).await
+}
+
+async fn write_synced(path: &Path, bytes: Vec<u8>) -> io::Result<()> {
     let mut file = OpenOptions::new()
         .write(true)
         .create(true)
         .truncate(true)
-        .open(&temporary)
+        .open(path)
         .await?;
     let BufResult(result, _) = file.write_all_at(bytes, 0).await;
     result?;
-    file.sync_all().await?;
-    compio::fs::rename(&temporary, path).await?;
-    sync_folder(path).await
+    file.sync_all().await
 }
 
 /// Returns the path of the file that is written before it replaces the one at `path`.
--- a/laburnumlug-control/src/storage/journal.rs
+++ b/laburnumlug-control/src/storage/journal.rs
@@ -86,7 +86,7 @@
 
     /// Appends records in one frame and syncs the file.
     ///
-    /// After an error the content of the file is unknown, so it must not be written again.
+    /// After an error the content of the file is unknown, so it must be replaced before the next append.
     pub(crate) async fn append(&mut self, records: &[JournalRecord]) -> io::Result<()> {
         let buf = frame::encode(&records);
         let len = buf.len() as u64;
--- a/laburnumlug-daemon/tests/it/control/mod.rs
+++ b/laburnumlug-daemon/tests/it/control/mod.rs
@@ -3,6 +3,7 @@
 mod authority;
 mod confirmation;
 mod data_folder;
+mod full_disk;
 mod membership;
 
 use std::cell::Cell;
--- a/laburnumlug-daemon/tests/it/harness.rs
+++ b/laburnumlug-daemon/tests/it/harness.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug_standin::{BookingStandIn, BookingTiming, EngineStandIn, EngineTiming, FaultProxy};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::{Value, json};
 
 use crate::client;
@@ -87,6 +87,29 @@
         Process { child }
     }
 
+    /// Like [`Process::start`], but writes beyond a file size limit fail instead of ending the process.
+    fn start_with_file_limits(role: &str, settings: &Path) -> Process {
+        let child = Command::new("sh")
+            .args(["-c", "trap '' XFSZ; exec \"$@\"", "sh"])
+            .arg(env!("CARGO_BIN_EXE_laburnumlugd"))
+            .args([role, "--settings"])
+            .arg(settings)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        Process { child }
+    }
+
+    /// Sets the length in bytes up to which the process can write files, or removes the limit.
+    pub fn limit_file_size(&self, bytes: Option<u64>) {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        let limit = Rlimit {
+            current: bytes,
+            maximum: None,
+        };
+        prlimit(pid, Resource::Fsize, limit).unwrap();
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
@@ -484,6 +507,14 @@
             .insert(name.to_string(), Process::start(role, &path));
     }
 
+    /// Restarts a control replica so that [`Process::limit_file_size`] applies to it.
+    pub fn restart_with_file_limits(&mut self, name: &str) {
+        self.processes.remove(name);
+        let path = self.folder.path().join(format!("{name}.ini"));
+        let process = Process::start_with_file_limits("control", &path);
+        self.processes.insert(name.to_string(), process);
+    }
+
     /// Restarts a process with the settings in its file.
     pub fn restart(&mut self, name: &str) {
         let role = match name.split('-').next().unwrap() {
