--- a/laburnumlug-control/src/replica/core.rs
+++ b/laburnumlug-control/src/replica/core.rs
@@ -261,7 +261,13 @@
             }
         }
         if self.is_snapshot_due() {
-            let snapshot = Some(self.compact());
+            let entries = self.applied_index - self.snapshot_index;
+            let snapshot = self.compact();
+            log::info!(
+                entries = entries, bytes = snapshot.len(), journal_bytes = self.journal_bytes;
+                "replacing log entries by a snapshot"
+            );
+            let snapshot = Some(snapshot);
             let records = self.journal_records();
             self.queue_write(QueuedWrite::Replace { snapshot, records });
         }
