Accept all requests of a stopping gateway for less than the notice time

With real processes, a request that was sent 3.02 s after SIGTERM was passed on and given up after 7.7 s. Cause: the notice time of the platform's pages, 3 s from the sending of SIGTERM, was counted from when the process noticed the signal. One that noticed it 200 ms late accepted 200 ms too long. Change: every request is accepted until 250 ms before the end of the notice time, and later ones only if their deadline is before the end, as before. New connections are accepted for the whole notice time. Why it works: a request that arrives in the margin was sent within the notice time, or is refused as not run if it may outlast the process.

--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -183,13 +183,14 @@
     let schedule = ShutdownSchedule::new(now, settings.grace_period);
     let ms_until = |at: Instant| at.saturating_duration_since(now).as_millis() as u64;
     log::info!(
-        accepts_for_ms = ms_until(schedule.accept_until()), gives_up_after_ms = ms_until(schedule.give_up_at()),
+        accepts_for_ms = ms_until(schedule.accept_until()), listens_for_ms = ms_until(schedule.listen_until()),
+        gives_up_after_ms = ms_until(schedule.give_up_at()),
         exits_after_ms = ms_until(schedule.exit_at());
         "the gateway is stopping"
     );
     stopping.set(true);
     forwarder.begin_shutdown(schedule);
-    compio::time::sleep_until(schedule.accept_until()).await;
+    compio::time::sleep_until(schedule.listen_until()).await;
     shutdown.shut_down();
     let time_left = |until: Instant| until.saturating_duration_since(Instant::now());
     let mut server_task = pin!(server_task);
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -27,5 +27,6 @@
 mod silent_process;
 #[path = "../../../platform/tests/it/standin.rs"]
 mod standin;
+mod stop_sweep;
 mod targets;
 mod usage;
--- a/laburnumlug-daemon/tests/it/platform_fleet.rs
+++ b/laburnumlug-daemon/tests/it/platform_fleet.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
 
 use serde_json::{Value, json};
 
@@ -185,6 +186,7 @@
     pub ready_addr: SocketAddr,
     pub mesh_addr: SocketAddr,
     pub list_addr: SocketAddr,
+    grace: Duration,
     pub process: Process,
 }
 
@@ -202,9 +204,20 @@
         name: &str,
         list_addr: SocketAddr,
         seeds: &[SocketAddr],
+    ) -> Gateway {
+        Gateway::start_with_grace(folder, name, list_addr, seeds, Duration::from_secs(4))
+    }
+
+    /// Starts a gateway like [`Gateway::start_with_list`], with the given grace period in whole seconds.
+    pub fn start_with_grace(
+        folder: &Folder,
+        name: &str,
+        list_addr: SocketAddr,
+        seeds: &[SocketAddr],
+        grace: Duration,
     ) -> Gateway {
         let addrs = [free_addr(), free_addr(), free_addr(), list_addr];
-        let path = write_gateway_settings(folder, name, addrs, seeds);
+        let path = write_gateway_settings(folder, name, addrs, seeds, grace);
         let [caller_addr, ready_addr, mesh_addr, list_addr] = addrs;
         Gateway {
             name: name.to_string(),
@@ -212,6 +225,7 @@
             ready_addr,
             mesh_addr,
             list_addr,
+            grace,
             process: Process::start("gateway", &path),
         }
     }
@@ -230,7 +244,7 @@
             self.mesh_addr,
             self.list_addr,
         ];
-        write_gateway_settings(folder, &self.name, addrs, seeds);
+        write_gateway_settings(folder, &self.name, addrs, seeds, self.grace);
     }
 }
 
@@ -239,12 +253,14 @@
     name: &str,
     [caller_addr, ready_addr, mesh_addr, list_addr]: [SocketAddr; 4],
     seeds: &[SocketAddr],
+    grace: Duration,
 ) -> PathBuf {
     let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
     let text = format!(
         "[process]\nvm = {name}\nzone = z\n[mesh]\nkey = {MESH_KEY}\ncontrol = {}\n[gateway]\nlisten = {caller_addr}\n\
-         ready = {ready_addr}\nmesh_listen = {mesh_addr}\ntarget_list = {list_addr}\ngrace_s = 4\n",
+         ready = {ready_addr}\nmesh_listen = {mesh_addr}\ntarget_list = {list_addr}\ngrace_s = {}\n",
         seeds.join(","),
+        grace.as_secs(),
     );
     folder.write(&format!("{name}.ini"), &text)
 }
--- a/laburnumlug-policy/src/shutdown_schedule.rs
+++ b/laburnumlug-policy/src/shutdown_schedule.rs
@@ -2,10 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-/// Time after the request to stop in which every request is accepted: a load balancer that probes readiness once a second
-/// and acts on the second failed probe still sends callers here.
+/// Time after the request to stop was sent in which every request is accepted: a load balancer that probes readiness once
+/// a second and acts on the second failed probe still sends callers here.
 const NOTICE_TIME: Duration = Duration::from_millis(3000);
 
+/// Time by which the process may notice the request to stop late, and by which a caller's request may be on its way.
+const NOTICE_MARGIN: Duration = Duration::from_millis(250);
+
 /// Time before the end of the grace period at which the process exits even if responses are in progress.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
@@ -20,6 +23,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ShutdownSchedule {
     accept_until: Instant,
+    listen_until: Instant,
     give_up_at: Instant,
     exit_at: Instant,
 }
@@ -27,23 +31,31 @@
 impl ShutdownSchedule {
     /// Creates the schedule of a process that is asked to stop at `now` and is killed after `grace_period`.
     ///
-    /// A grace period below twice the notice time shortens the latter to its half.
+    /// A grace period below twice the notice time shortens the latter to its half. Every request is accepted until a margin
+    /// before the end of the notice time, as `now` is later than the request to stop.
     pub fn new(now: Instant, grace_period: Duration) -> ShutdownSchedule {
         let exit_after = grace_period.saturating_sub(EXIT_MARGIN);
         let give_up_after = exit_after.saturating_sub(GIVE_UP_MARGIN.min(grace_period / 4));
-        let accept_for = NOTICE_TIME.min(grace_period / 2).min(give_up_after);
+        let notice_time = NOTICE_TIME.min(grace_period / 2);
+        let accept_for = (notice_time - NOTICE_MARGIN.min(notice_time / 4)).min(give_up_after);
         ShutdownSchedule {
             accept_until: now + accept_for,
+            listen_until: now + notice_time.min(give_up_after),
             give_up_at: now + give_up_after,
             exit_at: now + exit_after,
         }
     }
 
-    /// Returns when the notice time ends.
+    /// Returns until when every request is accepted.
     pub fn accept_until(&self) -> Instant {
         self.accept_until
     }
 
+    /// Returns until when new connections are accepted.
+    pub fn listen_until(&self) -> Instant {
+        self.listen_until
+    }
+
     /// Returns when requests without a response are given up.
     pub fn give_up_at(&self) -> Instant {
         self.give_up_at
--- a/laburnumlug-policy/src/shutdown_schedule_tests.rs
+++ b/laburnumlug-policy/src/shutdown_schedule_tests.rs
@@ -9,7 +9,10 @@
     let schedule = ShutdownSchedule::new(now, 8 * SECOND);
     let deadline = now + 20 * SECOND;
     assert!(schedule.accepts(now, deadline));
-    assert!(schedule.accepts(now + Duration::from_millis(2999), deadline));
+    assert!(schedule.accepts(now + Duration::from_millis(2749), deadline));
+    // The process may have noticed the request to stop late, and the caller have sent its request earlier.
+    assert!(!schedule.accepts(now + Duration::from_millis(2750), deadline));
+    assert_eq!(schedule.listen_until(), now + 3 * SECOND);
     let later = now + Duration::from_millis(3400);
     assert!(!schedule.accepts(later, deadline));
     assert!(!schedule.accepts(later, schedule.exit_at()));
@@ -25,7 +28,11 @@
         let schedule = ShutdownSchedule::new(now, Duration::from_millis(grace_ms));
         let at = schedule.give_up_at();
         assert!(!schedule.accepts(at, at), "{grace_ms}");
-        assert!(schedule.accept_until() <= at, "{grace_ms}");
+        assert!(
+            schedule.accept_until() <= schedule.listen_until(),
+            "{grace_ms}"
+        );
+        assert!(schedule.listen_until() <= at, "{grace_ms}");
         assert!(at <= schedule.exit_at(), "{grace_ms}");
         let grace_end = now + Duration::from_millis(grace_ms);
         assert!(schedule.exit_at() <= grace_end, "{grace_ms}");
