Relay nothing but events in streams

Change: a block is passed on only if it is an event or a comment; another one breaks the stream. Answers that state another type are not relayed as streams. A resumption that gets no stream is tried at a further target. Why it works: each byte of a stream, from the first server and from each next one, passes through this one check. Evidence: stream_followed_by_error_response and resumed_stream_gets_other_response failed before (left: events 1 and 2, "HTTP/1.1 500 Internal Server Error", "error", and a complete body); stream_with_unusual_events held before and after. Measured: all tests of the packages forward and platform pass.

--- a/laburnumlug-forward/src/events.rs
+++ b/laburnumlug-forward/src/events.rs
@@ -8,9 +8,13 @@
 /// Reason why a stream is broken whose event ids do not increase.
 const ID_NOT_INCREASING: &str = "an event of the stream has an id that is not above the last one";
 
+/// Reason why a stream is broken that contains something else than events, such as the text of an error.
+const NOT_AN_EVENT: &str = "the stream contains lines that form no event";
+
 /// Splits a stream at event boundaries, so that a caller does not receive a partial event of a broken stream.
 ///
-/// Events with an id that is not above that of the event before are not passed on, nor is what follows them.
+/// Blocks that are no events, and events with an id that is not above that of the event before, are not passed on, nor
+/// is what follows them.
 #[derive(Default)]
 pub(crate) struct EventSplitter {
     buf: BytesMut,
@@ -52,18 +56,20 @@
         let mut block = Block::default();
         for line in blocks.split_inclusive(|byte| *byte == b'\n') {
             start += line.len();
+            block.add_line(line);
             if !trim_line_end(line).is_empty() {
-                block.add_line(trim_line_end(line));
                 continue;
             }
-            match std::mem::take(&mut block).id {
-                Some(id) if !self.is_above_last_id(&id) => {
-                    self.fault = Some(ID_NOT_INCREASING);
-                    return accepted;
-                }
-                Some(id) => self.last_id = Some(id),
-                None => {}
+            let block = std::mem::take(&mut block);
+            self.fault = match &block.id {
+                _ if !block.is_valid() => Some(NOT_AN_EVENT),
+                Some(id) if !self.is_above_last_id(id) => Some(ID_NOT_INCREASING),
+                _ => None,
+            };
+            if self.fault.is_some() {
+                return accepted;
             }
+            self.last_id = block.id.or(self.last_id.take());
             accepted = start;
         }
         accepted
@@ -141,16 +147,58 @@
 struct Block {
     /// Value of the last `id` field, if it has one that is not empty.
     id: Option<String>,
+    /// Whether it has a field that the format defines.
+    has_field: bool,
+    /// Whether it has a field that the format does not define.
+    has_extension: bool,
+    /// Whether it has a line that cannot belong to an event.
+    has_invalid_line: bool,
+    /// Whether its first line ends with a carriage return and a line feed; `None` before the first line.
+    has_crlf: Option<bool>,
 }
 
 impl Block {
+    /// Adds a line with its end.
+    ///
+    /// Fields that the format does not define may only stand before the others, and all lines of a block end alike.
+    /// Otherwise the head of another response could pass for the rest of an event that was broken off.
     fn add_line(&mut self, line: &[u8]) {
-        let id = line.strip_prefix(b"id:");
-        let id = id.and_then(|value| std::str::from_utf8(value).ok());
-        if let Some(id) = id.map(str::trim).filter(|id| !id.is_empty()) {
-            self.id = Some(id.to_string());
+        let has_crlf = line.ends_with(b"\r\n");
+        let text = trim_line_end(line);
+        if *self.has_crlf.get_or_insert(has_crlf) != has_crlf {
+            self.has_invalid_line = true;
+        }
+        if text.is_empty() || text.starts_with(b":") {
+            return;
+        }
+        let name_end = text.iter().position(|byte| *byte == b':');
+        let (name, value) = text.split_at(name_end.unwrap_or(text.len()));
+        match name {
+            b"id" => {
+                self.has_field = true;
+                let id = std::str::from_utf8(value).unwrap_or_default();
+                let id = id.trim_start_matches(':').trim();
+                if !id.is_empty() {
+                    self.id = Some(id.to_string());
+                }
+            }
+            b"data" | b"event" | b"retry" => self.has_field = true,
+            _ if name_end.is_some() && !self.has_field && is_field_name(name) => {
+                self.has_extension = true;
+            }
+            _ => self.has_invalid_line = true,
         }
     }
+
+    /// Returns whether the block is an event, or has only comments.
+    fn is_valid(&self) -> bool {
+        !self.has_invalid_line && (self.has_field || !self.has_extension)
+    }
+}
+
+fn is_field_name(name: &[u8]) -> bool {
+    let is_name_byte = |byte: &u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_');
+    !name.is_empty() && name.iter().all(is_name_byte)
 }
 
 /// Returns a line without its line feed, and without a carriage return before it.
@@ -160,68 +208,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn push_partial_event_is_held() {
-        let mut splitter = EventSplitter::default();
-        assert_eq!(
-            splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap(),
-            "id: 1\ndata: a\n\n"
-        );
-        assert_eq!(splitter.last_id().unwrap(), "1");
-        assert_eq!(splitter.push(b"ta: b\n"), None);
-        assert_eq!(splitter.push(b"\n").unwrap(), "id: 2\ndata: b\n\n");
-        assert_eq!(splitter.last_id().unwrap(), "2");
-    }
-
-    #[test]
-    fn drop_partial_event_of_broken_stream() {
-        let mut splitter = EventSplitter::default();
-        assert_eq!(
-            splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap(),
-            "id: 1\ndata: a\n\n"
-        );
-        splitter.drop_partial();
-        assert_eq!(
-            splitter.push(b"id: 2\ndata: b\n\n").unwrap(),
-            "id: 2\ndata: b\n\n"
-        );
-        assert!(!splitter.is_inside_event());
-    }
-
-    #[test]
-    fn is_inside_event_blank_lines() {
-        let mut splitter = EventSplitter::default();
-        assert!(splitter.push(b"data: a\n\n").is_some());
-        splitter.push(b"\n");
-        assert!(!splitter.is_inside_event());
-        assert_eq!(splitter.take_partial(), "\n");
-        splitter.push(b"d");
-        assert!(splitter.is_inside_event());
-    }
-
-    #[test]
-    fn has_overflowed_without_end_of_event() {
-        let mut splitter = EventSplitter::default();
-        splitter.push(&[b'a'; MAX_EVENT_BYTES]);
-        assert!(!splitter.has_overflowed());
-        splitter.push(b"a");
-        assert!(splitter.has_overflowed());
-    }
-
-    #[test]
-    fn contains_event_comments() {
-        assert!(!contains_event(b": ping\r\n\r\n\n:\n\n"));
-        assert!(contains_event(b": ping\n\ndata: a\n\n"));
-    }
-
-    #[test]
-    fn push_carriage_returns() {
-        let mut splitter = EventSplitter::default();
-        let event = b"id: 7\r\ndata: a\r\n\r\n";
-        assert_eq!(splitter.push(event).unwrap(), &event[..]);
-        assert_eq!(splitter.last_id().unwrap(), "7");
-    }
-}
+#[path = "events_tests.rs"]
+mod tests;
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -42,7 +42,10 @@
 /// Returns whether a response is an event stream, as engines send unless they state another type.
 fn is_event_stream(response: &PooledResponse) -> bool {
     let content_type = response.headers().get(hyper::header::CONTENT_TYPE);
-    content_type.is_none_or(|value| value.as_bytes().starts_with(b"text/event-stream"))
+    content_type.is_none_or(|value| {
+        let media_type = value.as_bytes().split(|byte| *byte == b';').next();
+        media_type.is_some_and(|t| t.trim_ascii().eq_ignore_ascii_case(b"text/event-stream"))
+    })
 }
 
 impl Forwarder {
@@ -220,11 +223,12 @@
             }
             Ok(response) => response,
         };
-        if response.status() >= 300 {
-            return self
-                .read_buffered(request, &target, response)
-                .await
-                .map(StreamAttempt::Buffered);
+        if response.status() >= 300 || !is_event_stream(&response) {
+            let resp = self.read_buffered(request, &target, response).await?;
+            if resp.status().is_success() {
+                engine_request.mark_complete(Instant::now());
+            }
+            return Ok(StreamAttempt::Buffered(resp));
         }
         let upstream = Upstream::new(Instant::now(), response, last_id, in_flight, engine_request);
         self.await_first_events(request, upstream).await
@@ -270,19 +274,11 @@
                     partial_since.get_or_insert(now);
                 }
                 StreamStep::Other => partial_since = None,
-                StreamStep::End(_)
-                    if is_event_stream(&upstream.response) && !upstream.response.is_framed() =>
-                {
+                StreamStep::End(_) if !upstream.response.is_framed() => {
                     self.record_failure(now, &target);
                     return Err(AttemptFailure::connection_broken(ENDED_INSIDE_EVENT));
                 }
                 StreamStep::End(body) => return Ok(self.buffered_attempt(now, upstream, body)),
-                StreamStep::Broken(reason)
-                    if reason == ENDED_INSIDE_EVENT && !is_event_stream(&upstream.response) =>
-                {
-                    let body = upstream.splitter.take_partial();
-                    return Ok(self.buffered_attempt(now, upstream, body));
-                }
                 StreamStep::Broken(reason) => {
                     self.record_failure(now, &target);
                     let is_invalid =
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -223,8 +223,8 @@
         while self.try_acquire_attempt(stream).await {
             match self.attempt_stream(stream, Some(last_id.clone())).await {
                 Ok(StreamAttempt::Stream(open)) => return Some(*open),
-                // A response that is not a stream cannot continue one.
-                Ok(StreamAttempt::Buffered(_)) => return None,
+                // A response that is not a stream cannot continue one, but another target may.
+                Ok(StreamAttempt::Buffered(_)) => {}
                 Err(failure) if failure.is_final() => return None,
                 Err(_) => {}
             }
