--- a/laburnumlug-control/src/mesh.rs
+++ b/laburnumlug-control/src/mesh.rs
@@ -41,9 +41,18 @@
     replica: Rc<Replica>,
     document_cache: DocumentCache,
 ) {
+    let peer = stream
+        .peer_addr()
+        .map_or(String::new(), |addr| addr.to_string());
+    let accepted_at = Instant::now();
     let mut conn = match Connection::accept(stream, &key).await {
         Ok(conn) => conn,
-        Err(err) => return log::warn!("refused a mesh connection: {err}"),
+        Err(err) => {
+            return log::warn!(
+                peer = peer.as_str(), taken_ms = accepted_at.elapsed().as_millis() as u64;
+                "refused a mesh connection: {err}"
+            );
+        }
     };
     while let Ok((request_id, message)) = conn.recv().await {
         let answer = match message {
--- a/laburnumlug-daemon/tests/it/control/mod.rs
+++ b/laburnumlug-daemon/tests/it/control/mod.rs
@@ -5,6 +5,7 @@
 mod data_folder;
 mod full_disk;
 mod membership;
+mod slow_links;
 
 use std::cell::Cell;
 use std::path::Path;
--- a/laburnumlug-mesh/src/connection.rs
+++ b/laburnumlug-mesh/src/connection.rs
@@ -41,7 +41,7 @@
 const TCP_USER_TIMEOUT_MS: u32 = 3_000;
 
 /// Timeout for the whole handshake on an accepted connection.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
 type ByteStream = Compat<CountedStream<Pin<Box<AsyncStream<TcpStream>>>>>;
 
@@ -75,17 +75,36 @@
         key: &MeshKey,
         timeout: Duration,
     ) -> Result<Connection, Error> {
-        let connecting = Connection::connect_without_timeout(addr, key);
+        let connecting = async {
+            let stream = TcpStream::connect(addr).await.map_err(Error::connect)?;
+            Connection::handshake(stream, addr, key).await
+        };
         match compio::time::timeout(timeout, connecting).await {
-            Ok(Ok(conn)) => Ok(conn),
-            Ok(Err(err)) if err.is_connect() => Err(err),
-            Ok(Err(err)) => Err(Error::connect(std::io::Error::other(err))),
+            Ok(result) => result,
             Err(_) => Err(Error::connect(std::io::ErrorKind::TimedOut.into())),
         }
     }
 
-    async fn connect_without_timeout(addr: SocketAddr, key: &MeshKey) -> Result<Connection, Error> {
-        let stream = TcpStream::connect(addr).await.map_err(Error::connect)?;
+    /// Performs the handshake on a TCP connection to `addr`.
+    ///
+    /// As for [`Connection::connect`], [`Error::is_connect`] is true for every failure.
+    pub(crate) async fn handshake(
+        stream: TcpStream,
+        addr: SocketAddr,
+        key: &MeshKey,
+    ) -> Result<Connection, Error> {
+        let handshake = Connection::handshake_as_client(stream, addr, key).await;
+        handshake.map_err(|err| match err.is_connect() {
+            true => err,
+            false => Error::connect(std::io::Error::other(err)),
+        })
+    }
+
+    async fn handshake_as_client(
+        stream: TcpStream,
+        addr: SocketAddr,
+        key: &MeshKey,
+    ) -> Result<Connection, Error> {
         set_socket_options(&stream);
         let received_bytes = Rc::default();
         let (stream, _) = tokio_tungstenite::client_async_with_config(
