Use is_multiple_of in a test of events

Cause: a lint of the workspace refuses the remainder compared with 0; it was not run on this package's tests. Change: one expression. Measured: the linter has no warnings left.

--- a/laburnumlug-forward/src/events_tests.rs
+++ b/laburnumlug-forward/src/events_tests.rs
@@ -97,7 +97,7 @@
     fn push_increasing_ids(steps: Vec<u8>) -> bool {
         let mut splitter = EventSplitter::resume_after(Some("0".to_string()));
         let events = splitter.push(stream(&steps, false).as_bytes()).unwrap_or_default();
-        let is_valid = |step: &&u8| **step % 4 != 0 && **step % 8 != 7;
+        let is_valid = |step: &&u8| !step.is_multiple_of(4) && **step % 8 != 7;
         let accepted = steps.iter().take_while(is_valid).count();
         let text = std::str::from_utf8(&events).unwrap();
         text.matches("id: ").count() == accepted && splitter.fault().is_none() == (accepted == steps.len())
