--- a/laburnumlug-control/src/replica/mod.rs
+++ b/laburnumlug-control/src/replica/mod.rs
@@ -2,6 +2,7 @@
 
 mod bootstrap;
 mod call;
+mod compaction;
 mod config;
 mod core;
 mod election;
@@ -12,6 +13,7 @@
 mod read;
 mod replication;
 mod size_limits;
+mod snapshot_transfer;
 #[cfg(test)]
 mod storage_tests;
 mod submit;
--- a/laburnumlug-control/src/replica/replication.rs
+++ b/laburnumlug-control/src/replica/replication.rs
@@ -1,6 +1,5 @@
 //! Log replication from the leader to each other replica: heartbeats, appends and snapshots.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -10,10 +9,9 @@
 use super::core::{Core, ReplicaRole};
 use super::leadership::ReplicationProgress;
 use super::{PeerReplica, Replica, unix_millis, wait_for_event};
-use crate::entry::{LogIndex, Payload, Term};
+use crate::entry::{LogIndex, Term};
 use crate::peer::{
-    AppendAnswer, AppendRequest, AppendResult, InstallRequest, LeaderHeader, PeerAnswer,
-    PeerRequest,
+    AppendAnswer, AppendRequest, AppendResult, LeaderHeader, PeerAnswer, PeerRequest,
 };
 use crate::position::Position;
 
@@ -29,9 +27,6 @@
 /// Timeout for the answer to an append, which includes the sync of its entries.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Timeout for the answer to a snapshot chunk; after the last one the follower writes the whole snapshot.
-const SNAPSHOT_CHUNK_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Wait before a retry after a replica did not answer.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -41,9 +36,6 @@
 /// Maximum number of entries in one append.
 const MAX_APPEND_ENTRIES: usize = 1024;
 
-/// Maximum size of a snapshot chunk.
-const SNAPSHOT_CHUNK_BYTES: usize = 1024 * 1024;
-
 /// Next replication step for a replica.
 pub(super) enum ReplicationStep {
     /// Ask for the replica's name and incarnation, to which all other messages are addressed.
@@ -179,76 +171,13 @@
         self.notify();
         is_accepted
     }
-
-    /// Sends a snapshot of the applied state in chunks.
-    async fn send_snapshot(&self, peer: &PeerReplica, header: LeaderHeader) -> bool {
-        let (index, bytes) = {
-            let mut core = self.core.borrow_mut();
-            (core.applied_index, core.snapshot())
-        };
-        let (started_at, len) = (Instant::now(), bytes.len());
-        log::info!(
-            "sending control replica {} a snapshot of {len} bytes",
-            peer.name
-        );
-        let chunk_count = bytes.chunks(SNAPSHOT_CHUNK_BYTES).count();
-        for (i, chunk) in bytes.chunks(SNAPSHOT_CHUNK_BYTES).enumerate() {
-            let req = InstallRequest {
-                header: header.clone(),
-                index,
-                offset: (i * SNAPSHOT_CHUNK_BYTES) as u64,
-                bytes: chunk.to_vec(),
-                is_last: i + 1 == chunk_count,
-            };
-            if !self.send_snapshot_chunk(peer.addr, &peer.name, req).await {
-                return false;
-            }
-        }
-        log::info!(
-            replica = peer.name.as_str(), bytes = len,
-            duration_ms = started_at.elapsed().as_millis() as u64;
-            "a control replica has installed a snapshot"
-        );
-        true
-    }
-
-    async fn send_snapshot_chunk(&self, addr: SocketAddr, name: &str, req: InstallRequest) -> bool {
-        let term = req.header.term;
-        self.core.borrow_mut().record_sent(name, req.bytes.len());
-        let sent = SentMessage {
-            at: Instant::now(),
-            commit: 0,
-        };
-        let request = PeerRequest::Install(req);
-        let Ok(PeerAnswer::Append(answer)) =
-            self.call_peer(addr, &request, SNAPSHOT_CHUNK_TIMEOUT).await
-        else {
-            return false;
-        };
-        if answer.term > term {
-            self.observe_term(answer.term).await;
-            return false;
-        }
-        let mut core = self.core.borrow_mut();
-        if core.meta.term != term {
-            return false;
-        }
-        match answer.result {
-            AppendResult::NextIndex(_) => core.record_contact(name, sent.at),
-            _ => core.record_append_answer(name, sent, &answer),
-        }
-        matches!(
-            answer.result,
-            AppendResult::NextIndex(_) | AppendResult::Matched(_)
-        )
-    }
 }
 
 /// Send time and commit index of a message.
 #[derive(Clone, Copy)]
-struct SentMessage {
-    at: Instant,
-    commit: LogIndex,
+pub(super) struct SentMessage {
+    pub(super) at: Instant,
+    pub(super) commit: LogIndex,
 }
 
 impl Core {
@@ -360,19 +289,24 @@
         others.chain([(self.meta.replica.clone(), own)]).collect()
     }
 
-    fn record_contact(&mut self, name: &str, sent_at: Instant) {
+    pub(super) fn record_contact(&mut self, name: &str, sent_at: Instant) {
         if let Some(progress) = self.progress_mut(name) {
             progress.last_contact = progress.last_contact.max(sent_at);
         }
     }
 
-    fn record_sent(&mut self, name: &str, bytes: usize) {
+    pub(super) fn record_sent(&mut self, name: &str, bytes: usize) {
         if let Some(progress) = self.progress_mut(name) {
             progress.sent_bytes += bytes as u64;
         }
     }
 
-    fn record_append_answer(&mut self, name: &str, sent: SentMessage, answer: &AppendAnswer) {
+    pub(super) fn record_append_answer(
+        &mut self,
+        name: &str,
+        sent: SentMessage,
+        answer: &AppendAnswer,
+    ) {
         let commit = self.commit_index;
         let Some(progress) = self.progress_mut(name) else {
             return;
@@ -402,32 +336,4 @@
         };
         self.observe_position(&answer.replica, position);
     }
-
-    /// Logs the next voters; for a replica that becomes one, also how long it took to catch up and the bytes sent.
-    fn log_membership_change(&self, now: Instant, voters: &[ReplicaId]) {
-        let names: Vec<&str> = voters.iter().map(|voter| voter.name.as_str()).collect();
-        let names = names.join(", ");
-        let ReplicaRole::Leader(leadership) = &self.role else {
-            return;
-        };
-        let is_new = |voter: &&ReplicaId| !self.log.membership().contains(voter);
-        let progress = |voter: &ReplicaId| leadership.progress.get(&voter.name);
-        match voters.iter().find(is_new).and_then(progress) {
-            Some(learner) => log::info!(
-                replica = learner.replica.name.as_str(),
-                catch_up_ms = now.saturating_duration_since(learner.identified_at).as_millis() as u64,
-                sent_bytes = learner.sent_bytes;
-                "changing the voters of the control log to {names}, a replica has caught up"
-            ),
-            None => log::info!("changing the voters of the control log to {names}"),
-        }
-    }
-
-    /// Appends the next membership change, if one is due.
-    fn advance_membership(&mut self, now: Instant, time_ms: u64) {
-        if let Some(voters) = self.next_membership(now) {
-            self.log_membership_change(now, &voters);
-            self.append_as_leader(time_ms, Payload::Members(Rc::new(voters)));
-        }
-    }
 }
--- a/laburnumlug-control/src/replica/writer.rs
+++ b/laburnumlug-control/src/replica/writer.rs
@@ -85,7 +85,7 @@
     /// Rewrites the data folder until that succeeds, after which this replica votes and replicates again.
     ///
     /// What the files hold after an error is not known, and a later sync of the same file does not cover writes whose
-    /// sync has failed. So every file is written anew, from what this replica has in memory, and synced.
+    /// sync has failed. So all files are replaced by new ones, written and synced from what this replica has in memory.
     async fn recover_folder(&self, journal: &mut Journal, snapshots: &SnapshotFile) {
         let failed_at = Instant::now();
         let mut delay = MIN_REWRITE_DELAY;
--- a/laburnumlug-mesh/src/pool.rs
+++ b/laburnumlug-mesh/src/pool.rs
@@ -103,7 +103,7 @@
 
     /// Establishes a new connection to `addr`.
     ///
-    /// The handshake has a timeout of its own, which follows how long earlier ones took: it has several round trips, and
+    /// The handshake has a separate timeout, which follows how long earlier ones took: it has several round trips, and
     /// a slow peer could never be reached otherwise. The handshake goes on if the returned future is dropped, and its
     /// connection is idle then.
     ///
