--- a/laburnumlug-control/src/replica/size_limits.rs
+++ b/laburnumlug-control/src/replica/size_limits.rs
@@ -1,11 +1,9 @@
 //! Size limits of the log and of its commands.
 
-/// Share of the disk, as a divisor, that a command, the entries between two snapshots and the uncommitted entries may
-/// each take.
+/// Share of the disk, as a divisor, that one command and the uncommitted entries may each take.
 ///
-/// At most this is on the disk at once: a journal of entries retained after the last snapshot, entries since then, the
-/// last append and uncommitted entries; the last snapshot; and a new snapshot or a new journal. A snapshot contains a
-/// document of at most one command and the audit trail.
+/// The journal, the last snapshot, and the new snapshot or journal that replaces one of them then fit on the disk
+/// together; `docs/CONTROL.md` has the sum.
 const DISK_SHARE_DIVISOR: u64 = 8;
 
 /// Maximum encoded size of a command, however large the disk is.
@@ -14,7 +12,7 @@
 /// Maximum size of the journal records between two snapshots, however large the disk is.
 const MAX_SNAPSHOT_INTERVAL_BYTES: u64 = 16 * 1024 * 1024;
 
-/// Divisor of [`DISK_SHARE_DIVISOR`]'s share that gives the size of the records between two snapshots.
+/// Divisor of that share that gives the size of the journal records between two snapshots.
 const SNAPSHOT_INTERVAL_DIVISOR: u64 = 2;
 
 /// Maximum total size of uncommitted entries, however large the disk is.
