Reword a comment in a test of membership changes

Cause: its wording was not the usual one. Change: one comment of a test. Measured: the tests of leadership pass; the formatter has no remarks.

--- a/laburnumlug-control/src/replica/leadership_tests.rs
+++ b/laburnumlug-control/src/replica/leadership_tests.rs
@@ -181,7 +181,7 @@
     assert_eq!(core.next_membership(now).unwrap(), voters()[..2]);
     apply_control_list(&mut core, &["x"]);
     assert_eq!(core.next_membership(now), None);
-    // If the voter that would remain does not answer, nothing could be committed any more.
+    // Without an answer from the voter that would remain, nothing could be committed.
     apply_control_list(&mut core, &["b", "c"]);
     set_progress(&mut core, now - 2 * LEADER_LEASE, &voters()[1], 1);
     assert_eq!(core.next_membership(now), None);
