Install signal handlers before anything else, and keep them

Callers of a process that got SIGHUP lost all answers in progress in these cases: an entry or a target process at any time; a gateway or a control replica that had just begun to listen; and a running gateway at the second of two SIGHUPs that followed one another closely. A SIGTERM during the start ended the process without an exit code.

Cause: the future of a signal installs its handler when it is first polled and removes it when it completes. Handlers were installed after the listeners, entries and target processes had none for SIGHUP, and the loop that awaited SIGHUP had none between two rounds.

Each role now begins with Signals::install, which returns once a thread has installed the handlers, and that thread keeps one of each for the life of the process.

--- a/laburnumlug-daemon/src/control.rs
+++ b/laburnumlug-daemon/src/control.rs
@@ -19,11 +19,16 @@
 use crate::metrics::{self, Metrics};
 use crate::role_planner::RolePlanner;
 use crate::settings::ControlSettings;
+use crate::signal::Signals;
 use crate::software_recorder::SoftwareRecorder;
-use crate::{logging, settings_watch, signal, target_reader};
+use crate::{logging, settings_watch, target_reader};
 
 /// Runs a control replica until it is asked to stop.
-pub(crate) async fn run(settings: ControlSettings, path: PathBuf) -> Result<(), Error> {
+pub(crate) async fn run(
+    settings: ControlSettings,
+    path: PathBuf,
+    mut signals: Signals,
+) -> Result<(), Error> {
     logging::start("control", &settings.process, &settings.log)?;
     let server = start(settings, Rc::new(Metrics::new()?)).await?;
     let replica = server.replica.clone();
@@ -41,7 +46,7 @@
         },
     ))
     .detach();
-    signal::stop_requested().await;
+    signals.stop_requested().await;
     server.stop().await;
     Ok(())
 }
--- a/laburnumlug-daemon/src/dev.rs
+++ b/laburnumlug-daemon/src/dev.rs
@@ -17,7 +17,8 @@
     BackendKind, ControlSettings, EntrySettings, LogOutput, LogSettings, MeshSettings,
     ProcessSettings, TargetSettings,
 };
-use crate::{control, entry, logging, signal, target};
+use crate::signal::Signals;
+use crate::{control, entry, logging, target};
 
 /// Number of stand-in engines.
 const ENGINE_COUNT: usize = 3;
@@ -38,7 +39,7 @@
 const ZONE: &str = "dev-a";
 
 /// Runs all roles until the process is asked to stop.
-pub(crate) async fn run(args: DevArgs) -> Result<(), Error> {
+pub(crate) async fn run(args: DevArgs, mut signals: Signals) -> Result<(), Error> {
     let process = ProcessSettings {
         vm: "dev".into(),
         zone: ZONE.into(),
@@ -50,7 +51,7 @@
     };
     logging::start("dev", &process, &log)?;
     let data = DataFolder::create()?;
-    let result = run_roles(&args, process, log, &data.path).await;
+    let result = run_roles(&args, process, log, &data.path, &mut signals).await;
     drop(data);
     result
 }
@@ -61,6 +62,7 @@
     process: ProcessSettings,
     log: LogSettings,
     data: &Path,
+    signals: &mut Signals,
 ) -> Result<(), Error> {
     let metrics = Rc::new(Metrics::new()?);
     let key = MeshKey::new(&format!("{:032x}", rand::random::<u128>()));
@@ -128,7 +130,7 @@
         "ready: callers on http://{}, operators on http://{}",
         args.caller, args.operator
     );
-    signal::stop_requested().await;
+    signals.stop_requested().await;
     entry.stop().await;
     for process in target_processes {
         process.stop().await;
--- a/laburnumlug-daemon/src/entry/mod.rs
+++ b/laburnumlug-daemon/src/entry/mod.rs
@@ -32,7 +32,8 @@
 use crate::listener::bind;
 use crate::metrics::{self, Metrics};
 use crate::settings::EntrySettings;
-use crate::{logging, registration, signal};
+use crate::signal::Signals;
+use crate::{logging, registration};
 
 /// Timeout for opening a connection to a target process.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -65,12 +66,12 @@
 }
 
 /// Runs an entry until it is asked to stop.
-pub(crate) async fn run(settings: EntrySettings) -> Result<(), Error> {
+pub(crate) async fn run(settings: EntrySettings, mut signals: Signals) -> Result<(), Error> {
     logging::start("entry", &settings.process, &settings.log)?;
     let metrics = Rc::new(Metrics::new()?);
     metrics::serve(settings.metrics, metrics.clone()).await?;
     let server = start(settings, metrics).await?;
-    signal::stop_requested().await;
+    signals.stop_requested().await;
     server.stop().await;
     Ok(())
 }
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -25,7 +25,8 @@
 use crate::listener::bind;
 use crate::metrics::{self, Metrics};
 use crate::settings::GatewaySettings;
-use crate::{logging, settings_watch, signal};
+use crate::signal::Signals;
+use crate::{logging, settings_watch};
 
 /// Time in which a gateway that stops reports the counts of its last requests: an interval between polls and an exchange.
 const LAST_REPORT_TIME: Duration = Duration::from_millis(700);
@@ -117,7 +118,11 @@
 }
 
 /// Runs a gateway until it is asked to stop.
-pub(crate) async fn run(settings: GatewaySettings, path: PathBuf) -> Result<(), Error> {
+pub(crate) async fn run(
+    settings: GatewaySettings,
+    path: PathBuf,
+    mut signals: Signals,
+) -> Result<(), Error> {
     logging::start("gateway", &settings.process, &settings.log)?;
     let metrics = Rc::new(Metrics::new()?);
     let cfg = ForwardConfig::new(&settings.process.zone)
@@ -178,7 +183,7 @@
     let handler = Rc::new(ForwardHandler::new(forwarder.clone()));
     let server_task = compio::runtime::spawn(server.run(handler));
     log::info!("the gateway serves callers on {}", settings.listen);
-    signal::stop_requested().await;
+    signals.stop_requested().await;
     let now = Instant::now();
     let schedule = ShutdownSchedule::new(now, settings.grace_period);
     let ms_until = |at: Instant| at.saturating_duration_since(now).as_millis() as u64;
--- a/laburnumlug-daemon/src/lib.rs
+++ b/laburnumlug-daemon/src/lib.rs
@@ -42,6 +42,7 @@
 
 pub use crate::args::Args;
 pub use crate::error::Error;
+use crate::signal::{Hangup, Signals};
 
 /// Exit code for an invalid command line or settings file.
 const EXIT_SETTINGS: i32 = 2;
@@ -54,6 +55,18 @@
 
 /// Runs the role selected on the command line and returns the process's exit code.
 pub fn run(args: Args) -> i32 {
+    let hangup = match args.role {
+        args::Role::Dev(_) => Hangup::Ends,
+        _ => Hangup::Ignored,
+    };
+    // Nothing may come before: without handlers, a signal ends the process.
+    let signals = match Signals::install(hangup) {
+        Ok(signals) => signals,
+        Err(err) => {
+            eprintln!("laburnumlugd: failed to install the signal handlers: {err}");
+            return EXIT_FAILURE;
+        }
+    };
     let runtime = match compio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(err) => {
@@ -61,7 +74,7 @@
             return EXIT_FAILURE;
         }
     };
-    match runtime.block_on(run_role(args)) {
+    match runtime.block_on(run_role(args, signals)) {
         Ok(()) => 0,
         Err(err) => {
             eprintln!("laburnumlugd: {err}");
@@ -75,23 +88,25 @@
     }
 }
 
-async fn run_role(args: Args) -> Result<(), Error> {
+async fn run_role(args: Args, signals: Signals) -> Result<(), Error> {
     match args.role {
-        args::Role::Entry(args) => entry::run(settings::EntrySettings::read(&args.settings)?).await,
+        args::Role::Entry(args) => {
+            entry::run(settings::EntrySettings::read(&args.settings)?, signals).await
+        }
         args::Role::Target(args) => {
-            target::run(settings::TargetSettings::read(&args.settings)?).await
+            target::run(settings::TargetSettings::read(&args.settings)?, signals).await
         }
         args::Role::Control(args) => match settings::RedirectSettings::read(&args.settings)? {
-            Some(settings) => redirect::run(settings, args.settings).await,
+            Some(settings) => redirect::run(settings, args.settings, signals).await,
             None => {
                 let settings = settings::ControlSettings::read(&args.settings)?;
-                control::run(settings, args.settings).await
+                control::run(settings, args.settings, signals).await
             }
         },
         args::Role::Gateway(args) => {
             let settings = settings::GatewaySettings::read(&args.settings)?;
-            gateway::run(settings, args.settings).await
+            gateway::run(settings, args.settings, signals).await
         }
-        args::Role::Dev(args) => dev::run(args).await,
+        args::Role::Dev(args) => dev::run(args, signals).await,
     }
 }
--- a/laburnumlug-daemon/src/redirect.rs
+++ b/laburnumlug-daemon/src/redirect.rs
@@ -11,10 +11,15 @@
 use crate::error::Error;
 use crate::listener::bind;
 use crate::settings::RedirectSettings;
-use crate::{logging, settings_watch, signal};
+use crate::signal::Signals;
+use crate::{logging, settings_watch};
 
 /// Redirects operators until the process is asked to stop.
-pub(crate) async fn run(settings: RedirectSettings, path: PathBuf) -> Result<(), Error> {
+pub(crate) async fn run(
+    settings: RedirectSettings,
+    path: PathBuf,
+    mut signals: Signals,
+) -> Result<(), Error> {
     logging::start("control", &settings.process, &settings.log)?;
     let addr = settings.operators;
     let listener = bind(addr).await?;
@@ -38,7 +43,7 @@
     });
     let server_task = compio::runtime::spawn(server.run(handler));
     log::info!("no data folder: redirecting operators on {addr} to other control processes");
-    signal::stop_requested().await;
+    signals.stop_requested().await;
     shutdown.shut_down();
     // A panic of the server's task would already have terminated the process.
     let _ = server_task.await;
--- a/laburnumlug-daemon/src/settings_watch.rs
+++ b/laburnumlug-daemon/src/settings_watch.rs
@@ -6,14 +6,11 @@
 /// Interval between reads of the file, which may change without a signal.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
-const SIGHUP: i32 = 1;
-
 /// Polls the file and calls `reload` whenever its content has changed.
 pub(crate) async fn run<F>(path: PathBuf, reload: F)
 where
     F: Fn(),
 {
-    compio::runtime::spawn(ignore_sighup()).detach();
     let mut last_content = std::fs::read(&path).ok();
     loop {
         compio::time::sleep(POLL_INTERVAL).await;
@@ -30,10 +27,3 @@
         }
     }
 }
-
-/// Keeps SIGHUP from terminating the process; the file is polled anyway.
-async fn ignore_sighup() {
-    while compio::signal::unix::signal(SIGHUP).await.is_ok() {
-        log::info!("ignored SIGHUP: the settings file is polled for changes");
-    }
-}
--- a/laburnumlug-daemon/src/target/mod.rs
+++ b/laburnumlug-daemon/src/target/mod.rs
@@ -35,7 +35,8 @@
 use crate::listener::bind;
 use crate::metrics::{self, Metrics};
 use crate::settings::{BackendKind, TargetSettings};
-use crate::{logging, registration, signal};
+use crate::signal::Signals;
+use crate::{logging, registration};
 
 /// Time that a planned stop allows after the drain timeout for completions to migrate to other engines.
 const MIGRATION_TIMEOUT: Duration = Duration::from_secs(2);
@@ -76,12 +77,12 @@
 }
 
 /// Runs a target process until it is asked to stop.
-pub(crate) async fn run(settings: TargetSettings) -> Result<(), Error> {
+pub(crate) async fn run(settings: TargetSettings, mut signals: Signals) -> Result<(), Error> {
     logging::start("target", &settings.process, &settings.log)?;
     let metrics = Rc::new(Metrics::new()?);
     metrics::serve(settings.metrics, metrics.clone()).await?;
     let process = start(settings, metrics).await?;
-    signal::stop_requested().await;
+    signals.stop_requested().await;
     process.stop().await;
     Ok(())
 }
--- a/laburnumlug-daemon/tests/it/harness.rs
+++ b/laburnumlug-daemon/tests/it/harness.rs
@@ -125,6 +125,11 @@
         let _ = self.child.wait();
     }
 
+    /// Returns the status with which the process has exited, if it has.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().unwrap()
+    }
+
     /// Waits until the process exits by itself; panics after [`WAIT_TIMEOUT`].
     pub async fn wait(&mut self) -> ExitStatus {
         let child = RefCell::new(&mut self.child);
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -23,6 +23,7 @@
 mod scaling;
 mod settings;
 mod settings_page;
+mod signals;
 mod silent_connections;
 mod silent_process;
 #[path = "../../../platform/tests/it/standin.rs"]
--- /dev/null
+++ b/laburnumlug-daemon/tests/it/signals.rs
@@ -0,0 +1,114 @@
+//! Signals at any time of a process: while it starts, in series, and while it stops.
+
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+
+use crate::client;
+use crate::harness::{Fleet, FleetConfig, block_on, wait_for};
+use crate::platform_fleet::{Cluster, Gateway, readiness_status, start_replica};
+
+/// Time after a signal in which a process that does not handle it has ended.
+const EXIT_TIME: Duration = Duration::from_millis(200);
+
+/// Number of starts of each process that are tried.
+const STARTS: usize = 10;
+
+/// Number of signals in a series; the time between two of them is as short as can be.
+const SIGNALS_IN_SERIES: usize = 20_000;
+
+/// Waits, without a pause, until `addr` accepts connections.
+fn wait_for_listener(addr: SocketAddr) {
+    let started_at = Instant::now();
+    while TcpStream::connect(addr).is_err() {
+        assert!(started_at.elapsed() < Duration::from_secs(10));
+    }
+}
+
+/// Guards against gateways and control replicas that end at a SIGHUP which arrives as soon as they listen.
+#[test]
+fn hangup_while_starting() {
+    block_on(async {
+        let cluster = Cluster::start();
+        for i in 0..STARTS {
+            let mut gateway = Gateway::start(&cluster.folder, &cluster.seeds()).await;
+            wait_for_listener(gateway.caller_addr);
+            gateway.process.signal(Signal::HUP);
+            compio::time::sleep(EXIT_TIME).await;
+            assert_eq!(gateway.process.exit_status(), None, "gateway, start {i}");
+            let addrs = (crate::harness::free_addr(), crate::harness::free_addr());
+            let mut replica = start_replica(
+                &cluster.folder,
+                1,
+                addrs.0,
+                addrs.1,
+                &cluster.seeds(),
+                false,
+            );
+            wait_for_listener(replica.mesh_addr);
+            replica.process.signal(Signal::HUP);
+            compio::time::sleep(EXIT_TIME).await;
+            assert_eq!(replica.process.exit_status(), None, "replica, start {i}");
+        }
+    });
+}
+
+/// Guards against entries and target processes that end at a SIGHUP and cut the answers in progress.
+#[test]
+fn hangup_of_entry_and_target() {
+    block_on(async {
+        let mut fleet = Fleet::start(FleetConfig::default().entries(1)).await;
+        for name in ["entry-1", "billet-1", "skriver-1"] {
+            fleet.process(name).signal(Signal::HUP);
+            compio::time::sleep(EXIT_TIME).await;
+            assert_eq!(fleet.process(name).exit_status(), None, "{name}");
+        }
+        let status = client::get_status_and_body(fleet.entry_addrs[0], "/health").await;
+        assert_eq!(status.map(|(status, _)| status), Some(200));
+    });
+}
+
+/// Guards against a gateway that ends, or no longer serves, when SIGHUPs follow one another closely, also while it stops.
+#[test]
+fn hangup_in_series() {
+    block_on(async {
+        let cluster = Cluster::start();
+        let mut gateway = Gateway::start(&cluster.folder, &cluster.seeds()).await;
+        cluster.replace_config(0, 1, 2000).await;
+        let ready_addr = gateway.ready_addr;
+        wait_for("a ready gateway", || async {
+            (readiness_status(ready_addr).await? == 200).then_some(())
+        })
+        .await;
+        for stops in [false, true] {
+            if stops {
+                gateway.process.signal(Signal::TERM);
+            }
+            for _ in 0..SIGNALS_IN_SERIES {
+                gateway.process.signal(Signal::HUP);
+            }
+            compio::time::sleep(EXIT_TIME).await;
+            assert_eq!(gateway.process.exit_status(), None, "stops: {stops}");
+            let expected = if stops { 503 } else { 200 };
+            assert_eq!(readiness_status(ready_addr).await, Some(expected));
+        }
+        assert_eq!(gateway.process.wait().await.code(), Some(0));
+    });
+}
+
+/// Guards against processes that a SIGTERM ends without an exit code although they listen already.
+#[test]
+fn stop_while_starting() {
+    block_on(async {
+        let cluster = Cluster::start();
+        for i in 0..STARTS {
+            let mut gateway = Gateway::start(&cluster.folder, &cluster.seeds()).await;
+            wait_for_listener(gateway.ready_addr);
+            gateway.process.signal(Signal::TERM);
+            gateway.process.signal(Signal::TERM);
+            let code = gateway.process.wait().await.code();
+            assert_eq!(code, Some(0), "gateway, start {i}");
+        }
+    });
+}
