Bound what a leader keeps in memory while its disk hangs

What callers saw: nothing yet; a leader whose disk answers nothing while the other voters commit keeps each change twice, in the queue of writes and in the log, until the process reaches its memory limit.

The limit of uncommitted entries does not hold, as they are committed.

Writes are counted by their place in the queue, so that the sync of a replacement also reports those that it covers.

Evidence: queue_bounded_while_disk_hangs (disk of 4 MB, 200 changes of 40 kB) failed before with 1,002,572 bytes queued and passes now; next_batch_covers_replaced_writes passes. 97 tests of the package pass.

--- a/laburnumlug-control/src/replica/compaction.rs
+++ b/laburnumlug-control/src/replica/compaction.rs
@@ -14,9 +14,15 @@
 
 impl Core {
     /// Returns whether the entries or the journal records since the last snapshot have reached their limit.
+    ///
+    /// The journal does not grow while the disk hangs, but the log in memory does.
     pub(super) fn is_snapshot_due(&self) -> bool {
         let entries = self.applied_index - self.snapshot_index;
-        let growth = self.journal_bytes - self.journal_bytes_at_snapshot;
+        let journal_growth = self.journal_bytes - self.journal_bytes_at_snapshot;
+        let log_growth = self
+            .log
+            .bytes_between(self.snapshot_index, self.applied_index);
+        let growth = journal_growth.max(log_growth);
         entries >= self.snapshot_entries || (entries > 0 && growth >= self.limits.snapshot_interval)
     }
 
--- a/laburnumlug-control/src/replica/core.rs
+++ b/laburnumlug-control/src/replica/core.rs
@@ -79,7 +79,9 @@
     /// Latest observed position of each replica's data folder.
     pub(super) observed_positions: BTreeMap<ReplicaId, Position>,
     pub(super) pending_writes: VecDeque<QueuedWrite>,
+    /// Number of writes that were ever queued.
     pub(super) queued_write_count: u64,
+    /// Number of these that are synced, or that a synced replacement of the folder has covered.
     pub(super) synced_write_count: u64,
     /// Index of the last log entry that is synced on this replica.
     pub(super) durable_index: LogIndex,
@@ -225,14 +227,18 @@
         self.queue_write(QueuedWrite::Record(JournalRecord::Truncate { from }));
     }
 
+    /// Queues a write; a replacement of the folder takes the place of all writes that still wait.
     pub(super) fn queue_write(&mut self, write: QueuedWrite) {
+        if let QueuedWrite::Replace { .. } = write {
+            self.pending_writes.clear();
+        }
         self.pending_writes.push_back(write);
         self.queued_write_count += 1;
     }
 
-    /// Records that `count` more writes are synced, after which the synced log ends at `last`.
-    pub(super) fn record_synced(&mut self, count: u64, last: Option<LogIndex>) {
-        self.synced_write_count += count;
+    /// Records that the first `through` writes that were queued are synced, after which the synced log ends at `last`.
+    pub(super) fn record_synced(&mut self, through: u64, last: Option<LogIndex>) {
+        self.synced_write_count = through;
         let Some(last) = last else { return };
         // Entries that a queued write will remove do not count as durable.
         let truncated = self.pending_writes.iter().filter_map(|write| match write {
--- a/laburnumlug-control/src/replica/writer.rs
+++ b/laburnumlug-control/src/replica/writer.rs
@@ -42,8 +42,8 @@
                 self.recover_folder(&mut journal, &snapshots).await;
                 continue;
             }
-            let batch = self.core.borrow_mut().next_batch(self.cfg.group_commit);
-            let (count, last) = batch.count_and_last_index();
+            let (batch, through) = self.core.borrow_mut().next_batch(self.cfg.group_commit);
+            let last = batch.last_index();
             let is_replacement = matches!(batch, WriteBatch::Replace { .. });
             let batch = self.with_observed_positions(batch, &mut written_positions);
             match write_batch(&mut journal, &snapshots, batch).await {
@@ -51,7 +51,7 @@
                     let mut core = self.core.borrow_mut();
                     core.record_journal_bytes(journal.len(), is_replacement);
                     drop(core);
-                    self.record_synced(count, last);
+                    self.record_synced(through, last);
                 }
                 Err(err) => self.handle_storage_error(&err),
             }
@@ -116,22 +116,18 @@
         let file = self.meta.lock().await;
         let meta = self.core.borrow().meta.clone();
         file.write(&meta).await?;
-        let (batch, queued) = {
-            let mut core = self.core.borrow_mut();
-            (core.rewrite_batch(), core.queued_write_count)
-        };
-        let (_, last) = batch.count_and_last_index();
+        let (batch, through) = self.core.borrow_mut().rewrite_batch();
+        let last = batch.last_index();
         write_batch(journal, snapshots, batch).await?;
         let mut core = self.core.borrow_mut();
         core.record_journal_bytes(journal.len(), true);
-        let count = queued - core.synced_write_count;
-        core.record_synced(count, last);
+        core.record_synced(through, last);
         Ok(())
     }
 
-    fn record_synced(&self, count: u64, last: Option<LogIndex>) {
+    fn record_synced(&self, through: u64, last: Option<LogIndex>) {
         let mut core = self.core.borrow_mut();
-        core.record_synced(count, last);
+        core.record_synced(through, last);
         core.commit_by_majority();
         drop(core);
         self.notify();
@@ -157,33 +153,37 @@
 }
 
 impl WriteBatch {
-    /// Returns the number of queued writes in the batch, and the last log index after them if they change it.
-    fn count_and_last_index(&self) -> (u64, Option<LogIndex>) {
-        let (count, records) = match self {
-            WriteBatch::Append(records) => (records.len() as u64, records),
-            WriteBatch::Replace { records, .. } => (1, records),
-        };
-        let last = records.iter().rev().find_map(|record| match record {
+    /// Returns the last log index after the batch, if it changes the log.
+    fn last_index(&self) -> Option<LogIndex> {
+        let (WriteBatch::Append(records) | WriteBatch::Replace { records, .. }) = self;
+        records.iter().rev().find_map(|record| match record {
             JournalRecord::Append(entry) => Some(entry.index),
             JournalRecord::Truncate { from } => Some(from - 1),
             JournalRecord::Base { index, .. } => Some(*index),
             JournalRecord::ObservedPosition { .. } => None,
-        });
-        (count, last)
+        })
     }
 }
 
 impl Core {
-    /// Replaces all queued writes by one that writes the whole snapshot and log.
-    fn rewrite_batch(&mut self) -> WriteBatch {
+    /// Replaces all queued writes by one that writes the whole snapshot and log; also returns their number.
+    fn rewrite_batch(&mut self) -> (WriteBatch, u64) {
         self.pending_writes.clear();
         let snapshot = (self.applied_index > 0).then(|| self.compact());
         let records = self.journal_records();
-        WriteBatch::Replace { snapshot, records }
+        let batch = WriteBatch::Replace { snapshot, records };
+        (batch, self.queued_write_count)
     }
 
-    /// Removes the writes of the next sync from the queue.
-    fn next_batch(&mut self, group_commit: bool) -> WriteBatch {
+    /// Removes the writes of the next sync from the queue, and returns how many queued writes are synced after it.
+    fn next_batch(&mut self, group_commit: bool) -> (WriteBatch, u64) {
+        let batch = self.take_writes(group_commit);
+        // Each write that still waits was queued after all that are synced or covered.
+        let waiting = self.pending_writes.len() as u64;
+        (batch, self.queued_write_count - waiting)
+    }
+
+    fn take_writes(&mut self, group_commit: bool) -> WriteBatch {
         if let Some(QueuedWrite::Replace { .. }) = self.pending_writes.front()
             && let Some(QueuedWrite::Replace { snapshot, records }) =
                 self.pending_writes.pop_front()
@@ -201,3 +201,7 @@
         WriteBatch::Append(records)
     }
 }
+
+#[cfg(test)]
+#[path = "writer_tests.rs"]
+mod tests;
