--- a/laburnumlug-control/src/replica/storage_tests.rs
+++ b/laburnumlug-control/src/replica/storage_tests.rs
@@ -6,6 +6,7 @@
 use laburnumlug::Verdict;
 use laburnumlug_mesh::MeshKey;
 
+use super::open::back_up_files;
 use super::{Replica, ReplicaConfig};
 use crate::command::{Command, FleetChange};
 
@@ -119,3 +120,45 @@
         submit_large_changes(&replica, 1, 40_000).await;
     });
 }
+
+/// Returns the total length of the backups in a folder, and their number.
+fn backups(folder: &Folder) -> (u64, usize) {
+    let entries = std::fs::read_dir(&folder.path).unwrap();
+    let folders = entries.map(|entry| entry.unwrap().path());
+    let backups: Vec<Folder> = folders
+        .filter(|path| path.is_dir())
+        .map(|path| Folder { path })
+        .collect();
+    let bytes = backups.iter().map(Folder::bytes).sum();
+    let count = backups.len();
+    backups.into_iter().for_each(std::mem::forget);
+    (bytes, count)
+}
+
+/// Guards against backups that fill the disk, as each reset of the folder adds one and none is removed.
+#[test]
+fn back_up_files_repeated() {
+    let folder = Folder::new();
+    let max_bytes = 100_000;
+    for round in 0..20 {
+        std::fs::write(folder.path.join("log"), vec![round; 30_000]).unwrap();
+        back_up_files(&folder.path, max_bytes).unwrap();
+        let (bytes, _) = backups(&folder);
+        assert!(bytes <= max_bytes, "the backups have {bytes} bytes");
+    }
+    let (_, count) = backups(&folder);
+    assert_eq!(count, 3, "earlier backups are kept where there is room");
+}
+
+/// Guards against a part of a backup that is left behind by a full disk and takes the space of the next attempt.
+#[test]
+fn back_up_files_failed() {
+    let folder = Folder::new();
+    std::fs::write(folder.path.join("meta"), [0; 100]).unwrap();
+    // A folder in place of a file stands in for a file that cannot be copied.
+    std::fs::create_dir(folder.path.join("log")).unwrap();
+    std::fs::write(folder.path.join("log").join("file"), [0; 100]).unwrap();
+    assert!(back_up_files(&folder.path, 1_000_000).is_err());
+    std::fs::remove_dir_all(folder.path.join("log")).unwrap();
+    assert_eq!(backups(&folder), (0, 0));
+}
