Go on logging after an output has refused a line

What operators saw: nothing yet; a process whose log goes to a file on a disk that was full for a moment logs nothing from then on, while it serves.

Cause: the thread that writes the lines ended at the first error.

Change: it goes on. Lines that could not be written count as dropped, are reported with the next that can, and a line that was cut is ended first.

Evidence: append_after_full_disk passes; with the previous end of the thread it fails with "the line that failed is not counted". The other two tests of the module, now in a test file, pass unchanged.

--- a/laburnumlug-daemon/src/log_writer.rs
+++ b/laburnumlug-daemon/src/log_writer.rs
@@ -74,7 +74,7 @@
 pub(crate) struct LogWriter {
     tx: SyncSender<Vec<u8>>,
     limiter: Mutex<RateLimiter>,
-    /// Number of lines dropped because the queue was full.
+    /// Number of lines dropped because the queue was full or the output could not be written.
     dropped: Arc<AtomicU64>,
     encoder: JsonEncoder,
 }
@@ -145,84 +145,34 @@
 where
     W: Write,
 {
+    let mut is_torn = false;
     while let Ok(first) = rx.recv() {
-        let mut buf = first;
+        let mut buf = Vec::new();
+        if is_torn {
+            // Ends the line of which the failed write has left only a part.
+            buf.push(b'\n');
+        }
+        buf.extend_from_slice(&first);
+        let mut lines = 1;
         while let Ok(line) = rx.try_recv() {
             buf.extend_from_slice(&line);
+            lines += 1;
         }
         let dropped_lines = dropped.swap(0, Ordering::Relaxed);
         if dropped_lines > 0 {
             let note = format!(
-                "{{\"level\":\"WARN\",\"message\":\"{dropped_lines} lines were dropped: the log queue was full\"}}\n"
+                "{{\"level\":\"WARN\",\"message\":\"{dropped_lines} lines were dropped: the log queue was full or the output could not be written\"}}\n"
             );
             buf.extend_from_slice(note.as_bytes());
         }
-        // A failure of the log output itself cannot be logged.
-        if out.write_all(&buf).and_then(|()| out.flush()).is_err() {
-            return;
+        // A failure of the log output itself cannot be logged while it lasts, and may pass, as that of a full disk does.
+        is_torn = out.write_all(&buf).and_then(|()| out.flush()).is_err();
+        if is_torn {
+            dropped.fetch_add(lines + dropped_lines, Ordering::Relaxed);
         }
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use std::sync::mpsc::channel;
-
-    use super::*;
-
-    fn kind(cause: &str) -> LineKind {
-        ("module", 1, cause.to_string())
-    }
-
-    /// Guards against a burst of refusals for one cause that suppresses the lines of other causes.
-    #[test]
-    fn admit_bounds_each_cause() {
-        let now = Instant::now();
-        let mut limiter = RateLimiter::default();
-        let admitted = (0..10_000)
-            .filter(|_| limiter.admit(now, kind("busy")).is_some())
-            .count();
-        assert_eq!(admitted as f64, BURST_LINES);
-        assert_eq!(limiter.admit(now, kind("no-route")), Some(0));
-        // The next admitted line reports how many were suppressed.
-        let later = now + Duration::from_secs(1);
-        assert_eq!(
-            limiter.admit(later, kind("busy")),
-            Some(10_000 - BURST_LINES as u64)
-        );
-        assert_eq!(limiter.admit(later, kind("busy")), Some(0));
-    }
-
-    /// Writer that blocks until it is released.
-    struct BlockingWriter {
-        release: Receiver<()>,
-    }
-
-    impl Write for BlockingWriter {
-        fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
-            let _ = self.release.recv();
-            Ok(buf.len())
-        }
-
-        fn flush(&mut self) -> std::io::Result<()> {
-            Ok(())
-        }
-    }
-
-    /// Guards against requests that wait for the log after its reader has stopped reading.
-    #[test]
-    fn append_to_blocked_output_does_not_wait() {
-        let (tx, release) = channel();
-        let writer = LogWriter::start(BlockingWriter { release });
-        for line in 0..3 * MAX_QUEUED_LINES as u32 {
-            let record = Record::builder()
-                .args(format_args!("line"))
-                .module_path_static(Some("module"))
-                .line(Some(line))
-                .build();
-            writer.append(&record).unwrap();
-        }
-        assert!(writer.dropped.load(Ordering::Relaxed) > 0);
-        drop(tx);
-    }
-}
+#[path = "log_writer_tests.rs"]
+mod tests;
