Check the shutdown schedule whenever a request is sent

A request that may not be repeated and arrived at a stopping gateway in time was sent to a second server when the first had refused it 2 s later, at which time the gateway refuses such requests of callers. It was answered 502 at the end of the grace period, while the second server ran it.

Cause: the schedule was asked when a request arrived and when its body was complete, but not after later waits: for a refusal, a rate limit or a prefill.

send_attempt, which all requests to servers pass, asks it now as long as nothing may have run the request, and refuses it as not run (cause `stopping`). Requests that may have run are tried on, as a refusal would not be true.

--- a/laburnumlug-daemon/tests/it/planned_stop.rs
+++ b/laburnumlug-daemon/tests/it/planned_stop.rs
@@ -1,6 +1,6 @@
 //! Planned stops while requests are on their way.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -9,12 +9,14 @@
 use std::time::{Duration, Instant};
 
 use compio::net::TcpListener;
+use hyper::header::HeaderValue;
 use laburnumlug_http::{Limits, Request, Server, text_response};
 use rustix::process::Signal;
-use serde_json::json;
+use serde_json::{Value, json};
 
+use crate::client;
 use crate::harness::{Fleet, FleetConfig, Process, block_on, free_addr, wait_for};
-use crate::platform_fleet::{Cluster, Gateway, readiness_status, serve_target_list};
+use crate::platform_fleet::{Cluster, Gateway, config, readiness_status, serve_target_list};
 
 /// Time that the server takes to answer.
 const ANSWER_TIME: Duration = Duration::from_millis(20);
@@ -219,6 +221,100 @@
     });
 }
 
+/// Time that a server of [`start_refusing_server`] takes to refuse a request.
+const REFUSAL_TIME: Duration = Duration::from_millis(2000);
+
+/// Starts a server that refuses each request once after [`REFUSAL_TIME`], and then takes a minute to answer it, and returns its
+/// row in the list. The ids of the requests are added to `received`.
+async fn start_refusing_server(id: &str, received: Rc<RefCell<Vec<String>>>) -> Value {
+    let addr = free_addr();
+    let listener = TcpListener::bind(addr).await.unwrap();
+    let handler = Rc::new(move |req: Request| {
+        let request_id = req.headers().get("x-request-id").cloned();
+        let text = request_id.as_ref().map_or("", |id| id.to_str().unwrap());
+        let is_first = !received.borrow().iter().any(|id| id == text);
+        if !text.is_empty() {
+            received.borrow_mut().push(text.to_string());
+        }
+        async move {
+            let mut resp = text_response(503, "full");
+            if let Some(id) = request_id {
+                let not_executed = HeaderValue::from_static("true");
+                resp.headers_mut().insert("x-not-executed", not_executed);
+                resp.headers_mut().insert("x-request-id", id);
+                compio::time::sleep(if is_first {
+                    REFUSAL_TIME
+                } else {
+                    30 * REFUSAL_TIME
+                })
+                .await;
+            }
+            resp
+        }
+    });
+    compio::runtime::spawn(Server::new(listener, Limits::default()).run(handler)).detach();
+    json!({ "id": id, "service": "plain", "address": addr.to_string(), "zone": "z", "slots": 64,
+        "state": "ready" })
+}
+
+/// Guards against requests that arrive in time, wait until the gateway accepts no others, and are then sent to a server which
+/// may not answer before the exit: nothing has run them, so they are refused.
+#[test]
+fn gateway_stop_refuses_waiting_requests_that_outlast_exit() {
+    block_on(async {
+        let cluster = Cluster::start();
+        let received = Rc::new(RefCell::new(Vec::new()));
+        let mut rows = Vec::new();
+        for id in ["i-0", "i-1"] {
+            rows.push(start_refusing_server(id, received.clone()).await);
+        }
+        let list = json!({ "instances": rows, "next": null }).to_string();
+        let list_addr = serve_target_list(list).await;
+        let mut gateway =
+            Gateway::start_with_list(&cluster.folder, "g", list_addr, &cluster.seeds());
+        gateway.process.kill();
+        let path = cluster.folder.path().join("g.ini");
+        let text = std::fs::read_to_string(path).unwrap();
+        let settings = format!("{text}retry_slack = 100\n");
+        cluster.folder.write("g.ini", &settings);
+        gateway.restart(&cluster.folder);
+        let mut config = config(1, 30_000);
+        config["routes"][0]["kind"] = json!("unsafe");
+        config["routes"][0]["maxAttempts"] = json!(2);
+        let mut stream_route = config["routes"][0].clone();
+        stream_route["name"] = json!("streams");
+        stream_route["pathPrefix"] = json!("/s/");
+        stream_route["kind"] = json!("stream");
+        config["routes"].as_array_mut().unwrap().push(stream_route);
+        let operator_addr = cluster.replicas[0].operator_addr;
+        wait_for("an accepted configuration", || async {
+            let text = config.to_string();
+            let resp = client::post(operator_addr, "/config/replace", &[], &text).await?;
+            (resp.status == 200).then_some(())
+        })
+        .await;
+        wait_for("a ready gateway", || async {
+            (readiness_status(gateway.ready_addr).await? == 200).then_some(())
+        })
+        .await;
+        let mut streams = Vec::new();
+        gateway.process.signal(Signal::TERM);
+        for (id, path) in [("plain", "/p/x"), ("stream", "/s/x")] {
+            let mut stream = TcpStream::connect(gateway.caller_addr).unwrap();
+            let head =
+                format!("GET {path} HTTP/1.1\r\nhost: h.example\r\nx-request-id: {id}\r\n\r\n");
+            stream.write_all(head.as_bytes()).unwrap();
+            streams.push(stream);
+        }
+        for stream in streams {
+            let head = read_answer_async(stream).await;
+            assert!(head.starts_with("HTTP/1.1 503 "), "{head:?}");
+        }
+        assert_eq!(received.borrow().len(), 2, "{received:?}");
+        assert_eq!(gateway.process.wait().await.code(), Some(0));
+    });
+}
+
 /// Opens a connection, asks the process to stop twice, sends a request on the connection and checks that it is answered.
 async fn assert_stop_answers_request(process: &mut Process, addr: SocketAddr) {
     let mut stream = TcpStream::connect(addr).unwrap();
--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -135,9 +135,10 @@
     ) -> Result<PooledResponse, AttemptFailure> {
         let now = Instant::now();
         let time_left = request.time_left(now);
-        let result = match time_left.is_zero() {
-            true => Err(AttemptFailure::expired()),
-            false => {
+        let result = match self.check_not_stopping_unsent(now, request) {
+            Err(failure) => Err(failure),
+            Ok(()) if time_left.is_zero() => Err(AttemptFailure::expired()),
+            Ok(()) => {
                 target.health.borrow_mut().record_selection(now);
                 let attempt = AttemptHeaders {
                     instance: target.instance.clone(),
--- a/laburnumlug-forward/src/attempt_failure.rs
+++ b/laburnumlug-forward/src/attempt_failure.rs
@@ -104,7 +104,8 @@
     pub(crate) fn is_final(&self) -> bool {
         matches!(
             self.cause,
-            FailureCause::NoTarget
+            FailureCause::Stopping
+                | FailureCause::NoTarget
                 | FailureCause::AboveShare
                 | FailureCause::PromptBlocked
                 | FailureCause::RequestBlocked
--- a/laburnumlug-forward/src/shutdown.rs
+++ b/laburnumlug-forward/src/shutdown.rs
@@ -6,6 +6,8 @@
 use event_listener::Event;
 use laburnumlug_policy::ShutdownSchedule;
 
+use crate::attempt::CallerRequest;
+use crate::attempt_failure::AttemptFailure;
 use crate::forwarder::Forwarder;
 use crate::refusal::{FailureCause, Refusal};
 
@@ -63,6 +65,26 @@
             _ => Ok(()),
         }
     }
+
+    /// Checks, whenever a request is about to be sent, that it ends before this process exits, or that a target may have
+    /// run it already.
+    ///
+    /// A request may wait after it was accepted: for a rate limit, a prefill or the refusal of another target. As long as
+    /// nothing has run it, a refusal costs its caller less than an answer that the exit cuts.
+    pub(crate) fn check_not_stopping_unsent(
+        &self,
+        now: Instant,
+        request: &CallerRequest,
+    ) -> Result<(), AttemptFailure> {
+        if request.may_have_run.get() {
+            return Ok(());
+        }
+        self.check_not_stopping(now, request.deadline)
+            .map_err(|refusal| AttemptFailure {
+                retry_after: refusal.retry_after,
+                ..AttemptFailure::unsent(refusal.cause, refusal.detail)
+            })
+    }
 }
 
 /// Returns the refusal of a request that another gateway accepts at once.
--- a/laburnumlug-forward/src/stream/prefill.rs
+++ b/laburnumlug-forward/src/stream/prefill.rs
@@ -80,7 +80,10 @@
                 // A prefill alone does not count as execution, so another engine may repeat it.
                 Err(AttemptFailure {
                     verdict: Verdict::NotRun,
-                    cause: FailureCause::Unreachable,
+                    cause: match failure.cause {
+                        FailureCause::Stopping => FailureCause::Stopping,
+                        _ => FailureCause::Unreachable,
+                    },
                     at_prefill: true,
                     ..failure
                 })
