Read on after an answer that closes its connection

A client that had sent further requests on a connection, and read slowly, got "Connection reset by peer" after 64 of 192 KB of an answer that the server had written whole and that closed the connection, as each answer of a stopping gateway does.

Cause: the server closed the socket with its last byte. The kernel resets a connection that is closed with unread bytes, or that gets some later, and drops what the client has not got or not read.

The server now ends its sending half and discards what arrives until the client closes the connection, for a second at most. Connections that have been idle are closed as before.

--- a/laburnumlug-http/src/lib.rs
+++ b/laburnumlug-http/src/lib.rs
@@ -29,6 +29,7 @@
 mod connection;
 mod error;
 mod idle_limit;
+mod lingering_close;
 mod pool;
 mod requests_in_progress;
 mod revocable;
--- a/laburnumlug-http/src/requests_in_progress.rs
+++ b/laburnumlug-http/src/requests_in_progress.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use event_listener::Event;
 
@@ -10,6 +10,8 @@
 #[derive(Default)]
 pub(crate) struct RequestsInProgress {
     count: Cell<usize>,
+    /// When the last response was handed to the connection.
+    last_ended_at: Cell<Option<Instant>>,
     changed: Event,
 }
 
@@ -21,6 +23,12 @@
         RequestGuard { requests: self }
     }
 
+    /// Returns whether a request is in progress, or has been within `time`.
+    pub(crate) fn was_used_within(&self, now: Instant, time: Duration) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < time;
+        self.count.get() > 0 || self.last_ended_at.get().is_some_and(is_recent)
+    }
+
     /// Waits until a request is in progress.
     async fn any(&self) {
         while self.count.get() == 0 {
@@ -49,6 +57,7 @@
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.requests.count.set(self.requests.count.get() - 1);
+        self.requests.last_ended_at.set(Some(Instant::now()));
         self.requests.changed.notify(usize::MAX);
     }
 }
--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
@@ -19,6 +19,7 @@
 use rustix::net::{Shutdown, SocketFlags};
 
 use crate::body_reader::next_chunk;
+use crate::lingering_close::discard_until_closed;
 use crate::requests_in_progress::RequestsInProgress;
 use crate::{Response, hold_until_sent, text_response};
 
@@ -288,48 +289,50 @@
     // By default the kernel would buffer megabytes for a slow reader.
     let _ = set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
     let requests = Rc::new(RequestsInProgress::default());
-    let started = requests.clone();
     let socket = stream.clone();
     let is_http_1_0 = Rc::new(Cell::new(false));
-    let set_http_1_0 = is_http_1_0.clone();
-    let is_stopping = shared.clone();
-    let service = service_fn(move |mut req: Request| {
-        set_http_1_0.set(req.version() == hyper::Version::HTTP_10);
-        req.extensions_mut().insert(PeerAddr(peer));
-        let guard = started.clone().start();
-        let response = handler.handle(req);
-        let shared = is_stopping.clone();
-        async move {
-            let mut resp = response.await;
-            if shared.stopping.get() {
-                let close = HeaderValue::from_static("close");
-                resp.headers_mut().insert(CONNECTION, close);
+    let result = {
+        let started = requests.clone();
+        let set_http_1_0 = is_http_1_0.clone();
+        let is_stopping = shared.clone();
+        let service = service_fn(move |mut req: Request| {
+            set_http_1_0.set(req.version() == hyper::Version::HTTP_10);
+            req.extensions_mut().insert(PeerAddr(peer));
+            let guard = started.clone().start();
+            let response = handler.handle(req);
+            let shared = is_stopping.clone();
+            async move {
+                let mut resp = response.await;
+                if shared.stopping.get() {
+                    let close = HeaderValue::from_static("close");
+                    resp.headers_mut().insert(CONNECTION, close);
+                }
+                Ok::<_, Infallible>(hold_until_sent(resp, guard))
+            }
+        });
+        let conn = http1::Builder::new()
+            .timer(CompioTimer)
+            .header_read_timeout(limits.header_timeout)
+            .max_headers(limits.header_count)
+            .max_buf_size(limits.header_bytes)
+            .serve_connection(HyperStream::new_plain(stream), service);
+        let mut conn = pin!(conn);
+        let stop_reading = pin!(async {
+            if with_timeout(limits.lifetime, shared.stopped())
+                .await
+                .is_some()
+            {
+                // The response to a request that begins now states that the connection is closed, and closes it.
+                let unused = requests.unused_for(SHUTDOWN_LINGER);
+                with_timeout(limits.lifetime, unused).await;
+            }
+        });
+        match select(conn.as_mut(), stop_reading).await {
+            Either::Left((result, _)) => Some(result),
+            Either::Right(_) => {
+                conn.as_mut().graceful_shutdown();
+                with_timeout(limits.lifetime, conn).await
             }
-            Ok::<_, Infallible>(hold_until_sent(resp, guard))
-        }
-    });
-    let conn = http1::Builder::new()
-        .timer(CompioTimer)
-        .header_read_timeout(limits.header_timeout)
-        .max_headers(limits.header_count)
-        .max_buf_size(limits.header_bytes)
-        .serve_connection(HyperStream::new_plain(stream), service);
-    let mut conn = pin!(conn);
-    let stop_reading = pin!(async {
-        if with_timeout(limits.lifetime, shared.stopped())
-            .await
-            .is_some()
-        {
-            // The response to a request that begins now states that the connection is closed, and closes it.
-            let unused = requests.unused_for(SHUTDOWN_LINGER);
-            with_timeout(limits.lifetime, unused).await;
-        }
-    });
-    let result = match select(conn.as_mut(), stop_reading).await {
-        Either::Left((result, _)) => Some(result),
-        Either::Right(_) => {
-            conn.as_mut().graceful_shutdown();
-            with_timeout(limits.lifetime, conn).await
         }
     };
     match &result {
@@ -340,6 +343,8 @@
     if !matches!(result, Some(Ok(()))) && is_http_1_0.get() {
         // A response without chunks ends with its connection, so only a reset shows that it was aborted.
         let _ = socket.set_zero_linger();
+    } else if requests.was_used_within(Instant::now(), SHUTDOWN_LINGER) {
+        discard_until_closed(&socket, SHUTDOWN_LINGER).await;
     }
 }
 
