Bound interim responses, and yield while a peer sends without end

Seen: a server that answers with interim responses without end stops the gateway for as long as it sends: no deadline, health check or other request gets its turn. Its own request ends with 504 long after its deadline. A mesh connection with pings without end stops the process that accepts it, before the peer has proved anything. Cause: interim responses had no bound, and a task that reads from a connection yielded only when there was nothing left to read. Change: all HTTP connections use one byte stream, which yields after some reads in a row, and bounds the number of interim responses and the bytes before the end of a head. The byte stream of mesh connections yields in the same way. Why: the peer no longer decides how long a task runs, nor how much is read before an answer begins.

--- a/laburnumlug-http/src/client.rs
+++ b/laburnumlug-http/src/client.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use futures_util::FutureExt;
 use futures_util::future::Fuse;
 use http_body_util::Full;
@@ -15,8 +14,12 @@
 
 use crate::body_reader::{Framing, next_chunk, read_whole_body};
 use crate::error::Error;
+use crate::fair_stream::{FairStream, HeadLimit, MAX_HEAD_BYTES};
 use crate::socket;
 
+/// HTTP connection on which a client sends requests.
+pub(crate) type ClientConnection = http1::Connection<FairStream, Full<Bytes>>;
+
 /// Future that performs the I/O of one connection.
 type Driver = Pin<Box<dyn Future<Output = Result<(), hyper::Error>>>>;
 
@@ -36,15 +39,27 @@
     send_over(stream, req).await
 }
 
+/// Sets up HTTP on a connection; `head_limit` bounds the heads of its responses.
+pub(crate) async fn handshake(
+    stream: TcpStream,
+    head_limit: HeadLimit,
+) -> Result<(http1::SendRequest<Full<Bytes>>, ClientConnection), Error> {
+    http1::Builder::new()
+        .max_header_size(MAX_HEAD_BYTES)
+        .handshake(FairStream::new(stream, head_limit))
+        .await
+        .map_err(Error::exchange)
+}
+
 /// Sends one request on a connection and waits for the head of its response.
 pub(crate) async fn send_over(
     stream: TcpStream,
-    req: hyper::Request<Full<Bytes>>,
+    mut req: hyper::Request<Full<Bytes>>,
 ) -> Result<ClientResponse, Error> {
     let method = req.method().clone();
-    let (mut sender, conn) = http1::handshake(HyperStream::new_plain(stream))
-        .await
-        .map_err(Error::exchange)?;
+    let head_limit = HeadLimit::default();
+    let (mut sender, conn) = handshake(stream, head_limit.clone()).await?;
+    head_limit.begin(&mut req);
     let driver: Driver = Box::pin(conn);
     let mut driver = driver.fuse();
     let mut sending = Box::pin(sender.send_request(req)).fuse();
@@ -54,6 +69,7 @@
             result = driver => result.map_err(Error::exchange)?,
         }
     };
+    head_limit.end();
     drop(sending);
     let (parts, body) = head.into_parts();
     Ok(ClientResponse {
--- a/laburnumlug-http/src/connection.rs
+++ b/laburnumlug-http/src/connection.rs
@@ -10,13 +10,14 @@
 use bytes::Bytes;
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
-use cyper_core::HyperStream;
 use futures_util::FutureExt;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use rustix::net::RecvFlags;
 
+use crate::client::handshake;
 use crate::error::Error;
+use crate::fair_stream::HeadLimit;
 use crate::socket;
 use crate::unexpected_data::UnexpectedData;
 
@@ -31,6 +32,7 @@
     pub(crate) sender: http1::SendRequest<Full<Bytes>>,
     /// Second handle of the socket that the driver reads.
     socket: TcpStream,
+    head_limit: HeadLimit,
     carried: HashSet<RequestTag>,
     is_idle: Rc<Cell<bool>>,
     _driver: JoinHandle<()>,
@@ -44,9 +46,8 @@
         unexpected_data: Rc<UnexpectedData>,
     ) -> Result<Connection, Error> {
         let socket = socket::connect(addr, timeout).await?;
-        let (sender, conn) = http1::handshake(HyperStream::new_plain(socket.clone()))
-            .await
-            .map_err(Error::exchange)?;
+        let head_limit = HeadLimit::default();
+        let (sender, conn) = handshake(socket.clone(), head_limit.clone()).await?;
         let is_idle = Rc::new(Cell::new(false));
         let was_idle = is_idle.clone();
         let driver = compio::runtime::spawn(async move {
@@ -61,6 +62,7 @@
         Ok(Connection {
             sender,
             socket,
+            head_limit,
             carried: HashSet::new(),
             is_idle,
             _driver: driver,
@@ -80,12 +82,18 @@
         self.carried.len() >= MAX_REQUESTS
     }
 
-    /// Records that the connection carries a request.
-    pub(crate) fn begin_request(&mut self, tag: RequestTag) {
+    /// Records that the connection carries a request, which is sent next.
+    pub(crate) fn begin_request<B>(&mut self, tag: RequestTag, req: &mut hyper::Request<B>) {
         self.is_idle.set(false);
+        self.head_limit.begin(req);
         self.carried.insert(tag);
     }
 
+    /// Records that the head of the answer to the request has arrived.
+    pub(crate) fn record_head(&self) {
+        self.head_limit.end();
+    }
+
     /// Records that the connection carries no request.
     pub(crate) fn set_idle(&mut self) {
         self.is_idle.set(true);
--- a/laburnumlug-http/src/lib.rs
+++ b/laburnumlug-http/src/lib.rs
@@ -28,6 +28,7 @@
 mod client;
 mod connection;
 mod error;
+mod fair_stream;
 mod idle_limit;
 mod lingering_close;
 mod pool;
--- a/laburnumlug-http/src/pool.rs
+++ b/laburnumlug-http/src/pool.rs
@@ -263,12 +263,13 @@
     addr: SocketAddr,
     mut conn: Connection,
     tag: RequestTag,
-    req: hyper::Request<Full<Bytes>>,
+    mut req: hyper::Request<Full<Bytes>>,
 ) -> Result<PooledResponse, ExchangeError> {
-    conn.begin_request(tag);
+    conn.begin_request(tag, &mut req);
     let method = req.method().clone();
     match conn.sender.try_send_request(req).await {
         Ok(head) => {
+            conn.record_head();
             let (parts, body) = head.into_parts();
             Ok(PooledResponse {
                 addr,
--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use event_listener::Event;
 use futures_util::future::{Either, select};
 use hyper::header::{CONNECTION, HeaderValue};
@@ -19,6 +19,7 @@
 use rustix::net::{Shutdown, SocketFlags};
 
 use crate::body_reader::next_chunk;
+use crate::fair_stream::{FairStream, HeadLimit};
 use crate::lingering_close::discard_until_closed;
 use crate::requests_in_progress::RequestsInProgress;
 use crate::{Response, hold_until_sent, text_response};
@@ -315,7 +316,7 @@
             .header_read_timeout(limits.header_timeout)
             .max_headers(limits.header_count)
             .max_buf_size(limits.header_bytes)
-            .serve_connection(HyperStream::new_plain(stream), service);
+            .serve_connection(FairStream::new(stream, HeadLimit::default()), service);
         let mut conn = pin!(conn);
         let stop_reading = pin!(async {
             if with_timeout(limits.lifetime, shared.stopped())
--- a/laburnumlug-mesh/src/counted_stream.rs
+++ b/laburnumlug-mesh/src/counted_stream.rs
@@ -1,4 +1,4 @@
-//! Byte stream that counts what it receives.
+//! Byte stream that counts what it receives, and yields to other tasks.
 
 use std::cell::Cell;
 use std::io;
@@ -7,11 +7,16 @@
 use std::task::{Context, Poll};
 
 use futures_util::{AsyncRead, AsyncWrite};
+use laburnumlug::ReadTurn;
+
+/// Number of reads in a row after which a task yields; a read brings at most 4 KB.
+const MAX_READS_PER_TURN: u32 = 8;
 
 /// Stream that counts the bytes read from it, so that a slow transfer can be told from a peer that has stopped responding.
 pub(crate) struct CountedStream<S> {
     inner: S,
     received_bytes: Rc<Cell<u64>>,
+    turn: ReadTurn,
 }
 
 impl<S> CountedStream<S> {
@@ -19,6 +24,7 @@
         CountedStream {
             inner,
             received_bytes,
+            turn: ReadTurn::default(),
         }
     }
 }
@@ -32,10 +38,19 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        if self.turn.must_yield(MAX_READS_PER_TURN) {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let read = Pin::new(&mut self.inner).poll_read(cx, buf);
-        if let Poll::Ready(Ok(count)) = read {
-            let received = self.received_bytes.get() + count as u64;
-            self.received_bytes.set(received);
+        match read {
+            Poll::Pending => self.turn.record_pause(),
+            Poll::Ready(Ok(count)) => {
+                self.turn.record_read();
+                let received = self.received_bytes.get() + count as u64;
+                self.received_bytes.set(received);
+            }
+            Poll::Ready(Err(_)) => {}
         }
         read
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,7 +26,7 @@
 
 A [`QuorumConfirmation`] tells when a local copy of replicated state was last known to be up to date, from the
 answers of a majority of control replicas. [`BootTime`] is a clock that does not stop while the machine is suspended, and
-[`ReadTime`] the time at which information was requested.
+[`ReadTime`] the time at which information was requested. A [`ReadTurn`] bounds what a task reads before other tasks run.
 
 Type aliases ([`RequestId`], [`TargetName`], …) name the identifiers that the crates share.
 */
@@ -43,6 +43,7 @@
 mod listed_gateway;
 mod live_target;
 mod read_time;
+mod read_turn;
 mod software_record;
 mod usage_report;
 mod verdict;
@@ -66,6 +67,7 @@
 pub use crate::listed_gateway::ListedGateway;
 pub use crate::live_target::{LiveTarget, TargetList};
 pub use crate::read_time::ReadTime;
+pub use crate::read_turn::ReadTurn;
 pub use crate::software_record::SoftwareRecord;
 pub use crate::usage_report::{CustomerCounts, UsageReport};
 pub use crate::verdict::{ParseVerdictError, Verdict};
