--- a/laburnumlug-daemon/src/control.rs
+++ b/laburnumlug-daemon/src/control.rs
@@ -30,6 +30,7 @@
     mut signals: Signals,
 ) -> Result<(), Error> {
     logging::start("control", &settings.process, &settings.log)?;
+    laburnumlug_http::set_memory_budget(settings.process.memory_budget);
     let server = start(settings, Rc::new(Metrics::new()?)).await?;
     let replica = server.replica.clone();
     compio::runtime::spawn(settings_watch::run(
--- a/laburnumlug-daemon/src/dev.rs
+++ b/laburnumlug-daemon/src/dev.rs
@@ -15,7 +15,7 @@
 use crate::metrics::Metrics;
 use crate::settings::{
     BackendKind, ControlSettings, EntrySettings, LogOutput, LogSettings, MeshSettings,
-    ProcessSettings, TargetSettings,
+    ProcessSettings, TargetSettings, default_memory_budget,
 };
 use crate::signal::Signals;
 use crate::{control, entry, logging, target};
@@ -43,6 +43,7 @@
     let process = ProcessSettings {
         vm: "dev".into(),
         zone: ZONE.into(),
+        memory_budget: default_memory_budget(),
     };
     let log = LogSettings {
         level: log::LevelFilter::Warn,
@@ -50,6 +51,7 @@
         output: LogOutput::default(),
     };
     logging::start("dev", &process, &log)?;
+    laburnumlug_http::set_memory_budget(process.memory_budget);
     let data = DataFolder::create()?;
     let result = run_roles(&args, process, log, &data.path, &mut signals).await;
     drop(data);
--- a/laburnumlug-daemon/src/entry/mod.rs
+++ b/laburnumlug-daemon/src/entry/mod.rs
@@ -68,6 +68,7 @@
 /// Runs an entry until it is asked to stop.
 pub(crate) async fn run(settings: EntrySettings, mut signals: Signals) -> Result<(), Error> {
     logging::start("entry", &settings.process, &settings.log)?;
+    laburnumlug_http::set_memory_budget(settings.process.memory_budget);
     let metrics = Rc::new(Metrics::new()?);
     metrics::serve(settings.metrics, metrics.clone()).await?;
     let server = start(settings, metrics).await?;
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -124,6 +124,7 @@
     mut signals: Signals,
 ) -> Result<(), Error> {
     logging::start("gateway", &settings.process, &settings.log)?;
+    laburnumlug_http::set_memory_budget(settings.process.memory_budget);
     let metrics = Rc::new(Metrics::new()?);
     let cfg = ForwardConfig::new(&settings.process.zone)
         .retry_budget(settings.retry_ratio, settings.retry_window)
--- a/laburnumlug-daemon/src/gateway_metrics.rs
+++ b/laburnumlug-daemon/src/gateway_metrics.rs
@@ -20,6 +20,8 @@
     latency: Histogram<f64>,
     refusals: Counter<u64>,
     broken_streams: Counter<u64>,
+    memory_exceeded: Counter<u64>,
+    held_bytes: Gauge<u64>,
     attempts: Counter<u64>,
     retries: Counter<u64>,
     above_share: Gauge<u64>,
@@ -47,6 +49,14 @@
                 "laburnumlug.gateway.broken.streams",
                 "Streams that had begun and were broken off",
             ),
+            memory_exceeded: counter(
+                "laburnumlug.gateway.memory.exceeded",
+                "Exchanges that were ended because of the memory budget, by what they held",
+            ),
+            held_bytes: metrics.gauge(
+                "laburnumlug.gateway.held.bytes",
+                "Bytes that are held of bodies, events and queues, which the memory budget bounds",
+            ),
             attempts: counter(
                 "laburnumlug.gateway.sends",
                 "Sends of requests to targets by outcome",
@@ -68,6 +78,8 @@
     pub(crate) fn refresh(&self, forwarder: &Forwarder, now: Instant) {
         let above_share = forwarder.customers_above_share(now) as u64;
         self.above_share.record(above_share, &[]);
+        self.held_bytes
+            .record(laburnumlug_http::held_bytes() as u64, &[]);
     }
 }
 
@@ -90,6 +102,10 @@
         self.broken_streams.add(1, &[]);
     }
 
+    fn memory_exceeded(&self, part: &'static str) {
+        self.memory_exceeded.add(1, &[KeyValue::new("part", part)]);
+    }
+
     fn attempt_finished(&self, outcome: &'static str) {
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
--- a/laburnumlug-daemon/src/gateway_metrics_tests.rs
+++ b/laburnumlug-daemon/src/gateway_metrics_tests.rs
@@ -12,6 +12,7 @@
     gateway.answered(Repetition::Stream, 200, Duration::from_millis(350));
     gateway.refused(503, "no-target");
     gateway.stream_aborted();
+    gateway.memory_exceeded("answer");
     gateway.attempt_finished("answer-lost");
     gateway.retry_requested(false);
     let cfg = ForwardConfig::new("z");
@@ -24,6 +25,8 @@
         "laburnumlug_gateway_answer_seconds_bucket{kind=\"stream\"",
         "laburnumlug_gateway_refusals_total{cause=\"no-target\"",
         "laburnumlug_gateway_broken_streams_total",
+        "laburnumlug_gateway_memory_exceeded_total{part=\"answer\"",
+        "laburnumlug_gateway_held_bytes",
         "laburnumlug_gateway_sends_total{outcome=\"answer-lost\"",
         "laburnumlug_gateway_customers_above_share",
         "laburnumlug_gateway_further_sends_total{allowed=\"false\"",
--- a/laburnumlug-daemon/src/redirect.rs
+++ b/laburnumlug-daemon/src/redirect.rs
@@ -21,6 +21,7 @@
     mut signals: Signals,
 ) -> Result<(), Error> {
     logging::start("control", &settings.process, &settings.log)?;
+    laburnumlug_http::set_memory_budget(settings.process.memory_budget);
     let addr = settings.operators;
     let listener = bind(addr).await?;
     let server = Server::new(listener, OperatorInterface::limits());
--- a/laburnumlug-daemon/src/settings/common.rs
+++ b/laburnumlug-daemon/src/settings/common.rs
@@ -7,12 +7,19 @@
 use laburnumlug_mesh::MeshKey;
 
 use super::error::SettingsError;
-use super::reader::{Reader, Section, parse_addr, parse_addrs, parse_text};
+use super::reader::{Reader, Section, parse_addr, parse_addrs, parse_count, parse_text};
+
+/// Share of the machine's memory that may be held of what arrives from outside. Buffers that grow by doubling may take
+/// twice as much, and the rest is for the process itself and for its sockets.
+const MEMORY_SHARE: usize = 4;
+
+/// Memory budget of a machine that does not state its memory, in bytes.
+const DEFAULT_MEMORY_BUDGET: usize = 64 * 1024 * 1024;
 
 // Sections that the settings file of any role may have.
 pub(super) const PROCESS: Section = Section {
     name: "process",
-    keys: &["vm", "zone"],
+    keys: &["vm", "zone", "memory_budget_mb"],
 };
 pub(super) const LOG: Section = Section {
     name: "log",
@@ -32,6 +39,8 @@
 pub(crate) struct ProcessSettings {
     pub(crate) vm: VmName,
     pub(crate) zone: ZoneName,
+    /// Number of bytes that may be held of what arrives from outside.
+    pub(crate) memory_budget: usize,
 }
 
 /// Settings of the log.
@@ -62,7 +71,13 @@
 
 impl ProcessSettings {
     pub(super) fn read(reader: &Reader) -> Result<ProcessSettings, SettingsError> {
+        let allowed_count = "a whole number from 1";
+        let megabytes =
+            reader.optional("process", "memory_budget_mb", allowed_count, parse_count)?;
         Ok(ProcessSettings {
+            memory_budget: megabytes.map_or_else(default_memory_budget, |megabytes| {
+                megabytes.saturating_mul(1024 * 1024)
+            }),
             vm: reader.required("process", "vm", "the VM's name", parse_text)?,
             zone: reader.required(
                 "process",
@@ -113,6 +128,21 @@
     }
 }
 
+/// Returns the memory budget of a process that has its machine to itself.
+pub(crate) fn default_memory_budget() -> usize {
+    let text = std::fs::read_to_string("/proc/meminfo").unwrap_or_default();
+    parse_total_memory(&text).map_or(DEFAULT_MEMORY_BUDGET, |bytes| bytes / MEMORY_SHARE)
+}
+
+/// Returns the memory that `/proc/meminfo` states, in bytes.
+fn parse_total_memory(text: &str) -> Option<usize> {
+    let line = text
+        .lines()
+        .find_map(|line| line.strip_prefix("MemTotal:"))?;
+    let kilobytes: usize = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    Some(kilobytes * 1024)
+}
+
 fn parse_log_output(text: &str) -> Option<LogOutput> {
     match text {
         "stderr" => Some(LogOutput::StandardError),
@@ -124,3 +154,7 @@
 pub(super) fn read_metrics_addr(reader: &Reader) -> Result<Option<SocketAddr>, SettingsError> {
     reader.optional("metrics", "listen", "IP:PORT", parse_addr)
 }
+
+#[cfg(test)]
+#[path = "common_tests.rs"]
+mod tests;
--- a/laburnumlug-daemon/src/settings/mod.rs
+++ b/laburnumlug-daemon/src/settings/mod.rs
@@ -9,7 +9,9 @@
 mod redirect;
 mod target;
 
-pub(crate) use self::common::{LogOutput, LogSettings, MeshSettings, ProcessSettings};
+pub(crate) use self::common::{
+    LogOutput, LogSettings, MeshSettings, ProcessSettings, default_memory_budget,
+};
 pub(crate) use self::control::ControlSettings;
 pub(crate) use self::entry::EntrySettings;
 pub use self::error::SettingsError;
--- a/laburnumlug-daemon/src/target/mod.rs
+++ b/laburnumlug-daemon/src/target/mod.rs
@@ -79,6 +79,7 @@
 /// Runs a target process until it is asked to stop.
 pub(crate) async fn run(settings: TargetSettings, mut signals: Signals) -> Result<(), Error> {
     logging::start("target", &settings.process, &settings.log)?;
+    laburnumlug_http::set_memory_budget(settings.process.memory_budget);
     let metrics = Rc::new(Metrics::new()?);
     metrics::serve(settings.metrics, metrics.clone()).await?;
     let process = start(settings, metrics).await?;
--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::HeaderMap;
 use laburnumlug::{StreamId, Verdict};
-use laburnumlug_http::{PooledResponse, SendError};
+use laburnumlug_http::{HeldBytes, PooledResponse, SendError};
 use laburnumlug_policy::{ContentId, PromptParts, Suspect};
 
 use crate::attempt_failure::AttemptFailure;
@@ -39,6 +39,8 @@
     /// Headers to forward.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// What is held of the body.
+    pub(crate) held: Rc<HeldBytes>,
     pub(crate) content: ContentId,
     /// Parts of the prompt; a request without a prompt has none.
     pub(crate) prompt_parts: PromptParts,
@@ -107,20 +109,28 @@
     pub(crate) priority: Option<u8>,
 }
 
-/// Reads the body of a response, of at most `limit` bytes, within the time left for its request.
-pub(crate) async fn read_body(
-    request: &CallerRequest,
-    response: &mut PooledResponse,
-    limit: usize,
-) -> Result<Bytes, AttemptFailure> {
-    let time_left = request.time_left(Instant::now());
-    match compio::time::timeout(time_left, response.bytes(limit)).await {
-        Ok(body) => body.map_err(|err| AttemptFailure::answer_lost(err.to_string())),
-        Err(_) => Err(AttemptFailure::timed_out("no whole answer in time")),
+impl Forwarder {
+    /// Reads the body of a response, of at most `limit` bytes, within the time left for its request.
+    pub(crate) async fn read_body(
+        &self,
+        request: &CallerRequest,
+        target: &TargetHandle,
+        response: &mut PooledResponse,
+        limit: usize,
+    ) -> Result<Bytes, AttemptFailure> {
+        let time_left = request.time_left(Instant::now());
+        match compio::time::timeout(time_left, response.bytes(limit)).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(err)) => {
+                if let Some(over) = err.as_over_budget() {
+                    self.record_ended_answer(Instant::now(), request, target, over);
+                }
+                Err(AttemptFailure::answer_lost(err.to_string()))
+            }
+            Err(_) => Err(AttemptFailure::timed_out("no whole answer in time")),
+        }
     }
-}
 
-impl Forwarder {
     /// Sends a request to a target and waits for the response head.
     ///
     /// A failed connection or a timeout counts against the target's health; recording a success is left to the
--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use laburnumlug::Verdict;
-use laburnumlug_http::{Response, full_body};
+use laburnumlug_http::{HeldBytes, Response, held_body};
 use laburnumlug_policy::max_limit_wait;
 use rand::Rng;
 
@@ -175,8 +175,17 @@
             let body = match response.bytes(MAX_RESPONSE_BYTES).await {
                 Ok(body) => body,
                 Err(err) => {
-                    self.record_failure(Instant::now(), target);
-                    return Err(AttemptFailure::connection_broken(err.to_string()));
+                    let now = Instant::now();
+                    return Err(match err.as_over_budget() {
+                        Some(over) => {
+                            self.record_ended_answer(now, request, target, over);
+                            AttemptFailure::answer_lost(err.to_string())
+                        }
+                        None => {
+                            self.record_failure(now, target);
+                            AttemptFailure::connection_broken(err.to_string())
+                        }
+                    });
                 }
             };
             run.mark_complete(Instant::now(), self);
@@ -202,7 +211,7 @@
         if exchanged.is_err() && !has_retry {
             exchanged = compio::time::timeout(request.time_left(now), exchange).await;
         }
-        let (response, body) = match exchanged {
+        let (mut response, body) = match exchanged {
             Ok(exchanged) => exchanged?,
             Err(_) => {
                 self.record_failure(Instant::now(), target);
@@ -224,7 +233,8 @@
         } else {
             target.health.borrow_mut().record_success();
         }
-        let resp = self.caller_response(status, response.headers(), body);
+        let held = response.take_held();
+        let resp = self.caller_response(status, response.headers(), body, held);
         self.pool.recycle(Instant::now(), response);
         Ok(resp)
     }
@@ -242,14 +252,15 @@
         }
     }
 
-    /// Builds the response to the caller from a target's buffered response.
+    /// Builds the response to the caller from a target's buffered response, whose body `held` holds.
     pub(crate) fn caller_response(
         &self,
         status: u16,
         headers: &hyper::HeaderMap,
         body: Bytes,
+        held: HeldBytes,
     ) -> Response {
-        let mut resp = hyper::Response::new(full_body(body));
+        let mut resp = hyper::Response::new(held_body(body, held));
         if let Ok(status) = hyper::StatusCode::from_u16(status) {
             *resp.status_mut() = status;
         }
--- a/laburnumlug-forward/src/events.rs
+++ b/laburnumlug-forward/src/events.rs
@@ -118,6 +118,11 @@
         self.buf.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
     }
 
+    /// Returns the number of bytes after the last complete event.
+    pub(crate) fn partial_len(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns whether the incomplete event has exceeded its maximum size, as bytes without end do.
     pub(crate) fn has_overflowed(&self) -> bool {
         self.buf.len() > MAX_EVENT_BYTES
--- a/laburnumlug-forward/src/handler.rs
+++ b/laburnumlug-forward/src/handler.rs
@@ -11,7 +11,9 @@
 use hyper::body::Body;
 use hyper::header::AUTHORIZATION;
 use laburnumlug::{BootTime, Repetition};
-use laburnumlug_http::{Handler, Request, Response, discard_body, read_body};
+use laburnumlug_http::{
+    Handler, HeldBytes, Request, Response, discard_body, memory_budget, read_held_body,
+};
 use laburnumlug_policy::PromptParts;
 use rand::Rng;
 
@@ -55,6 +57,8 @@
     parts: hyper::http::request::Parts,
     /// Set once a target may have run the request.
     may_have_run: Rc<Cell<bool>>,
+    /// What is held of the body.
+    held: Rc<HeldBytes>,
 }
 
 impl RequestHead {
@@ -86,16 +90,21 @@
         let may_have_run = Rc::new(Cell::new(false));
         let result = match metadata {
             Ok(metadata) => {
+                let held = Rc::new(HeldBytes::default());
                 let head = RequestHead {
+                    held: held.clone(),
                     arrived_at,
                     metadata,
                     parts,
                     may_have_run: may_have_run.clone(),
                 };
                 let forwarding = self.clone().forward(head, &mut body);
-                match select(pin!(forwarding), pin!(self.exiting(&may_have_run))).await {
+                let exiting = pin!(self.exiting(&may_have_run));
+                let body_ended = pin!(self.request_body_ended(&id, &held, &may_have_run));
+                match select(pin!(forwarding), select(exiting, body_ended)).await {
                     Either::Left((result, _)) => result,
-                    Either::Right((refusal, _)) => Err(refusal),
+                    Either::Right((Either::Left((refusal, _)), _))
+                    | Either::Right((Either::Right((refusal, _)), _)) => Err(refusal),
                 }
             }
             Err(reason) => Err(Refusal::new(FailureCause::BadRequest, reason)),
@@ -139,13 +148,18 @@
         let (table, route) = self.route_request(arrived_at, &head.parts).await?;
         self.check_not_stopping(Instant::now(), head.deadline(&route))?;
         let limit = usize::try_from(table.limits.body_bytes).unwrap_or(usize::MAX);
-        let reading_body = read_body(body, limit);
+        let reading_body = read_held_body(body, limit.min(memory_budget()), &head.held);
         let body = match compio::time::timeout(REQUEST_BODY_TIMEOUT, reading_body).await {
             Ok(Ok(body)) => body,
             Ok(Err(err)) if err.is_body_too_large() => {
                 return Err(Refusal::new(FailureCause::TooLarge, err.to_string()));
             }
-            Ok(Err(err)) => return Err(Refusal::new(FailureCause::BadRequest, err.to_string())),
+            Ok(Err(err)) => {
+                return Err(match err.as_over_budget() {
+                    Some(over) => self.refuse_ended_body(&head.metadata.id, over, false),
+                    None => Refusal::new(FailureCause::BadRequest, err.to_string()),
+                });
+            }
             Err(_) => {
                 return Err(Refusal::new(
                     FailureCause::SlowBody,
@@ -187,6 +201,7 @@
             metadata,
             parts,
             may_have_run,
+            held,
         } = head;
         // The key may have been revoked while the caller sent the body.
         let newest_table = self.route_table().unwrap_or_else(|| table.clone());
@@ -219,6 +234,7 @@
             method: parts.method,
             path,
             body,
+            held,
             arrived_at,
             deadline,
             may_have_run,
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -43,6 +43,7 @@
 mod forwarder;
 mod handler;
 mod header_codec;
+mod memory;
 mod observer;
 mod probe;
 mod refusal;
--- a/laburnumlug-forward/src/observer.rs
+++ b/laburnumlug-forward/src/observer.rs
@@ -15,6 +15,9 @@
     /// A stream was aborted after its first event.
     fn stream_aborted(&self);
 
+    /// An exchange was ended because of the memory budget; `part` is what it held.
+    fn memory_exceeded(&self, part: &'static str);
+
     /// An attempt ended; `outcome` is `answered`, or the cause of the failure.
     fn attempt_finished(&self, outcome: &'static str);
 
--- a/laburnumlug-forward/src/refusal.rs
+++ b/laburnumlug-forward/src/refusal.rs
@@ -32,6 +32,8 @@
     RequestBlocked,
     /// It is not known at which of several software versions a stream began that the request resumes.
     OriginUnknown,
+    /// The request's body exceeds the memory that is left.
+    NoMemory,
     /// A target stated that it did not execute the request.
     TargetRefused,
     /// The target that was chosen has ceased to accept the request before the send.
@@ -67,6 +69,7 @@
             | FailureCause::PromptBlocked
             | FailureCause::RequestBlocked
             | FailureCause::OriginUnknown
+            | FailureCause::NoMemory
             | FailureCause::TargetRefused
             | FailureCause::TargetDeclined
             | FailureCause::Unreachable
@@ -92,6 +95,7 @@
             FailureCause::PromptBlocked => "prompt-blocked",
             FailureCause::RequestBlocked => "request-blocked",
             FailureCause::OriginUnknown => "origin-unknown",
+            FailureCause::NoMemory => "no-memory",
             FailureCause::TargetRefused => "target-refused",
             FailureCause::TargetDeclined => "target-declined",
             FailureCause::Unreachable => "unreachable",
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -9,7 +9,7 @@
 
 use super::upstream::{ENDED_INSIDE_EVENT, EVENT_TOO_LONG, StreamStep, Upstream};
 use super::{OpenStream, StreamAttempt, StreamRequest};
-use crate::attempt::{AttemptOptions, CallerRequest, read_body};
+use crate::attempt::{AttemptOptions, CallerRequest};
 use crate::attempt_failure::AttemptFailure;
 use crate::engine_request_guard::EngineRequestGuard;
 use crate::engine_selection::{EngineSelection, decode_share, prompt_view};
@@ -280,9 +280,10 @@
                 }
                 StreamStep::End(body) => return Ok(self.buffered_attempt(now, upstream, body)),
                 StreamStep::Broken(reason) => {
-                    self.record_failure(now, &target);
-                    let is_invalid =
-                        reason == EVENT_TOO_LONG || upstream.splitter.fault().is_some();
+                    self.record_break(now, request, &upstream);
+                    let is_invalid = reason == EVENT_TOO_LONG
+                        || upstream.splitter.fault().is_some()
+                        || upstream.over_budget.is_some();
                     return Err(match is_invalid {
                         true => AttemptFailure::answer_lost(reason),
                         false => AttemptFailure::connection_broken(reason),
@@ -292,6 +293,15 @@
         }
     }
 
+    /// Counts a broken stream against its target's health.
+    pub(super) fn record_break(&self, now: Instant, request: &CallerRequest, upstream: &Upstream) {
+        let target = &upstream.in_flight.target;
+        match upstream.over_budget {
+            Some(over) => self.record_ended_answer(now, request, target, over),
+            None => self.record_failure(now, target),
+        }
+    }
+
     /// Returns the successful attempt whose response ended without an event.
     fn buffered_attempt(
         &self,
@@ -300,8 +310,9 @@
         body: bytes::Bytes,
     ) -> StreamAttempt {
         upstream.engine_request.mark_complete(now);
-        let response = upstream.response;
-        let resp = self.caller_response(response.status(), response.headers(), body);
+        let mut response = upstream.response;
+        let held = response.take_held();
+        let resp = self.caller_response(response.status(), response.headers(), body, held);
         self.pool.recycle(now, response);
         StreamAttempt::Buffered(resp)
     }
@@ -313,12 +324,15 @@
         target: &TargetHandle,
         mut response: PooledResponse,
     ) -> Result<Response, AttemptFailure> {
-        let body = read_body(request, &mut response, MAX_RESPONSE_BYTES).await?;
+        let body = self
+            .read_body(request, target, &mut response, MAX_RESPONSE_BYTES)
+            .await?;
         let status = response.status();
         if status >= 500 {
             self.record_failure(Instant::now(), target);
         }
-        let resp = self.caller_response(status, response.headers(), body);
+        let held = response.take_held();
+        let resp = self.caller_response(status, response.headers(), body, held);
         self.pool.recycle(Instant::now(), response);
         Ok(resp)
     }
--- a/laburnumlug-forward/src/stream/prefill.rs
+++ b/laburnumlug-forward/src/stream/prefill.rs
@@ -7,7 +7,7 @@
 
 use super::StreamRequest;
 use super::attempt::{MAX_RESPONSE_BYTES, probe_delay};
-use crate::attempt::{AttemptOptions, read_body};
+use crate::attempt::AttemptOptions;
 use crate::attempt_failure::AttemptFailure;
 use crate::engine_request_guard::EngineRequestGuard;
 use crate::engine_selection::EngineSelection;
@@ -55,7 +55,9 @@
                 .await;
             let mut response = sent?;
             let status = response.status();
-            let body = read_body(request, &mut response, MAX_RESPONSE_BYTES).await?;
+            let body = self
+                .read_body(request, prefill_engine, &mut response, MAX_RESPONSE_BYTES)
+                .await?;
             self.pool.recycle(Instant::now(), response);
             match self.header_codec.parse_prompt_handle(&body) {
                 Some(handle) if status == 200 => Ok(handle),
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -11,6 +11,7 @@
 use super::upstream::{StreamStep, Upstream, resumed_gap};
 use super::{OpenStream, StreamAttempt, StreamRequest};
 use crate::forwarder::Forwarder;
+use crate::memory::HeldPart;
 use crate::refusal::FailureCause;
 use crate::registry::TargetHandle;
 
@@ -41,12 +42,39 @@
 }
 
 impl Forwarder {
+    /// Relays events like [`Forwarder::relay_events`], unless the request or the unread events end by the memory budget.
+    pub(super) async fn relay(
+        self: Rc<Self>,
+        stream: StreamRequest,
+        open: OpenStream,
+        tx: BodySender,
+    ) {
+        let id = stream.request.metadata.id.clone();
+        let (body, held) = (tx.handle(), stream.request.held.clone());
+        let ended = {
+            let relaying = pin!(self.clone().relay_events(stream, open, tx));
+            match select(relaying, pin!(held.ended())).await {
+                Either::Left(_) => body
+                    .over_budget()
+                    .map(|over| (HeldPart::UnreadEvents, over)),
+                Either::Right((over, _)) => {
+                    body.abort();
+                    Some((HeldPart::RequestBody, over))
+                }
+            }
+        };
+        if let Some((part, over)) = ended {
+            self.log_ended(&id, "", part, over);
+            self.observe(|observer| observer.stream_aborted());
+        }
+    }
+
     /// Relays events until the stream ends, the caller disconnects or the deadline passes; resumes broken streams.
     ///
     /// A stream without a complete event for [`resumed_gap`] is resumed elsewhere if it may be, but kept until another
     /// target has continued it. One that may not ends once bytes have arrived without completing an event for as long as
     /// callers wait; one whose target is silent lasts until its deadline, as the target may have been frozen.
-    pub(super) async fn relay(
+    async fn relay_events(
         self: Rc<Self>,
         mut stream: StreamRequest,
         open: OpenStream,
@@ -107,7 +135,7 @@
             }
             match step {
                 StreamStep::Events(events) => {
-                    if tx.send(events).await.is_err() {
+                    if send_events(&mut upstream, &mut tx, events).await.is_err() {
                         return;
                     }
                     // Nothing was read from the target while the caller did not read.
@@ -186,9 +214,12 @@
     ) -> Option<OpenStream> {
         let target = upstream.in_flight.target.clone();
         let last_id = upstream.splitter.last_id().cloned();
-        self.record_failure(Instant::now(), &target);
+        let is_over_budget = upstream.over_budget.is_some();
+        self.record_break(Instant::now(), &stream.request, &upstream);
         drop(upstream);
-        self.check_for_crash(&target);
+        if !is_over_budget {
+            self.check_for_crash(&target);
+        }
         let resumed = self.resume(stream, last_id).await;
         self.log_break(stream, &target, reason, resumed.is_some());
         resumed
@@ -257,6 +288,21 @@
     check_at
 }
 
+/// Sends events to the caller; the incomplete event after them may have to end while the caller does not read.
+async fn send_events(
+    upstream: &mut Upstream,
+    tx: &mut BodySender,
+    events: Bytes,
+) -> Result<(), Bytes> {
+    let mut sending = pin!(tx.send(events));
+    let over = match select(sending.as_mut(), pin!(upstream.response.held().ended())).await {
+        Either::Left((sent, _)) => return sent,
+        Either::Right((over, _)) => over,
+    };
+    upstream.end(over);
+    sending.await
+}
+
 /// Waits for the next part of a stream, at most until `wait_until`.
 async fn next_step(upstream: &mut Upstream, tx: &mut BodySender, wait_until: Instant) -> RelayStep {
     let timeout = pin!(compio::time::sleep_until(wait_until));
--- a/laburnumlug-forward/src/stream/upstream.rs
+++ b/laburnumlug-forward/src/stream/upstream.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use laburnumlug_http::PooledResponse;
+use laburnumlug_http::{OverBudget, PooledResponse};
 
 use crate::engine_request_guard::EngineRequestGuard;
 use crate::events::{EventSplitter, contains_event};
@@ -15,6 +15,9 @@
 /// Reason why a stream is broken whose event has no end.
 pub(super) const EVENT_TOO_LONG: &str = "an event of the stream is too long";
 
+/// Reason why a stream is broken whose incomplete event was the largest part of what exceeded the memory budget.
+const OVER_BUDGET: &str = "an incomplete event of the stream exceeded the memory budget";
+
 /// Shortest gap between two events after which a stream is resumed elsewhere; a healthy one may pause for 1.5 s.
 const MIN_RESUMED_GAP: Duration = Duration::from_millis(1750);
 
@@ -54,6 +57,8 @@
     pub(super) stalled_since: Instant,
     /// Whether bytes have arrived since, so that the target is not merely silent.
     pub(super) has_partial: bool,
+    /// Set once the stream was ended by the memory budget.
+    pub(super) over_budget: Option<OverBudget>,
 }
 
 impl Upstream {
@@ -73,9 +78,17 @@
             last_event_at: now,
             stalled_since: now,
             has_partial: false,
+            over_budget: None,
         }
     }
 
+    /// Drops the incomplete event, as the process exceeds its memory budget; the stream is broken then.
+    pub(super) fn end(&mut self, over: OverBudget) {
+        self.over_budget = Some(over);
+        self.splitter.drop_partial();
+        self.response.held().release();
+    }
+
     /// Measures the gap until the next event from now on.
     pub(super) fn restart_gap(&mut self, now: Instant) {
         self.last_event_at = now;
@@ -93,6 +106,9 @@
         if let Some(fault) = self.splitter.fault() {
             return StreamStep::Broken(fault.to_string());
         }
+        if self.over_budget.is_some() {
+            return StreamStep::Broken(OVER_BUDGET.to_string());
+        }
         let received = {
             let _waiting = self.engine_request.await_event();
             self.response.chunk().await
@@ -103,19 +119,28 @@
                 return StreamStep::Broken(ENDED_INSIDE_EVENT.to_string());
             }
             Ok(None) => return StreamStep::End(self.splitter.take_partial()),
+            Err(err) if let Some(over) = err.as_over_budget() => {
+                self.end(over);
+                return StreamStep::Broken(OVER_BUDGET.to_string());
+            }
             Err(err) => {
                 self.splitter.drop_partial();
                 return StreamStep::Broken(err.to_string());
             }
         };
         self.engine_request.record_event(Instant::now());
-        match self.splitter.push(&chunk) {
+        let events = self.splitter.push(&chunk);
+        if let Err(over) = self.response.hold(self.splitter.partial_len()) {
+            self.end(over);
+        }
+        match events {
             Some(events) if contains_event(&events) => {
                 self.restart_gap(Instant::now());
                 self.has_partial = false;
                 StreamStep::Events(events)
             }
             _ if let Some(fault) = self.splitter.fault() => StreamStep::Broken(fault.to_string()),
+            _ if self.over_budget.is_some() => StreamStep::Broken(OVER_BUDGET.to_string()),
             _ if self.splitter.has_overflowed() => StreamStep::Broken(EVENT_TOO_LONG.to_string()),
             _ => {
                 self.has_partial = true;
--- a/laburnumlug-http/src/body.rs
+++ b/laburnumlug-http/src/body.rs
@@ -1,20 +1,22 @@
 //! Response bodies of the server: whole, streamed from a channel, or holding a guard.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::fmt;
-use std::pin::Pin;
+use std::future::{Future, poll_fn};
+use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker};
 
 use bytes::Bytes;
 use event_listener::Event;
-use futures_channel::mpsc;
-use futures_util::StreamExt;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Frame, SizeHint};
 use serde::Serialize;
 
+use crate::held_bytes::{HeldBytes, OverBudget};
+
 /// Response body, whole or streamed.
 pub type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = Aborted>>>;
 
@@ -39,6 +41,9 @@
 /// Number of buffered bytes from which the sender of a streamed body waits; the last chunk may exceed it.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// Maximum size, in bytes, of the parts in which a whole body is passed to its connection.
+const MAX_PART_BYTES: usize = 64 * 1024;
+
 /// Returns a body that holds `bytes`.
 pub fn full_body<B>(bytes: B) -> Body
 where
@@ -77,32 +82,125 @@
     resp
 }
 
+/// Returns a body that holds `bytes` with their share of the memory budget until they are sent.
+///
+/// If they have to end before, the body is aborted.
+pub fn held_body(bytes: Bytes, held: HeldBytes) -> Body {
+    Box::pin(HeldBody { bytes, held })
+}
+
+/// Whole body that is sent in parts, so that it lasts until its reader has taken nearly all of them.
+struct HeldBody {
+    bytes: Bytes,
+    held: HeldBytes,
+}
+
+impl hyper::body::Body for HeldBody {
+    type Data = Bytes;
+    type Error = Aborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
+        if self.bytes.is_empty() {
+            return Poll::Ready(None);
+        }
+        if self.held.poll_ended(cx).is_ready() {
+            self.bytes.clear();
+            self.held.release();
+            return Poll::Ready(Some(Err(Aborted)));
+        }
+        let len = self.bytes.len().min(MAX_PART_BYTES);
+        let part = self.bytes.split_to(len);
+        Poll::Ready(Some(Ok(Frame::data(part))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes.len() as u64)
+    }
+}
+
 /// Creates a streamed body and the sender that fills it.
 ///
 /// The body buffers a bounded number of bytes, so a slow reader applies backpressure to its own sender only.
 pub fn channel_body() -> (BodySender, Body) {
-    let (tx, rx) = mpsc::unbounded();
-    let buffer = Rc::new(BufferState::default());
+    let queue = Rc::new(ChunkQueue::default());
     let body = ChannelBody {
-        rx,
-        buffer: buffer.clone(),
+        queue: queue.clone(),
     };
-    (BodySender { tx, buffer }, Box::pin(body))
+    (BodySender { queue }, Box::pin(body))
 }
 
-/// Fill level of a streamed body, shared by its sender and its reader.
+/// Chunks of a streamed body that its reader has not taken, shared by its sender and its reader.
 #[derive(Default)]
-struct BufferState {
+struct ChunkQueue {
+    chunks: RefCell<VecDeque<Bytes>>,
     bytes: Cell<usize>,
+    held: HeldBytes,
+    /// Set once the body was ended by the memory budget.
+    over_budget: Cell<Option<OverBudget>>,
+    sender_state: Cell<SenderState>,
     reader_closed: Cell<bool>,
+    /// Task of the reader that waits for a chunk.
+    reader: RefCell<Option<Waker>>,
     /// Notified whenever the reader takes a chunk or drops the body.
     changed: Event,
 }
 
+#[derive(Clone, Copy, Default, Eq, PartialEq)]
+enum SenderState {
+    #[default]
+    Open,
+    Finished,
+    Aborted,
+}
+
+impl ChunkQueue {
+    /// Ends the body for its reader; an aborted body keeps the chunks that are not taken yet.
+    fn finish(&self, state: SenderState) {
+        if self.sender_state.get() == SenderState::Open {
+            self.sender_state.set(state);
+            self.wake_reader();
+        }
+    }
+
+    /// Aborts the body because of the memory budget, and drops the chunks that its reader has not taken.
+    fn end(&self, over: OverBudget) {
+        self.over_budget.set(Some(over));
+        self.chunks.borrow_mut().clear();
+        self.bytes.set(0);
+        self.finish(SenderState::Aborted);
+        self.held.release();
+    }
+
+    fn wake_reader(&self) {
+        if let Some(waker) = self.reader.take() {
+            waker.wake();
+        }
+    }
+
+    /// Waits until the reader has taken a chunk or dropped the body, or the body was ended by the memory budget.
+    async fn changed(&self) {
+        let mut changed = pin!(self.changed.listen());
+        poll_fn(|cx| match self.held.poll_ended(cx) {
+            Poll::Ready(over) => {
+                self.end(over);
+                Poll::Ready(())
+            }
+            Poll::Pending => changed.as_mut().poll(cx),
+        })
+        .await;
+    }
+}
+
 /// Sending half of a streamed body.
 pub struct BodySender {
-    tx: mpsc::UnboundedSender<Result<Bytes, Aborted>>,
-    buffer: Rc<BufferState>,
+    queue: Rc<ChunkQueue>,
 }
 
 impl BodySender {
@@ -112,51 +210,85 @@
     ///
     /// # Errors
     ///
-    /// Returns the chunk if the reader has dropped the body.
+    /// Returns the chunk if the reader has dropped the body, or if the body was ended by the memory budget.
     pub async fn send(&mut self, chunk: Bytes) -> Result<(), Bytes> {
-        while self.buffer.bytes.get() >= MAX_BUFFERED_BYTES && !self.is_closed() {
-            self.buffer.changed.listen().await;
+        let queue = &self.queue;
+        while queue.bytes.get() >= MAX_BUFFERED_BYTES && !self.is_closed() {
+            queue.changed().await;
         }
         if self.is_closed() {
             return Err(chunk);
         }
-        let bytes = self.buffer.bytes.get() + chunk.len();
-        self.buffer.bytes.set(bytes);
-        match self.tx.unbounded_send(Ok(chunk)) {
-            Ok(()) => Ok(()),
-            Err(err) => Err(err.into_inner().unwrap_or_default()),
+        let bytes = queue.bytes.get() + chunk.len();
+        if let Err(over) = queue.held.resize(bytes) {
+            queue.end(over);
+            return Err(chunk);
         }
+        queue.bytes.set(bytes);
+        queue.chunks.borrow_mut().push_back(chunk);
+        queue.wake_reader();
+        Ok(())
     }
 
     /// Aborts the body: chunks already sent are delivered, then the connection is closed.
     pub fn abort(self) {
-        // The send fails only if the reader is gone, and then there is nothing to abort.
-        let _ = self.tx.unbounded_send(Err(Aborted));
+        self.queue.finish(SenderState::Aborted);
     }
 
-    /// Waits until the reader has dropped the body.
+    /// Returns a handle with which another owner aborts the body.
+    pub fn handle(&self) -> BodyHandle {
+        BodyHandle {
+            queue: self.queue.clone(),
+        }
+    }
+
+    /// Waits until the reader has dropped the body, or the body was ended by the memory budget.
     pub async fn closed(&mut self) {
         while !self.is_closed() {
-            self.buffer.changed.listen().await;
+            self.queue.changed().await;
         }
     }
 
-    /// Returns whether the reader has dropped the body.
+    /// Returns whether the reader has dropped the body, or the body was ended by the memory budget.
     pub fn is_closed(&self) -> bool {
-        self.buffer.reader_closed.get()
+        self.queue.reader_closed.get() || self.queue.sender_state.get() != SenderState::Open
+    }
+}
+
+/// Aborts a streamed body whose [`BodySender`] has another owner.
+pub struct BodyHandle {
+    queue: Rc<ChunkQueue>,
+}
+
+impl BodyHandle {
+    /// Aborts the body like [`BodySender::abort`], unless it has ended.
+    pub fn abort(&self) {
+        self.queue.finish(SenderState::Aborted);
+    }
+
+    /// Returns the state of the memory budget if the body was ended because of it.
+    pub fn over_budget(&self) -> Option<OverBudget> {
+        self.queue.over_budget.get()
+    }
+}
+
+impl Drop for BodySender {
+    fn drop(&mut self) {
+        self.queue.finish(SenderState::Finished);
     }
 }
 
 /// Receiving half of a streamed body.
 struct ChannelBody {
-    rx: mpsc::UnboundedReceiver<Result<Bytes, Aborted>>,
-    buffer: Rc<BufferState>,
+    queue: Rc<ChunkQueue>,
 }
 
 impl Drop for ChannelBody {
     fn drop(&mut self) {
-        self.buffer.reader_closed.set(true);
-        self.buffer.changed.notify(usize::MAX);
+        self.queue.chunks.borrow_mut().clear();
+        self.queue.held.release();
+        self.queue.reader_closed.set(true);
+        self.queue.changed.notify(usize::MAX);
     }
 }
 
@@ -165,16 +297,26 @@
     type Error = Aborted;
 
     fn poll_frame(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
-        let chunk = ready!(self.rx.poll_next_unpin(cx));
-        if let Some(Ok(chunk)) = &chunk {
-            let bytes = self.buffer.bytes.get() - chunk.len();
-            self.buffer.bytes.set(bytes);
-            self.buffer.changed.notify(usize::MAX);
+        let queue = &self.queue;
+        let chunk = queue.chunks.borrow_mut().pop_front();
+        match (chunk, queue.sender_state.get()) {
+            (Some(chunk), _) => {
+                queue.bytes.set(queue.bytes.get() - chunk.len());
+                // Fewer bytes never exceed the budget.
+                let _ = queue.held.resize(queue.bytes.get());
+                queue.changed.notify(usize::MAX);
+                Poll::Ready(Some(Ok(Frame::data(chunk))))
+            }
+            (None, SenderState::Open) => {
+                queue.reader.replace(Some(cx.waker().clone()));
+                Poll::Pending
+            }
+            (None, SenderState::Finished) => Poll::Ready(None),
+            (None, SenderState::Aborted) => Poll::Ready(Some(Err(Aborted))),
         }
-        Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
     }
 }
 
--- a/laburnumlug-http/src/body_reader.rs
+++ b/laburnumlug-http/src/body_reader.rs
@@ -1,5 +1,9 @@
 //! Body readers that the client and the server share.
 
+use std::future::poll_fn;
+use std::pin::pin;
+use std::task::Poll;
+
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -7,6 +11,7 @@
 use hyper::{HeaderMap, Method, StatusCode};
 
 use crate::error::Error;
+use crate::held_bytes::HeldBytes;
 
 /// How the end of a response body is marked.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -38,24 +43,26 @@
     }
 }
 
-/// Reads a response body to its end, up to `limit` bytes.
+/// Reads a response body to its end, up to `limit` bytes, which `held` holds until it is dropped.
 ///
 /// A body without a length or chunks is whole when its connection is closed in an orderly way.
 ///
 /// # Errors
 ///
-/// Fails when the body is longer than `limit`, its connection breaks, or its transfer coding is not supported.
+/// Fails when the body is longer than `limit`, its connection breaks, its transfer coding is not supported, or it is ended
+/// by the memory budget.
 pub(crate) async fn read_whole_body<B>(
     framing: Framing,
     body: B,
     limit: usize,
+    held: &HeldBytes,
 ) -> Result<Bytes, Error>
 where
     B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
 {
     match framing {
         Framing::Unsupported => Err(Error::unsupported_coding()),
-        Framing::Framed | Framing::Unframed => read_body(body, limit).await,
+        Framing::Framed | Framing::Unframed => read_held_body(body, limit, held).await,
     }
 }
 
@@ -73,21 +80,69 @@
     Ok(None)
 }
 
-/// Reads a body to its end, up to `limit` bytes.
+/// Returns the next chunk like [`next_chunk`], unless `held` has to end.
+pub(crate) async fn next_held_chunk<B>(
+    body: &mut B,
+    held: &HeldBytes,
+) -> Result<Option<Bytes>, Error>
+where
+    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
+    let mut next = pin!(next_chunk(body));
+    poll_fn(|cx| match held.poll_ended(cx) {
+        Poll::Ready(over) => Poll::Ready(Err(Error::over_budget(over))),
+        Poll::Pending => next.as_mut().poll(cx),
+    })
+    .await
+}
+
+/// Reads a body to its end, up to `limit` bytes, which count towards the memory budget only while they arrive.
+///
+/// # Errors
+///
+/// Fails when the body is longer than `limit`, its connection breaks, or it is ended by the memory budget.
+pub async fn read_body<B>(body: B, limit: usize) -> Result<Bytes, Error>
+where
+    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
+    read_held_body(body, limit, &HeldBytes::default()).await
+}
+
+/// Reads a body to its end, up to `limit` bytes, which `held` holds until it is dropped or the read fails.
 ///
 /// # Errors
 ///
-/// Fails when the body is longer than `limit` or its connection breaks.
-pub async fn read_body<B>(mut body: B, limit: usize) -> Result<Bytes, Error>
+/// Fails when the body is longer than `limit`, its connection breaks, or it is ended by the memory budget.
+pub async fn read_held_body<B>(mut body: B, limit: usize, held: &HeldBytes) -> Result<Bytes, Error>
 where
     B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
 {
     let mut buf = BytesMut::new();
-    while let Some(chunk) = next_chunk(&mut body).await? {
-        if buf.len() + chunk.len() > limit {
-            return Err(Error::body_too_large(limit));
+    loop {
+        let added = match next_held_chunk(&mut body, held).await {
+            Ok(Some(chunk)) => add_chunk(&mut buf, &chunk, limit, held),
+            Ok(None) => return Ok(buf.freeze()),
+            Err(err) => Err(err),
+        };
+        if let Err(err) = added {
+            drop(buf);
+            held.release();
+            return Err(err);
         }
-        buf.extend_from_slice(&chunk);
     }
-    Ok(buf.freeze())
+}
+
+fn add_chunk(
+    buf: &mut BytesMut,
+    chunk: &[u8],
+    limit: usize,
+    held: &HeldBytes,
+) -> Result<(), Error> {
+    let len = buf.len() + chunk.len();
+    if len > limit {
+        return Err(Error::body_too_large(limit));
+    }
+    held.resize(len).map_err(Error::over_budget)?;
+    buf.extend_from_slice(chunk);
+    Ok(())
 }
--- a/laburnumlug-http/src/client.rs
+++ b/laburnumlug-http/src/client.rs
@@ -15,6 +15,7 @@
 use crate::body_reader::{Framing, next_chunk, read_whole_body};
 use crate::error::Error;
 use crate::fair_stream::{FairStream, HeadLimit, MAX_HEAD_BYTES};
+use crate::held_bytes::HeldBytes;
 use crate::socket;
 
 /// HTTP connection on which a client sends requests.
@@ -45,6 +46,7 @@
     head_limit: HeadLimit,
 ) -> Result<(http1::SendRequest<Full<Bytes>>, ClientConnection), Error> {
     http1::Builder::new()
+        .max_buf_size(socket::READ_BUFFER_BYTES)
         .max_header_size(MAX_HEAD_BYTES)
         .handshake(FairStream::new(stream, head_limit))
         .await
@@ -118,7 +120,8 @@
     ///
     /// Fails when the body is longer than `limit`, its connection breaks, or its transfer coding is not supported.
     pub async fn bytes(&mut self, limit: usize) -> Result<Bytes, Error> {
-        let reading = read_whole_body(self.framing, &mut self.body, limit);
+        let held = HeldBytes::default();
+        let reading = read_whole_body(self.framing, &mut self.body, limit, &held);
         drive(&mut self.driver, reading).await
     }
 }
--- a/laburnumlug-http/src/error.rs
+++ b/laburnumlug-http/src/error.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::io;
 
+use crate::held_bytes::OverBudget;
+
 /// Error of an HTTP exchange.
 #[derive(Debug)]
 pub struct Error {
@@ -16,6 +18,7 @@
     TimedOut,
     BodyTooLarge { limit: usize },
     UnsupportedCoding,
+    OverBudget(OverBudget),
 }
 
 impl Error {
@@ -49,6 +52,20 @@
         }
     }
 
+    pub(crate) fn over_budget(over: OverBudget) -> Error {
+        Error {
+            kind: ErrorKind::OverBudget(over),
+        }
+    }
+
+    /// Returns the state of the memory budget if the exchange was ended because of it.
+    pub fn as_over_budget(&self) -> Option<OverBudget> {
+        match self.kind {
+            ErrorKind::OverBudget(over) => Some(over),
+            _ => None,
+        }
+    }
+
     /// Returns whether the connection could not be established, so the peer has seen nothing of the request.
     pub fn is_connect(&self) -> bool {
         matches!(self.kind, ErrorKind::Connect(_))
@@ -80,6 +97,9 @@
             ErrorKind::UnsupportedCoding => {
                 f.write_str("the body has a transfer coding that is not supported")
             }
+            ErrorKind::OverBudget(over) => {
+                write!(f, "ended by the memory budget: {over}")
+            }
         }
     }
 }
--- a/laburnumlug-http/src/lib.rs
+++ b/laburnumlug-http/src/lib.rs
@@ -17,6 +17,7 @@
 ```
 
 [`Server`] runs one task per connection and limits headers, connections and idle time; [`read_body`] limits bodies.
+[`HeldBytes`] counts what is held of bodies towards one budget of the process, and ends the largest beyond it.
 [`ConnectionPool`] reuses keep-alive connections to peers and reports whether anything of a failed request was written.
 [`send_before`] makes calls that must not reach the peer after a given time.
 [`send`] opens a new connection for each request: a request that must run at most once is never resent because a
@@ -29,6 +30,7 @@
 mod connection;
 mod error;
 mod fair_stream;
+mod held_bytes;
 mod idle_limit;
 mod lingering_close;
 mod pool;
@@ -39,12 +41,13 @@
 mod unexpected_data;
 
 pub use crate::body::{
-    Aborted, Body, BodySender, Response, ResponseBuilder, channel_body, full_body, hold_until_sent,
-    json_response, text_response,
+    Aborted, Body, BodyHandle, BodySender, Response, ResponseBuilder, channel_body, full_body,
+    held_body, hold_until_sent, json_response, text_response,
 };
-pub use crate::body_reader::read_body;
+pub use crate::body_reader::{read_body, read_held_body};
 pub use crate::client::{ClientResponse, send};
 pub use crate::error::Error;
+pub use crate::held_bytes::{HeldBytes, OverBudget, held_bytes, memory_budget, set_memory_budget};
 pub use crate::pool::{ConnectionPool, PooledResponse, SendError};
 pub use crate::revocable::send_before;
 pub use crate::server::{
--- a/laburnumlug-http/src/pool.rs
+++ b/laburnumlug-http/src/pool.rs
@@ -10,9 +10,10 @@
 use bytes::Bytes;
 use http_body_util::Full;
 
-use crate::body_reader::{Framing, next_chunk, read_whole_body};
+use crate::body_reader::{Framing, next_held_chunk, read_whole_body};
 use crate::connection::{Connection, RequestTag};
 use crate::error::Error;
+use crate::held_bytes::{HeldBytes, OverBudget};
 use crate::idle_limit::IdleLimit;
 use crate::unexpected_data::UnexpectedData;
 
@@ -277,6 +278,7 @@
                 status: parts.status.as_u16(),
                 headers: parts.headers,
                 body,
+                held: HeldBytes::default(),
                 is_complete: false,
                 conn,
             })
@@ -304,6 +306,8 @@
     status: u16,
     headers: hyper::HeaderMap,
     body: hyper::body::Incoming,
+    /// What is held of the body.
+    held: HeldBytes,
     is_complete: bool,
     conn: Connection,
 }
@@ -328,23 +332,45 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection breaks before the end of the body.
+    /// Fails when the connection breaks before the end of the body, or when what [`PooledResponse::hold`] has stated is
+    /// ended by the memory budget.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
-        let chunk = next_chunk(&mut self.body).await?;
+        let chunk = next_held_chunk(&mut self.body, &self.held).await?;
         self.is_complete |= chunk.is_none();
         Ok(chunk)
     }
 
-    /// Returns the whole body, of at most `limit` bytes.
+    /// Returns the whole body, of at most `limit` bytes. It counts towards the memory budget as long as this response, or
+    /// what [`PooledResponse::take_held`] returns.
     ///
     /// # Errors
     ///
-    /// Fails when the body is longer than `limit`, its connection breaks, or its transfer coding is not supported.
+    /// Fails when the body is longer than `limit`, its connection breaks, its transfer coding is not supported, or it is
+    /// ended by the memory budget.
     pub async fn bytes(&mut self, limit: usize) -> Result<Bytes, Error> {
-        let bytes = read_whole_body(self.framing, &mut self.body, limit).await?;
+        let bytes = read_whole_body(self.framing, &mut self.body, limit, &self.held).await?;
         self.is_complete = true;
         Ok(bytes)
     }
+
+    /// States how many bytes are kept of the chunks that were read.
+    ///
+    /// # Errors
+    ///
+    /// Fails when they have to be dropped, as the process exceeds its memory budget and no exchange holds more.
+    pub fn hold(&self, bytes: usize) -> Result<(), OverBudget> {
+        self.held.resize(bytes)
+    }
+
+    /// Returns what is held of the body, so that it is held for longer than this response.
+    pub fn take_held(&mut self) -> HeldBytes {
+        std::mem::take(&mut self.held)
+    }
+
+    /// Returns what is held of the body.
+    pub fn held(&self) -> &HeldBytes {
+        &self.held
+    }
 }
 
 #[cfg(test)]
--- a/laburnumlug-http/src/socket.rs
+++ b/laburnumlug-http/src/socket.rs
@@ -13,6 +13,13 @@
 /// `TCP_USER_TIMEOUT`: how long sent data may stay unacknowledged, as it does when the peer is partitioned off.
 const USER_TIMEOUT_MS: u32 = 3_000;
 
+/// Maximum number of bytes that a connection reads at once, which is also that of a response's head. They do not count
+/// towards the memory budget before they are kept.
+pub(crate) const READ_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Kernel receive buffer of one connection; by default it would keep megabytes that are not read while a caller is slow.
+const RECEIVE_BUFFER_BYTES: usize = 256 * 1024;
+
 /// Connects to a peer within `timeout`.
 pub(crate) async fn connect(addr: SocketAddr, timeout: Duration) -> Result<TcpStream, Error> {
     let stream = match compio::time::timeout(timeout, TcpStream::connect(addr)).await {
@@ -31,6 +38,11 @@
     if let Err(err) = sockopt::set_tcp_nodelay(socket, true) {
         log::debug!("failed to set TCP_NODELAY, small requests may be delayed: {err}");
     }
+    if let Err(err) = sockopt::set_socket_recv_buffer_size(socket, RECEIVE_BUFFER_BYTES) {
+        log::debug!(
+            "failed to set SO_RCVBUF, unread bytes may take more memory than planned: {err}"
+        );
+    }
     if let Err(err) = sockopt::set_tcp_user_timeout(socket, USER_TIMEOUT_MS) {
         log::debug!(
             "failed to set TCP_USER_TIMEOUT, an unreachable peer may go undetected for longer: {err}"
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -81,6 +81,7 @@
 mod health;
 mod inspection;
 mod kv_cache;
+mod memory_budget;
 mod output_length;
 mod pending_parts;
 mod placement;
@@ -133,6 +134,7 @@
 pub use crate::health::TargetHealth;
 pub use crate::inspection::{INSPECTION_TIMEOUT, inspection_delay, may_inspect};
 pub use crate::kv_cache::{CacheMatch, KvCacheEstimate, PartId, PromptParts, part_id};
+pub use crate::memory_budget::{HolderId, MemoryBudget};
 pub use crate::output_length::OutputPredictor;
 pub use crate::pending_parts::PendingParts;
 pub use crate::placement::{
