Widen the soak of gateways and judge it by rules for each request

Seen: requests cut around planned stops (LOST) and events out of order (ORDER) were reported from runs of real processes, while this soak passed. Cause: its callers sent whole requests, each on a new connection; its servers answered at once; a single gateway stopped at a time; the checker excused or counted a cut answer by its overlap with a stop alone, and knew no order of events. The checker compares each request with the times of its servers and of the stops: what was read and ends without a whole answer is LOST unless the server broke off, a time-out was reached, a fault disturbed the gateway, or it was sent within 3 s of SIGTERM and its server worked in the last sixth of the grace period. Before, an answer that a planned stop cut counted only if nothing else interrupted the gateway meanwhile, and one that was cut without a stop never did. Ids of events, the request and the software version that they belong to, seals, and versions of the configuration that are read back or obeyed are compared as well. A read below an acknowledged version counts at once, at any time of the run; before, it was looked at once, at the end. An answer with the id of another request and one that is dropped remain among the servers' faults.

--- a/laburnumlug-daemon/tests/gateways/checker.rs
+++ b/laburnumlug-daemon/tests/gateways/checker.rs
@@ -1,138 +1,210 @@
-//! Compares what the targets received with the responses that callers and the operator got.
+//! Compares what the servers did with the answers that callers and the operator got.
 
 use std::collections::HashMap;
-use std::time::Duration;
-
-use serde_json::Value;
+use std::time::{Duration, Instant};
 
 use crate::Run;
-use crate::callers::CallRecord;
-use crate::client;
+use crate::callers::{CallRecord, End, ROUTE_TIMEOUT};
 use crate::deployment::Deployment;
-use crate::harness::wait_for;
+use crate::injector::{Interruption, Reason};
+use crate::orders::order_violation;
+use crate::servers::{Outcome, ServerRun};
+use crate::versions::find_version_violations;
+
+/// Time after SIGTERM until which a request may be sent that the end of the grace period cuts.
+const EXCUSED_TIME: Duration = Duration::from_secs(3);
+
+/// Time before a request in which a fault of its gateway excuses that the request was cut.
+const STABLE_TIME: Duration = Duration::from_secs(3);
 
-/// Body of a complete stream.
-const COMPLETE_STREAM: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+/// Time after the last byte of a request within which a connection may end, if no server got the request.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
 
-/// Timeout of the routes in `soak-config.json`; a request sent longer ago is no longer in progress.
-const ROUTE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time by which an answer may end before its deadline or the route's timeout.
+const TIMEOUT_SLACK: Duration = Duration::from_millis(100);
 
 /// Returns the violations of the guarantees to callers and to the operator.
-pub async fn find_violations(deployment: &Deployment, run: &Run) -> Vec<String> {
+pub fn find_violations(deployment: &Deployment, run: &Run) -> Vec<String> {
     let mut violations = run.violations.borrow().clone();
-    let mut runs_by_id: HashMap<String, usize> = HashMap::new();
-    for headers in deployment
-        .targets
+    let mut runs_by_id: HashMap<String, Vec<ServerRun>> = HashMap::new();
+    for server_run in deployment.runs.lock().unwrap().iter() {
+        let runs = runs_by_id.entry(server_run.id.clone()).or_default();
+        runs.push(server_run.clone());
+    }
+    let calls = run.load.calls.lock().unwrap().clone();
+    let interruptions = run.interruptions.borrow().clone();
+    for record in &calls {
+        let runs = runs_by_id.get(&record.id).map_or(&[][..], Vec::as_slice);
+        let faults = answer_violation(record, runs)
+            .into_iter()
+            .chain(loss_violation(record, runs, &interruptions));
+        for fault in faults {
+            violations.push(describe(&fault, record, runs, &interruptions));
+        }
+    }
+    find_version_violations(run, &calls, &mut violations);
+    print_counts(run, &calls, &mut violations);
+    violations
+}
+
+/// Returns what is wrong with an answer, or with how often its request was run.
+fn answer_violation(record: &CallRecord, runs: &[ServerRun]) -> Option<String> {
+    let executed = runs.iter().filter(|run| run.outcome != Outcome::Refused);
+    let count = executed.clone().count();
+    let content = format!("POST {} body", record.path);
+    let header = |name| record.head.as_ref().and_then(|head| head.get(name));
+    let echo = header("x-request-id");
+    let seal = header("x-server-seal");
+    let is_whole = record.end == End::Whole;
+    let is_server_answer = executed.clone().any(|run| {
+        let body = format!("answer of {} to {}", run.instance, record.id);
+        record.body == body && seal == Some(&run.instance)
+    });
+    let text = match record.status() {
+        _ if runs.iter().any(|run| run.content != content) => "UNASKED: the request was changed",
+        _ if matches!(record.route, "once" | "held") && count > 1 => "TWICE: ran more than once",
+        Some(408 | 421 | 429 | 503) if count > 0 => "REFUSED: answered as not run, but ran",
+        Some(404) if record.route != "v" => "DENIED: no route, though each configuration has it",
+        Some(_) if echo.is_some_and(|id| id != record.id) => "MIXED: answer to another request",
+        Some(200) if count == 0 => "MIXED: success that no server gave",
+        Some(200) if seal.is_none() => "MIXED: success without a seal",
+        Some(200) if record.events > 0 => return order_violation(record),
+        Some(200) if is_whole && !is_server_answer => "MIXED: body that no server sent",
+        _ => return None,
+    };
+    Some(text.to_string())
+}
+
+/// Returns whether a request that its gateway had read ended without a whole answer, and nothing excuses it.
+fn loss_violation(
+    record: &CallRecord,
+    runs: &[ServerRun],
+    interruptions: &[Interruption],
+) -> Option<String> {
+    let own = interruptions
         .iter()
-        .flat_map(|target| target.received())
+        .filter(|interruption| interruption.gateway == record.gateway);
+    if own
+        .clone()
+        .any(|fault| fault.reason == Reason::Fault && is_near(fault, record))
     {
-        let id = headers["x-request-id"].to_str().unwrap().to_string();
-        *runs_by_id.entry(id).or_default() += 1;
+        return None;
     }
-    let calls = run.calls.borrow().clone();
-    for record in calls.iter() {
-        let runs = runs_by_id.get(&record.id).copied().unwrap_or(0);
-        if let Some(violation) = violation_of(record, runs) {
-            violations.push(format!("{violation}: {runs} runs, {record:?}"));
-        }
-        if runs > 0 && record.body.is_none() && was_cut_by_planned_stop(run, record) {
-            violations.push(format!(
-                "response cut off by a planned stop of the gateway: {record:?}"
-            ));
+    if record.end == End::Silent {
+        return Some("CONFIG: no answer long after the route's timeout".to_string());
+    }
+    // A pipelined request may be unread when the answer before it closes the connection.
+    let was_read =
+        !runs.is_empty() || (!record.is_pipelined && record.ended_at - record.sent_at > LOSS_SLACK);
+    if record.end != End::Cut || !was_read {
+        return None;
+    }
+    let is_timed_out =
+        record.ended_at + TIMEOUT_SLACK >= record.due_at + record.deadline.min(ROUTE_TIMEOUT);
+    let mut executed = runs.iter().filter(|run| run.outcome != Outcome::Refused);
+    let is_broken_off = executed
+        .next_back()
+        .is_some_and(|run| run.outcome == Outcome::BrokenOff);
+    let is_cut_by_exit = own.clone().any(|stop| match stop.reason {
+        Reason::Stop { grace } => {
+            record.sent_at <= stop.from + EXCUSED_TIME
+                && stop.from <= record.ended_at
+                && runs
+                    .iter()
+                    .any(|run| run.is_working_at(stop.from + grace * 5 / 6))
         }
+        Reason::Fault => false,
+    });
+    if is_timed_out || is_broken_off || is_cut_by_exit {
+        return None;
     }
-    check_acknowledged_changes(deployment, run, &mut violations).await;
-    let answered = calls
-        .iter()
-        .filter(|record| record.status == Some(200))
-        .count();
-    let refused = calls
-        .iter()
-        .filter(|record| record.status == Some(503))
-        .count();
-    let interruptions = run.interruptions.borrow().len();
-    let acknowledged = run
-        .changes
-        .borrow()
-        .iter()
-        .filter(|c| c.acknowledged)
-        .count();
-    println!(
-        "{} calls, {answered} answered, {refused} refused, {interruptions} gateway interruptions, \
-         {acknowledged} of {} changes acknowledged",
-        calls.len(),
-        run.changes.borrow().len()
-    );
-    if answered == 0 || acknowledged == 0 {
-        violations.push(
-            "no request was answered or no change acknowledged, so nothing was tested".to_string(),
-        );
+    Some("LOST: read, and ended without a whole answer".to_string())
+}
+
+impl ServerRun {
+    /// Returns whether the server was at work at some time from `from` on.
+    fn is_working_at(&self, from: Instant) -> bool {
+        self.ended_at.is_none_or(|ended_at| ended_at >= from)
     }
-    violations
 }
 
-fn violation_of(record: &CallRecord, runs: usize) -> Option<&'static str> {
-    let body = record.body.as_deref();
-    match record.status {
-        Some(503) if runs > 0 => Some("answered with status 503 but ran"),
-        Some(200) if runs == 0 => Some("answered with status 200 but did not run"),
-        Some(404) => Some("no route found, although every configuration has the route"),
-        _ if record.route == "once" && runs > 1 => Some("ran more than once"),
-        Some(200)
-            if record.route == "stream" && body.is_some_and(|body| body != COMPLETE_STREAM) =>
-        {
-            Some("stream ended without an error, but with wrong events")
-        }
-        Some(200)
-            if record.route != "stream" && body.is_some_and(|b| !b.starts_with("answer of")) =>
-        {
-            Some("answered with a body that no target sent")
-        }
-        _ => None,
+/// Describes a violation with all times, in seconds from the first byte of the request.
+fn describe(
+    fault: &str,
+    record: &CallRecord,
+    runs: &[ServerRun],
+    interruptions: &[Interruption],
+) -> String {
+    let since = |at: Instant| match at.checked_duration_since(record.began_at) {
+        Some(after) => format!("{:+.3}", after.as_secs_f64()),
+        None => format!("-{:.3}", (record.began_at - at).as_secs_f64()),
+    };
+    let CallRecord {
+        id,
+        path,
+        gateway,
+        is_chunked,
+        is_pipelined,
+        resumes,
+        end,
+        body,
+        ..
+    } = record;
+    let (status, sent, ended) = (
+        record.status(),
+        since(record.sent_at),
+        since(record.ended_at),
+    );
+    let mut text = format!(
+        "{fault}\n    {id} {path} at gateway {gateway}, chunked {is_chunked}, pipelined {is_pipelined}, \
+         resumes {resumes:?}: sent {sent}, {end:?} {status:?} {ended}\n    body {body:?}"
+    );
+    for run in runs {
+        let ended = run.ended_at.map_or("-".to_string(), since);
+        let (began, instance, outcome) = (since(run.began_at), &run.instance, run.outcome);
+        text += &format!("\n    run at {instance} from {began} to {ended}: {outcome:?}");
     }
+    let own = interruptions.iter().filter(|i| i.gateway == record.gateway);
+    for near in own.filter(|i| is_near(i, record)) {
+        let (from, until) = (since(near.from), since(near.until));
+        text += &format!("\n    {:?} from {from} to {until}", near.reason);
+    }
+    text
 }
 
-/// Returns whether, while the request was in progress, its gateway had a planned stop and no fault.
-fn was_cut_by_planned_stop(run: &Run, record: &CallRecord) -> bool {
-    let interruptions = run.interruptions.borrow();
-    let mut overlapping = interruptions.iter().filter(|interruption| {
-        interruption.gateway == record.gateway
-            && record.sent_at <= interruption.until
-            && interruption.from <= record.sent_at + ROUTE_TIMEOUT
-    });
-    let is_interrupted = overlapping.clone().next().is_some();
-    is_interrupted && overlapping.all(|interruption| interruption.is_planned)
+/// Returns whether an interruption lies between the stable time before a request and its end.
+fn is_near(interruption: &Interruption, record: &CallRecord) -> bool {
+    interruption.from <= record.ended_at && record.began_at <= interruption.until + STABLE_TIME
 }
 
-/// Checks that the version that each replica returns lies between the newest acknowledged and the newest sent one.
-async fn check_acknowledged_changes(
-    deployment: &Deployment,
-    run: &Run,
-    violations: &mut Vec<String>,
-) {
-    let changes = run.changes.borrow().clone();
-    let newest_acknowledged = changes
+fn print_counts(run: &Run, calls: &[CallRecord], violations: &mut Vec<String>) {
+    let count = |is_counted: &dyn Fn(&CallRecord) -> bool| {
+        calls.iter().filter(|record| is_counted(record)).count()
+    };
+    let changes = run.changes.borrow();
+    let acknowledged = changes
         .iter()
-        .filter(|c| c.acknowledged)
-        .map(|c| c.version)
-        .max();
-    let newest_sent = changes
+        .filter(|c| c.acknowledged_at.is_some())
+        .count();
+    let answered = count(&|record| record.status() == Some(200) && record.end == End::Whole);
+    let interruptions = run.interruptions.borrow();
+    let faults = interruptions
         .iter()
-        .map(|change| change.version)
-        .max()
-        .unwrap_or(1);
-    for addr in deployment.operator_addrs() {
-        let body = wait_for("confirmed configuration", || async {
-            let (status, body) = client::get_status_and_body(addr, "/config/get").await?;
-            (status == 200).then_some(body)
-        })
-        .await;
-        let config: Value = serde_json::from_str(&body).unwrap();
-        let version = config["version"].as_u64().unwrap_or(0);
-        if !(newest_acknowledged.unwrap_or(1)..=newest_sent).contains(&version) {
-            violations.push(format!(
-                "replica {addr} returned version {version}; {newest_acknowledged:?} was the newest acknowledged and {newest_sent} the newest sent"
-            ));
-        }
+        .filter(|i| i.reason == Reason::Fault)
+        .count();
+    println!(
+        "{} calls, {answered} answered, {} refused, {} cut, {} resumed by callers, {} stops, {faults} faults of gateways, \
+         {acknowledged} of {} changes acknowledged, {} reads",
+        calls.len(),
+        count(&|record| record.status() == Some(503)),
+        count(&|record| record.end == End::Cut),
+        count(&|record| record.resumes.is_some()),
+        interruptions.len() - faults,
+        changes.len(),
+        run.reads.borrow().len(),
+    );
+    if answered == 0 || acknowledged == 0 {
+        let text = "no request was answered or no change acknowledged, so nothing was tested";
+        violations.push(text.to_string());
     }
 }
--- a/laburnumlug-daemon/tests/it/harness.rs
+++ b/laburnumlug-daemon/tests/it/harness.rs
@@ -119,17 +119,17 @@
         kill_process(pid, signal).unwrap();
     }
 
+    /// Returns how the process exited, or `None` if it runs.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().unwrap()
+    }
+
     /// Kills the process and waits for its exit.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 
-    /// Returns the status with which the process has exited, if it has.
-    pub fn exit_status(&mut self) -> Option<ExitStatus> {
-        self.child.try_wait().unwrap()
-    }
-
     /// Waits until the process exits by itself; panics after [`WAIT_TIMEOUT`].
     pub async fn wait(&mut self) -> ExitStatus {
         let child = RefCell::new(&mut self.child);
