--- a/laburnumlug-daemon/tests/it/control/full_disk.rs
+++ b/laburnumlug-daemon/tests/it/control/full_disk.rs
@@ -8,11 +8,11 @@
 };
 use crate::harness::{Fleet, FleetConfig, block_on, wait_for};
 
-fn journal_path(fleet: &Fleet, replica: usize) -> PathBuf {
+pub(super) fn journal_path(fleet: &Fleet, replica: usize) -> PathBuf {
     fleet.folder.path().join(replica_name(replica)).join("log")
 }
 
-async fn start_fleet(config: FleetConfig, replicas: usize) -> Fleet {
+pub(super) async fn start_fleet(config: FleetConfig, replicas: usize) -> Fleet {
     let mut fleet = Fleet::start(config).await;
     for replica in 0..replicas {
         fleet.restart_with_file_limits(&replica_name(replica));
@@ -20,7 +20,7 @@
     fleet
 }
 
-async fn wait_until_not_voter(fleet: &Fleet, replica: usize) {
+pub(super) async fn wait_until_not_voter(fleet: &Fleet, replica: usize) {
     wait_for("a replica without a vote", || async {
         let status = fleet.get_control_json(replica, "/status").await?;
         (!status["is_voter"].as_bool()?).then_some(())
--- a/laburnumlug-daemon/tests/it/control/mod.rs
+++ b/laburnumlug-daemon/tests/it/control/mod.rs
@@ -3,6 +3,7 @@
 mod authority;
 mod confirmation;
 mod data_folder;
+mod disk_faults;
 mod full_disk;
 mod membership;
 mod slow_links;
--- a/laburnumlug-daemon/tests/it/harness.rs
+++ b/laburnumlug-daemon/tests/it/harness.rs
@@ -88,9 +88,13 @@
     }
 
     /// Like [`Process::start`], but writes beyond a file size limit fail instead of ending the process.
-    fn start_with_file_limits(role: &str, settings: &Path) -> Process {
+    ///
+    /// If `is_full`, the process cannot write files until [`Process::limit_file_size`] removes the limit.
+    fn start_with_file_limits(role: &str, settings: &Path, is_full: bool) -> Process {
+        let limit = if is_full { "ulimit -S -f 0;" } else { "" };
+        let script = format!("trap '' XFSZ; {limit} exec \"$@\"");
         let child = Command::new("sh")
-            .args(["-c", "trap '' XFSZ; exec \"$@\"", "sh"])
+            .args(["-c", &script, "sh"])
             .arg(env!("CARGO_BIN_EXE_laburnumlugd"))
             .args([role, "--settings"])
             .arg(settings)
@@ -514,9 +518,18 @@
 
     /// Restarts a control replica so that [`Process::limit_file_size`] applies to it.
     pub fn restart_with_file_limits(&mut self, name: &str) {
+        self.restart_limited(name, false);
+    }
+
+    /// Restarts a control replica that cannot write files until [`Process::limit_file_size`] removes the limit.
+    pub fn restart_with_full_disk(&mut self, name: &str) {
+        self.restart_limited(name, true);
+    }
+
+    fn restart_limited(&mut self, name: &str, is_full: bool) {
         self.processes.remove(name);
         let path = self.folder.path().join(format!("{name}.ini"));
-        let process = Process::start_with_file_limits("control", &path);
+        let process = Process::start_with_file_limits("control", &path, is_full);
         self.processes.insert(name.to_string(), process);
     }
 
