Play full disks in the mixed faults, and end with a change at each replica

The seeded run of real processes, with callers, bookings and operators, killed, froze and cut control replicas and took their disks, but no disk refused writes. A control replica now writes only the first bytes of its files for the time of the fault, alone or beside another fault. The check after the faults also waits until every replica acknowledges a change, as refused changes alone were no violation.

--- a/laburnumlug-daemon/tests/faults/checker.rs
+++ b/laburnumlug-daemon/tests/faults/checker.rs
@@ -6,7 +6,7 @@
 use laburnumlug_standin::{EngineRecord, OrderOutcome};
 use serde_json::{Value, json};
 
-use crate::client::{get_audit, get_document, post};
+use crate::client::{get_audit, get_document, post, put_document};
 use crate::harness::{Fleet, wait_for};
 use crate::history::{Booking, Change, History, Verdict};
 use crate::leaving::leaving_intervals;
@@ -21,6 +21,7 @@
     check_acknowledged_changes(fleet, &changes, &mut violations).await;
     check_leaving_targets(fleet, history, &mut violations);
     check_orders(fleet, &mut violations);
+    wait_for_changes(fleet).await;
     let counts = history.counts.borrow().clone();
     println!(
         "{counts:?}, {} bookings, {} acknowledged changes, {} changes of unknown outcome",
@@ -52,6 +53,23 @@
     }
 }
 
+/// Waits until every control replica acknowledges a change again.
+async fn wait_for_changes(fleet: &Fleet) {
+    for addr in &fleet.operator_addrs {
+        wait_for("a change after the faults", || async {
+            let (version, document) = get_document(*addr).await?;
+            let key = format!("after the faults at {addr} on {version}");
+            let document = document.to_string();
+            let put = put_document(*addr, version, &key, &document);
+            let (status, _) = compio::time::timeout(Duration::from_secs(5), put)
+                .await
+                .ok()??;
+            (status == 200).then_some(())
+        })
+        .await;
+    }
+}
+
 fn check_bookings(fleet: &Fleet, bookings: &[Booking], violations: &mut Vec<String>) {
     let mut runs_by_id: HashMap<String, usize> = HashMap::new();
     for content in fleet
--- a/laburnumlug-daemon/tests/faults/injector.rs
+++ b/laburnumlug-daemon/tests/faults/injector.rs
@@ -20,6 +20,9 @@
 /// Range of a fault's duration, in milliseconds; the longest faults outlast every confirmation of the fleet document.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 500..7000;
 
+/// Largest length up to which the files of a full disk are still written; the journal reaches it within a run.
+const MAX_FULL_DISK_BYTES: u64 = 60_000;
+
 /// Minimum time between two disk losses, so that the first disk is replaced before the second is lost.
 const MIN_DISK_LOSS_INTERVAL: Duration = Duration::from_secs(20);
 
@@ -36,6 +39,8 @@
     Kill(String),
     /// Kills the process, removes its data folder, and restarts it at the end.
     LoseDisk(String),
+    /// Lets the control replica write only the first bytes of its files until the end.
+    FullDisk(String, u64),
     /// Suspends the process and resumes it at the end.
     Freeze(String),
     /// Applies a network fault to the link.
@@ -48,6 +53,7 @@
         match self {
             FaultKind::Kill(name)
             | FaultKind::LoseDisk(name)
+            | FaultKind::FullDisk(name, _)
             | FaultKind::Freeze(name)
             | FaultKind::Link(name, _) => name,
         }
@@ -112,6 +118,10 @@
         0..3 => FaultKind::Kill(process),
         3..5 => FaultKind::Freeze(process),
         5 if may_lose_disk => FaultKind::LoseDisk(format!("control-{}", rng.random_range(1..4))),
+        5..7 => FaultKind::FullDisk(
+            format!("control-{}", rng.random_range(1..4)),
+            rng.random_range(0..MAX_FULL_DISK_BYTES),
+        ),
         // A target process is co-located with its engine or server: their connection may break, but cannot be
         // partitioned.
         _ if link.ends_with(">engine") || link.ends_with(">service") => {
@@ -134,6 +144,7 @@
             let folder = fleet.folder.path().join(name);
             std::fs::remove_dir_all(folder).expect("the data folder can be removed");
         }
+        FaultKind::FullDisk(name, bytes) => fleet.process(name).limit_file_size(Some(*bytes)),
         FaultKind::Freeze(name) => fleet.process(name).signal(Signal::STOP),
         FaultKind::Link(name, fault) => fleet.proxies[name].set_fault(*fault),
     }
@@ -145,9 +156,18 @@
 {
     for fault in active.extract_if(.., |fault| is_due(fault)) {
         match fault.kind {
-            FaultKind::Kill(name) | FaultKind::LoseDisk(name) => fleet.restart(&name),
+            FaultKind::Kill(name) | FaultKind::LoseDisk(name) => restart(fleet, &name),
+            FaultKind::FullDisk(name, _) => fleet.process(&name).limit_file_size(None),
             FaultKind::Freeze(name) => fleet.process(&name).signal(Signal::CONT),
             FaultKind::Link(name, _) => fleet.proxies[&name].set_fault(Fault::None),
         }
     }
 }
+
+/// Restarts a process; [`FaultKind::FullDisk`] applies to a control replica that is started like this.
+fn restart(fleet: &mut Fleet, name: &str) {
+    match name.starts_with("control-") {
+        true => fleet.restart_with_file_limits(name),
+        false => fleet.restart(name),
+    }
+}
--- a/laburnumlug-daemon/tests/faults/main.rs
+++ b/laburnumlug-daemon/tests/faults/main.rs
@@ -90,6 +90,9 @@
         .engine_timing(EngineTiming::instant().token_time(TOKEN_TIME))
         .booking_timing(BookingTiming::default().run_time(BOOKING_TIME));
     let mut fleet = Fleet::start(config).await;
+    for replica in 1..4 {
+        fleet.restart_with_file_limits(&format!("control-{replica}"));
+    }
     let started_at = Instant::now();
     let run = Rc::new(Run {
         history: History::new(started_at),
