--- a/laburnumlug-http/src/body.rs
+++ b/laburnumlug-http/src/body.rs
@@ -362,40 +362,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use futures_util::FutureExt;
-
-    use super::*;
-
-    #[test]
-    fn send_waits_at_byte_limit() {
-        let (mut tx, mut body) = channel_body();
-        let large = Bytes::from(vec![0; MAX_BUFFERED_BYTES]);
-        assert_eq!(tx.send(large).now_or_never(), Some(Ok(())));
-        assert_eq!(tx.send(Bytes::from_static(b"a")).now_or_never(), None);
-        assert!(body.frame().now_or_never().is_some());
-        let sent = tx.send(Bytes::from_static(b"a")).now_or_never();
-        assert_eq!(sent, Some(Ok(())));
-    }
-
-    #[test]
-    fn abort_after_chunk() {
-        let (mut tx, mut body) = channel_body();
-        let chunk = Bytes::from_static(b"a");
-        assert_eq!(tx.send(chunk).now_or_never(), Some(Ok(())));
-        tx.abort();
-        let mut next = || body.frame().now_or_never().unwrap().unwrap();
-        assert!(next().is_ok());
-        assert_eq!(next().err(), Some(Aborted));
-    }
-
-    #[test]
-    fn send_after_reader_dropped() {
-        let (mut tx, body) = channel_body();
-        drop(body);
-        let chunk = Bytes::from_static(b"a");
-        let sent = tx.send(chunk.clone()).now_or_never();
-        assert_eq!(sent, Some(Err(chunk)));
-        assert!(tx.closed().now_or_never().is_some());
-    }
-}
+#[path = "body_tests.rs"]
+mod tests;
--- /dev/null
+++ b/laburnumlug-http/src/body_tests.rs
@@ -0,0 +1,79 @@
+use futures_util::FutureExt;
+
+use super::*;
+use crate::held_bytes::{held_bytes, set_memory_budget};
+
+#[test]
+fn send_waits_at_byte_limit() {
+    let (mut tx, mut body) = channel_body();
+    let large = Bytes::from(vec![0; MAX_BUFFERED_BYTES]);
+    assert_eq!(tx.send(large).now_or_never(), Some(Ok(())));
+    assert_eq!(tx.send(Bytes::from_static(b"a")).now_or_never(), None);
+    assert!(body.frame().now_or_never().is_some());
+    let sent = tx.send(Bytes::from_static(b"a")).now_or_never();
+    assert_eq!(sent, Some(Ok(())));
+}
+
+#[test]
+fn abort_after_chunk() {
+    let (mut tx, mut body) = channel_body();
+    let chunk = Bytes::from_static(b"a");
+    assert_eq!(tx.send(chunk).now_or_never(), Some(Ok(())));
+    tx.abort();
+    let mut next = || body.frame().now_or_never().unwrap().unwrap();
+    assert!(next().is_ok());
+    assert_eq!(next().err(), Some(Aborted));
+}
+
+#[test]
+fn send_after_reader_dropped() {
+    let (mut tx, body) = channel_body();
+    drop(body);
+    let chunk = Bytes::from_static(b"a");
+    let sent = tx.send(chunk.clone()).now_or_never();
+    assert_eq!(sent, Some(Err(chunk)));
+    assert!(tx.closed().now_or_never().is_some());
+}
+
+/// Guards against slow readers that together exceed the memory of the process, each with less than one body may buffer.
+#[test]
+fn send_ends_fullest_body() {
+    set_memory_budget(100);
+    let (mut slow_tx, mut slow) = channel_body();
+    let (mut tx, mut body) = channel_body();
+    let chunk = |len| Bytes::from(vec![0; len]);
+    assert_eq!(slow_tx.send(chunk(80)).now_or_never(), Some(Ok(())));
+    assert_eq!(slow_tx.closed().now_or_never(), None);
+    assert_eq!(tx.send(chunk(30)).now_or_never(), Some(Ok(())));
+    // The chunks of the slow reader are dropped although it takes none.
+    let handle = slow_tx.handle();
+    assert_eq!(slow_tx.closed().now_or_never(), Some(()));
+    assert_eq!(held_bytes(), 30);
+    assert_eq!(handle.over_budget().unwrap().holder_bytes, 80);
+    drop(slow_tx);
+    let aborted = slow.frame().now_or_never().unwrap().unwrap();
+    assert_eq!(aborted.err(), Some(Aborted));
+    assert!(body.frame().now_or_never().unwrap().unwrap().is_ok());
+    assert_eq!(tx.send(chunk(30)).now_or_never(), Some(Ok(())));
+}
+
+/// Guards against a whole answer that is held for a slow caller but not counted.
+#[test]
+fn held_body_counts_until_taken() {
+    set_memory_budget(2 * MAX_PART_BYTES);
+    let held = HeldBytes::default();
+    let len = MAX_PART_BYTES + 1;
+    assert_eq!(held.resize(len), Ok(()));
+    let mut body = held_body(Bytes::from(vec![0; len]), held);
+    assert_eq!(body.size_hint().exact(), Some(len as u64));
+    let mut next = || body.frame().now_or_never().unwrap().unwrap();
+    assert!(next().is_ok());
+    assert_eq!(held_bytes(), len);
+    // A larger exchange is refused, and a smaller one ends this one.
+    let other = HeldBytes::default();
+    assert!(other.resize(2 * MAX_PART_BYTES).is_err());
+    other.release();
+    assert_eq!(other.resize(MAX_PART_BYTES), Ok(()));
+    assert_eq!(next().err(), Some(Aborted));
+    assert_eq!(held_bytes(), MAX_PART_BYTES);
+}
