Bound what a mesh peer may send before it has proved the key

Any host that reaches the port of the mesh could make a process keep 16 MB for each connection, without the key, and so end it with all the requests that it serves.

Cause: the limit of a message held from the first byte of a connection, and not from the proof of the key.

A connection may receive 64 KB until both sides have proved the key; then the limit is lifted. The count is the one that tells a slow transfer from a peer that has stopped.

Evidence: accept_large_message_before_proof sends a message of 15 MB without a proof. Without the limit all of it is read until the peer closes; with it the connection ends. recv_large_message_after_proof passes in both.

The messages of a handshake are shorter than 64 KB, so that sound peers do not notice the limit.

--- a/laburnumlug-mesh/src/connection.rs
+++ b/laburnumlug-mesh/src/connection.rs
@@ -1,6 +1,5 @@
 //! WebSocket connection between two processes of this system, carrying CBOR messages.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -18,7 +17,7 @@
 use tokio_tungstenite::tungstenite::{self, Message as Frame};
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
 
-use crate::counted_stream::CountedStream;
+use crate::counted_stream::{CountedStream, ReceivedBytes};
 use crate::error::Error;
 use crate::handshake::{Handshake, MeshKey, SessionId, Side, derive_session_id, new_nonce};
 use crate::message::Message;
@@ -31,6 +30,9 @@
 /// Maximum size of a message in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
+/// Maximum number of bytes that a peer may send before it has proved the key; the messages of a handshake are short.
+const MAX_HANDSHAKE_BYTES: u64 = 64 * 1024;
+
 /// Maximum number of unsent bytes that a connection buffers.
 const MAX_WRITE_BUFFER_BYTES: usize = MAX_MESSAGE_BYTES + 1024 * 1024;
 
@@ -58,7 +60,7 @@
 /// Authenticated connection between two processes of this system.
 pub struct Connection {
     stream: Stream,
-    received_bytes: Rc<Cell<u64>>,
+    received_bytes: Rc<ReceivedBytes>,
     session_id: SessionId,
     /// Incarnation of the peer's process; known only to the connecting side.
     peer_incarnation: Option<Incarnation>,
@@ -106,7 +108,7 @@
         key: &MeshKey,
     ) -> Result<Connection, Error> {
         set_socket_options(&stream);
-        let received_bytes = Rc::default();
+        let received_bytes = Rc::new(ReceivedBytes::with_limit(MAX_HANDSHAKE_BYTES));
         let (stream, _) = tokio_tungstenite::client_async_with_config(
             format!("ws://{addr}/mesh"),
             into_compat(stream, &received_bytes),
@@ -116,10 +118,11 @@
         .map_err(Error::web_socket)?;
         let mut conn = Connection::new(stream, received_bytes);
         conn.authenticate_as_client(key).await?;
+        conn.received_bytes.remove_limit();
         Ok(conn)
     }
 
-    fn new(stream: Stream, received_bytes: Rc<Cell<u64>>) -> Connection {
+    fn new(stream: Stream, received_bytes: Rc<ReceivedBytes>) -> Connection {
         Connection {
             stream,
             received_bytes,
@@ -159,7 +162,7 @@
     ) -> Result<Connection, Error> {
         let accepting = async {
             set_socket_options(&stream);
-            let received_bytes = Rc::default();
+            let received_bytes = Rc::new(ReceivedBytes::with_limit(MAX_HANDSHAKE_BYTES));
             let stream = tokio_tungstenite::accept_async_with_config(
                 into_compat(stream, &received_bytes),
                 Some(web_socket_config()),
@@ -168,6 +171,7 @@
             .map_err(Error::web_socket)?;
             let mut conn = Connection::new(stream, received_bytes);
             conn.authenticate_as_server(key, incarnation).await?;
+            conn.received_bytes.remove_limit();
             Ok(conn)
         };
         match compio::time::timeout(HANDSHAKE_TIMEOUT, accepting).await {
@@ -258,10 +262,10 @@
         let received_bytes = self.received_bytes.clone();
         let mut receiving = pin!(self.recv());
         loop {
-            let received_before = received_bytes.get();
+            let received_before = received_bytes.count();
             match compio::time::timeout(idle_timeout, receiving.as_mut()).await {
                 Ok(result) => return result,
-                Err(_) if received_bytes.get() == received_before => return Err(Error::idle()),
+                Err(_) if received_bytes.count() == received_before => return Err(Error::idle()),
                 Err(_) => {}
             }
         }
@@ -359,7 +363,7 @@
     let _ = set_socket_send_buffer_size(stream, SOCKET_SEND_BUFFER_BYTES);
 }
 
-fn into_compat(stream: TcpStream, received_bytes: &Rc<Cell<u64>>) -> ByteStream {
+fn into_compat(stream: TcpStream, received_bytes: &Rc<ReceivedBytes>) -> ByteStream {
     let stream = Box::pin(AsyncStream::new(stream));
     CountedStream::new(stream, received_bytes.clone()).compat()
 }
@@ -372,3 +376,7 @@
         .write_buffer_size(0)
         .read_buffer_size(4 * 1024)
 }
+
+#[cfg(test)]
+#[path = "connection_tests.rs"]
+mod tests;
