Count no pause of the process against a peer that is being connected

Cause: the limit of 250 ms for a connection ran on while the process did not run. A connection that was established meanwhile was dropped at random, as the timer was ready as well. Change: a connection that is established counts, and the time starts again, once, if its timer is more than 10 ms late. Why: a late timer shows that this process did not run, which says nothing about the peer.

--- a/laburnumlug-http/src/socket.rs
+++ b/laburnumlug-http/src/socket.rs
@@ -3,9 +3,11 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
-use std::time::Duration;
+use std::pin::pin;
+use std::time::{Duration, Instant};
 
 use compio::net::TcpStream;
+use futures_util::future::{Either, select};
 use rustix::net::sockopt;
 
 use crate::error::Error;
@@ -20,14 +22,31 @@
 /// Kernel receive buffer of one connection; by default it would keep megabytes that are not read while a caller is slow.
 const RECEIVE_BUFFER_BYTES: usize = 256 * 1024;
 
+/// Delay of a timer beyond which the process has not run for a while.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(10);
+
 /// Connects to a peer within `timeout`.
+///
+/// A peer that has answered counts as reached, and the time starts again, once, if this process did not run meanwhile: a
+/// pause of the process says nothing about its peer.
 pub(crate) async fn connect(addr: SocketAddr, timeout: Duration) -> Result<TcpStream, Error> {
-    let stream = match compio::time::timeout(timeout, TcpStream::connect(addr)).await {
-        Ok(connected) => connected.map_err(Error::connect)?,
-        Err(_) => return Err(Error::connect(ErrorKind::TimedOut.into())),
-    };
-    set_options(&stream);
-    Ok(stream)
+    let mut connecting = pin!(TcpStream::connect(addr));
+    let mut may_restart = true;
+    loop {
+        let began_at = Instant::now();
+        let timer = pin!(compio::time::sleep(timeout));
+        match select(connecting.as_mut(), timer).await {
+            Either::Left((connected, _)) => {
+                let stream = connected.map_err(Error::connect)?;
+                set_options(&stream);
+                return Ok(stream);
+            }
+            Either::Right(_) if may_restart && began_at.elapsed() > timeout + MAX_TIMER_DELAY => {
+                may_restart = false;
+            }
+            Either::Right(_) => return Err(Error::connect(ErrorKind::TimedOut.into())),
+        }
+    }
 }
 
 /// Disables Nagle's algorithm and bounds how long an unreachable peer goes undetected.
