Eject a server at once whose answer has no end

With the bounds on answers alone, all get one, but requests that may not be repeated are lost one after another until three in a row have failed, and an engine whose prefills end so is used for every prompt. Cause: the failure of an exchange lost its kind where it happened, and each place decided whether it counts. Bodies of prefills, and of answers of engines that are no stream, did not count. Change: one function records failed exchanges. An invalid answer ejects its target at once, and raises no suspicion of a crash. The bodies count. Why: a connection that fails cannot look like such an answer, so one of them suffices.

--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -111,6 +111,8 @@
 
 impl Forwarder {
     /// Reads the body of a response, of at most `limit` bytes, within the time left for its request.
+    ///
+    /// A body that is not whole counts against the target's health.
     pub(crate) async fn read_body(
         &self,
         request: &CallerRequest,
@@ -122,12 +124,16 @@
         match compio::time::timeout(time_left, response.bytes(limit)).await {
             Ok(Ok(body)) => Ok(body),
             Ok(Err(err)) => {
-                if let Some(over) = err.as_over_budget() {
-                    self.record_ended_answer(Instant::now(), request, target, over);
-                }
-                Err(AttemptFailure::answer_lost(err.to_string()))
+                let failure = self.record_failed_exchange(Instant::now(), request, target, &err);
+                Err(AttemptFailure {
+                    is_connection_broken: false,
+                    ..failure
+                })
+            }
+            Err(_) => {
+                self.record_failure(Instant::now(), target);
+                Err(AttemptFailure::timed_out("no whole answer in time"))
             }
-            Err(_) => Err(AttemptFailure::timed_out("no whole answer in time")),
         }
     }
 
@@ -265,8 +271,7 @@
                 "the target no longer accepts the request",
             )),
             Some(Err(SendError::Sent(err))) => {
-                self.record_failure(now, target);
-                Err(AttemptFailure::connection_broken(err.to_string()))
+                Err(self.record_failed_exchange(now, request, target, &err))
             }
             None => {
                 // A suspected target gets no requests anyway, and is used again as soon as it responds.
--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -175,17 +175,7 @@
             let body = match response.bytes(MAX_RESPONSE_BYTES).await {
                 Ok(body) => body,
                 Err(err) => {
-                    let now = Instant::now();
-                    return Err(match err.as_over_budget() {
-                        Some(over) => {
-                            self.record_ended_answer(now, request, target, over);
-                            AttemptFailure::answer_lost(err.to_string())
-                        }
-                        None => {
-                            self.record_failure(now, target);
-                            AttemptFailure::connection_broken(err.to_string())
-                        }
-                    });
+                    return Err(self.record_failed_exchange(Instant::now(), request, target, &err));
                 }
             };
             run.mark_complete(Instant::now(), self);
--- a/laburnumlug-forward/src/probe.rs
+++ b/laburnumlug-forward/src/probe.rs
@@ -10,6 +10,8 @@
 use laburnumlug_policy::{Decline, INSPECTION_TIMEOUT, inspection_delay, may_inspect, part_id};
 use rand::Rng;
 
+use crate::attempt::CallerRequest;
+use crate::attempt_failure::AttemptFailure;
 use crate::forwarder::Forwarder;
 use crate::header_codec::TargetStatements;
 use crate::registry::TargetHandle;
@@ -102,8 +104,49 @@
 
     /// Records a failed request at a target; if this ejects the target, informs other gateways.
     pub(crate) fn record_failure(&self, now: Instant, target: &TargetHandle) {
-        if target.health.borrow_mut().record_failure(now, false) {
-            log::info!(target = target.instance.as_str(); "ejected the target temporarily: requests to it failed");
+        self.record_failed_request(now, target, false);
+    }
+
+    /// Records a request at a target whose exchange failed, and returns the failure of its attempt.
+    ///
+    /// An invalid answer ejects the target at once: an answer without end costs much, and a connection that fails does not
+    /// look like one.
+    pub(crate) fn record_failed_exchange(
+        &self,
+        now: Instant,
+        request: &CallerRequest,
+        target: &TargetHandle,
+        err: &laburnumlug_http::Error,
+    ) -> AttemptFailure {
+        match err.as_over_budget() {
+            Some(over) => {
+                self.record_ended_answer(now, request, target, over);
+                AttemptFailure::answer_lost(err.to_string())
+            }
+            None if err.is_invalid_answer() => {
+                self.record_failed_request(now, target, true);
+                AttemptFailure::answer_lost(err.to_string())
+            }
+            None => {
+                self.record_failed_request(now, target, false);
+                AttemptFailure::connection_broken(err.to_string())
+            }
+        }
+    }
+
+    /// Records a failed request like [`Forwarder::record_failure`]; one that is conclusive ejects the target at once.
+    pub(crate) fn record_failed_request(
+        &self,
+        now: Instant,
+        target: &TargetHandle,
+        is_conclusive: bool,
+    ) {
+        let is_ejected = target
+            .health
+            .borrow_mut()
+            .record_failure(now, is_conclusive);
+        if is_ejected {
+            log::info!(target = target.instance.as_str(), conclusive = is_conclusive; "ejected the target temporarily: requests to it failed");
             let target = target.instance.clone();
             self.engine_requests
                 .publish(EngineEvent::TargetEjected { target });
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -283,6 +283,7 @@
                     self.record_break(now, request, &upstream);
                     let is_invalid = reason == EVENT_TOO_LONG
                         || upstream.splitter.fault().is_some()
+                        || upstream.has_invalid_answer
                         || upstream.over_budget.is_some();
                     return Err(match is_invalid {
                         true => AttemptFailure::answer_lost(reason),
@@ -298,7 +299,7 @@
         let target = &upstream.in_flight.target;
         match upstream.over_budget {
             Some(over) => self.record_ended_answer(now, request, target, over),
-            None => self.record_failure(now, target),
+            None => self.record_failed_request(now, target, upstream.has_invalid_answer),
         }
     }
 
--- a/laburnumlug-forward/src/stream/upstream.rs
+++ b/laburnumlug-forward/src/stream/upstream.rs
@@ -59,6 +59,8 @@
     pub(super) has_partial: bool,
     /// Set once the stream was ended by the memory budget.
     pub(super) over_budget: Option<OverBudget>,
+    /// Whether the answer is invalid, so that the stream is broken.
+    pub(super) has_invalid_answer: bool,
 }
 
 impl Upstream {
@@ -79,6 +81,7 @@
             stalled_since: now,
             has_partial: false,
             over_budget: None,
+            has_invalid_answer: false,
         }
     }
 
@@ -125,6 +128,7 @@
             }
             Err(err) => {
                 self.splitter.drop_partial();
+                self.has_invalid_answer = err.is_invalid_answer();
                 return StreamStep::Broken(err.to_string());
             }
         };
--- a/laburnumlug-http/src/error.rs
+++ b/laburnumlug-http/src/error.rs
@@ -79,6 +79,18 @@
         }
     }
 
+    /// Returns whether the answer has a head, interim responses, chunk extensions or trailers beyond their limits, or invalid
+    /// chunks. It shows a fault of the peer, as a connection that fails has none of these effects.
+    pub fn is_invalid_answer(&self) -> bool {
+        let ErrorKind::Exchange(err) = &self.kind else {
+            return false;
+        };
+        let source = std::error::Error::source(err);
+        let io_err = source.and_then(|source| source.downcast_ref::<io::Error>());
+        err.is_parse_too_large()
+            || io_err.is_some_and(|err| err.kind() == io::ErrorKind::InvalidData)
+    }
+
     /// Returns whether a body exceeded its size limit.
     pub fn is_body_too_large(&self) -> bool {
         matches!(self.kind, ErrorKind::BodyTooLarge { .. })
