Take an answer without a length for cut if its server refuses connections

A server sent events 1 and 2 of a stream with neither a length nor chunks, and its process was killed before event 3: the caller got the end of a whole stream, also where it could have been resumed. A plain answer of this kind was passed on cut, with status 200.

Cause: such an answer ends with its connection, and the kernel of a killed process closes connections as a process does that has completed its answers.

After such an end the target is connected to, with the check that follows broken connections. If it refuses, and is not leaving, the answer counts as broken: resumed, tried again, aborted or answered 502. The connection is kept for the next request, which would need a new one.

stream_unframed_server_is_killed, stream_unframed_server_is_killed_is_resumed and answer_unframed_server_is_killed fail without the change and pass with it in three of three runs; stream_unframed_whole and stream_unframed_server_leaves hold in both. The tests of laburnumlug-forward (28) and laburnumlug-platform (122) pass.

--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -18,6 +18,7 @@
 use crate::refusal::{FailureCause, Refusal};
 use crate::registry::{TargetHandle, selectable_targets};
 use crate::stream_origins::RequiredSoftware;
+use crate::unframed::ENDED_WITH_TARGET;
 use crate::usage::UsageGuard;
 
 /// Maximum size of a response body in bytes; responses are buffered until they are complete.
@@ -178,6 +179,9 @@
                     return Err(self.record_failed_exchange(Instant::now(), request, target, &err));
                 }
             };
+            if self.is_cut_by_crash(&response, target).await {
+                return Err(AttemptFailure::connection_broken(ENDED_WITH_TARGET));
+            }
             run.mark_complete(Instant::now(), self);
             Ok((response, body))
         };
--- a/laburnumlug-forward/src/crashes.rs
+++ b/laburnumlug-forward/src/crashes.rs
@@ -20,8 +20,8 @@
 /// Maximum age of a reported crash to which a gateway adds its own requests.
 const UNFINISHED_REPORT_TIME: Duration = Duration::from_millis(500);
 
-/// Maximum time for which a retry waits for the check whether its target has crashed.
-const MAX_CRASH_CHECK_TIME: Duration = Duration::from_millis(100);
+/// Maximum time for which a retry, or an answer in doubt, waits for the check whether its target has crashed.
+pub(crate) const MAX_CRASH_CHECK_TIME: Duration = Duration::from_millis(100);
 
 /// Time for which a retry after a crash waits for the reports of other gateways, without which it is not known how many
 /// requests may be the cause.
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -55,6 +55,7 @@
 mod stream;
 mod stream_origins;
 mod target_statements;
+mod unframed;
 mod usage;
 
 pub use crate::config::ForwardConfig;
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -17,6 +17,7 @@
 use crate::header_codec::AttemptStage;
 use crate::refusal::FailureCause;
 use crate::registry::TargetHandle;
+use crate::unframed::ENDED_WITH_TARGET;
 
 /// Maximum size, in bytes, of a response body that is not an event stream.
 pub(super) const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
@@ -320,14 +321,17 @@
 
     /// Reads a response that is not an event stream.
     async fn read_buffered(
-        &self,
+        self: &Rc<Self>,
         request: &CallerRequest,
-        target: &TargetHandle,
+        target: &Rc<TargetHandle>,
         mut response: PooledResponse,
     ) -> Result<Response, AttemptFailure> {
         let body = self
             .read_body(request, target, &mut response, MAX_RESPONSE_BYTES)
             .await?;
+        if self.is_cut_by_crash(&response, target).await {
+            return Err(AttemptFailure::connection_broken(ENDED_WITH_TARGET));
+        }
         let status = response.status();
         if status >= 500 {
             self.record_failure(Instant::now(), target);
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -14,6 +14,7 @@
 use crate::memory::HeldPart;
 use crate::refusal::FailureCause;
 use crate::registry::TargetHandle;
+use crate::unframed::ENDED_WITH_TARGET;
 
 /// Reason why a stream is broken whose next event does not come in time.
 const EVENT_OVERDUE: &str = "no event was complete in time";
@@ -125,6 +126,13 @@
                     }
                 }
             };
+            if let StreamStep::End(_) = step
+                && self
+                    .is_cut_by_crash(&upstream.response, &upstream.in_flight.target)
+                    .await
+            {
+                step = StreamStep::Broken(ENDED_WITH_TARGET.to_string());
+            }
             if let StreamStep::Broken(reason) = step {
                 let Some(next) = self.replace_broken(&mut stream, upstream, &reason).await else {
                     self.observe(|observer| observer.stream_aborted());
