Join a cluster only after the log of another one is gone from the folder

What operators saw: nothing yet; a replica whose folder held the data of another cluster, and whose process was killed while its disk hung in the reset, never became a voter again.

Change: a replica without a cluster waits until its queued writes are synced before it writes the id of one, as the founding of a cluster does already.

--- a/laburnumlug-control/src/replica/follower.rs
+++ b/laburnumlug-control/src/replica/follower.rs
@@ -63,6 +63,10 @@
         if header.to != meta.replica || is_foreign_cluster || !is_ready || header.term < meta.term {
             return Some(false);
         }
+        if meta.cluster.is_none() {
+            // A process that starts takes the log in the folder for that of the cluster in the metadata.
+            self.wait_until_synced().await?;
+        }
         if meta.cluster.is_none() || header.term > meta.term || meta.voted_for.is_none() {
             if header.term > meta.term || meta.voted_for.is_none() {
                 // Recording a vote for the leader keeps this replica from voting for another one in the same term.
@@ -87,14 +91,18 @@
     /// Waits until all queued writes are synced; returns `None` if a write failed, or if the term or the incarnation
     /// has changed in the meantime.
     async fn wait_for_sync(&self, header: &LeaderHeader) -> Option<()> {
+        self.wait_until_synced().await?;
+        let core = self.core.borrow();
+        let is_unchanged = core.meta.term == header.term && core.meta.replica == header.to;
+        is_unchanged.then_some(())
+    }
+
+    /// Waits until all queued writes are synced; returns `None` if a write failed.
+    async fn wait_until_synced(&self) -> Option<()> {
         let queued = self.core.borrow().queued_write_count;
         self.wait_until(|core| core.synced_write_count >= queued || core.storage_error.is_some())
             .await;
-        let core = self.core.borrow();
-        let is_unchanged = core.storage_error.is_none()
-            && core.meta.term == header.term
-            && core.meta.replica == header.to;
-        is_unchanged.then_some(())
+        self.core.borrow().storage_error.is_none().then_some(())
     }
 
     fn append_answer(&self, result: AppendResult) -> AppendAnswer {
--- a/laburnumlug-daemon/tests/it/control/disk_faults.rs
+++ b/laburnumlug-daemon/tests/it/control/disk_faults.rs
@@ -6,17 +6,22 @@
 use std::os::unix::fs::symlink;
 use std::path::PathBuf;
 use std::process::Command;
+use std::time::Duration;
 
 use super::full_disk::{journal_path, start_fleet, wait_until_not_voter};
 use super::{
-    document_named, put_until_accepted, put_until_accepted_by, replica_name, replica_version,
-    three_replicas, voter_incarnation, wait_for_leader, wait_for_version,
+    Partition, copy_folder, document_named, partition_replica, put_until_accepted,
+    put_until_accepted_by, replica_name, replica_version, three_replicas, voter_incarnation,
+    wait_for_leader, wait_for_version,
 };
 use crate::harness::{Fleet, FleetConfig, block_on, wait_for};
 
 /// Number of log entries between two snapshots, so that some changes take one.
 const SNAPSHOT_ENTRIES: usize = 4;
 
+/// Time in which a replica that has reset its folder is found by the leader.
+const TIME_TO_JOIN: Duration = Duration::from_secs(3);
+
 fn temporary_path(fleet: &Fleet, replica: usize, file: &str) -> PathBuf {
     let folder = fleet.folder.path().join(replica_name(replica));
     folder.join(format!("{file}.new"))
@@ -30,6 +35,14 @@
     std::fs::remove_dir_all(temporary_path(fleet, replica, file)).unwrap();
 }
 
+/// Makes the replacement of a file hang until the returned pipe is opened for reading.
+fn hang_file(fleet: &Fleet, replica: usize, file: &str) -> PathBuf {
+    let pipe = temporary_path(fleet, replica, file);
+    let made = Command::new("mkfifo").arg(&pipe).status().unwrap();
+    assert!(made.success());
+    pipe
+}
+
 fn replicas(count: usize) -> FleetConfig {
     three_replicas()
         .control_replicas(count)
@@ -319,10 +332,7 @@
         put_until_accepted(&fleet, 0, "before").await;
         let leader = wait_for_leader(&fleet, &[0, 1, 2]).await;
         let incarnation = voter_incarnation(&fleet, leader).await;
-        // A pipe is opened for writing only once it is opened for reading.
-        let pipe = temporary_path(&fleet, leader, "snapshot");
-        let made = Command::new("mkfifo").arg(&pipe).status().unwrap();
-        assert!(made.success());
+        let pipe = hang_file(&fleet, leader, "snapshot");
         put_changes(&fleet, &[0, 1, 2], "first").await;
         let accepted = put_changes(&fleet, &others(3, leader), "second").await;
         // Opened for both, the pipe does not wait for its writer.
@@ -337,3 +347,39 @@
         restart_all(&mut fleet, 3, accepted).await;
     });
 }
+
+/// Guards against a replica that joins its cluster with the log of another one, as its disk has not yet emptied the folder when
+/// the process is killed.
+#[test]
+fn disk_hangs_within_reset_of_foreign_folder() {
+    block_on(async {
+        let mut fleet = start_fleet(replicas(3), 3).await;
+        let foreign_fleet = Fleet::start(replicas(3)).await;
+        put_changes(&foreign_fleet, &[0, 1, 2], "foreign").await;
+        let leader = wait_for_leader(&fleet, &[0, 1, 2]).await;
+        let victim = (leader + 1) % 3;
+        let accepted = put_until_accepted(&fleet, leader, "own").await;
+        let folder = fleet.folder.path().join(replica_name(victim));
+        fleet.process(&replica_name(victim)).kill();
+        copy_folder(
+            &foreign_fleet.folder.path().join(replica_name(victim)),
+            &folder,
+        );
+        // The folder is reset once the other replicas answer, at which time its journal cannot be replaced.
+        partition_replica(&fleet, victim, Partition::Both);
+        fleet.restart_with_file_limits(&replica_name(victim));
+        wait_for("a replica that runs", || async {
+            fleet.get_control_json(victim, "/status").await
+        })
+        .await;
+        let pipe = hang_file(&fleet, victim, "log");
+        partition_replica(&fleet, victim, Partition::None);
+        compio::time::sleep(TIME_TO_JOIN).await;
+        fleet.process(&replica_name(victim)).kill();
+        std::fs::remove_file(pipe).unwrap();
+        fleet.restart_with_file_limits(&replica_name(victim));
+        voter_incarnation(&fleet, victim).await;
+        wait_for_version(&fleet, victim, accepted).await;
+        assert_eq!(replica_version(&fleet, victim).await, Some(accepted));
+    });
+}
