--- a/laburnumlug-daemon/tests/faults/injector.rs
+++ b/laburnumlug-daemon/tests/faults/injector.rs
@@ -114,11 +114,11 @@
         Fault::PartitionBackward,
         Fault::Disconnect,
     ];
-    match rng.random_range(0..10) {
+    match rng.random_range(0..13) {
         0..3 => FaultKind::Kill(process),
         3..5 => FaultKind::Freeze(process),
         5 if may_lose_disk => FaultKind::LoseDisk(format!("control-{}", rng.random_range(1..4))),
-        5..7 => FaultKind::FullDisk(
+        5..9 => FaultKind::FullDisk(
             format!("control-{}", rng.random_range(1..4)),
             rng.random_range(0..MAX_FULL_DISK_BYTES),
         ),
