Keep whole bodies when others exceed the memory budget

A caller with a sound request of 256 KB got 502 while 40 other answers grew without end: each of these was smaller than its body, so that the body was the largest holder and ended.

Cause: the size alone decided, also of bodies that grow no further and cause no excess.

Whole bodies do not end as long as they have at most half of the budget. The other half stays for what grows, so that callers who send many whole bodies cannot end all other exchanges.

The sum stays bounded: among the holders that may end is always the one that asks for more, so that the end of the largest of them frees enough.

--- a/laburnumlug-http/src/body_reader.rs
+++ b/laburnumlug-http/src/body_reader.rs
@@ -121,7 +121,10 @@
     loop {
         let added = match next_held_chunk(&mut body, held).await {
             Ok(Some(chunk)) => add_chunk(&mut buf, &chunk, limit, held),
-            Ok(None) => return Ok(buf.freeze()),
+            Ok(None) => {
+                held.mark_whole();
+                return Ok(buf.freeze());
+            }
             Err(err) => Err(err),
         };
         if let Err(err) = added {
--- a/laburnumlug-http/src/held_bytes.rs
+++ b/laburnumlug-http/src/held_bytes.rs
@@ -94,6 +94,13 @@
         Ok(())
     }
 
+    /// Marks the holder as whole, so that it ends only if whole holders have too much of the budget.
+    pub fn mark_whole(&self) {
+        if let Some(id) = self.id.get() {
+            LEDGER.with_borrow_mut(|ledger| ledger.budget.mark_whole(id));
+        }
+    }
+
     /// Releases all bytes; the holder may be used again.
     pub fn release(&self) {
         self.bytes.set(0);
