Bound the bytes between two events of a stream

Seen: a server that answers a stream with comments without end, and no event, is read until the deadline. The caller gets 504, although a sound server is there, and the faulty one does not count as such. Cause: an event that is not complete has a bound, but whole comments are dropped and have none. Change: a stream with more than 2 MB between two events is broken, and its answer invalid. The package's tests passed in one of two full runs; in the other, at a load of 52 on 8 cores, body_with_bad_chunk (503 in place of 200 for the valid request) and silent_engine_gets_no_new_prompts failed, neither traced. Both passed in three of three runs of their modules afterwards. Why: a bound on what is received ends an answer whose bytes are dropped at once.

--- a/laburnumlug-forward/src/events.rs
+++ b/laburnumlug-forward/src/events.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Maximum size, in bytes, of an incomplete event that is buffered; a stream with a larger one is broken.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+pub(crate) const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Reason why a stream is broken whose event ids do not increase.
 const ID_NOT_INCREASING: &str = "an event of the stream has an id that is not above the last one";
--- a/laburnumlug-forward/src/stream/upstream.rs
+++ b/laburnumlug-forward/src/stream/upstream.rs
@@ -6,7 +6,7 @@
 use laburnumlug_http::{OverBudget, PooledResponse};
 
 use crate::engine_request_guard::EngineRequestGuard;
-use crate::events::{EventSplitter, contains_event};
+use crate::events::{EventSplitter, MAX_EVENT_BYTES, contains_event};
 use crate::registry::InFlightGuard;
 
 /// Reason why a stream is broken whose body has ended without an error.
@@ -18,6 +18,12 @@
 /// Reason why a stream is broken whose incomplete event was the largest part of what exceeded the memory budget.
 const OVER_BUDGET: &str = "an incomplete event of the stream exceeded the memory budget";
 
+/// Reason why a stream is broken that has comments and blank lines without end.
+const TOO_MUCH_BETWEEN_EVENTS: &str = "the stream has too many bytes without an event";
+
+/// Maximum number of bytes between two events. A comment that keeps a connection open has some ten bytes.
+const MAX_BYTES_BETWEEN_EVENTS: usize = 2 * MAX_EVENT_BYTES;
+
 /// Shortest gap between two events after which a stream is resumed elsewhere; a healthy one may pause for 1.5 s.
 const MIN_RESUMED_GAP: Duration = Duration::from_millis(1750);
 
@@ -59,6 +65,8 @@
     pub(super) has_partial: bool,
     /// Set once the stream was ended by the memory budget.
     pub(super) over_budget: Option<OverBudget>,
+    /// Number of bytes that have arrived since the last event.
+    bytes_since_event: usize,
     /// Whether the answer is invalid, so that the stream is broken.
     pub(super) has_invalid_answer: bool,
 }
@@ -81,6 +89,7 @@
             stalled_since: now,
             has_partial: false,
             over_budget: None,
+            bytes_since_event: 0,
             has_invalid_answer: false,
         }
     }
@@ -141,6 +150,7 @@
             Some(events) if contains_event(&events) => {
                 self.restart_gap(Instant::now());
                 self.has_partial = false;
+                self.bytes_since_event = 0;
                 StreamStep::Events(events)
             }
             _ if let Some(fault) = self.splitter.fault() => StreamStep::Broken(fault.to_string()),
@@ -148,6 +158,11 @@
             _ if self.splitter.has_overflowed() => StreamStep::Broken(EVENT_TOO_LONG.to_string()),
             _ => {
                 self.has_partial = true;
+                self.bytes_since_event += chunk.len();
+                if self.bytes_since_event > MAX_BYTES_BETWEEN_EVENTS {
+                    self.has_invalid_answer = true;
+                    return StreamStep::Broken(TOO_MUCH_BETWEEN_EVENTS.to_string());
+                }
                 StreamStep::Other
             }
         }
