Count a planned stop from the beginning of a pause before it

A gateway that did not run for 1.5 s from SIGTERM on passed requests on that were sent up to 1.25 s too late, and SIGKILL cut them.

Cause: the schedule of the shutdown began when a task learned of the signal.

The thread that receives signals notes when it gets SIGTERM, whatever the event loop does then, and checks every 100 ms that it runs. A signal that is noticed after a pause counts as sent at the last check that was on time: requests are refused and given up as much earlier. Connections are accepted and answers in progress are sent for as long as before.

--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -184,11 +184,14 @@
     let handler = Rc::new(ForwardHandler::new(forwarder.clone()));
     let server_task = compio::runtime::spawn(server.run(handler));
     log::info!("the gateway serves callers on {}", settings.listen);
-    signals.stop_requested().await;
+    let request = signals.stop_requested().await;
+    let schedule = ShutdownSchedule::new(request.noticed_at, settings.grace_period)
+        .requested_at(request.requested_at, request.noticed_at);
     let now = Instant::now();
-    let schedule = ShutdownSchedule::new(now, settings.grace_period);
     let ms_until = |at: Instant| at.saturating_duration_since(now).as_millis() as u64;
+    let ms_since = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
     log::info!(
+        requested_ms = ms_since(request.requested_at), noticed_ms = ms_since(request.noticed_at),
         accepts_for_ms = ms_until(schedule.accept_until()), listens_for_ms = ms_until(schedule.listen_until()),
         gives_up_after_ms = ms_until(schedule.give_up_at()),
         exits_after_ms = ms_until(schedule.exit_at());
--- a/laburnumlug-daemon/src/signal.rs
+++ b/laburnumlug-daemon/src/signal.rs
@@ -10,10 +10,15 @@
 use std::sync::mpsc;
 use std::task::{Context, Poll, Wake, Waker};
 use std::thread::Thread;
+use std::time::{Duration, Instant};
 
 use compio::signal::unix::signal;
 use futures_channel::mpsc::{Receiver, Sender, channel};
 use futures_util::StreamExt;
+use laburnumlug_policy::PauseDetector;
+
+/// Interval of the checks that tell when the process has been paused.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 const SIGHUP: i32 = 1;
 const SIGINT: i32 = 2;
@@ -31,10 +36,19 @@
 /// Signal that the process has received.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Received {
-    Stop,
+    Stop(StopRequest),
     Hangup,
 }
 
+/// When the process was asked to stop.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct StopRequest {
+    /// Earliest time at which the signal may have been sent; the process may have been paused since.
+    pub(crate) requested_at: Instant,
+    /// When the signal was delivered, which other work of the process does not delay.
+    pub(crate) noticed_at: Instant,
+}
+
 /// Signals to the process, from the moment at which they are installed.
 pub(crate) struct Signals {
     received: Receiver<Received>,
@@ -60,9 +74,16 @@
     /// Waits for SIGTERM or Ctrl-C.
     ///
     /// Further SIGTERMs have no effect, while a second Ctrl-C terminates the process.
-    pub(crate) async fn stop_requested(&mut self) {
-        while let Some(Received::Hangup) = self.received.next().await {
-            log::info!("ignored SIGHUP: a changed settings file is read without it");
+    pub(crate) async fn stop_requested(&mut self) -> StopRequest {
+        loop {
+            match self.received.next().await {
+                Some(Received::Stop(request)) => return request,
+                Some(Received::Hangup) => {
+                    log::info!("ignored SIGHUP: a changed settings file is read without it");
+                }
+                // The thread that sends does not end before the process.
+                None => std::future::pending().await,
+            }
         }
     }
 }
@@ -80,6 +101,7 @@
     // Each sender has room for one message, so that SIGHUPs cannot keep a request to stop from being sent.
     let mut ignored = stops.clone();
     let mut is_stopping = false;
+    let mut pauses = PauseDetector::new(Instant::now(), CHECK_INTERVAL);
     loop {
         let is_interrupted = interrupt
             .as_mut()
@@ -88,7 +110,11 @@
             is_stopping = true;
             // Restores the default of SIGINT.
             interrupt = None;
-            let _ = stops.try_send(Received::Stop);
+            let noticed_at = Instant::now();
+            let _ = stops.try_send(Received::Stop(StopRequest {
+                requested_at: pauses.signalled_since(noticed_at),
+                noticed_at,
+            }));
         }
         if hangups
             .as_mut()
@@ -96,8 +122,12 @@
         {
             let _ = ignored.try_send(Received::Hangup);
         }
+        pauses.record_check(Instant::now());
         let _ = installed.send(());
-        std::thread::park();
+        match is_stopping {
+            true => std::thread::park(),
+            false => std::thread::park_timeout(CHECK_INTERVAL),
+        }
     }
 }
 
--- a/laburnumlug-daemon/tests/it/stop_sweep.rs
+++ b/laburnumlug-daemon/tests/it/stop_sweep.rs
@@ -5,6 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
+use std::sync::Mutex;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -176,6 +177,9 @@
 /// Guards against requests that a stopping gateway accepts late and cuts at its exit, among them those that may not be
 /// repeated: each gets a whole answer, or a refusal that is true. The process is late by `delay` when it gets the signal.
 fn assert_stop_cuts_no_late_request(delay: Duration) {
+    // Each has hundreds of callers, each with a thread.
+    static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(|err| err.into_inner());
     block_on(async {
         let cluster = Cluster::start();
         let received = Rc::new(RefCell::new(HashSet::new()));
@@ -260,6 +264,12 @@
     assert_stop_cuts_no_late_request(Duration::ZERO);
 }
 
+/// Guards against requests that a process accepts which was paused for longer than its margin when it was asked to stop.
+#[test]
+fn gateway_stop_after_pause() {
+    assert_stop_cuts_no_late_request(Duration::from_millis(1500));
+}
+
 #[test]
 fn gateway_stop_with_late_signal() {
     assert_stop_cuts_no_late_request(Duration::from_millis(200));
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -83,6 +83,7 @@
 mod kv_cache;
 mod memory_budget;
 mod output_length;
+mod pause_detector;
 mod pending_parts;
 mod placement;
 mod prefill_queue;
@@ -136,6 +137,7 @@
 pub use crate::kv_cache::{CacheMatch, KvCacheEstimate, PartId, PromptParts, part_id};
 pub use crate::memory_budget::{HolderId, MemoryBudget};
 pub use crate::output_length::OutputPredictor;
+pub use crate::pause_detector::PauseDetector;
 pub use crate::pending_parts::PendingParts;
 pub use crate::placement::{
     EngineView, FIRST_TOKEN_OVERHEAD, Placement, PromptView, place_decode, place_prompt,
--- a/laburnumlug-policy/src/shutdown_schedule.rs
+++ b/laburnumlug-policy/src/shutdown_schedule.rs
@@ -46,6 +46,21 @@
         }
     }
 
+    /// Sets that the process may have been asked to stop as early as `requested_at`, and noticed it at the time given to
+    /// [`ShutdownSchedule::new`].
+    ///
+    /// Requests are refused and given up as much earlier, as the process may be killed as much earlier. Connections are accepted
+    /// and answers in progress sent for as long as they would be otherwise: a load balancer learns of the stop only now, and
+    /// ending them earlier gains nothing.
+    pub fn requested_at(mut self, requested_at: Instant, noticed_at: Instant) -> ShutdownSchedule {
+        let delay = noticed_at.saturating_duration_since(requested_at);
+        let earlier = |at: Instant| at.checked_sub(delay).unwrap_or(noticed_at).max(noticed_at);
+        self.accept_until = earlier(self.accept_until);
+        self.give_up_at = earlier(self.give_up_at);
+        self.listen_until = self.listen_until.min(self.give_up_at);
+        self
+    }
+
     /// Returns until when every request is accepted.
     pub fn accept_until(&self) -> Instant {
         self.accept_until
--- a/laburnumlug-policy/src/shutdown_schedule_tests.rs
+++ b/laburnumlug-policy/src/shutdown_schedule_tests.rs
@@ -38,3 +38,24 @@
         assert!(schedule.exit_at() <= grace_end, "{grace_ms}");
     }
 }
+
+/// Guards against a process that was paused when it was asked to stop, and then accepts requests which its end cuts.
+#[test]
+fn accepts_less_after_late_notice() {
+    let requested_at = Instant::now();
+    for delay_ms in [0, 200, 1500, 5000, 9000] {
+        let now = requested_at + Duration::from_millis(delay_ms);
+        let schedule = ShutdownSchedule::new(now, 8 * SECOND).requested_at(requested_at, now);
+        let in_time = ShutdownSchedule::new(requested_at, 8 * SECOND);
+        assert_eq!(schedule.accept_until(), in_time.accept_until().max(now));
+        assert_eq!(schedule.give_up_at(), in_time.give_up_at().max(now));
+        assert!(
+            schedule.listen_until() <= schedule.give_up_at(),
+            "{delay_ms}"
+        );
+        assert_eq!(
+            schedule.exit_at(),
+            in_time.exit_at() + Duration::from_millis(delay_ms)
+        );
+    }
+}
