Bound the time for which a control process stops

A control replica whose client had sent a part of a request exited 10.8 s after SIGTERM, beyond the grace period of 8 s, at whose end it is killed.

Cause: it waited for all requests, and those in part end with the time-outs of heads and bodies, which are longer than the grace period.

Control processes, also those that only redirect, now wait for 7 s at most. Requests that arrive whole are answered by then.

stop_of_control_replica_with_open_connections fails without the change (10.805068973s) and passes with it in three of three runs, with the tests of signals, planned stops, log fields and operators.

--- a/laburnumlug-daemon/src/control.rs
+++ b/laburnumlug-daemon/src/control.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use compio::runtime::JoinHandle;
 use laburnumlug_control::{OperatorInterface, Replica, serve_mesh};
 use laburnumlug_http::Server;
 use laburnumlug_platform::{
@@ -23,6 +24,10 @@
 use crate::software_recorder::SoftwareRecorder;
 use crate::{logging, settings_watch, target_reader};
 
+/// Time after the request to stop by which all requests that arrived whole are answered: a change takes 5 s at most, and may
+/// arrive in the first second. It fits a grace period of 8 s.
+const STOP_TIMEOUT: Duration = Duration::from_secs(7);
+
 /// Runs a control replica until it is asked to stop.
 pub(crate) async fn run(
     settings: ControlSettings,
@@ -57,7 +62,7 @@
     replica: Rc<Replica>,
     mesh_addr: SocketAddr,
     shutdown: laburnumlug_http::ShutdownHandle,
-    server_task: compio::runtime::JoinHandle<()>,
+    server_task: JoinHandle<()>,
 }
 
 impl ControlServer {
@@ -73,7 +78,17 @@
     /// Stops accepting requests and waits for the answers in progress.
     pub(crate) async fn stop(self) {
         self.shutdown.shut_down();
-        let _ = self.server_task.await;
+        finish(self.server_task).await;
+    }
+}
+
+/// Waits until a server that was shut down has answered the requests that it has, for at most [`STOP_TIMEOUT`].
+pub(crate) async fn finish(server_task: JoinHandle<()>) {
+    match compio::time::timeout(STOP_TIMEOUT, server_task).await {
+        Ok(_) => log::info!("the control process stopped after the last answer"),
+        Err(_) => log::warn!(
+            "the control process stopped although clients have not sent the rest of their requests, or not read their answers"
+        ),
     }
 }
 
--- a/laburnumlug-daemon/src/redirect.rs
+++ b/laburnumlug-daemon/src/redirect.rs
@@ -12,7 +12,7 @@
 use crate::listener::bind;
 use crate::settings::RedirectSettings;
 use crate::signal::Signals;
-use crate::{logging, settings_watch};
+use crate::{control, logging, settings_watch};
 
 /// Redirects operators until the process is asked to stop.
 pub(crate) async fn run(
@@ -46,8 +46,7 @@
     log::info!("no data folder: redirecting operators on {addr} to other control processes");
     signals.stop_requested().await;
     shutdown.shut_down();
-    // A panic of the server's task would already have terminated the process.
-    let _ = server_task.await;
+    control::finish(server_task).await;
     Ok(())
 }
 
--- a/laburnumlug-daemon/tests/it/signals.rs
+++ b/laburnumlug-daemon/tests/it/signals.rs
@@ -1,5 +1,6 @@
 //! Signals at any time of a process: while it starts, in series, and while it stops.
 
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -12,6 +13,9 @@
 /// Time after a signal in which a process that does not handle it has ended.
 const EXIT_TIME: Duration = Duration::from_millis(200);
 
+/// Grace period of the platform.
+const GRACE_PERIOD: Duration = Duration::from_secs(8);
+
 /// Number of starts of each process that are tried.
 const STARTS: usize = 10;
 
@@ -97,6 +101,45 @@
     });
 }
 
+/// Guards against a control replica that outlasts its grace period, which then ends in the middle of what it does, because clients
+/// keep connections open: unused ones, used ones, and those with a part of a request.
+#[test]
+fn stop_of_control_replica_with_open_connections() {
+    block_on(async {
+        let mut cluster = Cluster::start();
+        cluster.replace_config(0, 1, 2000).await;
+        let addr = cluster.replicas[0].operator_addr;
+        let begun = "POST /config/replace HTTP/1.1\r\nhost: h\r\n";
+        let texts = [
+            "".to_string(),
+            begun.to_string(),
+            format!("{begun}content-length: 10\r\n\r\n{{"),
+            format!("{begun}transfer-encoding: chunked\r\n\r\n1\r\n{{\r\n"),
+        ];
+        let mut streams = Vec::new();
+        for is_used in [false, true] {
+            for text in &texts {
+                let mut stream = TcpStream::connect(addr).unwrap();
+                if is_used {
+                    let get = b"GET /status HTTP/1.1\r\nhost: h\r\n\r\n";
+                    stream.write_all(get).unwrap();
+                    compio::time::sleep(EXIT_TIME).await;
+                }
+                stream.write_all(text.as_bytes()).unwrap();
+                streams.push(stream);
+            }
+        }
+        compio::time::sleep(EXIT_TIME).await;
+        let stopped_at = Instant::now();
+        cluster.replicas[0].process.signal(Signal::TERM);
+        let status = cluster.replicas[0].process.wait().await;
+        let taken = stopped_at.elapsed();
+        assert_eq!(status.code(), Some(0));
+        assert!(taken < GRACE_PERIOD, "{taken:?}");
+        drop(streams);
+    });
+}
+
 /// Guards against processes that a SIGTERM ends without an exit code although they listen already.
 #[test]
 fn stop_while_starting() {
