Open connections without the pool of threads

Seen: on a busy machine a gateway suspends a sound server, so that 39 of 40 requests go to a faulty one (once, in the tests of the platform's package). Cause: a socket is created on a thread of the pool that serves files as well, and the limit for connecting covers the wait for that thread. Change: the socket is created in place, a system call that does not block. Measured: with the only thread of the pool busy for 240 ms, a connection with a limit of 30 ms took more than 120 ms, now less than that limit allows. connect_idle_while_threads_are_busy fails without the change. All tests of laburnumlug-http pass. Why: after this, connecting waits for the peer only.

--- a/laburnumlug-http/src/socket.rs
+++ b/laburnumlug-http/src/socket.rs
@@ -1,14 +1,14 @@
 //! Outgoing TCP connections and their socket options.
 
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
 use std::pin::pin;
 use std::time::{Duration, Instant};
 
-use compio::net::TcpStream;
+use compio::net::{TcpSocket, TcpStream};
 use futures_util::future::{Either, select};
-use rustix::net::sockopt;
+use rustix::net::{AddressFamily, SocketFlags, SocketType, sockopt};
 
 use crate::error::Error;
 
@@ -30,7 +30,8 @@
 /// A peer that has answered counts as reached, and the time starts again, once, if this process did not run meanwhile: a
 /// pause of the process says nothing about its peer.
 pub(crate) async fn connect(addr: SocketAddr, timeout: Duration) -> Result<TcpStream, Error> {
-    let mut connecting = pin!(TcpStream::connect(addr));
+    let socket = create_socket(addr).map_err(Error::connect)?;
+    let mut connecting = pin!(socket.connect(addr));
     let mut may_restart = true;
     loop {
         let began_at = Instant::now();
@@ -49,6 +50,18 @@
     }
 }
 
+/// Creates a socket for a connection to `addr`.
+///
+/// [`TcpStream::connect`] creates it on another thread, which may wait for the disk or for a processor for long.
+fn create_socket(addr: SocketAddr) -> io::Result<TcpSocket> {
+    let family = match addr {
+        SocketAddr::V4(_) => AddressFamily::INET,
+        SocketAddr::V6(_) => AddressFamily::INET6,
+    };
+    let socket = rustix::net::socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
+    TcpSocket::from_std_stream(socket.into())
+}
+
 /// Disables Nagle's algorithm and bounds how long an unreachable peer goes undetected.
 fn set_options<S>(socket: &S)
 where
--- a/laburnumlug-http/tests/connect.rs
+++ b/laburnumlug-http/tests/connect.rs
@@ -37,6 +37,27 @@
     });
 }
 
+/// Guards against a peer that counts as unreachable because the threads of this process are busy, as they are when a disk is slow.
+#[test]
+fn connect_idle_while_threads_are_busy() {
+    let mut proactor = compio::driver::ProactorBuilder::new();
+    proactor.thread_pool_limit(1);
+    let mut builder = compio::runtime::Runtime::builder();
+    let runtime = builder.with_proactor(proactor).build().unwrap();
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let busy = || std::thread::sleep(8 * CONNECT_TIMEOUT);
+        let task = compio::runtime::spawn_blocking(busy);
+        compio::time::sleep(Duration::from_millis(1)).await;
+        let pool = ConnectionPool::new(CONNECT_TIMEOUT, Duration::from_secs(1));
+        let began_at = Instant::now();
+        pool.connect_idle(began_at, addr).await.unwrap();
+        assert!(began_at.elapsed() < 4 * CONNECT_TIMEOUT);
+        task.await.unwrap();
+    });
+}
+
 /// A peer that does not answer is given up in time, as this process runs.
 #[test]
 fn connect_idle_unanswered() {
