Release answers that are ended while their callers do not read

A large answer that had to end because of the memory budget kept its bytes for as long as its caller did not read: its connection waits until it can write and asks for no further part of the body. Its bytes no longer counted towards the budget, so that further answers could exceed the memory all the same. Nor did the log name it.

Cause: the end of a holder took effect when its body was polled, which the peer decides. Also, each part shared the memory of the whole answer.

A task owns the share of the budget and drops the bytes when they have to end. Parts are copies of 64 KB. The log line of ended exchanges names the request and the target (part unread-answer). An incomplete event behind the first events of a stream is ended in the same way while the caller does not read.

Evidence: held_body_ends_without_reader finds 131,073 bytes held in place of 65,536 if the bytes are kept until the next poll; it passes with the change. held_body_whole passes answers of 0 bytes to three parts. All tests of laburnumlug-http, laburnumlug-forward and laburnumlug-platform pass.

The release no longer depends on the peer, as the task is woken by the budget.

--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -15,6 +15,7 @@
 use crate::crashes::RunGuard;
 use crate::forwarder::Forwarder;
 use crate::header_codec::AttemptStage;
+use crate::memory::HeldPart;
 use crate::refusal::{FailureCause, Refusal};
 use crate::registry::{TargetHandle, selectable_targets};
 use crate::stream_origins::RequiredSoftware;
@@ -228,7 +229,7 @@
             target.health.borrow_mut().record_success();
         }
         let held = response.take_held();
-        let resp = self.caller_response(status, response.headers(), body, held);
+        let resp = self.caller_response(request, target, status, response.headers(), body, held);
         self.pool.recycle(Instant::now(), response);
         Ok(resp)
     }
@@ -248,13 +249,20 @@
 
     /// Builds the response to the caller from a target's buffered response, whose body `held` holds.
     pub(crate) fn caller_response(
-        &self,
+        self: &Rc<Self>,
+        request: &CallerRequest,
+        target: &TargetHandle,
         status: u16,
         headers: &hyper::HeaderMap,
         body: Bytes,
         held: HeldBytes,
     ) -> Response {
-        let mut resp = hyper::Response::new(held_body(body, held));
+        let forwarder = self.clone();
+        let (id, target) = (request.metadata.id.clone(), target.instance.clone());
+        let body = held_body(body, held, move |over| {
+            forwarder.log_ended(&id, &target, HeldPart::UnreadAnswer, over);
+        });
+        let mut resp = hyper::Response::new(body);
         if let Ok(status) = hyper::StatusCode::from_u16(status) {
             *resp.status_mut() = status;
         }
--- a/laburnumlug-forward/src/memory.rs
+++ b/laburnumlug-forward/src/memory.rs
@@ -18,6 +18,8 @@
 pub(crate) enum HeldPart {
     /// A target's answer, or an event that is not complete.
     Answer,
+    /// A whole answer that a caller has not read.
+    UnreadAnswer,
     /// Events that a caller has not read.
     UnreadEvents,
     /// The body of a caller's request.
@@ -28,6 +30,7 @@
     fn as_str(self) -> &'static str {
         match self {
             HeldPart::Answer => "answer",
+            HeldPart::UnreadAnswer => "unread-answer",
             HeldPart::UnreadEvents => "unread-events",
             HeldPart::RequestBody => "request-body",
         }
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -279,7 +279,9 @@
                     self.record_failure(now, &target);
                     return Err(AttemptFailure::connection_broken(ENDED_INSIDE_EVENT));
                 }
-                StreamStep::End(body) => return Ok(self.buffered_attempt(now, upstream, body)),
+                StreamStep::End(body) => {
+                    return Ok(self.buffered_attempt(now, request, upstream, body));
+                }
                 StreamStep::Broken(reason) => {
                     self.record_break(now, request, &upstream);
                     let is_invalid = reason == EVENT_TOO_LONG
@@ -306,15 +308,18 @@
 
     /// Returns the successful attempt whose response ended without an event.
     fn buffered_attempt(
-        &self,
+        self: &Rc<Self>,
         now: Instant,
+        request: &CallerRequest,
         mut upstream: Upstream,
         body: bytes::Bytes,
     ) -> StreamAttempt {
         upstream.engine_request.mark_complete(now);
         let mut response = upstream.response;
         let held = response.take_held();
-        let resp = self.caller_response(response.status(), response.headers(), body, held);
+        let target = &upstream.in_flight.target;
+        let (status, headers) = (response.status(), response.headers());
+        let resp = self.caller_response(request, target, status, headers, body, held);
         self.pool.recycle(now, response);
         StreamAttempt::Buffered(resp)
     }
@@ -337,7 +342,7 @@
             self.record_failure(Instant::now(), target);
         }
         let held = response.take_held();
-        let resp = self.caller_response(status, response.headers(), body, held);
+        let resp = self.caller_response(request, target, status, response.headers(), body, held);
         self.pool.recycle(Instant::now(), response);
         Ok(resp)
     }
--- a/laburnumlug-forward/src/stream/relay.rs
+++ b/laburnumlug-forward/src/stream/relay.rs
@@ -85,7 +85,10 @@
             mut upstream,
             first_events,
         } = open;
-        if tx.send(first_events).await.is_err() {
+        if send_events(&mut upstream, &mut tx, first_events)
+            .await
+            .is_err()
+        {
             return;
         }
         loop {
--- a/laburnumlug-http/src/body.rs
+++ b/laburnumlug-http/src/body.rs
@@ -9,7 +9,8 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
+use compio::runtime::JoinHandle;
 use event_listener::Event;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Frame, SizeHint};
@@ -84,15 +85,46 @@
 
 /// Returns a body that holds `bytes` with their share of the memory budget until they are sent.
 ///
-/// If they have to end before, the body is aborted.
-pub fn held_body(bytes: Bytes, held: HeldBytes) -> Body {
-    Box::pin(HeldBody { bytes, held })
+/// If they have to end before, they are dropped although nobody takes them, the body is aborted, and `on_end` is called.
+/// A body of one part is taken as soon as its response is, and never ends.
+pub fn held_body<F>(bytes: Bytes, held: HeldBytes, on_end: F) -> Body
+where
+    F: FnOnce(OverBudget) + 'static,
+{
+    if bytes.len() <= MAX_PART_BYTES {
+        return Box::pin(GuardedBody {
+            body: full_body(bytes),
+            _guard: held,
+        });
+    }
+    let unsent = Rc::new(RefCell::new(Some(bytes)));
+    let watched = unsent.clone();
+    let watch = compio::runtime::spawn(async move {
+        let over = held.ended().await;
+        watched.take();
+        held.release();
+        on_end(over);
+        // The task owns the share of the budget as long as the body lasts.
+        std::future::pending::<()>().await;
+    });
+    Box::pin(HeldBody {
+        unsent,
+        _watch: watch,
+    })
 }
 
-/// Whole body that is sent in parts, so that it lasts until its reader has taken nearly all of them.
+/// Whole body that is sent in parts.
 struct HeldBody {
-    bytes: Bytes,
-    held: HeldBytes,
+    /// Bytes that are not sent yet; `None` once the body was ended by the memory budget.
+    unsent: Rc<RefCell<Option<Bytes>>>,
+    /// Task that owns the share of the budget; dropping it releases the share.
+    _watch: JoinHandle<()>,
+}
+
+impl HeldBody {
+    fn unsent_len(&self) -> usize {
+        self.unsent.borrow().as_ref().map_or(1, Bytes::len)
+    }
 }
 
 impl hyper::body::Body for HeldBody {
@@ -100,28 +132,28 @@
     type Error = Aborted;
 
     fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
-        if self.bytes.is_empty() {
-            return Poll::Ready(None);
-        }
-        if self.held.poll_ended(cx).is_ready() {
-            self.bytes.clear();
-            self.held.release();
-            return Poll::Ready(Some(Err(Aborted)));
-        }
-        let len = self.bytes.len().min(MAX_PART_BYTES);
-        let part = self.bytes.split_to(len);
-        Poll::Ready(Some(Ok(Frame::data(part))))
+        Poll::Ready(match &mut *self.unsent.borrow_mut() {
+            None => Some(Err(Aborted)),
+            Some(bytes) if bytes.is_empty() => None,
+            Some(bytes) => {
+                let len = bytes.len().min(MAX_PART_BYTES);
+                // A part of the same allocation would keep all of it for as long as the connection has the part.
+                let part = Bytes::copy_from_slice(&bytes[..len]);
+                bytes.advance(len);
+                Some(Ok(Frame::data(part)))
+            }
+        })
     }
 
     fn is_end_stream(&self) -> bool {
-        self.bytes.is_empty()
+        self.unsent_len() == 0
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.bytes.len() as u64)
+        SizeHint::with_exact(self.unsent_len() as u64)
     }
 }
 
--- a/laburnumlug-http/src/body_tests.rs
+++ b/laburnumlug-http/src/body_tests.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use futures_util::FutureExt;
 
 use super::*;
@@ -57,23 +59,39 @@
     assert_eq!(tx.send(chunk(30)).now_or_never(), Some(Ok(())));
 }
 
-/// Guards against a whole answer that is held for a slow caller but not counted.
-#[test]
-fn held_body_counts_until_taken() {
+/// Guards against whole answers that are held for callers who do not read, but not counted, or not released.
+#[compio::test]
+async fn held_body_ends_without_reader() {
     set_memory_budget(2 * MAX_PART_BYTES);
     let held = HeldBytes::default();
     let len = MAX_PART_BYTES + 1;
     assert_eq!(held.resize(len), Ok(()));
-    let mut body = held_body(Bytes::from(vec![0; len]), held);
+    let ended = Rc::new(Cell::new(None));
+    let set_ended = ended.clone();
+    let mut body = held_body(Bytes::from(vec![0; len]), held, move |over| {
+        set_ended.set(Some(over.holder_bytes));
+    });
     assert_eq!(body.size_hint().exact(), Some(len as u64));
-    let mut next = || body.frame().now_or_never().unwrap().unwrap();
-    assert!(next().is_ok());
-    assert_eq!(held_bytes(), len);
-    // A larger exchange is refused, and a smaller one ends this one.
+    assert!(body.frame().now_or_never().unwrap().unwrap().is_ok());
+    compio::time::sleep(Duration::from_millis(1)).await;
+    assert_eq!((held_bytes(), ended.get()), (len, None));
     let other = HeldBytes::default();
-    assert!(other.resize(2 * MAX_PART_BYTES).is_err());
-    other.release();
     assert_eq!(other.resize(MAX_PART_BYTES), Ok(()));
-    assert_eq!(next().err(), Some(Aborted));
-    assert_eq!(held_bytes(), MAX_PART_BYTES);
+    compio::time::sleep(Duration::from_millis(1)).await;
+    assert_eq!((held_bytes(), ended.get()), (MAX_PART_BYTES, Some(len)));
+    let aborted = body.frame().now_or_never().unwrap().unwrap();
+    assert_eq!(aborted.err(), Some(Aborted));
+}
+
+#[compio::test]
+async fn held_body_whole() {
+    for len in [0, 1, MAX_PART_BYTES, MAX_PART_BYTES + 1, 3 * MAX_PART_BYTES] {
+        let held = HeldBytes::default();
+        assert_eq!(held.resize(len), Ok(()));
+        let bytes: Vec<u8> = (0..len).map(|i| i as u8).collect();
+        let body = held_body(Bytes::from(bytes.clone()), held, |_| unreachable!());
+        assert_eq!(body.collect().await.unwrap().to_bytes(), bytes);
+        compio::time::sleep(Duration::from_millis(1)).await;
+        assert_eq!(held_bytes(), 0);
+    }
 }
