Read what has arrived before a time limit counts as exceeded

What callers saw: a gateway that does not run for a while, on a busy machine or suspended, drops answers that arrived in time. Their callers get 502 or 504, and sound servers are suspended.

Cause: a timer that has expired meanwhile wakes its task at once, while an answer is first read from its socket by another task; where both are ready, compio's timeout takes one at random. The pause counts against the peer.

Change: laburnumlug_http::timeout asks the future first, and waits 5 ms more if its timer is late by more than 10 ms. It is used wherever an answer, a body or a change is awaited. Waits that authority rests on are unchanged.

--- a/laburnumlug-control/src/operator/fleet.rs
+++ b/laburnumlug-control/src/operator/fleet.rs
@@ -142,7 +142,7 @@
 /// Reads a text body of at most `limit` bytes, or returns the error response.
 async fn read_text(req: Request, limit: usize) -> Result<String, Response> {
     let body = read_body(req.into_body(), limit);
-    let body = match compio::time::timeout(BODY_TIMEOUT, body).await {
+    let body = match laburnumlug_http::timeout(BODY_TIMEOUT, body).await {
         Ok(Ok(body)) => body,
         Ok(Err(err)) if err.is_body_too_large() => {
             return Err(error_response(413, "too_large", &err.to_string()));
--- a/laburnumlug-control/src/replica/submit.rs
+++ b/laburnumlug-control/src/replica/submit.rs
@@ -113,7 +113,7 @@
             rx
         };
         self.notify();
-        match compio::time::timeout(remaining, rx).await {
+        match laburnumlug_http::timeout(remaining, rx).await {
             Ok(Ok(outcome)) => Ok(outcome),
             _ => Err(Error::new(ErrorKind::NotCommitted)),
         }
--- a/laburnumlug-daemon/src/control_client.rs
+++ b/laburnumlug-daemon/src/control_client.rs
@@ -138,7 +138,7 @@
         command: &NodeCommand,
     ) -> Result<NodeOutcome, ControlError> {
         let attempt = self.exchange(self.replicas[replica_index], command);
-        match compio::time::timeout(time_left.min(ATTEMPT_TIMEOUT), attempt).await {
+        match laburnumlug_http::timeout(time_left.min(ATTEMPT_TIMEOUT), attempt).await {
             Ok(result) => result,
             Err(_) => Err(ControlError::may_have_run(
                 "the control replica did not answer in time",
--- a/laburnumlug-daemon/src/entry/call.rs
+++ b/laburnumlug-daemon/src/entry/call.rs
@@ -114,7 +114,7 @@
     mut accepted: AcceptedRequest,
 ) -> Result<Response, CallError> {
     let time_left = context.deadline.saturating_duration_since(Instant::now());
-    let received = match compio::time::timeout(time_left, accepted.conn.recv()).await {
+    let received = match laburnumlug_http::timeout(time_left, accepted.conn.recv()).await {
         Ok(received) => received,
         Err(_) => {
             let err = ApiError::timed_out("the service did not answer in time");
--- a/laburnumlug-daemon/src/entry/call_exchange.rs
+++ b/laburnumlug-daemon/src/entry/call_exchange.rs
@@ -108,11 +108,11 @@
             conn.recv().await
         };
         let timeout = self.time_left().min(self.first_reply_timeout);
-        let first_reply = compio::time::timeout(timeout, submit).await;
+        let first_reply = laburnumlug_http::timeout(timeout, submit).await;
         let mut message = self.validate(first_reply)?;
         if let WorkMessage::Accepted { load } = message {
             self.entry.record_attempt(self.target, load, "accepted");
-            let next_reply = compio::time::timeout(self.time_left(), conn.recv()).await;
+            let next_reply = laburnumlug_http::timeout(self.time_left(), conn.recv()).await;
             message = self.validate(next_reply)?;
         }
         self.record_outcome(message)
--- a/laburnumlug-daemon/src/entry/dispatch.rs
+++ b/laburnumlug-daemon/src/entry/dispatch.rs
@@ -254,7 +254,7 @@
             conn.recv().await
         };
         let time_left = context.deadline.saturating_duration_since(Instant::now());
-        match compio::time::timeout(time_left, exchange).await {
+        match laburnumlug_http::timeout(time_left, exchange).await {
             Ok(Ok((_, Message::Work(WorkMessage::Accepted { load })))) => {
                 self.record_attempt(target, load, "accepted");
                 if let Some(shape) = &context.shape {
--- a/laburnumlug-daemon/src/entry/generate.rs
+++ b/laburnumlug-daemon/src/entry/generate.rs
@@ -114,7 +114,7 @@
             Err(err) => (writer.error_event(&err), true),
         };
         // If the caller has disconnected, returning drops the relay's connection, which cancels the answer.
-        match compio::time::timeout(STALL_TIMEOUT, tx.send(chunk)).await {
+        match laburnumlug_http::timeout(STALL_TIMEOUT, tx.send(chunk)).await {
             Ok(Ok(())) if !is_last => {}
             Ok(_) => return,
             Err(_) => {
@@ -136,7 +136,7 @@
 async fn end_stalled_stream(writer: AnswerWriter, mut tx: BodySender) {
     let err = ApiError::broken_off("the caller read too slowly");
     let sending = tx.send(writer.error_event(&err));
-    let _ = compio::time::timeout(STALL_ERROR_TIMEOUT, sending).await;
+    let _ = laburnumlug_http::timeout(STALL_ERROR_TIMEOUT, sending).await;
 }
 
 fn with_ran_verdict(mut resp: Response) -> Response {
--- a/laburnumlug-daemon/src/entry/handler.rs
+++ b/laburnumlug-daemon/src/entry/handler.rs
@@ -184,7 +184,7 @@
 
     async fn read_body(&self, body: &mut hyper::body::Incoming) -> Result<Bytes, ApiError> {
         let limit = self.settings.max_body_bytes;
-        match compio::time::timeout(BODY_TIMEOUT, read_body(body, limit)).await {
+        match laburnumlug_http::timeout(BODY_TIMEOUT, read_body(body, limit)).await {
             Ok(Ok(body)) => Ok(body),
             Ok(Err(err)) if err.is_body_too_large() => Err(ApiError::too_large(limit)),
             Ok(Err(err)) => Err(ApiError::bad_body(&err.to_string())),
--- a/laburnumlug-daemon/src/entry/relay.rs
+++ b/laburnumlug-daemon/src/entry/relay.rs
@@ -187,7 +187,7 @@
             .context
             .deadline
             .saturating_duration_since(Instant::now());
-        let received = match compio::time::timeout(time_left, accepted.conn.recv()).await {
+        let received = match laburnumlug_http::timeout(time_left, accepted.conn.recv()).await {
             Ok(received) => received,
             Err(_) => return Err(ApiError::timed_out("the answer was not whole in time")),
         };
--- a/laburnumlug-daemon/src/fleet_watch/poll.rs
+++ b/laburnumlug-daemon/src/fleet_watch/poll.rs
@@ -68,7 +68,7 @@
         // Most requests for the document get a short answer, as there is no newer one. Waiting longer for the first bytes
         // would leave the view unconfirmed for seconds after a partition.
         let fetch = fetch_fleet(&mut conn, known, usage.as_ref().map(|u| u.report.clone()));
-        let answer = compio::time::timeout(DOCUMENT_TIMEOUT, fetch).await;
+        let answer = laburnumlug_http::timeout(DOCUMENT_TIMEOUT, fetch).await;
         if fetches_document {
             state.borrow_mut().fetching_since = None;
         }
@@ -98,7 +98,7 @@
             let own_listing = observer.as_ref().and_then(|o| o.own_listing());
             let demand = observer.and_then(|o| o.demand_report());
             let fetch = fetch_targets(&mut conn, known, own_listing, demand);
-            match compio::time::timeout(ANSWER_TIMEOUT, fetch).await {
+            match laburnumlug_http::timeout(ANSWER_TIMEOUT, fetch).await {
                 Ok(Some(report)) => {
                     reports_targets = report.is_some();
                     if let Some(report) = report {
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -204,12 +204,12 @@
     let time_left = |until: Instant| until.saturating_duration_since(Instant::now());
     let mut server_task = pin!(server_task);
     let exit_at = schedule.exit_at();
-    if compio::time::timeout(time_left(schedule.give_up_at()), &mut server_task)
+    if laburnumlug_http::timeout(time_left(schedule.give_up_at()), &mut server_task)
         .await
         .is_err()
     {
         forwarder.give_up_requests();
-        if compio::time::timeout(time_left(exit_at), server_task)
+        if laburnumlug_http::timeout(time_left(exit_at), server_task)
             .await
             .is_err()
         {
@@ -256,7 +256,7 @@
             None => MAX_INITIAL_CHECK_INTERVAL,
         };
         let interval = rand::rng().random_range(max_interval / 2..max_interval);
-        let waiting = compio::time::timeout(interval, forwarder.recent_list_needed());
+        let waiting = laburnumlug_http::timeout(interval, forwarder.recent_list_needed());
         let is_needed = waiting.await.is_ok();
         let read_at = ReadTime::now();
         let is_younger = |at: Instant, age| read_at.monotonic.saturating_duration_since(at) < age;
--- a/laburnumlug-daemon/src/target/work.rs
+++ b/laburnumlug-daemon/src/target/work.rs
@@ -136,7 +136,7 @@
         // The first chunk follows the prefill of the whole prompt, so only the deadline limits it.
         let mut event_timeout = self.deadline.saturating_duration_since(Instant::now());
         loop {
-            let event = match compio::time::timeout(event_timeout, stream.next()).await {
+            let event = match laburnumlug_http::timeout(event_timeout, stream.next()).await {
                 Ok(Ok(Some(event))) => event,
                 Ok(Ok(None)) => {
                     let reason = "the engine ended without the end of the answer";
--- a/laburnumlug-engine/src/client.rs
+++ b/laburnumlug-engine/src/client.rs
@@ -113,7 +113,7 @@
                 }
             }
         };
-        match compio::time::timeout(timeout, exchange).await {
+        match laburnumlug_http::timeout(timeout, exchange).await {
             Ok(result) => result,
             Err(_) => Err(Error::timed_out()),
         }
@@ -131,7 +131,7 @@
         }
     };
     // The status tells the verdict, so an incomplete message is not an error.
-    let _ = compio::time::timeout(ERROR_BODY_TIMEOUT, reading).await;
+    let _ = laburnumlug_http::timeout(ERROR_BODY_TIMEOUT, reading).await;
     body.truncate(MAX_ERROR_BODY_BYTES);
     String::from_utf8_lossy(&body).into_owned()
 }
--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -121,7 +121,7 @@
         limit: usize,
     ) -> Result<Bytes, AttemptFailure> {
         let time_left = request.time_left(Instant::now());
-        match compio::time::timeout(time_left, response.bytes(limit)).await {
+        match laburnumlug_http::timeout(time_left, response.bytes(limit)).await {
             Ok(Ok(body)) => Ok(body),
             Ok(Err(err)) => {
                 let failure = self.record_failed_exchange(Instant::now(), request, target, &err);
@@ -216,7 +216,7 @@
         };
         let mut sending = Box::pin(self.pool.send_if(now, addr, id, req, may_send));
         let limit = options.probe_after.min(attempt.time_left);
-        let sent = compio::time::timeout(limit, sending.as_mut()).await;
+        let sent = laburnumlug_http::timeout(limit, sending.as_mut()).await;
         if sent.is_ok() || limit >= attempt.time_left {
             return sent.ok();
         }
@@ -237,14 +237,14 @@
             return None;
         }
         let extra_wait = limit.min(request.time_left(now));
-        if let Ok(sent) = compio::time::timeout(extra_wait, sending.as_mut()).await {
+        if let Ok(sent) = laburnumlug_http::timeout(extra_wait, sending.as_mut()).await {
             return Some(sent);
         }
         let now = Instant::now();
         if (options.may_abandon)(now) {
             return None;
         }
-        compio::time::timeout(request.time_left(now), sending)
+        laburnumlug_http::timeout(request.time_left(now), sending)
             .await
             .ok()
     }
@@ -320,7 +320,8 @@
             );
         }
         let status = response.status();
-        let drained = compio::time::timeout(DRAIN_TIMEOUT, response.bytes(MAX_DRAINED_BYTES)).await;
+        let drained =
+            laburnumlug_http::timeout(DRAIN_TIMEOUT, response.bytes(MAX_DRAINED_BYTES)).await;
         if matches!(drained, Ok(Ok(_))) {
             self.pool.recycle(Instant::now(), response);
         }
--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -197,14 +197,14 @@
         }
         let mut exchange = pin!(exchange);
         let mut exchanged =
-            compio::time::timeout(resend_after.min(time_left), exchange.as_mut()).await;
+            laburnumlug_http::timeout(resend_after.min(time_left), exchange.as_mut()).await;
         let now = Instant::now();
         let has_retry = exchanged.is_err()
             && may_resend
             && !request.time_left(now).is_zero()
             && acquire_resend(now);
         if exchanged.is_err() && !has_retry {
-            exchanged = compio::time::timeout(request.time_left(now), exchange).await;
+            exchanged = laburnumlug_http::timeout(request.time_left(now), exchange).await;
         }
         let (mut response, body) = match exchanged {
             Ok(exchanged) => exchanged?,
--- a/laburnumlug-forward/src/crashes.rs
+++ b/laburnumlug-forward/src/crashes.rs
@@ -103,7 +103,7 @@
         }
         let checked = target.crash_checked.listen();
         // A target that cannot be reached has not refused a connection either.
-        let _ = compio::time::timeout(MAX_CRASH_CHECK_TIME, checked).await;
+        let _ = laburnumlug_http::timeout(MAX_CRASH_CHECK_TIME, checked).await;
         if target.has_crashed.get() {
             compio::time::sleep(CRASH_REPORT_TIME).await;
         }
--- a/laburnumlug-forward/src/handler.rs
+++ b/laburnumlug-forward/src/handler.rs
@@ -149,7 +149,7 @@
         self.check_not_stopping(Instant::now(), head.deadline(&route))?;
         let limit = usize::try_from(table.limits.body_bytes).unwrap_or(usize::MAX);
         let reading_body = read_held_body(body, limit.min(memory_budget()), &head.held);
-        let body = match compio::time::timeout(REQUEST_BODY_TIMEOUT, reading_body).await {
+        let body = match laburnumlug_http::timeout(REQUEST_BODY_TIMEOUT, reading_body).await {
             Ok(Ok(body)) => body,
             Ok(Err(err)) if err.is_body_too_large() => {
                 return Err(Refusal::new(FailureCause::TooLarge, err.to_string()));
--- a/laburnumlug-forward/src/probe.rs
+++ b/laburnumlug-forward/src/probe.rs
@@ -167,7 +167,7 @@
         let probe = self
             .inspector
             .check_health(listing.addr, listing.instance, path);
-        let Ok(answer) = compio::time::timeout(PROBE_TIMEOUT, probe).await else {
+        let Ok(answer) = laburnumlug_http::timeout(PROBE_TIMEOUT, probe).await else {
             return false;
         };
         let now = Instant::now();
@@ -226,7 +226,7 @@
             }
             let listing = target.listing.borrow().clone();
             let fetch = forwarder.inspector.cached_parts(listing.addr, listing.instance);
-            match compio::time::timeout(INSPECTION_TIMEOUT, fetch).await {
+            match laburnumlug_http::timeout(INSPECTION_TIMEOUT, fetch).await {
                 Ok(Some(parts)) => forwarder.record_cached_parts(&target, &parts),
                 _ => log::info!(target = target.instance.as_str(); "the engine did not report its cached prompts: those from before its discovery stay unknown"),
             }
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -254,7 +254,7 @@
                     .saturating_sub(now.saturating_duration_since(since))
             });
             let limit = time_left.min(event_left);
-            let Ok(step) = compio::time::timeout(limit, upstream.next()).await else {
+            let Ok(step) = laburnumlug_http::timeout(limit, upstream.next()).await else {
                 if event_left >= time_left {
                     return Err(AttemptFailure::timed_out("no event in time"));
                 }
--- a/laburnumlug-forward/src/unframed.rs
+++ b/laburnumlug-forward/src/unframed.rs
@@ -29,7 +29,7 @@
         }
         let checked = target.crash_checked.listen();
         self.check_for_crash(target);
-        let checked = compio::time::timeout(MAX_CRASH_CHECK_TIME, checked).await;
+        let checked = laburnumlug_http::timeout(MAX_CRASH_CHECK_TIME, checked).await;
         checked.is_ok() && target.has_crashed.get()
     }
 }
--- a/laburnumlug-http/src/lib.rs
+++ b/laburnumlug-http/src/lib.rs
@@ -38,6 +38,7 @@
 mod revocable;
 mod server;
 mod socket;
+mod timeout;
 mod unexpected_data;
 
 pub use crate::body::{
@@ -53,3 +54,4 @@
 pub use crate::server::{
     Handler, Limits, LimitsHandle, PeerAddr, Request, Server, ShutdownHandle, discard_body,
 };
+pub use crate::timeout::{Elapsed, timeout};
--- a/laburnumlug-http/src/lingering_close.rs
+++ b/laburnumlug-http/src/lingering_close.rs
@@ -30,5 +30,5 @@
             }
         }
     };
-    let _ = compio::time::timeout(time, discarding).await;
+    let _ = crate::timeout(time, discarding).await;
 }
--- a/laburnumlug-http/src/requests_in_progress.rs
+++ b/laburnumlug-http/src/requests_in_progress.rs
@@ -42,7 +42,7 @@
             while self.count.get() > 0 {
                 self.changed.listen().await;
             }
-            if compio::time::timeout(time, self.any()).await.is_err() {
+            if crate::timeout(time, self.any()).await.is_err() {
                 return;
             }
         }
--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -355,7 +355,7 @@
     F: Future,
 {
     match timeout {
-        Some(timeout) => compio::time::timeout(timeout, future).await.ok(),
+        Some(timeout) => crate::timeout(timeout, future).await.ok(),
         None => Some(future.await),
     }
 }
@@ -365,7 +365,7 @@
 /// Closing a connection while its client is still sending resets it, and the client then loses the response.
 pub fn discard_body(body: hyper::body::Incoming) {
     compio::runtime::spawn(async move {
-        let _ = compio::time::timeout(DISCARD_TIMEOUT, drain_body(body)).await;
+        let _ = crate::timeout(DISCARD_TIMEOUT, drain_body(body)).await;
     })
     .detach();
 }
--- a/laburnumlug-http/src/socket.rs
+++ b/laburnumlug-http/src/socket.rs
@@ -11,6 +11,7 @@
 use rustix::net::{AddressFamily, SocketFlags, SocketType, sockopt};
 
 use crate::error::Error;
+use crate::timeout::MAX_TIMER_DELAY;
 
 /// `TCP_USER_TIMEOUT`: how long sent data may stay unacknowledged, as it does when the peer is partitioned off.
 const USER_TIMEOUT_MS: u32 = 3_000;
@@ -22,9 +23,6 @@
 /// Kernel receive buffer of one connection; by default it would keep megabytes that are not read while a caller is slow.
 const RECEIVE_BUFFER_BYTES: usize = 256 * 1024;
 
-/// Delay of a timer beyond which the process has not run for a while.
-const MAX_TIMER_DELAY: Duration = Duration::from_millis(10);
-
 /// Connects to a peer within `timeout`.
 ///
 /// A peer that has answered counts as reached, and the time starts again, once, if this process did not run meanwhile: a
--- a/laburnumlug-service/src/client.rs
+++ b/laburnumlug-service/src/client.rs
@@ -35,7 +35,7 @@
     ///
     /// [`Error::verdict`] states whether the call may have run.
     pub async fn call(&self, call: Call, timeout: Duration) -> Result<Response, Error> {
-        match compio::time::timeout(timeout, self.call_without_timeout(call)).await {
+        match laburnumlug_http::timeout(timeout, self.call_without_timeout(call)).await {
             Ok(result) => result,
             Err(_) => Err(Error::timed_out()),
         }
