--- a/laburnumlug-daemon/tests/gateways/callers.rs
+++ b/laburnumlug-daemon/tests/gateways/callers.rs
@@ -2,7 +2,7 @@
 //!
 //! Each caller is a thread that keeps a connection to each gateway and uses it until the gateway closes it.
 
-use std::io::{BufReader, Write};
+use std::io::{BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -98,6 +98,15 @@
         Some(Connection(BufReader::new(stream)))
     }
 
+    /// Returns whether the gateway has neither closed the connection nor sent anything on it.
+    fn is_open(&self) -> bool {
+        let stream = self.0.get_ref();
+        let _ = stream.set_nonblocking(true);
+        let peeked = stream.peek(&mut [0]);
+        let _ = stream.set_nonblocking(false);
+        peeked.is_err_and(|err| err.kind() == ErrorKind::WouldBlock)
+    }
+
     /// Sends a request; with a chunked body, its end is sent after `body_time`.
     fn send(&mut self, record: &mut CallRecord, body_time: Duration) -> bool {
         let framing = match record.is_chunked {
@@ -247,7 +256,7 @@
 
     /// Returns the kept connection to a gateway, or a new one.
     fn connect(&mut self, gateway: usize) -> Option<Connection> {
-        let kept = self.kept[gateway].take();
+        let kept = self.kept[gateway].take().filter(Connection::is_open);
         match self.rng.random_ratio(3, 4) {
             true if kept.is_some() => kept,
             _ => Connection::open(self.gateways[gateway]),
--- a/laburnumlug-daemon/tests/gateways/checker.rs
+++ b/laburnumlug-daemon/tests/gateways/checker.rs
@@ -99,8 +99,10 @@
     if record.end != End::Cut || !was_read {
         return None;
     }
-    let is_timed_out =
-        record.ended_at + TIMEOUT_SLACK >= record.due_at + record.deadline.min(ROUTE_TIMEOUT);
+    // A caller on a busy machine may receive the answer before late, and the gateway have gone on already.
+    let began_at = runs.first().map_or(record.due_at, |run| run.began_at);
+    let timeout_at = began_at.min(record.due_at) + record.deadline.min(ROUTE_TIMEOUT);
+    let is_timed_out = record.ended_at + TIMEOUT_SLACK >= timeout_at;
     let mut executed = runs.iter().filter(|run| run.outcome != Outcome::Refused);
     let is_broken_off = executed
         .next_back()
--- a/laburnumlug-daemon/tests/gateways/main.rs
+++ b/laburnumlug-daemon/tests/gateways/main.rs
@@ -45,8 +45,10 @@
 
 /// Seeds that have failed.
 ///
+/// - 6: a stopping gateway passed on streams whose chunked bodies ended after its notice time and cut them at its exit, and
+///   relayed the text of an error between events.
 /// - 130: SIGTERM terminated a gateway that had just been restarted, before it had installed its signal handler.
-const REGRESSION_SEEDS: [u64; 1] = [130];
+const REGRESSION_SEEDS: [u64; 2] = [6, 130];
 
 /// Number of callers; most of them wait for long answers.
 const CALLERS: usize = 40;
--- a/laburnumlug-daemon/tests/gateways/stops.rs
+++ b/laburnumlug-daemon/tests/gateways/stops.rs
@@ -11,6 +11,9 @@
 use crate::injector::{Interruption, Reason};
 use crate::platform_fleet::readiness_status;
 
+/// Time in which a gateway exits after SIGTERM, unless it is killed.
+const EXIT_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// State of a gateway's process.
 pub enum State {
     Running,
@@ -25,6 +28,8 @@
 /// Planned stop that is in progress.
 pub struct Stop {
     signalled_at: Instant,
+    /// When the process is killed if it still runs.
+    kill_at: Instant,
     /// Whether the gateway was ready when it got the signal.
     was_ready: bool,
     /// When it gets the signal once more.
@@ -35,11 +40,14 @@
     suspended_at: Option<Instant>,
 }
 
-/// Begins a planned stop, sometimes with a second signal, and with a pause if the run `may_pause` processes.
+/// Begins a planned stop, sometimes with a second signal.
+///
+/// If the run `has_faults`, some processes are paused meanwhile, and they are killed at the end of the grace period. Otherwise they
+/// have to exit by themselves, however busy the machine is.
 pub async fn begin_stop(
     deployment: &Deployment,
     gateway: usize,
-    may_pause: bool,
+    has_faults: bool,
     rng: &mut StdRng,
 ) -> State {
     let process = &deployment.gateways[gateway];
@@ -50,12 +58,18 @@
     let again_at = rng
         .random_ratio(1, 3)
         .then(|| now + random_ms(rng, 50..4000));
-    let pause = (may_pause && rng.random_ratio(1, 4)).then(|| {
+    let pause = (has_faults && rng.random_ratio(1, 4)).then(|| {
         let from = now + random_ms(rng, 0..4000);
         (from, from + random_ms(rng, 100..3500))
     });
+    let kill_after = if has_faults {
+        GRACE_PERIODS[gateway]
+    } else {
+        EXIT_TIMEOUT
+    };
     State::Stopping(Stop {
         signalled_at: now,
+        kill_at: now + kill_after,
         was_ready,
         again_at,
         pause,
@@ -99,8 +113,7 @@
     let grace = GRACE_PERIODS[gateway];
     let process = &mut deployment.gateways[gateway].process;
     let exit = process.exit_status();
-    let is_over = now >= stop.signalled_at + grace;
-    if exit.is_none() && !is_over {
+    if exit.is_none() && now < stop.kill_at {
         if stop.again_at.is_some_and(|at| now >= at) {
             stop.again_at = None;
             process.signal(Signal::TERM);
@@ -119,13 +132,13 @@
         }
         return State::Stopping(stop);
     }
-    let was_paused = stop.suspended_at.is_some();
     if let Some(from) = stop.suspended_at {
         record(run, gateway, Reason::Fault, from);
     }
     let code = exit.map(|status| status.code());
-    if code != Some(Some(0)) && stop.was_ready && !was_paused {
-        let text = format!("gateway {gateway} exited with {code:?} within its grace period");
+    let may_be_killed = stop.kill_at <= stop.signalled_at + grace;
+    if code != Some(Some(0)) && stop.was_ready && !(code.is_none() && may_be_killed) {
+        let text = format!("gateway {gateway} exited with {code:?} after SIGTERM");
         run.violations.borrow_mut().push(text);
     }
     process.kill();
