--- a/laburnumlug-policy/src/memory_budget_tests.rs
+++ b/laburnumlug-policy/src/memory_budget_tests.rs
@@ -5,7 +5,7 @@
 const LIMIT: usize = 1000;
 
 /// Guards against a process that runs out of memory because each body alone is within its limit: whatever arrives, the
-/// holders that have not been named hold no more than the budget, and each named one is the largest, with what it asks for.
+/// holders that have not been named stay within the budget, and each named one is the largest, with what it asks for.
 fn kept_bytes_within_limit(steps: Vec<(u8, u16)>) -> bool {
     let mut budget = MemoryBudget::new(LIMIT);
     // Bytes of the open holders, oldest first, and whether they are whole.
