Add a test of a stop while requests wait for the first routes

It shows no fault; the handlers of signals that stand before anything else are what it rests on. It was not run on earlier code.

--- a/laburnumlug-daemon/tests/it/signals.rs
+++ b/laburnumlug-daemon/tests/it/signals.rs
@@ -1,6 +1,6 @@
 //! Signals at any time of a process: while it starts, in series, and while it stops.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -155,3 +155,24 @@
         }
     });
 }
+
+/// Guards against a request without an answer that waits for the first routes when the gateway is asked to stop.
+#[test]
+fn stop_while_requests_wait_for_routes() {
+    block_on(async {
+        let cluster = Cluster::start();
+        let mut gateway = Gateway::start(&cluster.folder, &cluster.seeds()).await;
+        wait_for_listener(gateway.caller_addr);
+        let mut stream = TcpStream::connect(gateway.caller_addr).unwrap();
+        let request = b"GET /p/x HTTP/1.1\r\nhost: h.example\r\nx-request-id: r\r\n\r\n";
+        stream.write_all(request).unwrap();
+        gateway.process.signal(Signal::TERM);
+        let mut answer = [0; 12];
+        let reading = compio::runtime::spawn_blocking(move || {
+            stream.read_exact(&mut answer).map(|()| answer)
+        });
+        let answer = reading.await.unwrap().unwrap();
+        assert_eq!(&answer, b"HTTP/1.1 503");
+        assert_eq!(gateway.process.wait().await.code(), Some(0));
+    });
+}
