Bound how early a stop may count as requested

What callers would see: a gateway whose checks are always late, as on a slow machine, takes SIGTERM for a signal that was sent when a check last was on time, closes its listener at once and gives up all requests.

Cause: a late check kept the time of the last one that was on time, however old. A signal that was pending at one check is noticed at the next, so a late check proves that none was pending at the check before.

Evidence: signalled_since_with_late_checks (ten checks 200 ms apart) gives the begin of the first without the change, and 400 ms before the signal with it.

--- a/laburnumlug-policy/src/pause_detector.rs
+++ b/laburnumlug-policy/src/pause_detector.rs
@@ -7,13 +7,12 @@
 
 /// Bounds how long ago a signal was sent that this process notices, by checks at a fixed interval.
 ///
-/// A process that is paused, or gets no processor time, notices a signal when it runs again. Before its last check that was
-/// on time, no signal was pending.
+/// A process that is paused, or gets no processor time, notices a signal when it runs again, and at the next check at the latest.
 #[derive(Clone, Copy, Debug)]
 pub struct PauseDetector {
     interval: Duration,
     checked_at: Instant,
-    /// Time of the last check that was on time.
+    /// Time before which no signal was pending.
     ran_until: Instant,
 }
 
@@ -29,11 +28,13 @@
 
     /// Records a check at which no signal was noticed.
     ///
-    /// Right after a pause, a signal may be pending that has not been noticed yet, so that a late check proves nothing.
+    /// Right after a pause, a signal may be pending that has not been noticed yet, so that a late check only proves that none was
+    /// pending at the check before it.
     pub fn record_check(&mut self, now: Instant) {
-        if self.is_on_time(now, self.checked_at) {
-            self.ran_until = now;
-        }
+        self.ran_until = match self.is_on_time(now, self.checked_at) {
+            true => now,
+            false => self.checked_at,
+        };
         self.checked_at = now;
     }
 
