Count an event that waits for a slow caller towards the memory budget

Streams of large events to callers that do not read held one event each, of up to 1 MB, that counted nowhere: it had left the event splitter, and waited until the queue to the caller had room.

The bytes are reserved before the wait. send_counts_waiting_chunk finds 262,144 bytes without the change and 524,288 with it.

--- a/laburnumlug-http/src/body.rs
+++ b/laburnumlug-http/src/body.rs
@@ -173,6 +173,8 @@
 struct ChunkQueue {
     chunks: RefCell<VecDeque<Bytes>>,
     bytes: Cell<usize>,
+    /// Size of the chunk that the sender waits to add.
+    waiting_bytes: Cell<usize>,
     held: HeldBytes,
     /// Set once the body was ended by the memory budget.
     over_budget: Cell<Option<OverBudget>>,
@@ -206,10 +208,17 @@
         self.over_budget.set(Some(over));
         self.chunks.borrow_mut().clear();
         self.bytes.set(0);
+        self.waiting_bytes.set(0);
         self.finish(SenderState::Aborted);
         self.held.release();
     }
 
+    /// Reserves what is held now of the memory budget.
+    fn hold(&self) -> Result<(), OverBudget> {
+        self.held
+            .resize(self.bytes.get() + self.waiting_bytes.get())
+    }
+
     fn wake_reader(&self) {
         if let Some(waker) = self.reader.take() {
             waker.wake();
@@ -245,18 +254,23 @@
     /// Returns the chunk if the reader has dropped the body, or if the body was ended by the memory budget.
     pub async fn send(&mut self, chunk: Bytes) -> Result<(), Bytes> {
         let queue = &self.queue;
-        while queue.bytes.get() >= MAX_BUFFERED_BYTES && !self.is_closed() {
-            queue.changed().await;
-        }
         if self.is_closed() {
             return Err(chunk);
         }
-        let bytes = queue.bytes.get() + chunk.len();
-        if let Err(over) = queue.held.resize(bytes) {
+        // The chunk is held while it waits, too.
+        queue.waiting_bytes.set(chunk.len());
+        if let Err(over) = queue.hold() {
             queue.end(over);
             return Err(chunk);
         }
-        queue.bytes.set(bytes);
+        while queue.bytes.get() >= MAX_BUFFERED_BYTES && !self.is_closed() {
+            queue.changed().await;
+        }
+        queue.waiting_bytes.set(0);
+        if self.is_closed() {
+            return Err(chunk);
+        }
+        queue.bytes.set(queue.bytes.get() + chunk.len());
         queue.chunks.borrow_mut().push_back(chunk);
         queue.wake_reader();
         Ok(())
@@ -338,7 +352,7 @@
             (Some(chunk), _) => {
                 queue.bytes.set(queue.bytes.get() - chunk.len());
                 // Fewer bytes never exceed the budget.
-                let _ = queue.held.resize(queue.bytes.get());
+                let _ = queue.hold();
                 queue.changed.notify(usize::MAX);
                 Poll::Ready(Some(Ok(Frame::data(chunk))))
             }
--- a/laburnumlug-http/src/body_tests.rs
+++ b/laburnumlug-http/src/body_tests.rs
@@ -59,6 +59,22 @@
     assert_eq!(tx.send(chunk(30)).now_or_never(), Some(Ok(())));
 }
 
+/// Guards against large events that wait for slow callers and are counted nowhere.
+#[test]
+fn send_counts_waiting_chunk() {
+    set_memory_budget(4 * MAX_BUFFERED_BYTES);
+    let (mut tx, mut body) = channel_body();
+    let full = Bytes::from(vec![0; MAX_BUFFERED_BYTES]);
+    assert_eq!(tx.send(full.clone()).now_or_never(), Some(Ok(())));
+    let mut sending = pin!(tx.send(full));
+    assert_eq!(sending.as_mut().now_or_never(), None);
+    assert_eq!(held_bytes(), 2 * MAX_BUFFERED_BYTES);
+    assert!(body.frame().now_or_never().is_some());
+    assert_eq!(held_bytes(), MAX_BUFFERED_BYTES);
+    assert_eq!(sending.now_or_never(), Some(Ok(())));
+    assert_eq!(held_bytes(), MAX_BUFFERED_BYTES);
+}
+
 /// Guards against whole answers that are held for callers who do not read, but not counted, or not released.
 #[compio::test]
 async fn held_body_ends_without_reader() {
