Leave requests unread behind an answer that closes its connection

Requests that a client had sent ahead were read and discarded after an answer that closed the connection, so that they counted as read and had no answer. A client may send again what was not read.

Cause: the mend of answers that a reset drops read until the client closed. The socket only has to stay open for that time. It is looked at without reading.

Evidence: close_leaves_later_requests_unread fails without the change; it and close_after_answer_with_unread_requests pass with it.

--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -20,7 +20,7 @@
 
 use crate::body_reader::next_chunk;
 use crate::fair_stream::{FairStream, HeadLimit};
-use crate::lingering_close::discard_until_closed;
+use crate::lingering_close::keep_until_closed;
 use crate::requests_in_progress::RequestsInProgress;
 use crate::{Response, hold_until_sent, text_response};
 
@@ -345,7 +345,7 @@
         // A response without chunks ends with its connection, so only a reset shows that it was aborted.
         let _ = socket.set_zero_linger();
     } else if requests.was_used_within(Instant::now(), SHUTDOWN_LINGER) {
-        discard_until_closed(&socket, SHUTDOWN_LINGER).await;
+        keep_until_closed(&socket, SHUTDOWN_LINGER).await;
     }
 }
 
--- a/laburnumlug-http/tests/linger.rs
+++ b/laburnumlug-http/tests/linger.rs
@@ -100,3 +100,20 @@
         drop(stream);
     });
 }
+
+/// Guards against requests that are read behind an answer that closes the connection: they would get no answer.
+#[test]
+fn close_leaves_later_requests_unread() {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let (addr, _shutdown, _task) = start().await;
+        let waiting = compio::runtime::spawn_blocking(move || {
+            let mut stream = send(addr, &[REQUEST]);
+            let mut answer = Vec::new();
+            stream.read_to_end(&mut answer).unwrap();
+            std::thread::sleep(Duration::from_secs(2));
+            stream.take_error().unwrap()
+        });
+        // The kernel resets a connection that is closed with unread bytes.
+        assert!(waiting.await.unwrap().is_some());
+    });
+}
