Take no answer for cut whose server keeps other connections open

A whole answer without a length was answered 502 if its server had as many connections as it accepts and refused the one that checks whether it has crashed. The check may also have begun before the answer ended, when the server still ran.

--- a/laburnumlug-http/src/connection.rs
+++ b/laburnumlug-http/src/connection.rs
@@ -13,6 +13,7 @@
 use futures_util::FutureExt;
 use http_body_util::Full;
 use hyper::client::conn::http1;
+use rustix::io::Errno;
 use rustix::net::RecvFlags;
 
 use crate::client::handshake;
@@ -104,6 +105,13 @@
         matches!(self.sender.ready().now_or_never(), Some(Ok(())))
     }
 
+    /// Returns whether the peer has neither closed the connection nor sent data that the driver has not read yet.
+    pub(crate) fn is_open(&self) -> bool {
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        let received = rustix::net::recv(&self.socket, &mut [0_u8], flags);
+        matches!(received, Err(Errno::AGAIN))
+    }
+
     /// Returns whether the peer has sent data that the driver has not read yet, as it has not run since.
     ///
     /// The end of the connection counts as no data.
--- a/laburnumlug-http/src/pool.rs
+++ b/laburnumlug-http/src/pool.rs
@@ -187,6 +187,13 @@
         Ok(())
     }
 
+    /// Returns whether an idle connection to a peer is open, so that the process of the peer has not ended.
+    pub fn has_open_connection(&self, addr: SocketAddr) -> bool {
+        let idle = self.idle.borrow();
+        let mut conns = idle.get(&addr).into_iter().flatten();
+        conns.any(|idle| idle.conn.is_open())
+    }
+
     /// Closes all idle connections to a peer that sent an answer to another request, and reuses none to it for a while.
     pub fn record_wrong_answer(&self, now: Instant, addr: SocketAddr) {
         self.unexpected_data.record(now, addr);
