--- a/laburnumlug-daemon/tests/gateways/callers.rs
+++ b/laburnumlug-daemon/tests/gateways/callers.rs
@@ -98,13 +98,16 @@
         Some(Connection(BufReader::new(stream)))
     }
 
-    /// Returns whether the gateway has neither closed the connection nor sent anything on it.
+    /// Returns whether the gateway has not closed the connection; bytes that it has sent are read as an answer.
     fn is_open(&self) -> bool {
         let stream = self.0.get_ref();
         let _ = stream.set_nonblocking(true);
         let peeked = stream.peek(&mut [0]);
         let _ = stream.set_nonblocking(false);
-        peeked.is_err_and(|err| err.kind() == ErrorKind::WouldBlock)
+        match peeked {
+            Ok(len) => len > 0,
+            Err(err) => err.kind() == ErrorKind::WouldBlock,
+        }
     }
 
     /// Sends a request; with a chunked body, its end is sent after `body_time`.
