--- a/laburnumlug-http/src/body.rs
+++ b/laburnumlug-http/src/body.rs
@@ -9,8 +9,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 
-use bytes::{Buf, Bytes};
-use compio::runtime::JoinHandle;
+use bytes::Bytes;
 use event_listener::Event;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Frame, SizeHint};
@@ -42,9 +41,6 @@
 /// Number of buffered bytes from which the sender of a streamed body waits; the last chunk may exceed it.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
-/// Maximum size, in bytes, of the parts in which a whole body is passed to its connection.
-const MAX_PART_BYTES: usize = 64 * 1024;
-
 /// Returns a body that holds `bytes`.
 pub fn full_body<B>(bytes: B) -> Body
 where
@@ -83,80 +79,6 @@
     resp
 }
 
-/// Returns a body that holds `bytes` with their share of the memory budget until they are sent.
-///
-/// If they have to end before, they are dropped although nobody takes them, the body is aborted, and `on_end` is called.
-/// A body of one part is taken as soon as its response is, and never ends.
-pub fn held_body<F>(bytes: Bytes, held: HeldBytes, on_end: F) -> Body
-where
-    F: FnOnce(OverBudget) + 'static,
-{
-    if bytes.len() <= MAX_PART_BYTES {
-        return Box::pin(GuardedBody {
-            body: full_body(bytes),
-            _guard: held,
-        });
-    }
-    let unsent = Rc::new(RefCell::new(Some(bytes)));
-    let watched = unsent.clone();
-    let watch = compio::runtime::spawn(async move {
-        let over = held.ended().await;
-        watched.take();
-        held.release();
-        on_end(over);
-        // The task owns the share of the budget as long as the body lasts.
-        std::future::pending::<()>().await;
-    });
-    Box::pin(HeldBody {
-        unsent,
-        _watch: watch,
-    })
-}
-
-/// Whole body that is sent in parts.
-struct HeldBody {
-    /// Bytes that are not sent yet; `None` once the body was ended by the memory budget.
-    unsent: Rc<RefCell<Option<Bytes>>>,
-    /// Task that owns the share of the budget; dropping it releases the share.
-    _watch: JoinHandle<()>,
-}
-
-impl HeldBody {
-    fn unsent_len(&self) -> usize {
-        self.unsent.borrow().as_ref().map_or(1, Bytes::len)
-    }
-}
-
-impl hyper::body::Body for HeldBody {
-    type Data = Bytes;
-    type Error = Aborted;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        _cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
-        Poll::Ready(match &mut *self.unsent.borrow_mut() {
-            None => Some(Err(Aborted)),
-            Some(bytes) if bytes.is_empty() => None,
-            Some(bytes) => {
-                let len = bytes.len().min(MAX_PART_BYTES);
-                // A part of the same allocation would keep all of it for as long as the connection has the part.
-                let part = Bytes::copy_from_slice(&bytes[..len]);
-                bytes.advance(len);
-                Some(Ok(Frame::data(part)))
-            }
-        })
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.unsent_len() == 0
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.unsent_len() as u64)
-    }
-}
-
 /// Creates a streamed body and the sender that fills it.
 ///
 /// The body buffers a bounded number of bytes, so a slow reader applies backpressure to its own sender only.
@@ -371,12 +293,7 @@
 where
     G: 'static,
 {
-    resp.map(|body| -> Body {
-        Box::pin(GuardedBody {
-            body,
-            _guard: guard,
-        })
-    })
+    resp.map(|body| guarded_body(body, guard))
 }
 
 /// Body that owns a guard, which is dropped with it.
@@ -385,6 +302,17 @@
     _guard: G,
 }
 
+/// Returns a body that owns `guard`, which is dropped with it.
+pub(crate) fn guarded_body<G>(body: Body, guard: G) -> Body
+where
+    G: 'static,
+{
+    Box::pin(GuardedBody {
+        body,
+        _guard: guard,
+    })
+}
+
 impl<G> Unpin for GuardedBody<G> {}
 
 impl<G> hyper::body::Body for GuardedBody<G> {
--- a/laburnumlug-http/src/body_tests.rs
+++ b/laburnumlug-http/src/body_tests.rs
@@ -3,6 +3,7 @@
 use futures_util::FutureExt;
 
 use super::*;
+use crate::held_body::{MAX_PART_BYTES, held_body};
 use crate::held_bytes::{held_bytes, set_memory_budget};
 
 #[test]
--- a/laburnumlug-http/src/lib.rs
+++ b/laburnumlug-http/src/lib.rs
@@ -30,6 +30,7 @@
 mod connection;
 mod error;
 mod fair_stream;
+mod held_body;
 mod held_bytes;
 mod idle_limit;
 mod lingering_close;
@@ -43,11 +44,12 @@
 
 pub use crate::body::{
     Aborted, Body, BodyHandle, BodySender, Response, ResponseBuilder, channel_body, full_body,
-    held_body, hold_until_sent, json_response, text_response,
+    hold_until_sent, json_response, text_response,
 };
 pub use crate::body_reader::{read_body, read_held_body};
 pub use crate::client::{ClientResponse, send};
 pub use crate::error::Error;
+pub use crate::held_body::held_body;
 pub use crate::held_bytes::{HeldBytes, OverBudget, held_bytes, memory_budget, set_memory_budget};
 pub use crate::pool::{ConnectionPool, PooledResponse, SendError};
 pub use crate::revocable::send_before;
--- /dev/null
+++ b/laburnumlug-http/src/pool_tests.rs
@@ -0,0 +1,16 @@
+use super::*;
+
+#[test]
+fn keep_alive_timeout_forms() {
+    let keep_alive = |value: &str| {
+        let mut headers = hyper::HeaderMap::new();
+        headers.insert("keep-alive", value.parse().unwrap());
+        keep_alive_timeout(&headers)
+    };
+    assert_eq!(keep_alive("timeout=5"), Some(Duration::from_secs(5)));
+    assert_eq!(
+        keep_alive("max=3, timeout=12"),
+        Some(Duration::from_secs(12))
+    );
+    assert_eq!(keep_alive("timeout=soon"), None);
+}
