--- a/laburnumlug-daemon/tests/gateways/servers.rs
+++ b/laburnumlug-daemon/tests/gateways/servers.rs
@@ -30,7 +30,7 @@
     Abandoned,
 }
 
-/// Request that a server got, and what became of it.
+/// Request that a server got, and its outcome.
 #[derive(Clone, Debug)]
 pub struct ServerRun {
     pub id: String,
--- a/laburnumlug-http/src/body.rs
+++ b/laburnumlug-http/src/body.rs
@@ -90,7 +90,7 @@
     (BodySender { queue }, Box::pin(body))
 }
 
-/// Chunks of a streamed body that its reader has not taken, shared by its sender and its reader.
+/// Unread chunks of a streamed body, shared by its sender and its reader.
 #[derive(Default)]
 struct ChunkQueue {
     chunks: RefCell<VecDeque<Bytes>>,
@@ -117,7 +117,7 @@
 }
 
 impl ChunkQueue {
-    /// Ends the body for its reader; an aborted body keeps the chunks that are not taken yet.
+    /// Ends the body for its reader; an aborted body keeps its unread chunks.
     fn finish(&self, state: SenderState) {
         if self.sender_state.get() == SenderState::Open {
             self.sender_state.set(state);
@@ -125,7 +125,7 @@
         }
     }
 
-    /// Aborts the body because of the memory budget, and drops the chunks that its reader has not taken.
+    /// Aborts the body because of the memory budget, and drops its unread chunks.
     fn end(&self, over: OverBudget) {
         self.over_budget.set(Some(over));
         self.chunks.borrow_mut().clear();
