Count answers that begin with a fault as broken off in the soak

The log of the gateway names both faults. The rule does not count what servers break off.

Cause: the second server found its connection closed before it had sent the whole answer, so that its run counted as abandoned by the gateway. An answer whose first part shows the fault, that is the head with another id or the first event that begins again, counts as broken off, however much of it was sent. Faults later in an answer are judged as before.

--- a/laburnumlug-daemon/tests/gateways/answers.rs
+++ b/laburnumlug-daemon/tests/gateways/answers.rs
@@ -45,6 +45,8 @@
     /// Maximum number of bytes that are sent at once.
     pub write_len: usize,
     pub outcome: Outcome,
+    /// Whether its first part shows a fault of the server, so that a gateway need not read the rest.
+    pub begins_invalid: bool,
     pub keeps_connection: bool,
     /// Whether the request is one of a caller that the server executes or refuses.
     pub is_run: bool,
@@ -68,6 +70,7 @@
         )],
         write_len: usize::MAX,
         outcome,
+        begins_invalid: false,
         keeps_connection: !is_leaving,
         is_run: true,
     };
@@ -158,8 +161,8 @@
             let error = chunk("HTTP/1.1 500 Internal Server Error\r\n\r\nerror\n\n");
             answer.pieces.push((Duration::ZERO, error + "0\r\n\r\n"));
         }
-        Fault::BeginAgain if last_event_id.is_some() => {}
-        Fault::WrongId => {}
+        Fault::BeginAgain if last_event_id.is_some() => answer.begins_invalid = true,
+        Fault::WrongId => answer.begins_invalid = true,
         Fault::Stall => {
             answer.pieces[middle].0 = STALL_TIME;
             return answer;
--- a/laburnumlug-daemon/tests/gateways/servers.rs
+++ b/laburnumlug-daemon/tests/gateways/servers.rs
@@ -144,6 +144,7 @@
     let index = log.lock().unwrap().len() - usize::from(answer.is_run);
     let outcome = match send(stream, &answer) {
         true => answer.outcome,
+        false if answer.begins_invalid => Outcome::BrokenOff,
         false => Outcome::Abandoned,
     };
     if answer.is_run {
