--- a/laburnumlug-http/src/timeout.rs
+++ b/laburnumlug-http/src/timeout.rs
@@ -10,6 +10,9 @@
 /// Delay of a timer beyond which the process has not run for a while.
 pub(crate) const MAX_TIMER_DELAY: Duration = Duration::from_millis(10);
 
+/// Maximum number of times that a process which runs again waits for [`CATCH_UP_TIME`], as it may be paused again.
+const MAX_CATCH_UPS: u32 = 4;
+
 /// Time in which a process that runs again reads what has arrived meanwhile.
 const CATCH_UP_TIME: Duration = Duration::from_millis(5);
 
@@ -48,8 +51,14 @@
     if began_at.elapsed() <= limit.saturating_add(MAX_TIMER_DELAY) {
         return Err(Elapsed);
     }
-    match select(future, pin!(compio::time::sleep(CATCH_UP_TIME))).await {
-        Either::Left((output, _)) => Ok(output),
-        Either::Right(_) => Err(Elapsed),
+    for _ in 0..MAX_CATCH_UPS {
+        let began_at = Instant::now();
+        let timer = pin!(compio::time::sleep(CATCH_UP_TIME));
+        match select(future.as_mut(), timer).await {
+            Either::Left((output, _)) => return Ok(output),
+            Either::Right(_) if began_at.elapsed() <= CATCH_UP_TIME + MAX_TIMER_DELAY => break,
+            Either::Right(_) => {}
+        }
     }
+    Err(Elapsed)
 }
