Learn of the voters from any replica that answers

Cause: a replica that replaces another one announced itself only to the replicas in its settings. If all of them follow, the leader never learned of it, and it never learned of the leader, so the cluster stayed one voter short, and the next losses took the majority.

Change: the answer to an announcement already holds the membership of the replica that answers. Its voters become known to the replica that joins, which announces itself to them next, the leader among them.

Evidence: replica_replaced_with_followers_as_seeds (five replicas, one replaced by one that is told of three followers, then two further losses) fails on the code before: after 12 s the voters are still the four old ones and the lost one. It passes with this change, in 3.6 s.

--- a/laburnumlug-control/src/replica/bootstrap.rs
+++ b/laburnumlug-control/src/replica/bootstrap.rs
@@ -78,7 +78,7 @@
     /// Announces this replica to the others periodically while it is not a voter.
     ///
     /// Only this way can a leader learn of a replica that it does not know yet.
-    async fn announce_while_not_voter(&self) {
+    async fn announce_while_not_voter(self: &Rc<Self>) {
         loop {
             let is_voter = self.core.borrow().is_voter();
             if !is_voter {
@@ -88,27 +88,34 @@
         }
     }
 
-    async fn collect_peer_hellos(&self) -> Vec<HelloAnswer> {
+    async fn collect_peer_hellos(self: &Rc<Self>) -> Vec<HelloAnswer> {
         self.collect_hellos(&self.peers()).await
     }
 
-    async fn collect_configured_hellos(&self) -> Vec<HelloAnswer> {
+    async fn collect_configured_hellos(self: &Rc<Self>) -> Vec<HelloAnswer> {
         self.collect_hellos(&self.cfg.peers).await
     }
 
-    async fn collect_hellos(&self, peers: &[PeerReplica]) -> Vec<HelloAnswer> {
+    /// Asks other replicas for their identities. The voters that they name become known, so that they are asked next.
+    async fn collect_hellos(self: &Rc<Self>, peers: &[PeerReplica]) -> Vec<HelloAnswer> {
         let from = self.core.borrow().meta.replica.clone();
         let hello = PeerRequest::Hello { from };
         let calls = peers
             .iter()
             .map(|peer| self.call_peer(peer.addr, &hello, HELLO_TIMEOUT));
         let answers = join_all(calls).await.into_iter();
-        answers
+        let answers: Vec<HelloAnswer> = answers
             .filter_map(|answer| match answer {
                 Ok(PeerAnswer::Hello(answer)) => Some(answer),
                 _ => None,
             })
-            .collect()
+            .collect();
+        for answer in &answers {
+            for voter in answer.membership.voters.iter() {
+                self.add_peer(&voter.name);
+            }
+        }
+        answers
     }
 
     pub(super) fn hello_answer(&self, from: &ReplicaId) -> HelloAnswer {
@@ -142,7 +149,7 @@
     /// Bootstraps a cluster if this replica's name sorts first and no replica has data.
     ///
     /// All replicas must answer: one that does not might hold data that an existing cluster acknowledged.
-    async fn bootstrap_if_first(&self) -> io::Result<()> {
+    async fn bootstrap_if_first(self: &Rc<Self>) -> io::Result<()> {
         let peers = &self.cfg.peers;
         let is_first = peers.iter().all(|peer| self.cfg.name < peer.name);
         if !self.cfg.may_bootstrap || !is_first {
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -8,6 +8,8 @@
 mod cli;
 mod client;
 mod control;
+mod control_discovery;
+mod control_fleet;
 mod customers;
 mod end_to_end;
 mod frozen_control;
