Verify a folder against the newest voters, not those written in it

What callers saw: after several replicas were replaced, one that returned did not vote again.

Cause: a replica that starts waits for answers of a majority of the voters in its own folder. If these were replaced meanwhile, they never answer, so it accepts neither votes nor entries, and the leader counts it as lost for ever.

Change: the voters of the newest membership among the answers and the own log have to answer. A replica that a committed membership has removed resets its folder under a new incarnation, as one with an outdated copy does: no vote of it counts, so nothing acknowledged depends on it. Answers state the commit index for that; answers of earlier versions never show a removal.

--- a/laburnumlug-control/src/peer.rs
+++ b/laburnumlug-control/src/peer.rs
@@ -119,6 +119,9 @@
     pub(crate) observed_position: Option<Position>,
     /// Newest membership in the log of the replica, committed or not.
     pub(crate) membership: Membership,
+    /// Index of the last entry that the replica knows to be committed; 0 from replicas of earlier versions.
+    #[serde(default)]
+    pub(crate) commit_index: LogIndex,
 }
 
 /// Voting status of a replica and the index of the newest change to the fleet document in its log.
--- a/laburnumlug-control/src/replica/bootstrap.rs
+++ b/laburnumlug-control/src/replica/bootstrap.rs
@@ -11,7 +11,7 @@
 use super::core::Core;
 use super::{PeerReplica, Replica, open};
 use crate::entry::Entry;
-use crate::entry::{Membership, Payload};
+use crate::entry::Payload;
 use crate::peer::{HelloAnswer, PeerAnswer, PeerRequest};
 use crate::storage::Meta;
 
@@ -125,6 +125,7 @@
             cluster: core.meta.cluster,
             observed_position: core.observed_positions.get(from).copied(),
             membership: core.log.membership().clone(),
+            commit_index: core.commit_index,
         }
     }
 
@@ -246,27 +247,41 @@
         if answers.iter().any(shows_outdated) || self.majority_is_foreign(answers, peer_count) {
             return FolderStatus::Outdated;
         }
-        let membership = self.log.membership();
-        let needed = match membership.contains(&self.meta.replica) {
-            true => membership.majority() - 1,
-            false if membership.voters.is_empty() => peer_count.div_ceil(2),
-            false => membership.majority(),
+        let is_same_cluster = |answer: &&HelloAnswer| {
+            answer.cluster == self.meta.cluster || self.meta.cluster.is_none()
         };
-        let answered = answers
-            .iter()
-            .filter(|answer| self.counts_towards_majority(membership, answer));
-        match answered.count() >= needed {
+        let answers: Vec<&HelloAnswer> = answers.iter().filter(is_same_cluster).collect();
+        // The voters in this folder may all have been replaced since it was written.
+        let memberships = answers.iter().map(|answer| &answer.membership);
+        let newest = memberships
+            .chain([self.log.membership()])
+            .max_by_key(|membership| membership.index)
+            .expect("the own membership is always there");
+        let own_index = self.log.membership().index;
+        let shows_removed = |answer: &&HelloAnswer| {
+            answer.membership.index > own_index
+                && answer.commit_index >= answer.membership.index
+                && !answer.membership.contains(&self.meta.replica)
+        };
+        let is_voter = newest.contains(&self.meta.replica);
+        if self.meta.cluster.is_some() && !is_voter && answers.iter().any(shows_removed) {
+            return FolderStatus::Outdated;
+        }
+        let needed = match is_voter {
+            true => newest.majority() - 1,
+            false if newest.voters.is_empty() => peer_count.div_ceil(2),
+            false => newest.majority(),
+        };
+        let counts = |answer: &&&HelloAnswer| {
+            let mut voters = newest.voters.iter();
+            newest.voters.is_empty() || voters.any(|voter| voter.name == answer.replica.name)
+        };
+        match answers.iter().filter(counts).count() >= needed {
             true => FolderStatus::Complete,
             false => FolderStatus::Undecided,
         }
     }
 
-    fn counts_towards_majority(&self, membership: &Membership, answer: &HelloAnswer) -> bool {
-        let is_voter = |voter: &ReplicaId| voter.name == answer.replica.name;
-        let is_same_cluster = answer.cluster == self.meta.cluster || self.meta.cluster.is_none();
-        is_same_cluster && (membership.voters.is_empty() || membership.voters.iter().any(is_voter))
-    }
-
     /// Returns whether a majority of all replicas belongs to one cluster other than this replica's.
     fn majority_is_foreign(&self, answers: &[HelloAnswer], peer_count: usize) -> bool {
         let Some(own) = self.meta.cluster else {
--- a/laburnumlug-daemon/tests/it/control_discovery.rs
+++ b/laburnumlug-daemon/tests/it/control_discovery.rs
@@ -56,3 +56,36 @@
             .await;
     });
 }
+
+/// Guards against a replica that returns after all voters in its folder were replaced, and then waits for them for ever.
+#[test]
+fn replica_returns_after_all_others_were_replaced() {
+    block_on(async {
+        let mut fleet = ControlFleet::new(1, 3, 0);
+        found(&mut fleet, &[0, 1, 2], &[0, 1, 2]).await;
+        let mut voters = vec![0, 1, 2];
+        fleet.kill(0);
+        for _ in 0..3 {
+            let replacement = fleet.add(true);
+            let seeds: Vec<usize> = voters
+                .iter()
+                .copied()
+                .filter(|i| fleet.running().contains(i))
+                .collect();
+            fleet.start(replacement, &seeds, false);
+            let replaced = voters[0];
+            if replaced != 0 {
+                fleet.kill(replaced);
+            }
+            voters.remove(0);
+            voters.push(replacement);
+            fleet.wait_for_voters(&voters, RECOVERY_TIMEOUT).await;
+        }
+        fleet.start(0, &voters, false);
+        // It stands by, and replaces the next voter that is lost.
+        fleet.kill(voters[0]);
+        let mut remaining = voters[1..].to_vec();
+        remaining.push(0);
+        fleet.wait_for_voters(&remaining, RECOVERY_TIMEOUT).await;
+    });
+}
