Keep a directory of control processes and refer everyone to live replicas

What callers saw: the operator's reads ended at the third redirect, or in silence, although a majority of the replicas was up; gateways and replaced replicas never served.

Cause: which control processes exist was known from the settings alone, and what one learned stayed with it. On machines without a disk, 15 of 20 on the large deployment, the process redirected to the next address of its settings, to others without a replica or to dead ones, and did not listen on the mesh. A gateway or an empty replica whose seeds are such processes found no replica, and nobody told it.

Change: every control process keeps a directory of the others. It asks its seeds and whom it learns of, is told of all who ask, and answers with the newest membership and some of the processes that it knows; ages bound how long a dead one is passed on. Processes without a replica serve it on the mesh port and refer gateways to the replicas. They redirect an operator only to a replica that states at that moment that it can answer, and refuse at once if there is none; a replica that is not ready redirects too. Calls on the store take 650 ms at most, as the operator waits one second for all hops. Replicas learn of peers from the directory and drop those that turn out to hold no replica. Changed seeds take effect without a restart. Gateways stop polling addresses that neither the settings nor the membership name after 60 s of silence.

control_without_disk_refers_operators expected a redirect to an address at which nothing listens, which is the fault. It now expects one to a replica that answers, and 503 without one.

--- /dev/null
+++ b/laburnumlug-control/src/directory/mod.rs
@@ -0,0 +1,9 @@
+//! Directory of the control processes, which each of them keeps and completes by asking others.
+
+mod contacts;
+mod serve;
+mod service;
+
+pub use self::serve::serve_directory;
+pub use self::service::DirectoryService;
+pub(crate) use self::service::Standing;
--- a/laburnumlug-control/src/lib.rs
+++ b/laburnumlug-control/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod claims;
 mod command;
+mod directory;
 mod encoded_len;
 mod entry;
 mod entry_log;
@@ -45,6 +46,7 @@
 
 pub use crate::claims::CLAIM_RETENTION_MS;
 pub use crate::command::{Accepted, Command, FleetChange, FleetRefusal, Outcome};
+pub use crate::directory::{DirectoryService, serve_directory};
 pub use crate::error::Error;
 pub use crate::intents::RoleRefusal;
 pub use crate::mesh::serve_mesh;
--- a/laburnumlug-control/src/mesh.rs
+++ b/laburnumlug-control/src/mesh.rs
@@ -8,7 +8,8 @@
 use compio::net::{TcpListener, TcpStream};
 use laburnumlug::{FencingToken, FleetVersion, ListedGateway, Verdict};
 use laburnumlug_mesh::{
-    CompressedText, Connection, ControlMessage, MeshKey, Message, NodeCommand, accept_connections,
+    CompressedText, Connection, ControlContact, ControlMessage, MeshKey, Message, NodeCommand,
+    accept_connections,
 };
 use serde_json::Value;
 
@@ -77,6 +78,9 @@
                 let report = replica.targets_report(now, unix_now, known, gateway);
                 Some(Message::Control(ControlMessage::Targets(report)))
             }
+            Message::Control(ControlMessage::FetchDirectory { sender }) => {
+                directory_message(&replica, sender)
+            }
             Message::Replica { body } => replica.answer_peer(&body).await,
             Message::Control(ControlMessage::FetchIntent { target, known }) => {
                 Some(intent_message(&replica, &target, known))
@@ -154,6 +158,17 @@
     })
 }
 
+/// Returns the directory of this replica; `None` if it has none. A sender that holds a replica becomes known to the leader.
+fn directory_message(replica: &Rc<Replica>, sender: Option<ControlContact>) -> Option<Message> {
+    let directory = replica.directory()?;
+    if let Some(sender) = sender.filter(|sender| sender.holds_replica) {
+        replica.add_peer(&sender.mesh.to_string());
+    }
+    let now = Instant::now();
+    let report = directory.answer(now, sender, Some(replica.standing(now)));
+    Some(Message::Control(ControlMessage::Directory(report)))
+}
+
 fn intent_message(replica: &Replica, target: &str, known: FencingToken) -> Message {
     let (applied_change, intent) =
         replica.with_state(|state| (state.intents_index(), state.intent(target).cloned()));
--- a/laburnumlug-control/src/replica/bootstrap.rs
+++ b/laburnumlug-control/src/replica/bootstrap.rs
@@ -9,7 +9,7 @@
 use laburnumlug_mesh::ReplicaId;
 
 use super::core::Core;
-use super::{PeerReplica, Replica, open};
+use super::{PeerReplica, Replica, backup};
 use crate::entry::Entry;
 use crate::entry::Payload;
 use crate::peer::{HelloAnswer, PeerAnswer, PeerRequest};
@@ -110,8 +110,10 @@
                 _ => None,
             })
             .collect();
-        for answer in &answers {
-            for voter in answer.membership.voters.iter() {
+        let own_membership = self.core.borrow().log.membership().index;
+        let memberships = answers.iter().map(|answer| &answer.membership);
+        for membership in memberships.filter(|m| m.index >= own_membership) {
+            for voter in membership.voters.iter() {
                 self.add_peer(&voter.name);
             }
         }
@@ -135,7 +137,7 @@
             "the data folder is an older copy or of another cluster; backing up its files and rejoining with an empty \
              log under a new incarnation"
         );
-        open::back_up_files(&self.cfg.folder, self.cfg.size_limits().backup)?;
+        backup::back_up_files(&self.cfg.folder, self.cfg.size_limits().backup)?;
         let file = self.meta.lock().await;
         let meta = Meta::new(&self.cfg.name);
         file.write(&meta).await?;
--- a/laburnumlug-control/src/replica/config.rs
+++ b/laburnumlug-control/src/replica/config.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use laburnumlug_mesh::MeshKey;
+use laburnumlug_mesh::{ControlContact, MeshKey};
 
 use super::size_limits::SizeLimits;
 use crate::usage::UsageConfig;
@@ -27,6 +27,7 @@
     pub(super) group_commit: bool,
     pub(super) snapshot_entries: u64,
     pub(super) may_bootstrap: bool,
+    pub(super) contact: Option<ControlContact>,
     pub(super) voters: Option<usize>,
     pub(super) usage: Option<UsageConfig>,
     pub(super) scaling: bool,
@@ -47,6 +48,7 @@
             group_commit: true,
             snapshot_entries: DEFAULT_SNAPSHOT_ENTRIES,
             may_bootstrap: true,
+            contact: None,
             voters: None,
             usage: None,
             scaling: false,
@@ -72,6 +74,13 @@
         self
     }
 
+    /// Sets how other control processes reach this one, if the peers are seeds: the first control processes that this one asks
+    /// for others, of which some may hold no replica.
+    pub fn contact(mut self, contact: ControlContact) -> ReplicaConfig {
+        self.contact = Some(contact);
+        self
+    }
+
     /// Sets the number of voters; further replicas are learners on standby and replace unresponsive voters.
     ///
     /// The maximum and the default are 7. While there are fewer voters than this number, unresponsive voters are not
--- a/laburnumlug-control/src/replica/mod.rs
+++ b/laburnumlug-control/src/replica/mod.rs
@@ -1,5 +1,6 @@
 //! Replica of the control log: leader election, log replication and reads confirmed by a majority.
 
+mod backup;
 mod bootstrap;
 mod call;
 mod compaction;
@@ -27,14 +28,16 @@
 use std::time::{Duration, Instant};
 
 use event_listener::{Event, EventListener};
-use laburnumlug_mesh::{Message, NodeReport, OrderReport, Pool, VotingStatus};
+use laburnumlug_mesh::{Message, NodeReport, OrderReport, Pool, Readiness, VotingStatus};
 use laburnumlug_operator::{AuditFilter, AuditRecord};
 use serde_json::Value;
 
 pub use self::config::{PeerReplica, ReplicaConfig};
 use self::core::Core;
+use self::peers::KnownPeer;
 use self::targets::{GatewayContact, PublishedTargets};
 use crate::command::Command;
+use crate::directory::DirectoryService;
 use crate::entry::Payload;
 use crate::peer::{PeerAnswer, PeerRequest};
 use crate::scaling::Scaling;
@@ -53,7 +56,9 @@
     cfg: ReplicaConfig,
     core: RefCell<Core>,
     /// Known other replicas, from the settings, the membership and their own requests.
-    peers: RefCell<Vec<PeerReplica>>,
+    peers: RefCell<Vec<KnownPeer>>,
+    /// Directory of all control processes; `None` if the settings name all replicas.
+    directory: Option<Rc<DirectoryService>>,
     /// Latest target list that this replica has read from the platform.
     targets: RefCell<Option<PublishedTargets>>,
     /// Gateways that have requested the target list recently, by mesh address.
@@ -182,6 +187,16 @@
         }
     }
 
+    /// Returns the directory of all control processes, or `None` if the settings name all replicas.
+    pub fn directory(&self) -> Option<&Rc<DirectoryService>> {
+        self.directory.as_ref()
+    }
+
+    /// Returns how well this replica can answer operators.
+    pub fn readiness(&self, now: Instant) -> Readiness {
+        self.standing(now).readiness
+    }
+
     /// Returns the name of the leader if this replica knows it.
     pub fn leader(&self) -> Option<String> {
         self.core.borrow().leader.clone()
--- a/laburnumlug-control/src/replica/open.rs
+++ b/laburnumlug-control/src/replica/open.rs
@@ -1,7 +1,6 @@
 //! Opening of a data folder: recovery of its content, or a reset under a new incarnation.
 
 use std::cell::RefCell;
-use std::io;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Instant;
@@ -9,8 +8,10 @@
 use event_listener::Event;
 use laburnumlug_mesh::Pool;
 
+use super::backup::back_up_files;
 use super::core::{Core, QueuedWrite};
 use super::{CONNECT_TIMEOUT, Replica, ReplicaConfig};
+use crate::directory::DirectoryService;
 use crate::entry::Membership;
 use crate::entry_log::Log;
 use crate::error::{Error, ErrorKind};
@@ -24,12 +25,6 @@
 /// Name of the lock file, which keeps other processes from using the data folder.
 const LOCK_FILE_NAME: &str = "lock";
 
-/// Start of the names of the folders that hold the backups.
-const BACKUP_PREFIX: &str = "set-aside-";
-
-/// Files of which a backup is kept when the folder is reset.
-const BACKUP_FILES: [&str; 3] = ["meta", "log", "snapshot"];
-
 /// Content of a data folder.
 struct FolderContent {
     meta: Option<Meta>,
@@ -73,7 +68,12 @@
         core.limits = cfg.size_limits();
         core.record_journal_bytes(journal.len(), false);
         core.max_voters = cfg.voters.unwrap_or(core.max_voters).min(core.max_voters);
+        let directory = cfg.contact.map(|contact| {
+            let seeds = cfg.peers.iter().map(|peer| peer.addr).collect();
+            DirectoryService::new(contact, seeds, cfg.key.clone())
+        });
         let replica = Rc::new(Replica {
+            directory,
             pool: Pool::new(cfg.key.clone(), CONNECT_TIMEOUT),
             usage: cfg.usage.map(|cfg| Usage::new(Instant::now(), cfg)),
             scaling: cfg.scaling.then(Scaling::default),
@@ -91,10 +91,15 @@
             replica.start_peer(peer);
         }
         compio::runtime::spawn(replica.clone().run_peers()).detach();
+        if let Some(directory) = replica.directory.clone() {
+            let replica = replica.clone();
+            let standing = move || Some(replica.standing(Instant::now()));
+            compio::runtime::spawn(directory.run_with(standing)).detach();
+        }
         compio::runtime::spawn(replica.clone().run_writer(journal, snapshots)).detach();
         compio::runtime::spawn(replica.clone().run_bootstrap()).detach();
         compio::runtime::spawn(replica.clone().run_elections()).detach();
-        if replica.cfg.peers.is_empty() {
+        if replica.cfg.peers.is_empty() && replica.directory.is_none() {
             // A single replica has no leader to wait for: it has caught up once its own log is committed.
             replica
                 .wait_until(|core| core.caught_up || core.storage_error.is_some())
@@ -242,75 +247,6 @@
     Ok(core)
 }
 
-/// Copies the files of a folder to a backup folder within it, unless they take more than `max_bytes`.
-///
-/// Earlier backups are removed, oldest first, until all together take at most `max_bytes`.
-pub(super) fn back_up_files(folder: &Path, max_bytes: u64) -> io::Result<()> {
-    let lengths =
-        BACKUP_FILES.map(|name| std::fs::metadata(folder.join(name)).map_or(0, |m| m.len()));
-    let bytes: u64 = lengths.iter().sum();
-    if bytes > max_bytes {
-        log::warn!("not backing up the data folder: its {bytes} bytes would fill the disk");
-        return Ok(());
-    }
-    if bytes == 0 {
-        return Ok(());
-    }
-    remove_old_backups(folder, max_bytes - bytes)?;
-    let name = format!("{BACKUP_PREFIX}{:016x}", rand::random::<u64>());
-    let backup = folder.join(name);
-    let copied = copy_files(folder, &backup);
-    if copied.is_err() {
-        // What was copied takes space that the files of the replica may need.
-        let _ = std::fs::remove_dir_all(&backup);
-    }
-    copied
-}
-
-fn copy_files(folder: &Path, backup: &Path) -> io::Result<()> {
-    std::fs::create_dir_all(backup)?;
-    for name in BACKUP_FILES {
-        let file = folder.join(name);
-        match std::fs::metadata(&file) {
-            Ok(data) if data.len() > 0 => {
-                std::fs::copy(&file, backup.join(name))?;
-            }
-            _ => {}
-        }
-    }
-    Ok(())
-}
-
-/// Removes the oldest backups of a folder until the others take at most `max_bytes`.
-fn remove_old_backups(folder: &Path, max_bytes: u64) -> io::Result<()> {
-    let mut backups = Vec::new();
-    for entry in std::fs::read_dir(folder)? {
-        let entry = entry?;
-        let name = entry.file_name();
-        if name.to_string_lossy().starts_with(BACKUP_PREFIX) {
-            let modified = entry.metadata()?.modified()?;
-            backups.push((modified, folder_bytes(&entry.path())?, entry.path()));
-        }
-    }
-    backups.sort();
-    let mut total: u64 = backups.iter().map(|(_, bytes, _)| bytes).sum();
-    for (_, bytes, path) in backups {
-        if total <= max_bytes {
-            break;
-        }
-        log::warn!(bytes = bytes; "removing an earlier backup of the data folder to bound their size");
-        std::fs::remove_dir_all(path)?;
-        total -= bytes;
-    }
-    Ok(())
-}
-
-/// Returns the total length of the files in a folder.
-fn folder_bytes(folder: &Path) -> io::Result<u64> {
-    let entries = std::fs::read_dir(folder)?;
-    entries.map(|entry| Ok(entry?.metadata()?.len())).sum()
-}
-
 #[cfg(test)]
 mod tests {
     use laburnumlug_mesh::MeshKey;
--- a/laburnumlug-control/src/replica/replication.rs
+++ b/laburnumlug-control/src/replica/replication.rs
@@ -1,5 +1,6 @@
 //! Log replication from the leader to each other replica: heartbeats, appends and snapshots.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -30,6 +31,9 @@
 /// Wait before a retry after a replica did not answer.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Wait before the next attempt to reach a replica that is not a voter, which may have ended for good.
+const LEARNER_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Size of the entries at which an append takes no further entry.
 const MAX_APPEND_BYTES: usize = 1024 * 1024;
 
@@ -46,9 +50,13 @@
 }
 
 impl Replica {
-    /// Replicates the log to one other replica while this replica is the leader.
-    pub(super) async fn run_replication(self: Rc<Self>, peer: PeerReplica) {
-        loop {
+    /// Replicates the log to one other replica while this replica is the leader, until the other one is removed.
+    pub(super) async fn run_replication(
+        self: Rc<Self>,
+        peer: PeerReplica,
+        removed: Rc<Cell<bool>>,
+    ) {
+        while !removed.get() {
             let changed = self.changed.listen();
             let has_leader_role = matches!(self.core.borrow().role, ReplicaRole::Leader(_));
             if !has_leader_role {
@@ -58,16 +66,17 @@
             drop(changed);
             let term = self.core.borrow().meta.term;
             if !self.replicate_step(&peer, term).await {
-                compio::time::sleep(RETRY_INTERVAL).await;
+                let interval = self.core.borrow().retry_interval(&peer.name);
+                compio::time::sleep(interval).await;
                 continue;
             }
             self.wait_for_work(&peer).await;
         }
     }
 
-    /// Sends heartbeats to one other replica while this replica is the leader.
-    pub(super) async fn run_heartbeats(self: Rc<Self>, peer: PeerReplica) {
-        loop {
+    /// Sends heartbeats to one other replica while this replica is the leader, until the other one is removed.
+    pub(super) async fn run_heartbeats(self: Rc<Self>, peer: PeerReplica, removed: Rc<Cell<bool>>) {
+        while !removed.get() {
             let header = self.core.borrow().header_for(&peer.name);
             if let Some(header) = header {
                 self.send_heartbeat(&peer, header).await;
@@ -188,6 +197,19 @@
         }
     }
 
+    /// Returns the wait before a retry after a step for a replica has failed.
+    fn retry_interval(&self, name: &str) -> Duration {
+        let ReplicaRole::Leader(leadership) = &self.role else {
+            return RETRY_INTERVAL;
+        };
+        let is_identified = leadership.progress.contains_key(name);
+        let mut voters = self.log.membership().voters.iter();
+        match is_identified || voters.any(|voter| voter.name == name) {
+            true => RETRY_INTERVAL,
+            false => LEARNER_RETRY_INTERVAL,
+        }
+    }
+
     /// Records the identity of a replica and starts its replication at the first entry of the leader's term.
     pub(super) fn record_identity(&mut self, name: &str, replica: ReplicaId, sent_at: Instant) {
         if let ReplicaRole::Leader(leadership) = &mut self.role {
--- a/laburnumlug-control/src/replica/storage_tests.rs
+++ b/laburnumlug-control/src/replica/storage_tests.rs
@@ -6,7 +6,7 @@
 use laburnumlug::Verdict;
 use laburnumlug_mesh::MeshKey;
 
-use super::open::back_up_files;
+use super::backup::back_up_files;
 use super::{Replica, ReplicaConfig};
 use crate::command::{Command, FleetChange};
 
--- a/laburnumlug-daemon/src/control.rs
+++ b/laburnumlug-daemon/src/control.rs
@@ -18,6 +18,7 @@
 use crate::fleet_store::ControlLogStore;
 use crate::listener::bind;
 use crate::metrics::{self, Metrics};
+use crate::ready_router::ReadyRouter;
 use crate::role_planner::RolePlanner;
 use crate::settings::ControlSettings;
 use crate::signal::Signals;
@@ -42,6 +43,9 @@
         path.clone(),
         move || match ControlSettings::read(&path) {
             Ok(settings) => {
+                if let Some(directory) = replica.directory() {
+                    directory.set_seeds(settings.mesh.control);
+                }
                 for peer in &settings.replicas {
                     replica.add_peer(&peer.name);
                 }
@@ -160,6 +164,7 @@
         true => {
             let store = Rc::new(ControlLogStore::new(replica.clone()));
             let handler = PlatformOperatorHandler::new(store, Rc::new(handler));
+            let handler = ReadyRouter::new(replica.clone(), handler);
             compio::runtime::spawn(server.run(Rc::new(handler)))
         }
         false => compio::runtime::spawn(server.run(Rc::new(handler))),
--- a/laburnumlug-daemon/src/dev.rs
+++ b/laburnumlug-daemon/src/dev.rs
@@ -83,6 +83,7 @@
             data: data.to_path_buf(),
             tokens: OperatorTokens::new(vec![OperatorToken::from_token("dev", "dev")]),
             replicas: Vec::new(),
+            has_seeds: false,
             group_commit: true,
             snapshot_entries: None,
             disk_bytes: None,
--- a/laburnumlug-daemon/src/fleet_store.rs
+++ b/laburnumlug-daemon/src/fleet_store.rs
@@ -14,12 +14,12 @@
 /// Operator name under which the audit trail records changes by the platform's operator.
 const OPERATOR_NAME: &str = "platform";
 
-/// Timeout for one change. The platform's operator abandons a call after one second.
-const REPLACE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Timeout for one change. The platform's operator abandons a call after one second, with the time that redirects take.
+const REPLACE_TIMEOUT: Duration = Duration::from_millis(650);
 
 /// Timeout for a majority of the replicas to confirm that a read returns the latest document. The platform's operator
 /// abandons a read after one second too.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(900);
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(650);
 
 /// Interval between checks while this replica catches up with a version that another replica has applied.
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(10);
--- a/laburnumlug-daemon/src/fleet_watch/mod.rs
+++ b/laburnumlug-daemon/src/fleet_watch/mod.rs
@@ -9,7 +9,7 @@
 
 use laburnumlug::{
     BootTime, DemandReport, FleetDocument, FleetVersion, ListedGateway, QuorumConfirmation,
-    ReadTime, ReplicaId, Service, SoftwareRecord, Target, TargetList,
+    ReadTime, Service, SoftwareRecord, Target, TargetList, VotingStatus,
 };
 use laburnumlug_forward::PendingUsageReport;
 use laburnumlug_mesh::TargetsReport;
@@ -40,6 +40,12 @@
 /// Delay after which the document is also requested from another replica, in case the first one has stopped responding.
 const FETCH_HEDGE_DELAY: Duration = Duration::from_millis(500);
 
+/// Time without an answer after which a process is no longer polled, unless the settings name it or it is a voter.
+const MAX_SILENCE: Duration = Duration::from_secs(60);
+
+/// Interval between polls of a process without a replica while a majority confirms the view.
+const REFERRAL_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Maximum age of a majority's confirmation of the view for accepting new work.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(3);
 
@@ -89,8 +95,14 @@
     last_confirmed_at: Option<ReadTime>,
     /// Start of the pending document request to one replica; the other replicas are asked only for the version.
     fetching_since: Option<Instant>,
-    /// Addresses of the replicas that are polled.
-    replicas: Vec<SocketAddr>,
+    /// Addresses that the settings name.
+    seeds: Vec<SocketAddr>,
+    /// Addresses of the voters of the newest membership that a replica has reported, and its index.
+    voters: (u64, Vec<SocketAddr>),
+    /// Addresses of the processes that are polled.
+    polled: Vec<SocketAddr>,
+    /// Number of processes that were ever polled, which numbers their answers.
+    polled_count: usize,
     /// Digest of the latest list of live targets; a replica whose list has the same digest does not send it again.
     targets_digest: u64,
     targets_read_at: Option<Instant>,
@@ -150,7 +162,10 @@
             confirmation: QuorumConfirmation::new(replicas),
             last_confirmed_at: None,
             fetching_since: None,
-            replicas: Vec::new(),
+            seeds: Vec::new(),
+            voters: (0, Vec::new()),
+            polled: Vec::new(),
+            polled_count: 0,
             targets_digest: 0,
             targets_read_at: None,
             gateways: 1,
@@ -171,6 +186,20 @@
         self.view.as_ref().map_or(0, |view| view.version)
     }
 
+    /// Returns whether the control process at `addr` is still polled, `silent_for` after its last answer.
+    ///
+    /// Processes that the settings name and voters always are; another one may have ended for good.
+    fn is_polled(&self, addr: SocketAddr, silent_for: Duration) -> bool {
+        silent_for < MAX_SILENCE || self.seeds.contains(&addr) || self.voters.1.contains(&addr)
+    }
+
+    /// Returns whether a majority has confirmed the view recently.
+    fn is_confirmed(&self, now: Instant) -> bool {
+        let is_recent =
+            |at: ReadTime| now.saturating_duration_since(at.monotonic) <= MAX_CONFIRMATION_AGE;
+        self.last_confirmed_at.is_some_and(is_recent)
+    }
+
     /// Returns the interval between polls of one replica if no counts are reported.
     fn base_interval(&self, now: Instant) -> Duration {
         let is_starting = now.saturating_duration_since(self.started_at) < MAX_TARGETS_WAIT;
@@ -205,9 +234,7 @@
             state,
             mesh: mesh.clone(),
         };
-        for addr in &mesh.control {
-            watch.add_replica(*addr);
-        }
+        watch.set_seeds(&mesh.control);
         watch
     }
 
@@ -221,13 +248,22 @@
         watch
     }
 
-    /// Starts polling a replica unless it is already being polled.
-    pub(crate) fn add_replica(&self, addr: SocketAddr) {
+    /// Replaces the addresses that the settings name, and starts polling the new ones.
+    pub(crate) fn set_seeds(&self, seeds: &[SocketAddr]) {
+        self.state.borrow_mut().seeds = seeds.to_vec();
+        self.poll_all(seeds);
+    }
+
+    /// Starts polling the control processes at these addresses, unless they are already being polled.
+    fn poll_all(&self, addrs: &[SocketAddr]) {
         let mut state = self.state.borrow_mut();
-        if !state.replicas.contains(&addr) {
-            let replica = state.replicas.len();
-            state.replicas.push(addr);
-            compio::runtime::spawn(poll_replica(self.clone(), replica, addr)).detach();
+        for addr in addrs {
+            if !state.polled.contains(addr) {
+                let replica = state.polled_count;
+                state.polled_count += 1;
+                state.polled.push(*addr);
+                compio::runtime::spawn(poll_replica(self.clone(), replica, *addr)).detach();
+            }
         }
     }
 
@@ -242,23 +278,36 @@
         }
     }
 
-    /// Starts polling the voters that are named by their addresses.
-    fn add_voters(&self, voters: &[ReplicaId]) {
-        for voter in voters {
-            if let Ok(addr) = voter.name.parse() {
-                self.add_replica(addr);
-            }
+    /// Forgets a process that has been silent for so long that it has ended; returns whether it has.
+    fn forget_if_silent(&self, replica: usize, addr: SocketAddr, silent_for: Duration) -> bool {
+        let mut state = self.state.borrow_mut();
+        if state.is_polled(addr, silent_for) {
+            return false;
+        }
+        state.polled.retain(|polled| *polled != addr);
+        state.confirmation.remove_answer(replica);
+        log::info!("no longer polling control process {addr}, which does not answer");
+        true
+    }
+
+    /// Starts polling the voters that a replica reports and that are named by their addresses.
+    fn add_voters(&self, voting_status: &VotingStatus) {
+        let voters = voting_status.voters.iter();
+        let addrs: Vec<SocketAddr> = voters.filter_map(|voter| voter.name.parse().ok()).collect();
+        self.poll_all(&addrs);
+        let mut state = self.state.borrow_mut();
+        if voting_status.membership >= state.voters.0 {
+            state.voters = (voting_status.membership, addrs);
         }
     }
 
     /// Returns the view if a majority of the control replicas has confirmed it recently enough to act on it.
     pub(crate) fn current(&self, now: Instant) -> Option<FleetView> {
         let state = self.state.borrow();
-        let confirmed_at = state.last_confirmed_at?;
-        if now.saturating_duration_since(confirmed_at.monotonic) > MAX_CONFIRMATION_AGE {
-            return None;
-        }
-        state.view.clone()
+        state
+            .is_confirmed(now)
+            .then(|| state.view.clone())
+            .flatten()
     }
 }
 
--- a/laburnumlug-daemon/src/fleet_watch/poll.rs
+++ b/laburnumlug-daemon/src/fleet_watch/poll.rs
@@ -8,7 +8,7 @@
     CompressedText, Connection, ControlMessage, Message, TargetsReport, VotingStatus,
 };
 
-use super::{FleetWatch, apply_fleet_answer, apply_targets_report};
+use super::{FleetWatch, REFERRAL_INTERVAL, apply_fleet_answer, apply_targets_report};
 
 /// Timeout for one answer of a replica, or for its next bytes where it may contain a document.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -20,21 +20,26 @@
 /// Timeout for an answer that may contain a document, which can be megabytes over a slow link.
 const DOCUMENT_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Polls one replica indefinitely, reconnecting after failures.
+/// Polls one control process, reconnecting after failures, until it has ended for good.
 pub(super) async fn poll_replica(watch: FleetWatch, replica: usize, addr: SocketAddr) {
     let mut timeout = FIRST_CONNECT_TIMEOUT;
+    let mut answered_at = Instant::now();
     loop {
         let connecting_at = Instant::now();
         match Connection::connect(addr, &watch.mesh.key, timeout).await {
             Ok(conn) => {
                 timeout = FIRST_CONNECT_TIMEOUT;
                 poll_connection(&watch, replica, conn).await;
+                answered_at = Instant::now();
             }
             Err(err) => {
                 timeout = (timeout * 2).min(ANSWER_TIMEOUT);
                 log::debug!("failed to connect to control replica {addr}: {err}");
             }
         }
+        if watch.forget_if_silent(replica, addr, answered_at.elapsed()) {
+            return;
+        }
         // An attempt that has waited for its timeout is repeated at once, as the path may be back by now.
         let next_attempt_at = connecting_at + watch.poll_interval();
         let wait = next_attempt_at.saturating_duration_since(Instant::now());
@@ -42,13 +47,14 @@
     }
 }
 
-/// Polls one replica over a connection until an exchange fails or times out.
+/// Polls one control process over a connection until an exchange fails or times out.
 async fn poll_connection(watch: &FleetWatch, replica: usize, mut conn: Connection) {
     let state = &*watch.state;
     let mut reports_targets = false;
     let mut targets_requested_at: Option<Instant> = None;
     // The replica may have been restarted since the last connection, so everything that is kept is reported again.
     let mut acknowledged_usage = 0;
+    let mut holds_replica = true;
     loop {
         // Concurrent transfers of one large document from several replicas would delay each other, so one replica at a
         // time is asked for it. The others are told that the highest possible version is known, so they send none.
@@ -64,6 +70,7 @@
         let observer = state.borrow().observer.clone();
         let usage = observer
             .as_ref()
+            .filter(|_| holds_replica)
             .and_then(|o| o.usage_report(acknowledged_usage));
         // Most requests for the document get a short answer, as there is no newer one. Waiting longer for the first bytes
         // would leave the view unconfirmed for seconds after a partition.
@@ -73,8 +80,20 @@
             state.borrow_mut().fetching_since = None;
         }
         match answer {
-            Ok(Some(answer)) => {
-                watch.add_voters(&answer.voting_status.voters);
+            Ok(Some(FleetReply::Referral(replicas))) => {
+                holds_replica = false;
+                watch.poll_all(&replicas);
+                let is_confirmed = state.borrow().is_confirmed(Instant::now());
+                let interval = match is_confirmed {
+                    true => REFERRAL_INTERVAL,
+                    false => watch.poll_interval(),
+                };
+                compio::time::sleep(interval).await;
+                continue;
+            }
+            Ok(Some(FleetReply::Answer(answer))) => {
+                holds_replica = true;
+                watch.add_voters(&answer.voting_status);
                 if let (Some(observer), Some(usage)) = (&observer, &usage) {
                     acknowledged_usage = usage.last_change;
                     if let Some(time_ms) = answer.time_ms {
@@ -112,6 +131,13 @@
     }
 }
 
+/// Reply of a control process to a request for the fleet document.
+enum FleetReply {
+    Answer(FleetAnswer),
+    /// The process holds no replica and knows these ones.
+    Referral(Vec<SocketAddr>),
+}
+
 /// Answer of one replica to a request for the fleet document.
 pub(super) struct FleetAnswer {
     pub(super) voting_status: VotingStatus,
@@ -129,7 +155,7 @@
     conn: &mut Connection,
     known: FleetVersion,
     usage: Option<UsageReport>,
-) -> Option<FleetAnswer> {
+) -> Option<FleetReply> {
     let request = Message::Control(ControlMessage::FetchFleet { known, usage });
     conn.send("", &request).await.ok()?;
     match conn.recv_unless_idle(ANSWER_TIMEOUT).await {
@@ -143,14 +169,17 @@
                 document,
                 time_ms,
             }),
-        )) => Some(FleetAnswer {
+        )) => Some(FleetReply::Answer(FleetAnswer {
             voting_status,
             logged_change,
             applied_change,
             version,
             document,
             time_ms,
-        }),
+        })),
+        Ok((_, Message::Control(ControlMessage::Referral { replicas }))) => {
+            Some(FleetReply::Referral(replicas))
+        }
         _ => None,
     }
 }
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -170,11 +170,7 @@
     compio::runtime::spawn(settings_watch::run(
         path.clone(),
         move || match GatewaySettings::read(&path) {
-            Ok(settings) => {
-                for addr in settings.mesh.control {
-                    watch.add_replica(addr);
-                }
-            }
+            Ok(settings) => watch.set_seeds(&settings.mesh.control),
             Err(err) => log::error!(
                 "the changed settings file is invalid, keeping the previous settings: {err}"
             ),
--- a/laburnumlug-daemon/src/lib.rs
+++ b/laburnumlug-daemon/src/lib.rs
@@ -30,6 +30,7 @@
 mod log_writer;
 mod logging;
 mod metrics;
+mod ready_router;
 mod redirect;
 mod registration;
 mod role_planner;
--- a/laburnumlug-daemon/src/redirect.rs
+++ b/laburnumlug-daemon/src/redirect.rs
@@ -1,12 +1,12 @@
-//! The role `control` on a VM without a disk: holds no replica and redirects operators to other control processes.
+//! The role `control` on a VM without a disk: holds no replica, and redirects operators to a replica that can answer.
 
-use std::cell::Cell;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
 
-use laburnumlug_control::OperatorInterface;
+use laburnumlug_control::{DirectoryService, OperatorInterface, serve_directory};
 use laburnumlug_http::{Request, Response, Server, text_response};
+use laburnumlug_mesh::ControlContact;
 
 use crate::error::Error;
 use crate::listener::bind;
@@ -14,7 +14,11 @@
 use crate::signal::Signals;
 use crate::{control, logging, settings_watch};
 
-/// Redirects operators until the process is asked to stop.
+/// Timeout of the search for a replica. The platform's operator abandons a call after one second, which has to
+/// suffice for the redirected call too.
+const SEARCH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Runs the directory and redirects operators until the process is asked to stop.
 pub(crate) async fn run(
     settings: RedirectSettings,
     path: PathBuf,
@@ -22,42 +26,65 @@
 ) -> Result<(), Error> {
     logging::start("control", &settings.process, &settings.log)?;
     laburnumlug_http::set_memory_budget(settings.process.memory_budget);
-    let addr = settings.operators;
-    let listener = bind(addr).await?;
+    let own = ControlContact {
+        mesh: settings.listen,
+        operators: settings.operators,
+        holds_replica: false,
+    };
+    let mesh_listener = bind(settings.listen).await?;
+    let listener = bind(settings.operators).await?;
+    let key = settings.mesh.key;
+    let seeds = settings.mesh.control;
+    let directory = DirectoryService::new(own, seeds, key.clone());
+    compio::runtime::spawn(serve_directory(mesh_listener, key, directory.clone())).detach();
+    compio::runtime::spawn(directory.clone().run()).detach();
+    let reloaded = directory.clone();
+    compio::runtime::spawn(settings_watch::run(
+        path.clone(),
+        move || match RedirectSettings::read(&path) {
+            Ok(Some(settings)) => reloaded.set_seeds(settings.mesh.control),
+            Ok(None) => log::info!("a data folder takes effect when this process is restarted"),
+            Err(err) => log::error!(
+                "the changed settings file is invalid, keeping the previous settings: {err}"
+            ),
+        },
+    ))
+    .detach();
     let server = Server::new(listener, OperatorInterface::limits());
     let shutdown = server.shutdown_handle();
-    compio::runtime::spawn(settings_watch::run(path, || {
-        log::info!("the changed settings take effect when this process is restarted");
-    }))
-    .detach();
-    let next_request_number = Cell::new(0);
-    let others: Vec<SocketAddr> = settings
-        .others
-        .into_iter()
-        .filter(|other| *other != addr)
-        .collect();
     let handler = Rc::new(move |req: Request| {
-        let request_number = next_request_number.get();
-        next_request_number.set(request_number + 1);
-        let resp = redirect(&others, request_number, &req);
-        async move { resp }
+        let directory = directory.clone();
+        async move { redirect_to_replica(&directory, &req).await }
     });
     let server_task = compio::runtime::spawn(server.run(handler));
-    log::info!("no data folder: redirecting operators on {addr} to other control processes");
+    log::info!(
+        "no data folder: redirecting operators on {} to control replicas",
+        settings.operators
+    );
     signals.stop_requested().await;
     shutdown.shut_down();
     control::finish(server_task).await;
     Ok(())
 }
 
-/// Returns a redirect to one of `others`, chosen in turn by `request_number`, or status 503 if there are none.
-fn redirect(others: &[SocketAddr], request_number: usize, req: &Request) -> Response {
-    let Some(other) = others.get(request_number % others.len().max(1)) else {
-        return text_response(503, "no other control process is known");
-    };
+/// Returns a redirect to a replica that can answer now, or status 503 if there is none.
+async fn redirect_to_replica(directory: &Rc<DirectoryService>, req: &Request) -> Response {
+    match directory.find_replica(SEARCH_TIMEOUT).await {
+        Some(replica) => redirect(req, replica),
+        None => {
+            log::info!(path = req.uri().path(); "refused an operator with status 503: no control replica can answer");
+            text_response(503, "no control replica can answer")
+        }
+    }
+}
+
+/// Returns a redirect to the operators' address of `replica`.
+pub(crate) fn redirect(req: &Request, replica: ControlContact) -> Response {
     let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
-    let mut resp = text_response(307, "another control process answers");
-    match format!("http://{other}{path}").parse() {
+    let location = format!("http://{}{path}", replica.operators);
+    log::info!(location = location.as_str(); "redirected an operator to a control replica");
+    let mut resp = text_response(307, "a control replica answers");
+    match location.parse() {
         Ok(location) => {
             resp.headers_mut().insert("location", location);
             resp
--- a/laburnumlug-daemon/src/settings/control.rs
+++ b/laburnumlug-daemon/src/settings/control.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use laburnumlug_control::{OperatorToken, OperatorTokens, PeerReplica, ReplicaConfig, UsageConfig};
+use laburnumlug_mesh::ControlContact;
 use laburnumlug_platform::Duty;
 
 use super::common::{
@@ -62,6 +63,8 @@
     pub(crate) tokens: OperatorTokens,
     /// The other replicas; empty for a cluster of one.
     pub(crate) replicas: Vec<PeerReplica>,
+    /// Whether `replicas` are seeds: control processes of which some may hold no replica, and which may not be all.
+    pub(crate) has_seeds: bool,
     /// Whether one disk sync may cover several log entries.
     pub(crate) group_commit: bool,
     /// Number of log entries between two snapshots; `None` for the default.
@@ -127,6 +130,7 @@
                 && address_peers
                     .as_ref()
                     .is_none_or(|_| mesh.control.contains(&listen)),
+            has_seeds: address_peers.is_some(),
             replicas: match address_peers {
                 Some(replicas) => replicas,
                 None => reader
@@ -174,6 +178,14 @@
             .group_commit(self.group_commit)
             .may_bootstrap(self.may_bootstrap)
             .scaling(self.scaling && self.target_list.is_some());
+        let cfg = match self.has_seeds {
+            true => cfg.contact(ControlContact {
+                mesh: self.listen,
+                operators: self.operators,
+                holds_replica: true,
+            }),
+            false => cfg,
+        };
         let cfg = match self.usage {
             Some(usage) => cfg.usage(usage),
             None => cfg,
--- a/laburnumlug-daemon/tests/it/control_discovery.rs
+++ b/laburnumlug-daemon/tests/it/control_discovery.rs
@@ -4,7 +4,7 @@
 
 use crate::control_fleet::ControlFleet;
 use crate::harness::{block_on, wait_for};
-use crate::platform_fleet::config;
+use crate::platform_fleet::{Gateway, config, readiness_status};
 
 /// Time after which everyone must have found the replicas: the recovery time that the platform states.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
@@ -89,3 +89,118 @@
         fleet.wait_for_voters(&remaining, RECOVERY_TIMEOUT).await;
     });
 }
+
+/// Guards against a replacement that finds no replica because its seeds have no disk.
+#[test]
+fn replica_replaced_with_seeds_without_replica() {
+    block_on(async {
+        let mut fleet = ControlFleet::new(2, 5, 4);
+        found(&mut fleet, &[0, 1, 2], &[0, 1, 2, 3, 4]).await;
+        fleet.kill(1);
+        let replacement = fleet.add(true);
+        fleet.start(replacement, &[5, 6, 7], false);
+        fleet
+            .wait_for_voters(&[0, 2, 3, 4, replacement], RECOVERY_TIMEOUT)
+            .await;
+    });
+}
+
+/// Guards against gateways that find no replica because their seeds have no disk.
+#[test]
+fn gateway_with_seeds_without_replica() {
+    block_on(async {
+        let mut fleet = ControlFleet::new(1, 3, 4);
+        found(&mut fleet, &[0, 1, 2], &[0, 1, 2]).await;
+        // A process without a replica, with seeds that have none either, as those of the gateway.
+        let seeds = fleet.mesh_addrs(&[3, 4, 5]);
+        fleet.start(3, &[4, 5, 6], false);
+        fleet.start(4, &[3, 5, 6], false);
+        let gateway = Gateway::start(&fleet.folder, &seeds).await;
+        wait_for("a ready gateway", || async {
+            (readiness_status(gateway.ready_addr).await? == 200).then_some(())
+        })
+        .await;
+    });
+}
+
+/// Guards against redirects to a process without a replica, or to one that is down, while others live.
+#[test]
+fn redirect_only_to_live_replicas() {
+    block_on(async {
+        let mut fleet = ControlFleet::new(2, 5, 6);
+        found(&mut fleet, &[0, 1, 2], &[0, 1, 2, 3, 4]).await;
+        let without_disk: Vec<usize> = (5..11).collect();
+        fleet.start(5, &[6, 7, 8], false);
+        fleet.start(6, &[5, 7, 9], false);
+        fleet
+            .wait_for_config(&without_disk, &config(1, 500), RECOVERY_TIMEOUT)
+            .await;
+        for lost in [0, 1] {
+            fleet.kill(lost);
+        }
+        fleet
+            .wait_for_config(&without_disk, &config(1, 500), RECOVERY_TIMEOUT)
+            .await;
+        for _ in 0..10 {
+            for member in &without_disk {
+                let read = fleet.read_config(*member).await;
+                assert_eq!(read, Ok(config(1, 500)), "from process {member}");
+            }
+        }
+    });
+}
+
+/// Guards against a configuration that does not come after all power and two disks are lost, and all seeds are exchanged.
+#[test]
+fn all_restarted_with_other_seeds_and_two_disks_lost() {
+    block_on(async {
+        let mut fleet = ControlFleet::new(2, 5, 10);
+        found(&mut fleet, &[0, 1, 2], &[0, 1, 2, 3, 4]).await;
+        for member in 0..15 {
+            fleet.kill(member);
+        }
+        fleet.wipe(1);
+        fleet.wipe(3);
+        for member in 0..15 {
+            let seeds = [(member + 4) % 15, (member + 7) % 15, (member + 9) % 15];
+            fleet.start(member, &seeds, false);
+        }
+        let seeds = fleet.mesh_addrs(&[6, 7, 8]);
+        let gateway = Gateway::start(&fleet.folder, &seeds).await;
+        let all: Vec<usize> = (0..15).collect();
+        fleet
+            .wait_for_config(&all, &config(1, 500), RECOVERY_TIMEOUT)
+            .await;
+        fleet
+            .wait_for_voters(&[0, 1, 2, 3, 4], RECOVERY_TIMEOUT)
+            .await;
+        wait_for("a ready gateway", || async {
+            (readiness_status(gateway.ready_addr).await? == 200).then_some(())
+        })
+        .await;
+    });
+}
+
+/// Guards against a `503` that comes later than the operator waits while no majority answers.
+#[test]
+fn call_refused_in_time_without_majority() {
+    block_on(async {
+        let mut fleet = ControlFleet::new(1, 3, 2);
+        found(&mut fleet, &[0, 1, 2], &[0, 1, 2]).await;
+        fleet.kill(0);
+        fleet.kill(1);
+        for member in [2, 3, 4] {
+            // A busy machine may delay single calls.
+            wait_for("a read that is refused in time", || async {
+                let err = fleet.read_config(member).await.err()?;
+                err.contains("503").then_some(())
+            })
+            .await;
+            wait_for("a change that is refused in time", || async {
+                let replaced = fleet.replace_config(member, &config(9, 500)).await;
+                replaced.err()?.contains("503").then_some(())
+            })
+            .await;
+        }
+    });
+}
--- a/laburnumlug-daemon/tests/it/platform.rs
+++ b/laburnumlug-daemon/tests/it/platform.rs
@@ -7,7 +7,7 @@
 use rustix::process::Signal;
 
 use crate::client;
-use crate::harness::{Folder, MESH_KEY, Process, block_on, free_addr, wait_for};
+use crate::harness::{MESH_KEY, Process, block_on, free_addr, wait_for};
 use crate::platform_fleet::{
     Cluster, Gateway, Replica, config, config_with_service, readiness_status, start_replica,
     wait_for_voter,
@@ -136,33 +136,45 @@
     });
 }
 
-/// Guards against operator requests that fail because they reach a VM without a disk: it runs no replica and must
-/// redirect them to one.
+/// Guards against operator requests that fail because they reach a VM without a disk: it runs no replica, must redirect them to
+/// one that answers, and must refuse them if there is none.
 #[test]
 fn control_without_disk_refers_operators() {
     block_on(async {
-        let folder = Folder::new();
-        let (operator_addr, replica_addr) = (free_addr(), free_addr());
+        let mut cluster = Cluster::start();
+        cluster.replace_config(0, 1, 500).await;
+        let operator_addr = free_addr();
+        let seeds = cluster.seeds();
         let text = format!(
-            "[process]\nvm = a\nzone = z\n[mesh]\nkey = {MESH_KEY}\ncontrol = {replica_addr}\n[control]\n\
-             name = a\nlisten = {}\noperators = {operator_addr}\ndata =\nothers = {operator_addr},{replica_addr}\n",
+            "[process]\nvm = a\nzone = z\n[mesh]\nkey = {MESH_KEY}\ncontrol = {},{}\n[control]\n\
+             name = a\nlisten = {}\noperators = {operator_addr}\ndata =\nothers = {operator_addr},{}\n",
+            free_addr(),
+            seeds[1],
+            free_addr(),
             free_addr(),
         );
-        let path = folder.write("referral.ini", &text);
+        let path = cluster.folder.write("referral.ini", &text);
         let _process = Process::start("control", &path);
-        let location = wait_for("a redirect", || async {
+        let send = || async {
             let req = hyper::Request::get("/config/get?x=1")
                 .body(Full::new(Bytes::new()))
                 .unwrap();
-            let timeout = Duration::from_secs(1);
-            let response = laburnumlug_http::send(operator_addr, req, timeout)
+            laburnumlug_http::send(operator_addr, req, Duration::from_secs(1))
                 .await
-                .ok()?;
-            assert_eq!(response.status(), 307);
-            Some(response.headers()["location"].to_str().unwrap().to_string())
-        })
-        .await;
-        assert_eq!(location, format!("http://{replica_addr}/config/get?x=1"));
+                .ok()
+        };
+        let response = wait_for("a response", send).await;
+        assert_eq!(response.status(), 307);
+        let location = response.headers()["location"].to_str().unwrap();
+        let replicas = cluster.replicas.iter();
+        let expected: Vec<String> = replicas
+            .map(|replica| format!("http://{}/config/get?x=1", replica.operator_addr))
+            .collect();
+        assert!(expected.iter().any(|url| url == location), "{location}");
+        for replica in &mut cluster.replicas {
+            replica.process.kill();
+        }
+        assert_eq!(send().await.unwrap().status(), 503);
     });
 }
 
--- a/laburnumlug-mesh/src/lib.rs
+++ b/laburnumlug-mesh/src/lib.rs
@@ -28,6 +28,7 @@
 mod compressed_text;
 mod connection;
 mod counted_stream;
+mod directory;
 mod error;
 mod gateway_message;
 mod handshake;
@@ -46,6 +47,7 @@
 };
 pub use crate::compressed_text::CompressedText;
 pub use crate::connection::{Connection, MAX_MESSAGE_BYTES, PROTOCOL_VERSION};
+pub use crate::directory::{ControlContact, DirectoryReport, Readiness, ReportedContact};
 pub use crate::error::Error;
 pub use crate::gateway_message::{ForwardedEvents, GatewayMessage, SessionChange};
 pub use crate::handshake::{MeshKey, SessionId};
--- a/laburnumlug-mesh/src/message.rs
+++ b/laburnumlug-mesh/src/message.rs
@@ -10,6 +10,7 @@
 
 use crate::claim::{ClaimHolder, ClaimResult};
 use crate::compressed_text::CompressedText;
+use crate::directory::{ControlContact, DirectoryReport};
 use crate::gateway_message::GatewayMessage;
 use crate::handshake::SessionId;
 use crate::intent::Intent;
@@ -111,6 +112,18 @@
         /// The intent; `None` if it is not newer than the requester's.
         intent: Option<Intent>,
     },
+    /// Response of a control process without a replica to requests that only a replica can answer.
+    Referral {
+        /// Mesh addresses of the replicas that it knows.
+        replicas: Vec<SocketAddr>,
+    },
+    /// Asks a control process which others it knows.
+    FetchDirectory {
+        /// The requester, if it is a control process.
+        sender: Option<ControlContact>,
+    },
+    /// Response to [`ControlMessage::FetchDirectory`].
+    Directory(DirectoryReport),
 }
 
 /// Message between an entry and a target process.
--- a/src/confirmation.rs
+++ b/src/confirmation.rs
@@ -81,6 +81,13 @@
         });
     }
 
+    /// Removes the answer of the replica at index `replica`, which is no longer queried.
+    pub fn remove_answer(&mut self, replica: usize) {
+        if let Some(answer) = self.answers.get_mut(replica) {
+            *answer = None;
+        }
+    }
+
     /// Returns the latest time at which a majority of the voters had logged no change after `applied_index`.
     ///
     /// A local copy with all changes up to that index was then up to date. Users of the copy compare this time with
