Found the cluster whichever of the seeds hold a replica

What callers saw: a deployment whose seeds include a machine without a disk is never founded, so no configuration is accepted and nothing is served.

Cause: the first seed by name founded the cluster once all seeds had answered as replicas. One that holds none never did.

Change: a seed states in the directory that it holds no replica. The seeds that do are the initial voters, and the first of them founds the cluster once all seeds have answered. If no seed holds a replica, another replica founds it alone, after each seed, in the order of their addresses, has agreed; a seed agrees to one candidate in its lifetime. A replica founds nothing while it knows a membership, or a replica that has not answered that it belongs to no cluster. A silent seed still keeps the cluster from being founded, since it might hold data.

--- a/laburnumlug-control/src/directory/mod.rs
+++ b/laburnumlug-control/src/directory/mod.rs
@@ -1,5 +1,6 @@
 //! Directory of the control processes, which each of them keeps and completes by asking others.
 
+mod bootstrap_grant;
 mod contacts;
 mod serve;
 mod service;
--- a/laburnumlug-control/src/directory/serve.rs
+++ b/laburnumlug-control/src/directory/serve.rs
@@ -28,6 +28,13 @@
             ControlMessage::FetchDirectory { sender } => {
                 ControlMessage::Directory(directory.answer(Instant::now(), sender, None))
             }
+            ControlMessage::RequestBootstrap { candidate } => {
+                let granted = directory.grant_bootstrap(candidate);
+                if granted {
+                    log::info!(candidate = candidate.to_string().as_str(); "agreed to the bootstrap of a cluster");
+                }
+                ControlMessage::BootstrapGrant { granted }
+            }
             ControlMessage::FetchFleet { .. }
             | ControlMessage::FetchTargets { .. }
             | ControlMessage::FetchIntent { .. }
--- a/laburnumlug-control/src/directory/service.rs
+++ b/laburnumlug-control/src/directory/service.rs
@@ -15,6 +15,7 @@
     ReplicaId,
 };
 
+use super::bootstrap_grant::BootstrapGrant;
 use super::contacts::Contacts;
 
 /// Timeout for connecting to another process.
@@ -60,15 +61,24 @@
 /// Directory of a control process: learns of others from the seeds and from everyone who asks, and tells them of each other.
 pub struct DirectoryService {
     contacts: RefCell<Contacts>,
+    grant: RefCell<BootstrapGrant>,
     search_failed_at: Cell<Option<Instant>>,
     pool: Pool,
 }
 
 impl DirectoryService {
     /// Creates the directory of the process `own`, which knows the mesh addresses `seeds` from its settings.
-    pub fn new(own: ControlContact, seeds: Vec<SocketAddr>, key: MeshKey) -> Rc<DirectoryService> {
+    ///
+    /// `may_bootstrap` tells whether it may agree to the bootstrap of a cluster.
+    pub fn new(
+        own: ControlContact,
+        seeds: Vec<SocketAddr>,
+        key: MeshKey,
+        may_bootstrap: bool,
+    ) -> Rc<DirectoryService> {
         Rc::new(DirectoryService {
             contacts: RefCell::new(Contacts::new(Instant::now(), own, seeds)),
+            grant: RefCell::new(BootstrapGrant::new(may_bootstrap)),
             search_failed_at: Cell::new(None),
             pool: Pool::new(key, CONNECT_TIMEOUT),
         })
@@ -149,6 +159,11 @@
         self.contacts.borrow().referral()
     }
 
+    /// Returns whether the voters of a cluster are known.
+    pub(crate) fn knows_cluster(&self) -> bool {
+        self.contacts.borrow().membership().0 > 0
+    }
+
     /// Returns whether the process at `addr` has stated that it holds no replica.
     pub(crate) fn holds_no_replica(&self, addr: SocketAddr) -> bool {
         self.contacts.borrow().holds_no_replica(addr)
@@ -179,6 +194,13 @@
         }
     }
 
+    /// Returns whether this process agrees that `candidate` bootstraps the cluster.
+    pub(crate) fn grant_bootstrap(&self, candidate: SocketAddr) -> bool {
+        let knows_cluster = self.knows_cluster();
+        let mut grant = self.grant.borrow_mut();
+        grant.request(candidate, knows_cluster)
+    }
+
     /// Asks the process at `addr` which others it knows; returns `None` if it does not answer within `timeout`.
     ///
     /// The exchange goes on after the timeout, or if the returned future is dropped: its answer is recorded, and its connection
@@ -215,6 +237,17 @@
         }
     }
 
+    /// Asks the process at `addr` to agree that this one bootstraps the cluster.
+    pub(crate) async fn request_bootstrap(&self, addr: SocketAddr) -> bool {
+        let candidate = self.contacts.borrow().own().mesh;
+        let request = ControlMessage::RequestBootstrap { candidate };
+        let answer = self.request(addr, request, EXCHANGE_TIMEOUT).await;
+        matches!(
+            answer,
+            Some((_, ControlMessage::BootstrapGrant { granted: true }))
+        )
+    }
+
     async fn request(
         &self,
         addr: SocketAddr,
--- a/laburnumlug-control/src/mesh.rs
+++ b/laburnumlug-control/src/mesh.rs
@@ -81,6 +81,11 @@
             Message::Control(ControlMessage::FetchDirectory { sender }) => {
                 directory_message(&replica, sender)
             }
+            Message::Control(ControlMessage::RequestBootstrap { .. }) => {
+                Some(Message::Control(ControlMessage::BootstrapGrant {
+                    granted: false,
+                }))
+            }
             Message::Replica { body } => replica.answer_peer(&body).await,
             Message::Control(ControlMessage::FetchIntent { target, known }) => {
                 Some(intent_message(&replica, &target, known))
--- a/laburnumlug-control/src/replica/bootstrap.rs
+++ b/laburnumlug-control/src/replica/bootstrap.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -92,10 +93,6 @@
         self.collect_hellos(&self.peers()).await
     }
 
-    async fn collect_configured_hellos(self: &Rc<Self>) -> Vec<HelloAnswer> {
-        self.collect_hellos(&self.cfg.peers).await
-    }
-
     /// Asks other replicas for their identities. The voters that they name become known, so that they are asked next.
     async fn collect_hellos(self: &Rc<Self>, peers: &[PeerReplica]) -> Vec<HelloAnswer> {
         let from = self.core.borrow().meta.replica.clone();
@@ -149,31 +146,23 @@
         Ok(())
     }
 
-    /// Bootstraps a cluster if this replica's name sorts first and no replica has data.
-    ///
-    /// All replicas must answer: one that does not might hold data that an existing cluster acknowledged.
+    /// Bootstraps a cluster if this replica is the one to do it and no replica has data.
     async fn bootstrap_if_first(self: &Rc<Self>) -> io::Result<()> {
-        let peers = &self.cfg.peers;
-        let is_first = peers.iter().all(|peer| self.cfg.name < peer.name);
-        if !self.cfg.may_bootstrap || !is_first {
-            // The request also announces this replica to the others.
-            self.collect_peer_hellos().await;
+        self.update_peers();
+        // The requests also announce this replica to the others.
+        let answers = self.collect_peer_hellos().await;
+        if !self.cfg.may_bootstrap || !self.all_known_are_empty(&answers) {
             return Ok(());
         }
-        // Only the replicas of the settings become initial voters; those discovered later join as learners.
-        let answers = self.collect_configured_hellos().await;
-        let all_empty = answers.iter().all(|answer| answer.cluster.is_none());
-        if answers.len() < peers.len() || !all_empty {
+        let Some(initial_voters) = self.initial_voters(answers).await else {
             return Ok(());
-        }
-        let own = self.core.borrow().meta.replica.clone();
-        let others = answers.into_iter().map(|answer| answer.replica);
-        let initial_voters: Vec<ReplicaId> = [own].into_iter().chain(others).collect();
+        };
         self.accept_bootstrap(rand::random(), Rc::new(initial_voters))
             .await?;
         let Some(request) = self.bootstrap_request() else {
             return Ok(());
         };
+        let peers = self.seeds_with_replica();
         join_all(
             peers
                 .iter()
@@ -184,6 +173,72 @@
         Ok(())
     }
 
+    /// Returns whether no cluster is known and all replicas that are known have answered that they belong to none.
+    fn all_known_are_empty(&self, answers: &[HelloAnswer]) -> bool {
+        let known = match &self.directory {
+            Some(directory) if directory.knows_cluster() => return false,
+            Some(directory) => directory.replicas(),
+            None => Vec::new(),
+        };
+        let has_answered = |addr: &SocketAddr| {
+            let name = addr.to_string();
+            answers.iter().any(|answer| answer.replica.name == name)
+        };
+        answers.iter().all(|answer| answer.cluster.is_none()) && known.iter().all(has_answered)
+    }
+
+    /// Returns the initial voters if this replica is to bootstrap the cluster.
+    ///
+    /// All other seeds must have answered, with an empty replica or that they hold none: one that does not answer might hold
+    /// data that an existing cluster acknowledged. The initial voters are the seeds that hold a replica, and the first of them
+    /// by name bootstraps the cluster; replicas that are discovered later join as learners. If no seed holds a replica, another
+    /// replica bootstraps the cluster alone, with the agreement of each seed.
+    async fn initial_voters(self: &Rc<Self>, answers: Vec<HelloAnswer>) -> Option<Vec<ReplicaId>> {
+        let seeds = self.seeds_with_replica();
+        let is_first = seeds.iter().all(|seed| self.cfg.name < seed.name);
+        let seed_answers: Vec<HelloAnswer> = answers
+            .into_iter()
+            .filter(|answer| seeds.iter().any(|seed| seed.name == answer.replica.name))
+            .collect();
+        let may_bootstrap = match self.cfg.is_seed {
+            true => is_first && seed_answers.len() == seeds.len(),
+            false => seeds.is_empty() && self.request_agreement().await,
+        };
+        let own = self.core.borrow().meta.replica.clone();
+        let others = seed_answers.into_iter().map(|answer| answer.replica);
+        may_bootstrap.then(|| [own].into_iter().chain(others).collect())
+    }
+
+    /// Returns the other seeds, without those that have stated to hold no replica.
+    fn seeds_with_replica(&self) -> Vec<PeerReplica> {
+        let holds_no_replica = |seed: &PeerReplica| {
+            let directory = self.directory.as_ref();
+            directory.is_some_and(|directory| directory.holds_no_replica(seed.addr))
+        };
+        let seeds = self.cfg.peers.iter();
+        seeds
+            .filter(|seed| !holds_no_replica(seed))
+            .cloned()
+            .collect()
+    }
+
+    /// Asks all seeds in the order of their addresses to agree that this replica bootstraps the cluster.
+    ///
+    /// A candidate that the first seed has refused asks no other one, so no two of them wait for each other.
+    async fn request_agreement(&self) -> bool {
+        let Some(directory) = &self.directory else {
+            return false;
+        };
+        let mut seeds: Vec<SocketAddr> = self.cfg.peers.iter().map(|peer| peer.addr).collect();
+        seeds.sort_unstable();
+        for seed in &seeds {
+            if !directory.request_bootstrap(*seed).await {
+                return false;
+            }
+        }
+        !seeds.is_empty()
+    }
+
     /// Makes this replica an initial voter of a new cluster, unless it already belongs to a cluster.
     pub(super) async fn accept_bootstrap(
         &self,
--- a/laburnumlug-control/src/replica/config.rs
+++ b/laburnumlug-control/src/replica/config.rs
@@ -28,6 +28,7 @@
     pub(super) snapshot_entries: u64,
     pub(super) may_bootstrap: bool,
     pub(super) contact: Option<ControlContact>,
+    pub(super) is_seed: bool,
     pub(super) voters: Option<usize>,
     pub(super) usage: Option<UsageConfig>,
     pub(super) scaling: bool,
@@ -49,6 +50,7 @@
             snapshot_entries: DEFAULT_SNAPSHOT_ENTRIES,
             may_bootstrap: true,
             contact: None,
+            is_seed: true,
             voters: None,
             usage: None,
             scaling: false,
@@ -81,6 +83,14 @@
         self
     }
 
+    /// Sets whether the settings of all processes name this replica as a seed.
+    ///
+    /// The seeds that hold a replica bootstrap a cluster; another replica does only if none of them holds one.
+    pub fn is_seed(mut self, is_seed: bool) -> ReplicaConfig {
+        self.is_seed = is_seed;
+        self
+    }
+
     /// Sets the number of voters; further replicas are learners on standby and replace unresponsive voters.
     ///
     /// The maximum and the default are 7. While there are fewer voters than this number, unresponsive voters are not
--- a/laburnumlug-control/src/replica/open.rs
+++ b/laburnumlug-control/src/replica/open.rs
@@ -70,7 +70,7 @@
         core.max_voters = cfg.voters.unwrap_or(core.max_voters).min(core.max_voters);
         let directory = cfg.contact.map(|contact| {
             let seeds = cfg.peers.iter().map(|peer| peer.addr).collect();
-            DirectoryService::new(contact, seeds, cfg.key.clone())
+            DirectoryService::new(contact, seeds, cfg.key.clone(), false)
         });
         let replica = Rc::new(Replica {
             directory,
--- a/laburnumlug-control/src/replica/peers.rs
+++ b/laburnumlug-control/src/replica/peers.rs
@@ -91,7 +91,7 @@
         }
     }
 
-    fn update_peers(self: &Rc<Self>) {
+    pub(super) fn update_peers(self: &Rc<Self>) {
         let membership = self.core.borrow().log.membership().clone();
         for voter in membership.voters.iter() {
             self.add_peer(&voter.name);
--- a/laburnumlug-daemon/src/redirect.rs
+++ b/laburnumlug-daemon/src/redirect.rs
@@ -35,7 +35,7 @@
     let listener = bind(settings.operators).await?;
     let key = settings.mesh.key;
     let seeds = settings.mesh.control;
-    let directory = DirectoryService::new(own, seeds, key.clone());
+    let directory = DirectoryService::new(own, seeds, key.clone(), settings.may_bootstrap);
     compio::runtime::spawn(serve_directory(mesh_listener, key, directory.clone())).detach();
     compio::runtime::spawn(directory.clone().run()).detach();
     let reloaded = directory.clone();
--- a/laburnumlug-daemon/src/settings/control.rs
+++ b/laburnumlug-daemon/src/settings/control.rs
@@ -126,10 +126,7 @@
             ),
             may_bootstrap: reader
                 .optional("control", "may_found", "yes or no", parse_yes_or_no)?
-                .unwrap_or(true)
-                && address_peers
-                    .as_ref()
-                    .is_none_or(|_| mesh.control.contains(&listen)),
+                .unwrap_or(true),
             has_seeds: address_peers.is_some(),
             replicas: match address_peers {
                 Some(replicas) => replicas,
@@ -177,6 +174,7 @@
             .peers(self.replicas.clone())
             .group_commit(self.group_commit)
             .may_bootstrap(self.may_bootstrap)
+            .is_seed(!self.has_seeds || self.mesh.control.contains(&self.listen))
             .scaling(self.scaling && self.target_list.is_some());
         let cfg = match self.has_seeds {
             true => cfg.contact(ControlContact {
@@ -269,7 +267,7 @@
         .collect()
 }
 
-fn parse_yes_or_no(text: &str) -> Option<bool> {
+pub(super) fn parse_yes_or_no(text: &str) -> Option<bool> {
     match text {
         "yes" | "true" => Some(true),
         "no" | "false" => Some(false),
--- a/laburnumlug-daemon/src/settings/redirect.rs
+++ b/laburnumlug-daemon/src/settings/redirect.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use super::common::{LOG, LogSettings, MESH, METRICS, MeshSettings, PROCESS, ProcessSettings};
-use super::control::CONTROL;
+use super::control::{CONTROL, parse_yes_or_no};
 use super::error::SettingsError;
 use super::reader::{Reader, parse_addr};
 
@@ -19,6 +19,8 @@
     pub(crate) listen: SocketAddr,
     /// Address on which this process accepts connections from operators.
     pub(crate) operators: SocketAddr,
+    /// Whether this process may agree to the bootstrap of a cluster.
+    pub(crate) may_bootstrap: bool,
 }
 
 impl RedirectSettings {
@@ -40,6 +42,9 @@
             mesh: MeshSettings::read(&reader)?,
             listen: reader.required("control", "listen", "IP:PORT", parse_addr)?,
             operators: reader.required("control", "operators", "IP:PORT", parse_addr)?,
+            may_bootstrap: reader
+                .optional("control", "may_found", "yes or no", parse_yes_or_no)?
+                .unwrap_or(true),
         }))
     }
 }
--- a/laburnumlug-daemon/tests/it/control_discovery.rs
+++ b/laburnumlug-daemon/tests/it/control_discovery.rs
@@ -181,6 +181,93 @@
     });
 }
 
+/// Founds a fleet of four replicas and four processes without one, of which those at `seeds` are the seeds, and returns the
+/// number of clusters.
+async fn clusters_founded(seeds: [usize; 3]) -> usize {
+    let mut fleet = ControlFleet::new(1, 4, 4);
+    for member in (0..8).rev() {
+        fleet.start(member, &seeds, true);
+        compio::time::sleep(Duration::from_millis(40)).await;
+    }
+    let all: Vec<usize> = (0..8).collect();
+    let accepted = config(1, 500);
+    fleet
+        .replace_until_accepted(&all, &accepted, RECOVERY_TIMEOUT)
+        .await;
+    fleet
+        .wait_for_config(&all, &accepted, RECOVERY_TIMEOUT)
+        .await;
+    let mut leaders = Vec::new();
+    for replica in 0..4 {
+        leaders.push(
+            wait_for("a replica with a leader", || async {
+                let status = fleet.status(replica).await?;
+                status["leader"].as_str().map(str::to_string)
+            })
+            .await,
+        );
+    }
+    leaders.sort();
+    leaders.dedup();
+    leaders.len()
+}
+
+/// Guards against a fleet that is never founded, or founded twice, as its seeds hold three replicas, two, one or none.
+#[test]
+fn bootstrap_with_any_seeds() {
+    block_on(async {
+        for seeds in [[0, 1, 2], [1, 2, 5], [4, 3, 6], [4, 5, 7]] {
+            assert_eq!(clusters_founded(seeds).await, 1, "seeds {seeds:?}");
+        }
+    });
+}
+
+/// Guards against a cluster that is founded although a seed does not answer, which might hold data.
+#[test]
+fn bootstrap_with_silent_seed() {
+    block_on(async {
+        for seeds in [[0, 1, 5], [4, 5, 6]] {
+            let mut fleet = ControlFleet::new(1, 3, 4);
+            for member in [0, 1, 2, 3, 4, 6] {
+                fleet.start(member, &seeds, true);
+            }
+            compio::time::sleep(Duration::from_secs(3)).await;
+            for replica in [0, 1, 2] {
+                let status = fleet.status(replica).await.unwrap();
+                assert_eq!(
+                    status["voters"].as_array().unwrap().len(),
+                    0,
+                    "seeds {seeds:?}"
+                );
+            }
+            fleet.start(5, &seeds, true);
+            let all: Vec<usize> = (0..7).collect();
+            fleet
+                .replace_until_accepted(&all, &config(1, 500), RECOVERY_TIMEOUT)
+                .await;
+        }
+    });
+}
+
+/// Guards against a second cluster that a seed founds after it has lost its disk, as the other seeds hold no replica.
+#[test]
+fn bootstrap_not_repeated_by_wiped_seed() {
+    block_on(async {
+        let mut fleet = ControlFleet::new(1, 3, 2);
+        found(&mut fleet, &[0, 3, 4], &[0, 1, 2]).await;
+        for _ in 0..3 {
+            fleet.kill(0);
+            fleet.wipe(0);
+            fleet.start(0, &[0, 3, 4], true);
+            fleet.wait_for_voters(&[0, 1, 2], RECOVERY_TIMEOUT).await;
+            let all: Vec<usize> = (0..5).collect();
+            fleet
+                .wait_for_config(&all, &config(1, 500), RECOVERY_TIMEOUT)
+                .await;
+        }
+    });
+}
+
 /// Guards against a `503` that comes later than the operator waits while no majority answers.
 #[test]
 fn call_refused_in_time_without_majority() {
--- a/laburnumlug-mesh/src/message.rs
+++ b/laburnumlug-mesh/src/message.rs
@@ -124,6 +124,16 @@
     },
     /// Response to [`ControlMessage::FetchDirectory`].
     Directory(DirectoryReport),
+    /// Asks a control process without a replica to agree that `candidate` bootstraps the cluster.
+    RequestBootstrap {
+        /// Mesh address of the replica that is to bootstrap the cluster.
+        candidate: SocketAddr,
+    },
+    /// Response to [`ControlMessage::RequestBootstrap`].
+    BootstrapGrant {
+        /// Whether the process agrees. It agrees to one candidate only.
+        granted: bool,
+    },
 }
 
 /// Message between an entry and a target process.
