Acknowledge changes only once enough replicas vote

What callers would see: a configuration that was acknowledged right after the first start, or during a replacement, is lost with two disks although two losses are tolerated.

Cause: a majority of the voters suffices, however few vote. A cluster grows from its initial voters one by one; with three of five, two disks hold a change that is acknowledged.

Change: where the number of tolerated losses is set, commands are logged only while a majority of the voters is more than that number.

--- a/laburnumlug-control/src/error.rs
+++ b/laburnumlug-control/src/error.rs
@@ -24,6 +24,10 @@
     NoLeader,
     /// Too many log entries are uncommitted.
     Busy,
+    /// So few replicas vote that the tolerated losses could take a committed command.
+    TooFewVoters {
+        voters: usize,
+    },
     /// The command exceeds the size limit.
     TooLarge {
         bytes: u64,
@@ -69,7 +73,7 @@
     /// Returns whether the submission can be retried: the command was not logged, and the cause may pass.
     pub(crate) fn is_transient(&self) -> bool {
         match &self.kind {
-            ErrorKind::NoLeader | ErrorKind::Busy => true,
+            ErrorKind::NoLeader | ErrorKind::Busy | ErrorKind::TooFewVoters { .. } => true,
             ErrorKind::Remote { verdict, .. } => *verdict == Verdict::NotRun,
             _ => false,
         }
@@ -89,6 +93,10 @@
             ErrorKind::Locked => f.write_str("control log: another process uses the data folder"),
             ErrorKind::NoLeader => f.write_str("no majority of the control replicas has a leader"),
             ErrorKind::Busy => f.write_str("too many changes wait to be committed"),
+            ErrorKind::TooFewVoters { voters } => write!(
+                f,
+                "only {voters} replicas vote; changes are accepted once more do"
+            ),
             ErrorKind::TooLarge { bytes, limit } => write!(
                 f,
                 "the change has {bytes} bytes, and the control log accepts at most {limit}"
--- a/laburnumlug-control/src/replica/config.rs
+++ b/laburnumlug-control/src/replica/config.rs
@@ -94,7 +94,7 @@
     /// Sets the number of voters; further replicas are learners on standby and replace unresponsive voters.
     ///
     /// The maximum and the default are 7. While there are fewer voters than this number, unresponsive voters are not
-    /// removed.
+    /// removed. Commands are logged only while a majority of the voters is one of this number, too.
     pub fn voters(mut self, voters: usize) -> ReplicaConfig {
         self.voters = Some(voters);
         self
--- a/laburnumlug-control/src/replica/core.rs
+++ b/laburnumlug-control/src/replica/core.rs
@@ -96,6 +96,8 @@
     pub(super) journal_bytes_at_snapshot: u64,
     /// Maximum number of voters; further replicas are learners on standby.
     pub(super) max_voters: usize,
+    /// Number of disks that must hold a command before it is acknowledged, so that the tolerated losses leave one.
+    pub(super) min_copies: usize,
 }
 
 impl Core {
@@ -126,6 +128,7 @@
             journal_bytes: 0,
             journal_bytes_at_snapshot: 0,
             max_voters: MAX_VOTERS,
+            min_copies: 1,
         }
     }
 
--- a/laburnumlug-control/src/replica/open.rs
+++ b/laburnumlug-control/src/replica/open.rs
@@ -67,7 +67,10 @@
         };
         core.limits = cfg.size_limits();
         core.record_journal_bytes(journal.len(), false);
-        core.max_voters = cfg.voters.unwrap_or(core.max_voters).min(core.max_voters);
+        if let Some(voters) = cfg.voters {
+            core.max_voters = voters.min(core.max_voters);
+            core.min_copies = core.max_voters / 2 + 1;
+        }
         let directory = cfg.contact.map(|contact| {
             let seeds = cfg.peers.iter().map(|peer| peer.addr).collect();
             DirectoryService::new(contact, seeds, cfg.key.clone(), false)
--- a/laburnumlug-control/src/replica/submit.rs
+++ b/laburnumlug-control/src/replica/submit.rs
@@ -103,6 +103,11 @@
             if let Some(reason) = &core.storage_error {
                 return Err(Error::new(ErrorKind::Storage(reason.clone())));
             }
+            let membership = core.log.membership();
+            if membership.majority() < core.min_copies {
+                let voters = membership.voters.len();
+                return Err(Error::new(ErrorKind::TooFewVoters { voters }));
+            }
             if !core.can_append_command(bytes) {
                 return Err(Error::new(ErrorKind::Busy));
             }
--- a/laburnumlug-daemon/tests/it/control_discovery.rs
+++ b/laburnumlug-daemon/tests/it/control_discovery.rs
@@ -249,6 +249,27 @@
     });
 }
 
+/// Guards against a change that is acknowledged while so few replicas vote that the tolerated losses take it.
+#[test]
+fn change_refused_until_enough_replicas_vote() {
+    block_on(async {
+        let mut fleet = ControlFleet::new(2, 5, 0);
+        for replica in [0, 1, 2] {
+            fleet.start(replica, &[0, 1, 2], true);
+        }
+        fleet.wait_for_voters(&[0, 1, 2], RECOVERY_TIMEOUT).await;
+        let refused = fleet.replace_config(0, &config(1, 500)).await;
+        assert!(
+            refused.as_ref().is_err_and(|err| err.contains("503")),
+            "{refused:?}"
+        );
+        fleet.start(3, &[0, 1, 2], true);
+        fleet
+            .replace_until_accepted(&[0], &config(2, 500), RECOVERY_TIMEOUT)
+            .await;
+    });
+}
+
 /// Guards against a second cluster that a seed founds after it has lost its disk, as the other seeds hold no replica.
 #[test]
 fn bootstrap_not_repeated_by_wiped_seed() {
