Keep the folder of a learner, and of a voter whose removal is not committed

Cause: three faults of the assessment of a data folder by the newest membership among the answers. - Of two memberships at one index, one committed and one not, any could count as the newest, and the commit index of another answer counted for it. A voter that the committed membership names then reset its folder: one more loss of a disk. - A learner, or a replica that is in no cluster yet, reset its folder after each change of the voters that it had missed, and copied everything again. Only a former voter needs that, as it takes itself for a voter and does not announce itself. - Two answers of one voter counted twice towards a majority.

Change: a committed membership goes before another one at its index, and it alone removes a voter; only former voters reset their folders; each voter counts once.

--- a/laburnumlug-control/src/replica/bootstrap.rs
+++ b/laburnumlug-control/src/replica/bootstrap.rs
@@ -1,6 +1,6 @@
 //! Bootstrap of a cluster, and detection of outdated data folders.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -309,19 +309,20 @@
         };
         let answers: Vec<&HelloAnswer> = answers.iter().filter(is_same_cluster).collect();
         // The voters in this folder may all have been replaced since it was written.
-        let memberships = answers.iter().map(|answer| &answer.membership);
+        let memberships = answers
+            .iter()
+            .map(|answer| (&answer.membership, answer.commit_index));
         let newest = memberships
-            .chain([self.log.membership()])
-            .max_by_key(|membership| membership.index)
-            .expect("the own membership is always there");
-        let own_index = self.log.membership().index;
-        let shows_removed = |answer: &&HelloAnswer| {
-            answer.membership.index > own_index
-                && answer.commit_index >= answer.membership.index
-                && !answer.membership.contains(&self.meta.replica)
-        };
+            .chain([(self.log.membership(), self.commit_index)])
+            .max_by_key(|(membership, committed)| {
+                // Of memberships that two leaders have logged at one index, at most one is committed.
+                (membership.index, *committed >= membership.index)
+            });
+        let (newest, committed) = newest.expect("the own membership is always there");
         let is_voter = newest.contains(&self.meta.replica);
-        if self.meta.cluster.is_some() && !is_voter && answers.iter().any(shows_removed) {
+        // A learner catches up with the log that it has; a former voter would not announce itself.
+        let was_voter = self.log.membership().contains(&self.meta.replica);
+        if was_voter && !is_voter && committed >= newest.index {
             return FolderStatus::Outdated;
         }
         let needed = match is_voter {
@@ -329,11 +330,13 @@
             false if newest.voters.is_empty() => peer_count.div_ceil(2),
             false => newest.majority(),
         };
-        let counts = |answer: &&&HelloAnswer| {
+        let counts = |name: &&String| {
             let mut voters = newest.voters.iter();
-            newest.voters.is_empty() || voters.any(|voter| voter.name == answer.replica.name)
+            newest.voters.is_empty() || voters.any(|voter| voter.name == **name)
         };
-        match answers.iter().filter(counts).count() >= needed {
+        let names = answers.iter().map(|answer| &answer.replica.name);
+        let answered: BTreeSet<&String> = names.filter(counts).collect();
+        match answered.len() >= needed {
             true => FolderStatus::Complete,
             false => FolderStatus::Undecided,
         }
@@ -354,3 +357,7 @@
             .any(|(cluster, count)| *cluster != own && *count >= majority)
     }
 }
+
+#[cfg(test)]
+#[path = "bootstrap_tests.rs"]
+mod tests;
