Let ages in the directory never decrease on the way

Cause: an age that a report carries was counted from the arrival of the report and rounded down, so a process that is gone looked more recent with each report that passed it on, and was forgotten late or never. An answer from before a pause of the asking process counted as one of a replica that is ready now, which delayed its search for 3 s.

Change: ages and readiness count from the time at which the request was sent, and ages are rounded up.

--- a/laburnumlug-control/src/directory/contacts.rs
+++ b/laburnumlug-control/src/directory/contacts.rs
@@ -113,12 +113,14 @@
 
     /// Records the answer of the process at `addr` to a request that was sent at `sent_at`.
     ///
-    /// Ages count from the request, so that what processes tell each other in turn never gets younger.
+    /// Ages in the answer count from then: a later time would make the others look more recent with each report that passes them
+    /// on, or after this process was paused.
     ///
     /// Voters of an older membership are ignored, unless a replica that is ready names them: a newer membership may have been
     /// logged without ever being committed.
     pub(crate) fn record_report(
         &mut self,
+        now: Instant,
         sent_at: Instant,
         addr: SocketAddr,
         report: &DirectoryReport,
@@ -138,7 +140,7 @@
         }
         let is_ready = report.readiness == Readiness::Ready;
         if is_ready {
-            self.ready_at = sent_at;
+            self.ready_at = self.ready_at.max(sent_at);
             self.last_ready = Some(addr);
             self.search_began_at = None;
         }
@@ -310,7 +312,7 @@
     pub(crate) fn reported(&mut self, now: Instant) -> Vec<ReportedContact> {
         let known = |(_, entry): (&SocketAddr, &Entry)| {
             let age = now.saturating_duration_since(entry.heard_at?);
-            let age_ms = age.as_millis() as u64;
+            let age_ms = age.as_millis() as u64 + 1; // rounded up, so that the age never decreases on the way
             let contact = entry.contact?;
             Some(ReportedContact { contact, age_ms })
         };
--- a/laburnumlug-control/src/directory/service.rs
+++ b/laburnumlug-control/src/directory/service.rs
@@ -230,7 +230,7 @@
                     self.pool.put(addr, conn);
                 }
                 let mut contacts = self.contacts.borrow_mut();
-                contacts.record_report(sent_at, addr, &report);
+                contacts.record_report(Instant::now(), sent_at, addr, &report);
                 Some(report)
             }
             _ => None,
