Ask replicas first in a search, and processes that nobody has heard of

Cause: three faults of the order of requests in the directory. - A process whose seeds know nobody was asked by those that have it as a seed only after all others: one request in 5 s, among hundreds of processes. - A search asked all known processes in turn, 8 a second after its first 15 s, so with 250 of them a replica that had become ready was asked only after half a minute. - All processes asked the others in the same order, so hundreds asked one at the same moment.

Result: next_requests_unheard_seed, next_requests_replicas_in_long_search and fleet_finds_replicas fail before (10 of 18 processes without a replica had found none after 5 s) and pass now.

--- a/laburnumlug-control/src/directory/contacts.rs
+++ b/laburnumlug-control/src/directory/contacts.rs
@@ -21,12 +21,21 @@
 /// Maximum number of processes that are asked at once.
 const MAX_REQUESTS: usize = 4;
 
+/// Maximum number of replicas among them that are asked before any other process.
+const MAX_REPLICA_REQUESTS: usize = 4;
+
+/// Maximum number of processes that are asked at once because nobody has received a message of them.
+const MAX_UNHEARD_REQUESTS: usize = 4;
+
 /// Interval between requests to a replica while one that is ready is known.
 const REPLICA_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Interval between requests to any process, which connect those that know nobody useful.
 const ANY_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Interval between requests to processes of which nobody has received a message, such as a seed that itself knows nobody.
+const UNHEARD_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time without an answer of a replica that is ready after which all known processes are asked.
 const READY_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -63,6 +72,7 @@
     search_began_at: Option<Instant>,
     asked_replica_at: Option<Instant>,
     asked_any_at: Option<Instant>,
+    asked_unheard_at: Option<Instant>,
     /// Address after which the next report continues, so that successive reports name all processes.
     reported_through: Option<SocketAddr>,
 }
@@ -83,6 +93,7 @@
             search_began_at: Some(now),
             asked_replica_at: None,
             asked_any_at: None,
+            asked_unheard_at: None,
             reported_through: None,
         };
         contacts.set_seeds(seeds);
@@ -278,7 +289,12 @@
             };
             if is_due(self.asked_any_at, interval) {
                 self.asked_any_at = Some(now);
-                requests = self.least_recently_asked(self.all(), MAX_REQUESTS);
+                // Replicas have a share, so that hundreds of other processes do not delay the first answer of one that is ready.
+                requests = self.least_recently_asked(self.replicas(), MAX_REPLICA_REQUESTS);
+                let mut others = self.all();
+                others.retain(|addr| !requests.contains(addr));
+                let count = MAX_REQUESTS - requests.len();
+                requests.extend(self.least_recently_asked(others, count));
             }
         } else {
             if !is_settled && is_due(self.asked_replica_at, REPLICA_INTERVAL) {
@@ -289,7 +305,12 @@
                 self.asked_any_at = Some(now);
                 requests.extend(self.least_recently_asked(self.all(), 1));
             }
+            if is_due(self.asked_unheard_at, UNHEARD_INTERVAL) {
+                self.asked_unheard_at = Some(now);
+                requests.extend(self.least_recently_asked(self.unheard(), MAX_UNHEARD_REQUESTS));
+            }
         }
+        requests.sort_unstable();
         requests.dedup();
         for addr in &requests {
             self.entries.entry(*addr).or_default().asked_at = Some(now);
@@ -297,8 +318,20 @@
         requests
     }
 
+    /// Returns the addresses that only the settings or the membership name.
+    fn unheard(&self) -> Vec<SocketAddr> {
+        let entries = self.entries.iter();
+        let unheard = entries.filter(|(_, entry)| entry.contact.is_none());
+        unheard.map(|(addr, _)| *addr).collect()
+    }
+
+    /// Returns the addresses that were asked least recently, first those after the own address, so that not all processes ask the
+    /// same one at once.
     fn least_recently_asked(&self, mut addrs: Vec<SocketAddr>, count: usize) -> Vec<SocketAddr> {
-        addrs.sort_by_key(|addr| self.entries.get(addr).and_then(|entry| entry.asked_at));
+        addrs.sort_by_key(|addr| {
+            let asked_at = self.entries.get(addr).and_then(|entry| entry.asked_at);
+            (asked_at, *addr < self.own.mesh, *addr)
+        });
         addrs.truncate(count);
         addrs
     }
