Close a connection without a request for an operator beyond the limit

Cause: the operators' listener takes 64 connections. With 64 idle ones open, every further request got status 503 until they were closed after 10 s, and processes without a replica redirected there as before.

Change: beyond the limit, the connection that has been without a request for longest, one second or more, is closed for the new one. Listeners of callers keep their behaviour, as clients reuse idle connections there.

--- a/laburnumlug-control/src/operator/mod.rs
+++ b/laburnumlug-control/src/operator/mod.rs
@@ -30,6 +30,9 @@
 /// Timeout for receiving a request's headers.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time without a request after which a connection is closed for a new one beyond the limit.
+const REPLACEABLE_AFTER: Duration = Duration::from_secs(1);
+
 /// Maximum lifetime of a connection.
 const CONNECTION_LIFETIME: Duration = Duration::from_secs(120);
 
@@ -77,6 +80,7 @@
     pub fn limits() -> Limits {
         Limits::default()
             .connections(MAX_CONNECTIONS)
+            .replaceable_after(REPLACEABLE_AFTER)
             .header_bytes(MAX_HEADER_BYTES)
             .header_timeout(HEADER_TIMEOUT)
             .lifetime(CONNECTION_LIFETIME)
--- a/laburnumlug-http/src/lib.rs
+++ b/laburnumlug-http/src/lib.rs
@@ -28,12 +28,14 @@
 mod body_reader;
 mod client;
 mod connection;
+mod discard;
 mod error;
 mod fair_stream;
 mod held_body;
 mod held_bytes;
 mod idle_limit;
 mod lingering_close;
+mod open_connections;
 mod pool;
 mod requests_in_progress;
 mod revocable;
@@ -48,12 +50,11 @@
 };
 pub use crate::body_reader::{read_body, read_held_body};
 pub use crate::client::{ClientResponse, send};
+pub use crate::discard::discard_body;
 pub use crate::error::Error;
 pub use crate::held_body::held_body;
 pub use crate::held_bytes::{HeldBytes, OverBudget, held_bytes, memory_budget, set_memory_budget};
 pub use crate::pool::{ConnectionPool, PooledResponse, SendError};
 pub use crate::revocable::send_before;
-pub use crate::server::{
-    Handler, Limits, LimitsHandle, PeerAddr, Request, Server, ShutdownHandle, discard_body,
-};
+pub use crate::server::{Handler, Limits, LimitsHandle, PeerAddr, Request, Server, ShutdownHandle};
 pub use crate::timeout::{Elapsed, timeout};
--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -18,21 +18,15 @@
 use rustix::net::sockopt::set_socket_send_buffer_size;
 use rustix::net::{Shutdown, SocketFlags};
 
-use crate::body_reader::next_chunk;
 use crate::fair_stream::{FairStream, HeadLimit};
 use crate::lingering_close::keep_until_closed;
+use crate::open_connections::OpenConnections;
 use crate::requests_in_progress::RequestsInProgress;
 use crate::{Response, hold_until_sent, text_response};
 
 /// Kernel send buffer of one connection.
 const SEND_BUFFER_BYTES: usize = 128 * 1024;
 
-/// Maximum number of bytes of a rejected request's body that are discarded.
-const MAX_DISCARDED_BYTES: usize = 64 * 1024 * 1024;
-
-/// Maximum time for discarding the body of a rejected request.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Time for which a connection without a request in progress stays open after the shutdown or after an answer that did not
 /// announce it. A caller may have sent a request that has not arrived yet, and would lose it without an answer.
 const SHUTDOWN_LINGER: Duration = Duration::from_secs(1);
@@ -68,6 +62,7 @@
     header_count: usize,
     header_timeout: Duration,
     lifetime: Option<Duration>,
+    replaceable_after: Option<Duration>,
 }
 
 impl Default for Limits {
@@ -78,6 +73,7 @@
             header_count: 64,
             header_timeout: Duration::from_secs(10),
             lifetime: None,
+            replaceable_after: None,
         }
     }
 }
@@ -89,6 +85,14 @@
         self
     }
 
+    /// Sets the time without a request after which a connection may be closed for a new one beyond the limit.
+    ///
+    /// By default none is, as a client may be about to reuse it.
+    pub fn replaceable_after(mut self, time: Duration) -> Limits {
+        self.replaceable_after = Some(time);
+        self
+    }
+
     /// Sets the maximum size of a request's head in bytes.
     pub fn header_bytes(mut self, bytes: usize) -> Limits {
         self.header_bytes = bytes;
@@ -116,6 +120,7 @@
 struct Shared {
     stopping: Cell<bool>,
     connections: Cell<usize>,
+    open: OpenConnections,
     /// Notified whenever `stopping` or `connections` changes.
     changed: Event,
 }
@@ -258,15 +263,23 @@
         let handler = handler.clone();
         let shared = self.shared.clone();
         let limits = self.limits.limits.borrow().clone();
-        let over_limit = shared.connections.get() >= limits.connections;
+        let now = Instant::now();
+        let requests = Rc::new(RequestsInProgress::new(now));
+        let is_replaced = || {
+            let time = limits.replaceable_after;
+            time.is_some_and(|time| shared.open.close_longest_unused(now, time))
+        };
+        let over_limit = shared.connections.get() >= limits.connections && !is_replaced();
+        shared.open.add(&requests);
         shared.connections.set(shared.connections.get() + 1);
         compio::runtime::spawn(async move {
             if over_limit {
                 let overload_handler =
                     Rc::new(|_| async { text_response(503, "too many connections") });
-                serve_connection(stream, peer, overload_handler, &limits, shared.clone()).await;
+                let handler = overload_handler;
+                serve_connection(stream, peer, handler, &limits, shared.clone(), requests).await;
             } else {
-                serve_connection(stream, peer, handler, &limits, shared.clone()).await;
+                serve_connection(stream, peer, handler, &limits, shared.clone(), requests).await;
             }
             shared.connections.set(shared.connections.get() - 1);
             shared.notify();
@@ -281,6 +294,7 @@
     handler: Rc<H>,
     limits: &Limits,
     shared: Rc<Shared>,
+    requests: Rc<RequestsInProgress>,
 ) where
     H: Handler,
 {
@@ -289,7 +303,6 @@
     let _ = stream.set_nodelay(true);
     // By default the kernel would buffer megabytes for a slow reader.
     let _ = set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
-    let requests = Rc::new(RequestsInProgress::default());
     let socket = stream.clone();
     let is_http_1_0 = Rc::new(Cell::new(false));
     let result = {
@@ -328,9 +341,14 @@
                 with_timeout(limits.lifetime, unused).await;
             }
         });
-        match select(conn.as_mut(), stop_reading).await {
-            Either::Left((result, _)) => Some(result),
+        let replaced = pin!(requests.closed());
+        match select(select(conn.as_mut(), stop_reading), replaced).await {
+            Either::Left((Either::Left((result, _)), _)) => Some(result),
             Either::Right(_) => {
+                log::info!(peer = peer.to_string().as_str(); "closed a connection without a request for a new one");
+                return;
+            }
+            Either::Left((Either::Right(_), _)) => {
                 conn.as_mut().graceful_shutdown();
                 with_timeout(limits.lifetime, conn).await
             }
@@ -359,23 +377,3 @@
         None => Some(future.await),
     }
 }
-
-/// Discards the rest of a rejected request's body in the background, up to a number of bytes and a time limit.
-///
-/// Closing a connection while its client is still sending resets it, and the client then loses the response.
-pub fn discard_body(body: hyper::body::Incoming) {
-    compio::runtime::spawn(async move {
-        let _ = crate::timeout(DISCARD_TIMEOUT, drain_body(body)).await;
-    })
-    .detach();
-}
-
-async fn drain_body(mut body: hyper::body::Incoming) {
-    let mut remaining = MAX_DISCARDED_BYTES;
-    while let Ok(Some(chunk)) = next_chunk(&mut body).await {
-        match remaining.checked_sub(chunk.len()) {
-            Some(rest) => remaining = rest,
-            None => return,
-        }
-    }
-}
