Reduce what control processes ask of replicas while nothing is wrong

Cause: with hundreds of control processes, each replica was asked once a second by its share of them, and answered with 24 contacts of about 90 bytes each time.

Change: a replica is asked every 2 s, a report names 12 other processes, and a search begins after 5 s without a ready replica, so that one lost answer begins none.

--- a/laburnumlug-control/src/directory/contacts.rs
+++ b/laburnumlug-control/src/directory/contacts.rs
@@ -13,13 +13,13 @@
 const MAX_CONTACTS: usize = 512;
 
 /// Maximum number of other processes in one report.
-const MAX_REPORTED: usize = 24;
+const MAX_REPORTED: usize = 12;
 
 /// Maximum number of replicas in a referral.
 const MAX_REFERRED: usize = 16;
 
 /// Maximum number of processes that are asked at once.
-const MAX_REQUESTS: usize = 4;
+const MAX_REQUESTS: usize = 8;
 
 /// Maximum number of replicas among them that are asked before any other process.
 const MAX_REPLICA_REQUESTS: usize = 4;
@@ -28,7 +28,7 @@
 const MAX_UNHEARD_REQUESTS: usize = 4;
 
 /// Interval between requests to a replica while one that is ready is known.
-const REPLICA_INTERVAL: Duration = Duration::from_secs(1);
+const REPLICA_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Interval between requests to any process, which connect those that know nobody useful.
 const ANY_INTERVAL: Duration = Duration::from_secs(5);
@@ -37,7 +37,7 @@
 const UNHEARD_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time without an answer of a replica that is ready after which all known processes are asked.
-const READY_TIMEOUT: Duration = Duration::from_secs(3);
+const READY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Interval between rounds of requests in the first [`SEARCH_TIME`] without a replica that is ready.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(250);
@@ -158,7 +158,7 @@
         if report.membership > self.membership || is_ready {
             self.set_membership(report.membership, &report.voters);
         }
-        self.evict(sent_at);
+        self.evict(now);
     }
 
     /// Sets the newest membership that is known.
