Report a membership that is short, and a replica that is not made a voter

Cause: a cluster could remain one voter short without a sign of it; the next loss within the tolerance then took the majority.

Change: the leader logs a warning every 10 s, after 10 s, while fewer voters answer than are configured or than there are, with the silent ones and the learners. A replica that should be a voter and is none logs its seeds, the replicas that it knows, those that answered and the newest membership that they named. GET /status has voters_wanted, voters_responsive, voters_silent and learners, and the metrics voters, voters_wanted and voters_responsive exist. Without the setting losses no number is wanted. The directory's warning names the state of each seed in place of all addresses that were asked, of which there may be hundreds.

The log fields are not documented yet.

--- a/laburnumlug-control/src/directory/contacts.rs
+++ b/laburnumlug-control/src/directory/contacts.rs
@@ -6,6 +6,8 @@
 
 use laburnumlug_mesh::{ControlContact, DirectoryReport, Readiness, ReplicaId, ReportedContact};
 
+use super::status::{DirectoryStatus, SeedStatus};
+
 /// Time after the last message of a process, received by anyone, at which it is forgotten.
 const CONTACT_LIFETIME: Duration = Duration::from_secs(600);
 
@@ -56,6 +58,8 @@
     /// When any process last received a message of it.
     heard_at: Option<Instant>,
     asked_at: Option<Instant>,
+    /// When this process last received a message of it.
+    received_at: Option<Instant>,
 }
 
 /// Control processes that this one knows, by mesh address.
@@ -119,9 +123,16 @@
     /// Records a message of another control process.
     pub(crate) fn record_message(&mut self, now: Instant, contact: ControlContact) {
         self.merge(now, contact);
+        self.record_receipt(now, contact.mesh);
         self.evict(now);
     }
 
+    fn record_receipt(&mut self, now: Instant, addr: SocketAddr) {
+        if let Some(entry) = self.entries.get_mut(&addr) {
+            entry.received_at = Some(now);
+        }
+    }
+
     /// Records the answer of the process at `addr` to a request that was sent at `sent_at`.
     ///
     /// Ages in the answer count from then: a later time would make the others look more recent with each report that passes them
@@ -141,6 +152,7 @@
             ..report.own
         };
         self.merge(sent_at, own);
+        self.record_receipt(now, addr);
         for other in &report.others {
             let age = Duration::from_millis(other.age_ms);
             if let Some(heard_at) = sent_at.checked_sub(age)
@@ -336,6 +348,30 @@
         addrs
     }
 
+    /// Returns what is known of other processes, in numbers, and of each seed.
+    pub(crate) fn status(&self, now: Instant) -> DirectoryStatus {
+        let is_direct = |entry: &&Entry| entry.received_at.is_some();
+        let is_reported = |entry: &&Entry| entry.received_at.is_none() && entry.contact.is_some();
+        let seeds = self.seeds.iter().map(|addr| {
+            let entry = self.entries.get(addr).copied().unwrap_or_default();
+            SeedStatus {
+                addr: *addr,
+                silent_for: entry
+                    .received_at
+                    .map(|at| now.saturating_duration_since(at)),
+                holds_replica: entry.contact.map(|contact| contact.holds_replica),
+            }
+        });
+        DirectoryStatus {
+            replicas: self.replicas().len(),
+            direct: self.entries.values().filter(is_direct).count(),
+            reported: self.entries.values().filter(is_reported).count(),
+            membership: self.membership,
+            time_without_replica: self.time_without_replica(now),
+            seeds: seeds.collect(),
+        }
+    }
+
     /// Returns the voters of the newest membership that is known, and its index.
     pub(crate) fn membership(&self) -> (u64, &[ReplicaId]) {
         (self.membership, &self.voters)
--- a/laburnumlug-control/src/directory/mod.rs
+++ b/laburnumlug-control/src/directory/mod.rs
@@ -4,7 +4,9 @@
 mod contacts;
 mod serve;
 mod service;
+mod status;
 
 pub use self::serve::serve_directory;
 pub use self::service::DirectoryService;
 pub(crate) use self::service::Standing;
+pub use self::status::{DirectoryStatus, SeedStatus};
--- a/laburnumlug-control/src/directory/service.rs
+++ b/laburnumlug-control/src/directory/service.rs
@@ -17,6 +17,7 @@
 
 use super::bootstrap_grant::BootstrapGrant;
 use super::contacts::Contacts;
+use super::status::DirectoryStatus;
 
 /// Timeout for connecting to another process.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -36,6 +37,9 @@
 /// Time without a replica that is ready after which this is logged, and the interval between these lines.
 const WARNING_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Maximum number of replicas that a log line names.
+const MAX_LOGGED_ADDRS: usize = 16;
+
 /// Time without an answer after which a search asks all processes, beside the replicas that are known.
 const SEARCH_HEDGE_DELAY: Duration = Duration::from_millis(100);
 
@@ -113,7 +117,7 @@
             let missing_for = self.contacts.borrow().time_without_replica(now);
             match missing_for >= warn_after {
                 true => {
-                    self.warn_without_replica(missing_for);
+                    self.warn_without_replica(now);
                     warn_after = missing_for + WARNING_INTERVAL;
                 }
                 false if missing_for < WARNING_INTERVAL => warn_after = WARNING_INTERVAL,
@@ -127,19 +131,27 @@
         }
     }
 
-    fn warn_without_replica(&self, missing_for: Duration) {
+    fn warn_without_replica(&self, now: Instant) {
         let contacts = self.contacts.borrow();
-        let list = |addrs: Vec<SocketAddr>| {
-            let addrs = addrs.iter().map(ToString::to_string);
-            addrs.collect::<Vec<String>>().join(", ")
-        };
-        let (membership, _) = contacts.membership();
+        let status = contacts.status(now);
+        let seeds = status.seeds.iter().map(ToString::to_string);
+        let mut replicas = contacts.replicas();
+        replicas.truncate(MAX_LOGGED_ADDRS);
+        let replicas = replicas.iter().map(ToString::to_string);
         log::warn!(
-            replicas = list(contacts.replicas()).as_str(), asked = list(contacts.all()).as_str(), membership = membership;
-            "no control replica that can answer operators was found for {} s", missing_for.as_secs()
+            seeds = seeds.collect::<Vec<String>>().join(", ").as_str(),
+            replicas = replicas.collect::<Vec<String>>().join(", ").as_str(),
+            direct = status.direct, reported = status.reported, membership = status.membership;
+            "no control replica that can answer operators was found for {} s",
+            status.time_without_replica.as_secs()
         );
     }
 
+    /// Returns what this process knows of others.
+    pub fn status(&self, now: Instant) -> DirectoryStatus {
+        self.contacts.borrow().status(now)
+    }
+
     /// Adopts the membership in the log of this process's replica.
     pub(crate) fn adopt(&self, standing: &Standing) {
         let mut contacts = self.contacts.borrow_mut();
--- a/laburnumlug-control/src/lib.rs
+++ b/laburnumlug-control/src/lib.rs
@@ -46,12 +46,12 @@
 
 pub use crate::claims::CLAIM_RETENTION_MS;
 pub use crate::command::{Accepted, Command, FleetChange, FleetRefusal, Outcome};
-pub use crate::directory::{DirectoryService, serve_directory};
+pub use crate::directory::{DirectoryService, DirectoryStatus, SeedStatus, serve_directory};
 pub use crate::error::Error;
 pub use crate::intents::RoleRefusal;
 pub use crate::mesh::serve_mesh;
 pub use crate::operator::OperatorInterface;
-pub use crate::replica::{PeerReplica, Replica, ReplicaConfig};
+pub use crate::replica::{PeerReplica, Replica, ReplicaConfig, VoterContacts, VoterStatus};
 pub use crate::scaling::{LoggedOrder, ScalingTotals, ServerChange, ServerStatus};
 pub use crate::software::SoftwareChange;
 pub use crate::state::FleetSnapshot;
--- a/laburnumlug-control/src/operator/mod.rs
+++ b/laburnumlug-control/src/operator/mod.rs
@@ -159,6 +159,9 @@
     }
 
     fn status(&self) -> Response {
+        let now = Instant::now();
+        let voters = self.replica.voter_status(now);
+        let contacts = voters.contacts.as_ref();
         let fleet = self.replica.fleet();
         let voting_status = self.replica.voting_status();
         let (term, committed) = self.replica.term_and_commit_index();
@@ -169,13 +172,17 @@
                 "replica": voting_status.replica,
                 "is_voter": voting_status.verified,
                 "voters": voting_status.voters,
+                "voters_wanted": voters.wanted,
+                "voters_responsive": contacts.map(|contacts| contacts.responsive),
+                "voters_silent": contacts.map(|contacts| &contacts.silent),
+                "learners": contacts.map(|contacts| &contacts.learners),
                 "leader": self.replica.leader(),
                 "term": term,
                 "committed": committed,
                 "nodes": self.replica.nodes(),
                 "intents": self.replica.with_state(State::intents),
                 "orders": self.replica.orders(),
-                "duties": self.replica.duties_json(Instant::now()),
+                "duties": self.replica.duties_json(now),
             }),
         )
     }
--- a/laburnumlug-control/src/replica/bootstrap.rs
+++ b/laburnumlug-control/src/replica/bootstrap.rs
@@ -10,6 +10,7 @@
 use laburnumlug_mesh::ReplicaId;
 
 use super::core::Core;
+use super::voter_status::PeerAnswers;
 use super::{PeerReplica, Replica, backup};
 use crate::entry::Entry;
 use crate::entry::Payload;
@@ -107,6 +108,7 @@
                 _ => None,
             })
             .collect();
+        *self.peer_answers.borrow_mut() = PeerAnswers::new(&answers);
         let own_membership = self.core.borrow().log.membership().index;
         let memberships = answers.iter().map(|answer| &answer.membership);
         for membership in memberships.filter(|m| m.index >= own_membership) {
--- a/laburnumlug-control/src/replica/leadership.rs
+++ b/laburnumlug-control/src/replica/leadership.rs
@@ -77,7 +77,12 @@
     ///
     /// This replica itself always counts. A voter whose incarnation the leader does not know yet counts for the
     /// same time after the election.
-    fn has_recent_contact(&self, now: Instant, leadership: &Leadership, voter: &ReplicaId) -> bool {
+    pub(super) fn has_recent_contact(
+        &self,
+        now: Instant,
+        leadership: &Leadership,
+        voter: &ReplicaId,
+    ) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < LEADER_LEASE;
         match leadership.progress.get(&voter.name) {
             _ if *voter == self.meta.replica => true,
--- a/laburnumlug-control/src/replica/mod.rs
+++ b/laburnumlug-control/src/replica/mod.rs
@@ -19,6 +19,7 @@
 mod storage_tests;
 mod submit;
 mod targets;
+mod voter_status;
 mod writer;
 
 use std::cell::RefCell;
@@ -36,6 +37,8 @@
 use self::core::Core;
 use self::peers::KnownPeer;
 use self::targets::{GatewayContact, PublishedTargets};
+use self::voter_status::PeerAnswers;
+pub use self::voter_status::{VoterContacts, VoterStatus};
 use crate::command::Command;
 use crate::directory::DirectoryService;
 use crate::entry::Payload;
@@ -57,6 +60,8 @@
     core: RefCell<Core>,
     /// Known other replicas, from the settings, the membership and their own requests.
     peers: RefCell<Vec<KnownPeer>>,
+    /// Last answers of other replicas while this one is not a voter.
+    peer_answers: RefCell<PeerAnswers>,
     /// Directory of all control processes; `None` if the settings name all replicas.
     directory: Option<Rc<DirectoryService>>,
     /// Latest target list that this replica has read from the platform.
--- a/laburnumlug-daemon/src/control_metrics.rs
+++ b/laburnumlug-daemon/src/control_metrics.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use laburnumlug_control::{Replica, ScalingTotals, UsageTotals};
+use laburnumlug_control::{Replica, ScalingTotals, UsageTotals, VoterStatus};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Gauge;
 
@@ -15,6 +15,9 @@
     is_leader: Gauge<u64>,
     knows_leader: Gauge<u64>,
     is_voter: Gauge<u64>,
+    voters: Gauge<u64>,
+    voters_wanted: Gauge<u64>,
+    voters_responsive: Gauge<u64>,
     term: Gauge<u64>,
     committed: Gauge<u64>,
     fleet_version: Gauge<u64>,
@@ -155,6 +158,18 @@
                 "laburnumlug.control.is_voter",
                 "1 while this replica's vote counts, else 0",
             ),
+            voters: metrics.gauge(
+                "laburnumlug.control.voters",
+                "Number of voters in the newest membership that this replica holds",
+            ),
+            voters_wanted: metrics.gauge(
+                "laburnumlug.control.voters_wanted",
+                "Configured number of voters",
+            ),
+            voters_responsive: metrics.gauge(
+                "laburnumlug.control.voters_responsive",
+                "Number of voters that have answered recently while this replica leads, else 0",
+            ),
             term: metrics.gauge("laburnumlug.control.term", "Term of this replica"),
             committed: metrics.gauge(
                 "laburnumlug.control.committed",
@@ -167,6 +182,15 @@
         }
     }
 
+    fn refresh_voters(&self, status: &VoterStatus) {
+        let responsive = status.contacts.as_ref().map_or(0, |c| c.responsive);
+        self.voters.record(status.voters as u64, &[]);
+        self.voters_responsive.record(responsive as u64, &[]);
+        if let Some(wanted) = status.wanted {
+            self.voters_wanted.record(wanted as u64, &[]);
+        }
+    }
+
     /// Sets the gauges to the replica's state at `now`.
     pub(crate) fn refresh(&self, now: Instant) {
         let (term, committed) = self.replica.term_and_commit_index();
@@ -176,6 +200,7 @@
         self.knows_leader.record(u64::from(knows_leader), &[]);
         self.is_voter
             .record(u64::from(self.replica.voting_status().verified), &[]);
+        self.refresh_voters(&self.replica.voter_status(now));
         self.term.record(term, &[]);
         self.committed.record(committed, &[]);
         self.fleet_version.record(self.replica.fleet().version, &[]);
