Serve metrics and /health of a control process without a disk

Cause: such a process said nothing of whether it finds a replica, and did not serve the metrics that its settings name.

Change: it serves metrics where [metrics] listen is set: redirects, refusals, known replicas, processes known directly and by reports, the newest membership and the time without a replica that is ready. It answers GET /health itself, with 503 after 5 s without such a replica. All other paths are redirected as before.

--- a/laburnumlug-daemon/src/lib.rs
+++ b/laburnumlug-daemon/src/lib.rs
@@ -32,6 +32,7 @@
 mod metrics;
 mod ready_router;
 mod redirect;
+mod redirect_metrics;
 mod registration;
 mod role_planner;
 mod settings;
--- a/laburnumlug-daemon/src/redirect.rs
+++ b/laburnumlug-daemon/src/redirect.rs
@@ -2,14 +2,17 @@
 
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use laburnumlug_control::{DirectoryService, OperatorInterface, serve_directory};
-use laburnumlug_http::{Request, Response, Server, text_response};
+use laburnumlug_control::{DirectoryService, DirectoryStatus, OperatorInterface, serve_directory};
+use laburnumlug_http::{Request, Response, Server, json_response, text_response};
 use laburnumlug_mesh::ControlContact;
+use serde_json::json;
 
 use crate::error::Error;
 use crate::listener::bind;
+use crate::metrics::{self, Metrics};
+use crate::redirect_metrics::RedirectMetrics;
 use crate::settings::RedirectSettings;
 use crate::signal::Signals;
 use crate::{control, logging, settings_watch};
@@ -18,6 +21,9 @@
 /// suffice for the redirected call too.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time without a replica that is ready after which this process is not healthy.
+const UNHEALTHY_AFTER: Duration = Duration::from_secs(5);
+
 /// Runs the directory and redirects operators until the process is asked to stop.
 pub(crate) async fn run(
     settings: RedirectSettings,
@@ -33,11 +39,18 @@
     };
     let mesh_listener = bind(settings.listen).await?;
     let listener = bind(settings.operators).await?;
+    let metrics = Rc::new(Metrics::new()?);
+    let counters = Rc::new(RedirectMetrics::new(&metrics));
     let key = settings.mesh.key;
     let seeds = settings.mesh.control;
     let directory = DirectoryService::new(own, seeds, key.clone(), settings.may_bootstrap);
     compio::runtime::spawn(serve_directory(mesh_listener, key, directory.clone())).detach();
     compio::runtime::spawn(directory.clone().run()).detach();
+    let (refreshed, gauges) = (directory.clone(), counters.clone());
+    metrics::serve_with_refresh(settings.metrics, metrics, move || {
+        gauges.refresh(&refreshed.status(Instant::now()));
+    })
+    .await?;
     let reloaded = directory.clone();
     compio::runtime::spawn(settings_watch::run(
         path.clone(),
@@ -53,8 +66,13 @@
     let server = Server::new(listener, OperatorInterface::limits());
     let shutdown = server.shutdown_handle();
     let handler = Rc::new(move |req: Request| {
-        let directory = directory.clone();
-        async move { redirect_to_replica(&directory, &req).await }
+        let (directory, counters) = (directory.clone(), counters.clone());
+        async move {
+            match (req.method().as_str(), req.uri().path()) {
+                ("GET", "/health") => health(&directory.status(Instant::now())),
+                _ => redirect_to_replica(&directory, &counters, &req).await,
+            }
+        }
     });
     let server_task = compio::runtime::spawn(server.run(handler));
     log::info!(
@@ -67,11 +85,37 @@
     Ok(())
 }
 
+/// Returns the health of this process: status 503 if it has found no replica that is ready for [`UNHEALTHY_AFTER`].
+fn health(status: &DirectoryStatus) -> Response {
+    let (code, text) = match status.time_without_replica < UNHEALTHY_AFTER {
+        true => (200, "ok"),
+        false => (503, "no_replica"),
+    };
+    json_response(
+        code,
+        &json!({
+            "status": text,
+            "holds_replica": false,
+            "replicas": status.replicas,
+            "membership": status.membership,
+            "without_replica_ms": status.time_without_replica.as_millis() as u64,
+        }),
+    )
+}
+
 /// Returns a redirect to a replica that can answer now, or status 503 if there is none.
-async fn redirect_to_replica(directory: &Rc<DirectoryService>, req: &Request) -> Response {
+async fn redirect_to_replica(
+    directory: &Rc<DirectoryService>,
+    counters: &RedirectMetrics,
+    req: &Request,
+) -> Response {
     match directory.find_replica(SEARCH_TIMEOUT).await {
-        Some(replica) => redirect(req, replica),
+        Some(replica) => {
+            counters.count_redirect();
+            redirect(req, replica)
+        }
         None => {
+            counters.count_refusal();
             log::info!(path = req.uri().path(); "refused an operator with status 503: no control replica can answer");
             text_response(503, "no control replica can answer")
         }
--- a/laburnumlug-daemon/src/settings/redirect.rs
+++ b/laburnumlug-daemon/src/settings/redirect.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use super::common::{LOG, LogSettings, MESH, METRICS, MeshSettings, PROCESS, ProcessSettings};
+use super::common::{
+    LOG, LogSettings, MESH, METRICS, MeshSettings, PROCESS, ProcessSettings, read_metrics_addr,
+};
 use super::control::{CONTROL, parse_yes_or_no};
 use super::error::SettingsError;
 use super::reader::{Reader, parse_addr};
@@ -13,6 +15,7 @@
 pub(crate) struct RedirectSettings {
     pub(crate) process: ProcessSettings,
     pub(crate) log: LogSettings,
+    pub(crate) metrics: Option<SocketAddr>,
     /// Key of the mesh, and the seeds: control processes of which some may hold no replica either.
     pub(crate) mesh: MeshSettings,
     /// Address on which this process accepts mesh connections.
@@ -39,6 +42,7 @@
         Ok(Some(RedirectSettings {
             process: ProcessSettings::read(&reader)?,
             log: LogSettings::read(&reader)?,
+            metrics: read_metrics_addr(&reader)?,
             mesh: MeshSettings::read(&reader)?,
             listen: reader.required("control", "listen", "IP:PORT", parse_addr)?,
             operators: reader.required("control", "operators", "IP:PORT", parse_addr)?,
