Submit commands of entries and targets to replicas that were found

Cause: ControlClient tried the addresses of [mesh] control alone. Where none of them holds a replica, or all were replaced, its commands (reports of the version in force, claims, permissions to load weights) never reached one, although FleetWatch of the same process had found the voters.

Change: FleetWatch keeps its addresses in ControlAddrs, where each decision takes the time as an argument: seeds, voters and referred processes, at most 64 that are neither seed nor voter; one of these is dropped after 60 s without an answer (before, a handshake counted as an answer). ControlClient tries the replicas among them, those that have answered within 2 s first, and records a referral, which is an attempt that has not run. It no longer fails at once where no replica is known, but waits for one until its deadline.

A process keeps the number of its answers for 600 s after the last one. A replica that was dropped after 60 s and polled again got another number, so that its clock counted twice in the majority of clocks for up to 300 s; numbers were never used again, so that the list of answers grew without a bound.

--- a/laburnumlug-daemon/src/control_client.rs
+++ b/laburnumlug-daemon/src/control_client.rs
@@ -6,10 +6,10 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::Verdict;
-use laburnumlug_mesh::{ControlMessage, Message, NodeCommand, NodeOutcome, Pool};
+use laburnumlug_mesh::{ControlMessage, MeshKey, Message, NodeCommand, NodeOutcome, Pool};
 use rand::Rng;
 
-use crate::settings::MeshSettings;
+use crate::fleet_watch::FleetWatch;
 
 /// Timeout for opening a connection to a replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -26,10 +26,10 @@
 /// Client of the control replicas; its first attempt goes to the replica that answered last, initially to the nearest.
 pub(crate) struct ControlClient {
     pool: Pool,
-    /// Addresses of all replicas, nearest first.
-    replicas: Vec<SocketAddr>,
-    /// Index in `replicas` of the replica that last answered with an outcome, initially 0.
-    preferred_replica_index: Cell<usize>,
+    /// Finds the replicas.
+    fleet: FleetWatch,
+    /// Replica that last answered with an outcome.
+    preferred_replica: Cell<Option<SocketAddr>>,
 }
 
 /// Error of a command that is not known to be committed in the control log.
@@ -79,12 +79,12 @@
 impl std::error::Error for ControlError {}
 
 impl ControlClient {
-    /// Creates a client of the replicas in the settings.
-    pub(crate) fn new(mesh: &MeshSettings) -> ControlClient {
+    /// Creates a client of the replicas that `fleet` finds.
+    pub(crate) fn new(key: MeshKey, fleet: FleetWatch) -> ControlClient {
         ControlClient {
-            pool: Pool::new(mesh.key.clone(), CONNECT_TIMEOUT),
-            replicas: mesh.control.clone(),
-            preferred_replica_index: Cell::new(0),
+            pool: Pool::new(key, CONNECT_TIMEOUT),
+            fleet,
+            preferred_replica: Cell::default(),
         }
     }
 
@@ -94,8 +94,7 @@
     ///
     /// # Errors
     ///
-    /// Fails at the deadline, or at once if no replica is known. [`ControlError::verdict`] is the combined verdict of all
-    /// attempts.
+    /// Fails at the deadline. [`ControlError::verdict`] is the combined verdict of all attempts.
     pub(crate) async fn submit(
         &self,
         deadline: Instant,
@@ -103,16 +102,21 @@
     ) -> Result<NodeOutcome, ControlError> {
         let mut last_error = ControlError::not_run("the deadline has already passed");
         let mut max_delay = INITIAL_BACKOFF;
-        for attempt in 0.. {
-            let time_left = deadline.saturating_duration_since(Instant::now());
-            if time_left.is_zero() || self.replicas.is_empty() {
+        let mut tried = Vec::new();
+        loop {
+            let now = Instant::now();
+            let time_left = deadline.saturating_duration_since(now);
+            if time_left.is_zero() {
                 break;
             }
-            let replica_index =
-                (self.preferred_replica_index.get() + attempt) % self.replicas.len();
-            match self.attempt(replica_index, time_left, &command).await {
+            let replicas = self.fleet.replicas(now, self.preferred_replica.get());
+            let result = match next_replica(&replicas, &mut tried) {
+                Some(addr) => self.attempt(addr, time_left, &command).await,
+                None => Err(ControlError::not_run("no control replica has been found")),
+            };
+            match result {
                 Ok(outcome) => {
-                    self.preferred_replica_index.set(replica_index);
+                    self.preferred_replica.set(tried.last().copied());
                     return Ok(outcome);
                 }
                 Err(err) => {
@@ -130,14 +134,14 @@
         Err(last_error)
     }
 
-    /// Submits a command once, to the replica at index `replica_index`, within `time_left` and [`ATTEMPT_TIMEOUT`].
+    /// Submits a command once, to the replica at `addr`, within `time_left` and [`ATTEMPT_TIMEOUT`].
     async fn attempt(
         &self,
-        replica_index: usize,
+        addr: SocketAddr,
         time_left: Duration,
         command: &NodeCommand,
     ) -> Result<NodeOutcome, ControlError> {
-        let attempt = self.exchange(self.replicas[replica_index], command);
+        let attempt = self.exchange(addr, command);
         match laburnumlug_http::timeout(time_left.min(ATTEMPT_TIMEOUT), attempt).await {
             Ok(result) => result,
             Err(_) => Err(ControlError::may_have_run(
@@ -168,9 +172,37 @@
                 self.pool.put(addr, conn);
                 Err(ControlError { verdict, reason })
             }
+            Message::Control(ControlMessage::Referral { replicas }) => {
+                self.pool.put(addr, conn);
+                self.fleet.record_referral(addr, &replicas);
+                Err(ControlError::not_run(
+                    "the control process holds no replica",
+                ))
+            }
             other => Err(ControlError::may_have_run(format!(
                 "the control replica sent an unexpected answer {other:?}"
             ))),
         }
     }
 }
+
+/// Returns the first of `replicas` that was not tried in this round, and adds it to `tried`; once all were, another round begins
+/// with one that was not tried last, if there is one.
+fn next_replica(replicas: &[SocketAddr], tried: &mut Vec<SocketAddr>) -> Option<SocketAddr> {
+    let untried = replicas.iter().find(|addr| !tried.contains(addr));
+    let next = match untried {
+        Some(addr) => *addr,
+        None => {
+            let last = tried.last().copied();
+            tried.clear();
+            let other = replicas.iter().find(|addr| Some(**addr) != last);
+            *other.or(replicas.first())?
+        }
+    };
+    tried.push(next);
+    Some(next)
+}
+
+#[cfg(test)]
+#[path = "control_client_tests.rs"]
+mod tests;
--- a/laburnumlug-daemon/src/entry/mod.rs
+++ b/laburnumlug-daemon/src/entry/mod.rs
@@ -111,9 +111,11 @@
     let addr = settings.listen;
     let listener = bind(addr).await?;
     let limits = Limits::default().connections(settings.max_connections);
-    let control = Rc::new(ControlClient::new(&settings.mesh));
+    let fleet = FleetWatch::start(&settings.mesh);
+    let control = ControlClient::new(settings.mesh.key.clone(), fleet.clone());
+    let control = Rc::new(control);
     let entry = Rc::new(Entry {
-        fleet: FleetWatch::start(&settings.mesh),
+        fleet,
         control: control.clone(),
         pool: Pool::new(settings.mesh.key.clone(), CONNECT_TIMEOUT),
         loads: TargetLoads::default(),
--- /dev/null
+++ b/laburnumlug-daemon/src/fleet_watch/control_addrs.rs
@@ -0,0 +1,179 @@
+//! Addresses of the control processes that are polled, and which of them hold replicas.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Time without an answer after which a process is no longer polled, unless the settings name it or it is a voter.
+const MAX_SILENCE: Duration = Duration::from_secs(60);
+
+/// Maximum number of polled processes that are neither named by the settings nor voters.
+const MAX_LEARNED: usize = 64;
+
+/// Time after the last answer for which the number of a process is not assigned to another one; what was recorded under it,
+/// such as samples of its clock, is discarded earlier.
+const NUMBER_LIFETIME: Duration = Duration::from_secs(600);
+
+/// Age of the last answer up to which a replica is preferred to those that do not answer.
+const MAX_ANSWER_AGE: Duration = Duration::from_secs(2);
+
+/// A process to poll, and the number under which its answers are recorded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Poll {
+    pub(super) number: usize,
+    pub(super) addr: SocketAddr,
+}
+
+/// Control process at one address.
+#[derive(Clone, Copy, Debug)]
+struct Process {
+    addr: SocketAddr,
+    /// When it was added or has last answered.
+    heard_at: Instant,
+    /// Whether its last answer was that of a replica; `None` before the first answer.
+    holds_replica: Option<bool>,
+    is_polled: bool,
+}
+
+/// Control processes that the settings, replicas or referrals name. Time is an argument of each decision.
+#[derive(Debug, Default)]
+pub(super) struct ControlAddrs {
+    /// Addresses in the settings, nearest first.
+    seeds: Vec<SocketAddr>,
+    /// Index of the newest membership that a replica has reported.
+    membership: u64,
+    /// Addresses of its voters.
+    voters: Vec<SocketAddr>,
+    /// Processes by their numbers, including those that are no longer polled.
+    processes: Vec<Process>,
+}
+
+impl ControlAddrs {
+    /// Replaces the addresses of the settings, and returns the processes that are to be polled from now on.
+    pub(super) fn set_seeds(&mut self, now: Instant, seeds: &[SocketAddr]) -> Vec<Poll> {
+        self.seeds = seeds.to_vec();
+        self.add_all(now, seeds)
+    }
+
+    /// Records the voters of a membership, and returns the processes that are to be polled from now on.
+    ///
+    /// Voters of an older membership are polled too, as a newer one may have been logged without being committed.
+    pub(super) fn record_voters(
+        &mut self,
+        now: Instant,
+        membership: u64,
+        voters: &[SocketAddr],
+    ) -> Vec<Poll> {
+        if membership >= self.membership {
+            self.membership = membership;
+            self.voters = voters.to_vec();
+        }
+        self.add_all(now, voters)
+    }
+
+    /// Records that the process at `addr` holds no replica and named these, and returns the processes that are to be polled
+    /// from now on.
+    pub(super) fn record_referral(
+        &mut self,
+        now: Instant,
+        addr: SocketAddr,
+        replicas: &[SocketAddr],
+    ) -> Vec<Poll> {
+        self.record(now, addr, false);
+        self.add_all(now, replicas)
+    }
+
+    /// Records an answer of the replica at `addr`.
+    pub(super) fn record_answer(&mut self, now: Instant, addr: SocketAddr) {
+        self.record(now, addr, true);
+    }
+
+    /// Ends the polling of the process at `addr` if it has been silent for too long, and returns whether it has ended.
+    ///
+    /// Processes that the settings name and voters are always polled; another one may have ended for good.
+    pub(super) fn end_if_silent(&mut self, now: Instant, addr: SocketAddr) -> bool {
+        let is_named = self.is_named(addr);
+        let Some(process) = self.processes.iter_mut().find(|p| p.addr == addr) else {
+            return true;
+        };
+        let silent_for = now.saturating_duration_since(process.heard_at);
+        if is_named || silent_for < MAX_SILENCE {
+            return false;
+        }
+        process.is_polled = false;
+        process.holds_replica = None;
+        true
+    }
+
+    /// Returns the addresses of the polled processes that may hold a replica, in the order in which they are tried: those that
+    /// have answered recently first, `preferred` first among these, and further the settings' order.
+    pub(super) fn replicas(&self, now: Instant, preferred: Option<SocketAddr>) -> Vec<SocketAddr> {
+        let polled = self.processes.iter().filter(|p| p.is_polled);
+        let mut replicas: Vec<&Process> =
+            polled.filter(|p| p.holds_replica != Some(false)).collect();
+        replicas.sort_by_key(|process| {
+            let has_answered = process.holds_replica == Some(true)
+                && now.saturating_duration_since(process.heard_at) <= MAX_ANSWER_AGE;
+            let position = self.seeds.iter().position(|seed| *seed == process.addr);
+            (
+                !has_answered,
+                preferred != Some(process.addr),
+                position.unwrap_or(usize::MAX),
+                !self.voters.contains(&process.addr),
+            )
+        });
+        replicas.iter().map(|process| process.addr).collect()
+    }
+
+    fn record(&mut self, now: Instant, addr: SocketAddr, holds_replica: bool) {
+        if let Some(process) = self.processes.iter_mut().find(|p| p.addr == addr) {
+            process.heard_at = now;
+            process.holds_replica = Some(holds_replica);
+        }
+    }
+
+    fn is_named(&self, addr: SocketAddr) -> bool {
+        self.seeds.contains(&addr) || self.voters.contains(&addr)
+    }
+
+    fn add_all(&mut self, now: Instant, addrs: &[SocketAddr]) -> Vec<Poll> {
+        let added = addrs.iter().filter_map(|addr| self.add(now, *addr));
+        added.collect()
+    }
+
+    /// Adds a process, unless it is already polled or there are too many.
+    fn add(&mut self, now: Instant, addr: SocketAddr) -> Option<Poll> {
+        let known = self.processes.iter().position(|p| p.addr == addr);
+        if known.is_some_and(|number| self.processes[number].is_polled) {
+            return None;
+        }
+        let learned = self.processes.iter().filter(|p| p.is_polled);
+        let learned = learned.filter(|p| !self.is_named(p.addr)).count();
+        if learned >= MAX_LEARNED && !self.is_named(addr) {
+            return None;
+        }
+        let process = Process {
+            addr,
+            heard_at: now,
+            holds_replica: None,
+            is_polled: true,
+        };
+        let is_free = |p: &Process| {
+            !p.is_polled && now.saturating_duration_since(p.heard_at) >= NUMBER_LIFETIME
+        };
+        match known.or_else(|| self.processes.iter().position(is_free)) {
+            Some(number) => {
+                self.processes[number] = process;
+                Some(Poll { number, addr })
+            }
+            None => {
+                self.processes.push(process);
+                let number = self.processes.len() - 1;
+                Some(Poll { number, addr })
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "control_addrs_tests.rs"]
+mod tests;
--- a/laburnumlug-daemon/src/fleet_watch/mod.rs
+++ b/laburnumlug-daemon/src/fleet_watch/mod.rs
@@ -1,6 +1,8 @@
 //! A process's view of the fleet document, polled from the control replicas and confirmed against a majority of them.
 
+mod control_addrs;
 mod poll;
+mod view;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -8,15 +10,17 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{
-    BootTime, DemandReport, FleetDocument, FleetVersion, ListedGateway, QuorumConfirmation,
-    ReadTime, Service, SoftwareRecord, Target, TargetList, VotingStatus,
+    BootTime, DemandReport, FleetVersion, ListedGateway, QuorumConfirmation, ReadTime,
+    SoftwareRecord, TargetList, VotingStatus,
 };
 use laburnumlug_forward::PendingUsageReport;
 use laburnumlug_mesh::TargetsReport;
 use laburnumlug_operator::parse_document;
 use laburnumlug_policy::ChangeNumber;
 
+use self::control_addrs::{ControlAddrs, Poll};
 use self::poll::{FleetAnswer, poll_replica};
+pub(crate) use self::view::FleetView;
 use crate::settings::MeshSettings;
 
 /// Interval between polls of one replica.
@@ -40,9 +44,6 @@
 /// Delay after which the document is also requested from another replica, in case the first one has stopped responding.
 const FETCH_HEDGE_DELAY: Duration = Duration::from_millis(500);
 
-/// Time without an answer after which a process is no longer polled, unless the settings name it or it is a voter.
-const MAX_SILENCE: Duration = Duration::from_secs(60);
-
 /// Interval between polls of a process without a replica while a majority confirms the view.
 const REFERRAL_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -52,39 +53,6 @@
 /// Maximum age of the list of live targets before every replica is asked for a newer one.
 const MAX_TARGETS_AGE: Duration = Duration::from_millis(1500);
 
-/// One version of the fleet document.
-#[derive(Clone)]
-pub(crate) struct FleetView {
-    pub(crate) version: FleetVersion,
-    pub(crate) document: Rc<FleetDocument>,
-}
-
-impl FleetView {
-    /// Returns the service named `name`.
-    pub(crate) fn service(&self, name: &str) -> Option<&Service> {
-        self.document
-            .services
-            .iter()
-            .find(|service| service.name == name)
-    }
-
-    /// Returns the engine service that serves a model.
-    pub(crate) fn service_for_model(&self, model: &str) -> Option<&Service> {
-        self.document
-            .services
-            .iter()
-            .find(|service| service.models.iter().any(|m| m == model))
-    }
-
-    /// Returns the target named `name`.
-    pub(crate) fn target(&self, name: &str) -> Option<&Target> {
-        self.document
-            .targets
-            .iter()
-            .find(|target| target.name == name)
-    }
-}
-
 struct WatchState {
     started_at: Instant,
     view: Option<FleetView>,
@@ -95,14 +63,8 @@
     last_confirmed_at: Option<ReadTime>,
     /// Start of the pending document request to one replica; the other replicas are asked only for the version.
     fetching_since: Option<Instant>,
-    /// Addresses that the settings name.
-    seeds: Vec<SocketAddr>,
-    /// Addresses of the voters of the newest membership that a replica has reported, and its index.
-    voters: (u64, Vec<SocketAddr>),
-    /// Addresses of the processes that are polled.
-    polled: Vec<SocketAddr>,
-    /// Number of processes that were ever polled, which numbers their answers.
-    polled_count: usize,
+    /// Control processes that are polled.
+    addrs: ControlAddrs,
     /// Digest of the latest list of live targets; a replica whose list has the same digest does not send it again.
     targets_digest: u64,
     targets_read_at: Option<Instant>,
@@ -162,10 +124,7 @@
             confirmation: QuorumConfirmation::new(replicas),
             last_confirmed_at: None,
             fetching_since: None,
-            seeds: Vec::new(),
-            voters: (0, Vec::new()),
-            polled: Vec::new(),
-            polled_count: 0,
+            addrs: ControlAddrs::default(),
             targets_digest: 0,
             targets_read_at: None,
             gateways: 1,
@@ -186,13 +145,6 @@
         self.view.as_ref().map_or(0, |view| view.version)
     }
 
-    /// Returns whether the control process at `addr` is still polled, `silent_for` after its last answer.
-    ///
-    /// Processes that the settings name and voters always are; another one may have ended for good.
-    fn is_polled(&self, addr: SocketAddr, silent_for: Duration) -> bool {
-        silent_for < MAX_SILENCE || self.seeds.contains(&addr) || self.voters.1.contains(&addr)
-    }
-
     /// Returns whether a majority has confirmed the view recently.
     fn is_confirmed(&self, now: Instant) -> bool {
         let is_recent =
@@ -250,20 +202,35 @@
 
     /// Replaces the addresses that the settings name, and starts polling the new ones.
     pub(crate) fn set_seeds(&self, seeds: &[SocketAddr]) {
-        self.state.borrow_mut().seeds = seeds.to_vec();
-        self.poll_all(seeds);
+        let added = self
+            .state
+            .borrow_mut()
+            .addrs
+            .set_seeds(Instant::now(), seeds);
+        self.start_polls(added);
     }
 
-    /// Starts polling the control processes at these addresses, unless they are already being polled.
-    fn poll_all(&self, addrs: &[SocketAddr]) {
-        let mut state = self.state.borrow_mut();
-        for addr in addrs {
-            if !state.polled.contains(addr) {
-                let replica = state.polled_count;
-                state.polled_count += 1;
-                state.polled.push(*addr);
-                compio::runtime::spawn(poll_replica(self.clone(), replica, *addr)).detach();
-            }
+    /// Records that the control process at `addr` holds no replica, and starts polling the ones that it named.
+    pub(crate) fn record_referral(&self, addr: SocketAddr, replicas: &[SocketAddr]) {
+        let now = Instant::now();
+        let added = self
+            .state
+            .borrow_mut()
+            .addrs
+            .record_referral(now, addr, replicas);
+        self.start_polls(added);
+    }
+
+    /// Returns the addresses of the control processes that may hold a replica, in the order in which they are tried.
+    ///
+    /// Those that have answered recently are first, `preferred` first among these.
+    pub(crate) fn replicas(&self, now: Instant, preferred: Option<SocketAddr>) -> Vec<SocketAddr> {
+        self.state.borrow().addrs.replicas(now, preferred)
+    }
+
+    fn start_polls(&self, polls: Vec<Poll>) {
+        for poll in polls {
+            compio::runtime::spawn(poll_replica(self.clone(), poll)).detach();
         }
     }
 
@@ -278,27 +245,28 @@
         }
     }
 
-    /// Forgets a process that has been silent for so long that it has ended; returns whether it has.
-    fn forget_if_silent(&self, replica: usize, addr: SocketAddr, silent_for: Duration) -> bool {
+    /// Records an answer of the replica at `addr`, and starts polling the voters that are named by their addresses.
+    fn record_answer(&self, addr: SocketAddr, voting_status: &VotingStatus) {
+        let now = Instant::now();
+        let voters = voting_status.voters.iter();
+        let voters: Vec<SocketAddr> = voters.filter_map(|voter| voter.name.parse().ok()).collect();
         let mut state = self.state.borrow_mut();
-        if state.is_polled(addr, silent_for) {
-            return false;
-        }
-        state.polled.retain(|polled| *polled != addr);
-        state.confirmation.remove_answer(replica);
-        log::info!("no longer polling control process {addr}, which does not answer");
-        true
+        state.addrs.record_answer(now, addr);
+        let added = state
+            .addrs
+            .record_voters(now, voting_status.membership, &voters);
+        drop(state);
+        self.start_polls(added);
     }
 
-    /// Starts polling the voters that a replica reports and that are named by their addresses.
-    fn add_voters(&self, voting_status: &VotingStatus) {
-        let voters = voting_status.voters.iter();
-        let addrs: Vec<SocketAddr> = voters.filter_map(|voter| voter.name.parse().ok()).collect();
-        self.poll_all(&addrs);
+    /// Returns whether the polling of a process ends, as it is silent; removes its answers then.
+    fn end_if_silent(&self, poll: Poll) -> bool {
         let mut state = self.state.borrow_mut();
-        if voting_status.membership >= state.voters.0 {
-            state.voters = (voting_status.membership, addrs);
+        let ends = state.addrs.end_if_silent(Instant::now(), poll.addr);
+        if ends {
+            state.confirmation.remove_answer(poll.number);
         }
+        ends
     }
 
     /// Returns the view if a majority of the control replicas has confirmed it recently enough to act on it.
@@ -399,5 +367,7 @@
     }
 }
 
+#[cfg(test)]
+mod referral_tests;
 #[cfg(test)]
 mod tests;
--- a/laburnumlug-daemon/src/fleet_watch/poll.rs
+++ b/laburnumlug-daemon/src/fleet_watch/poll.rs
@@ -8,6 +8,7 @@
     CompressedText, Connection, ControlMessage, Message, TargetsReport, VotingStatus,
 };
 
+use super::control_addrs::Poll;
 use super::{FleetWatch, REFERRAL_INTERVAL, apply_fleet_answer, apply_targets_report};
 
 /// Timeout for one answer of a replica, or for its next bytes where it may contain a document.
@@ -21,23 +22,23 @@
 const DOCUMENT_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Polls one control process, reconnecting after failures, until it has ended for good.
-pub(super) async fn poll_replica(watch: FleetWatch, replica: usize, addr: SocketAddr) {
+pub(super) async fn poll_replica(watch: FleetWatch, poll: Poll) {
+    let addr = poll.addr;
     let mut timeout = FIRST_CONNECT_TIMEOUT;
-    let mut answered_at = Instant::now();
     loop {
         let connecting_at = Instant::now();
         match Connection::connect(addr, &watch.mesh.key, timeout).await {
             Ok(conn) => {
                 timeout = FIRST_CONNECT_TIMEOUT;
-                poll_connection(&watch, replica, conn).await;
-                answered_at = Instant::now();
+                poll_connection(&watch, poll, conn).await;
             }
             Err(err) => {
                 timeout = (timeout * 2).min(ANSWER_TIMEOUT);
                 log::debug!("failed to connect to control replica {addr}: {err}");
             }
         }
-        if watch.forget_if_silent(replica, addr, answered_at.elapsed()) {
+        if watch.end_if_silent(poll) {
+            log::info!(replica = addr.to_string().as_str(); "no longer polling a control process that does not answer");
             return;
         }
         // An attempt that has waited for its timeout is repeated at once, as the path may be back by now.
@@ -48,7 +49,7 @@
 }
 
 /// Polls one control process over a connection until an exchange fails or times out.
-async fn poll_connection(watch: &FleetWatch, replica: usize, mut conn: Connection) {
+async fn poll_connection(watch: &FleetWatch, poll: Poll, mut conn: Connection) {
     let state = &*watch.state;
     let mut reports_targets = false;
     let mut targets_requested_at: Option<Instant> = None;
@@ -82,7 +83,7 @@
         match answer {
             Ok(Some(FleetReply::Referral(replicas))) => {
                 holds_replica = false;
-                watch.poll_all(&replicas);
+                watch.record_referral(poll.addr, &replicas);
                 let is_confirmed = state.borrow().is_confirmed(Instant::now());
                 let interval = match is_confirmed {
                     true => REFERRAL_INTERVAL,
@@ -93,16 +94,16 @@
             }
             Ok(Some(FleetReply::Answer(answer))) => {
                 holds_replica = true;
-                watch.add_voters(&answer.voting_status);
+                watch.record_answer(poll.addr, &answer.voting_status);
                 if let (Some(observer), Some(usage)) = (&observer, &usage) {
                     acknowledged_usage = usage.last_change;
                     if let Some(time_ms) = answer.time_ms {
                         let voters = answer.voting_status.voters.len();
                         let unix_time = Duration::from_millis(time_ms);
-                        observer.usage_acknowledged(replica, usage, unix_time, voters);
+                        observer.usage_acknowledged(poll.number, usage, unix_time, voters);
                     }
                 }
-                apply_fleet_answer(&mut state.borrow_mut(), replica, requested_at, answer);
+                apply_fleet_answer(&mut state.borrow_mut(), poll.number, requested_at, answer);
             }
             _ => return,
         }
--- a/laburnumlug-daemon/src/lib.rs
+++ b/laburnumlug-daemon/src/lib.rs
@@ -20,6 +20,8 @@
 mod duties;
 mod entry;
 mod error;
+#[cfg(test)]
+mod fake_control;
 mod fleet_store;
 mod fleet_watch;
 mod gateway;
--- a/laburnumlug-daemon/src/target/mod.rs
+++ b/laburnumlug-daemon/src/target/mod.rs
@@ -103,9 +103,11 @@
         BackendKind::Engine => Backend::Engine(EngineClient::new(settings.backend_addr)),
         BackendKind::Service => Backend::Service(ServiceClient::new(settings.backend_addr)),
     };
-    let control = Rc::new(ControlClient::new(&settings.mesh));
+    let fleet = FleetWatch::start(&settings.mesh);
+    let control = ControlClient::new(settings.mesh.key.clone(), fleet.clone());
+    let control = Rc::new(control);
     let process = Rc::new(TargetProcess {
-        fleet: FleetWatch::start(&settings.mesh),
+        fleet,
         backend,
         at_most_once: AtMostOnce::new(control.clone()),
         metrics,
