Read intents from replicas that were found

Cause: IntentClient asked the addresses of [mesh] control alone, and counted no answer of a process without a replica. A target whose settings name such processes, or replicas that were all replaced, never got an order.

Change: each read asks the replicas that FleetWatch of the process has found.

--- a/laburnumlug-daemon/src/target/intent_client.rs
+++ b/laburnumlug-daemon/src/target/intent_client.rs
@@ -8,7 +8,7 @@
 use laburnumlug::{FencingToken, QuorumConfirmation, TargetName};
 use laburnumlug_mesh::{Connection, ControlMessage, Intent, MeshKey, Message, VotingStatus};
 
-use crate::settings::MeshSettings;
+use crate::fleet_watch::FleetWatch;
 
 /// Timeout for the answer of one replica.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -34,6 +34,9 @@
 /// Reads one target's intent from the control replicas.
 pub(super) struct IntentClient {
     target: TargetName,
+    key: MeshKey,
+    /// Finds the replicas.
+    fleet: FleetWatch,
     replicas: Vec<ReplicaClient>,
     view: IntentView,
 }
@@ -65,25 +68,39 @@
 }
 
 impl IntentClient {
-    pub(super) fn new(mesh: &MeshSettings, target: &str) -> IntentClient {
-        let replicas = mesh.control.iter().map(|addr| ReplicaClient {
-            addr: *addr,
-            key: mesh.key.clone(),
-            conn: None,
-        });
+    pub(super) fn new(key: MeshKey, fleet: FleetWatch, target: &str) -> IntentClient {
         IntentClient {
             target: target.to_string(),
-            replicas: replicas.collect(),
+            key,
+            fleet,
+            replicas: Vec::new(),
             view: IntentView::default(),
         }
     }
 
+    /// Adopts the replicas that were found; the connections to those that are still among them are kept.
+    fn update_replicas(&mut self, found: &[SocketAddr]) {
+        self.replicas
+            .retain(|replica| found.contains(&replica.addr));
+        for addr in found {
+            if self.replicas.iter().all(|replica| replica.addr != *addr) {
+                self.replicas.push(ReplicaClient {
+                    addr: *addr,
+                    key: self.key.clone(),
+                    conn: None,
+                });
+            }
+        }
+    }
+
     /// Returns the newest intent, or `None` if no majority confirms that it is the newest.
     ///
     /// Every call queries all replicas: a committed change is in the logs of a majority, so at least one answer of any
     /// majority includes it, whether or not a replica believes itself to be the leader.
     pub(super) async fn fetch_confirmed(&mut self) -> Option<ConfirmedIntent> {
         let requested_at = Instant::now();
+        let found = self.fleet.replicas(requested_at, None);
+        self.update_replicas(&found);
         let known = self.view.generation();
         let target = &self.target;
         let mut confirmation = QuorumConfirmation::new(self.replicas.len());
@@ -175,51 +192,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use laburnumlug::{Role, TargetState};
-    use quickcheck::quickcheck;
-
-    use super::*;
-
-    fn intent(generation: FencingToken) -> Intent {
-        Intent {
-            generation,
-            service: "skriver".into(),
-            role: Role::Mixed,
-            models: Vec::new(),
-            adapters: Vec::new(),
-            state: TargetState::Serving,
-        }
-    }
-
-    #[test]
-    fn permits_order_after_freeze() {
-        let requested_at = Instant::now();
-        let intent = intent(1);
-        let confirmed = ConfirmedIntent {
-            intent,
-            requested_at,
-        };
-        assert!(confirmed.permits_order(requested_at + MAX_CONFIRMATION_AGE));
-        let resumed_at = requested_at + MAX_CONFIRMATION_AGE + Duration::from_millis(1);
-        assert!(!confirmed.permits_order(resumed_at));
-    }
-
-    quickcheck! {
-        /// Answers of lagging replicas, in any order, never replace a newer intent by an older one.
-        fn merge_is_monotone(answers: Vec<(u8, bool)>) -> bool {
-            let mut view = IntentView::default();
-            for (applied_change, omitted) in answers {
-                let before = (view.applied_change, view.generation());
-                let applied_change = u64::from(applied_change);
-                // Every third change has a new generation of this target's intent.
-                view.merge(applied_change, (!omitted).then(|| intent(applied_change / 3)));
-                let after = (view.applied_change, view.generation());
-                if after.0 < before.0 || after.1 < before.1 {
-                    return false;
-                }
-            }
-            true
-        }
-    }
-}
+#[path = "intent_client_tests.rs"]
+mod tests;
--- a/laburnumlug-daemon/src/target/orders.rs
+++ b/laburnumlug-daemon/src/target/orders.rs
@@ -93,7 +93,8 @@
         return process.reconfiguring.set(false);
     };
     let name = &process.settings.name;
-    let mut intent_client = IntentClient::new(&process.settings.mesh, name);
+    let key = process.settings.mesh.key.clone();
+    let mut intent_client = IntentClient::new(key, process.fleet.clone(), name);
     let reconciler = Reconciler {
         process: &process,
         engine,
