Follow redirects of control processes in the command line

Cause: a control process without a replica answers operators with 307, which the command line reported as a refusal ("status 307").

Change: all commands for operators follow up to two redirects to http://IP:PORT; others are not followed, as the request carries the operator's token. A redirect has not run the request, so a change that was only redirected is reported as not made. `status` shows a replica once, although several processes redirect to it.

--- a/laburnumlug-cli/src/exchange.rs
+++ b/laburnumlug-cli/src/exchange.rs
@@ -18,6 +18,9 @@
 /// Timeout from opening the connection to the end of the response; it does not apply to streamed responses.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Maximum number of redirects that are followed.
+const MAX_REDIRECTS: usize = 2;
+
 /// Maximum size of a response body, in bytes; a longer one fails the exchange.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
@@ -76,11 +79,40 @@
         Ok(response.map_err(|err| ExchangeError::new(addr, &err)))
     }
 
-    /// Sends the request and waits for the complete response.
+    /// Sends the request to a control process, follows redirects, and returns the response with the address that it came from.
+    ///
+    /// A control process that redirects a request has not run it, and each address gets the request once.
     pub(crate) async fn send(
         &self,
         addr: SocketAddr,
-    ) -> Result<Result<Response, ExchangeError>, Failure> {
+    ) -> Result<Result<(SocketAddr, Response), ExchangeError>, Failure> {
+        let (mut req, mut addr) = (self.clone(), addr);
+        for _ in 0..=MAX_REDIRECTS {
+            let response = match req.exchange(addr).await? {
+                Ok(response) => response,
+                Err(err) => return Ok(Err(err)),
+            };
+            match response.status {
+                307 => match response.location.as_deref().and_then(parse_location) {
+                    Some((redirected_addr, path)) => {
+                        addr = redirected_addr;
+                        req.path = path;
+                    }
+                    None => {
+                        let message =
+                            format!("{addr}: redirect without an address of the form IP:PORT");
+                        return Ok(Err(ExchangeError::not_run(message)));
+                    }
+                },
+                _ => return Ok(Ok((addr, response))),
+            }
+        }
+        let message = format!("redirected more than {MAX_REDIRECTS} times, last to {addr}");
+        Ok(Err(ExchangeError::not_run(message)))
+    }
+
+    /// Sends the request and waits for the complete response.
+    async fn exchange(&self, addr: SocketAddr) -> Result<Result<Response, ExchangeError>, Failure> {
         let exchange = async {
             let mut response = match self.send_streaming(addr).await? {
                 Ok(response) => response,
@@ -104,6 +136,18 @@
     }
 }
 
+/// Returns the address and the path of a redirect to `http://IP:PORT/path`.
+fn parse_location(location: &str) -> Option<(SocketAddr, String)> {
+    let uri: hyper::Uri = location.parse().ok()?;
+    match uri.scheme_str() {
+        Some("http") => Some((
+            uri.authority()?.as_str().parse().ok()?,
+            uri.path_and_query()?.to_string(),
+        )),
+        _ => None,
+    }
+}
+
 /// An exchange that ended without a complete response.
 #[derive(Debug)]
 pub(crate) struct ExchangeError {
@@ -113,6 +157,13 @@
 }
 
 impl ExchangeError {
+    fn not_run(message: String) -> ExchangeError {
+        ExchangeError {
+            message,
+            verdict: Verdict::NotRun,
+        }
+    }
+
     fn new(addr: SocketAddr, err: &laburnumlug_http::Error) -> ExchangeError {
         ExchangeError {
             message: format!("{addr}: {err}"),
@@ -129,15 +180,18 @@
 pub(crate) struct Response {
     pub(crate) status: u16,
     pub(crate) etag: Option<String>,
+    /// Where a redirect leads.
+    location: Option<String>,
     pub(crate) body: String,
 }
 
 impl Response {
     fn new(response: &ClientResponse, body: &[u8]) -> Response {
-        let etag = response.headers().get("etag");
+        let header = |name| response.headers().get(name)?.to_str().ok();
         Response {
             status: response.status(),
-            etag: etag.and_then(|value| Some(value.to_str().ok()?.trim_matches('"').to_string())),
+            etag: header("etag").map(|etag| etag.trim_matches('"').to_string()),
+            location: header("location").map(str::to_string),
             body: String::from_utf8_lossy(body).into_owned(),
         }
     }
--- a/laburnumlug-cli/src/operator_client.rs
+++ b/laburnumlug-cli/src/operator_client.rs
@@ -38,7 +38,7 @@
     pub(crate) status: Result<Value, String>,
 }
 
-/// Client of the control replicas, any of which can answer a request.
+/// Client of the control replicas, any of which can answer a request. Processes without a replica redirect to one that can.
 pub(crate) struct OperatorClient {
     control_addrs: Vec<SocketAddr>,
     token: String,
@@ -91,20 +91,24 @@
     }
 
     /// Returns the status of each replica, or why it could not be obtained; fails if a replica refuses the request.
+    ///
+    /// An address of a process without a replica gives the status of the replica to which the process redirects.
     pub(crate) async fn statuses(&self) -> Result<Vec<ReplicaStatus>> {
-        let mut statuses = Vec::new();
+        let mut statuses: Vec<ReplicaStatus> = Vec::new();
         for addr in &self.control_addrs {
             let request = self.authorized(Request::new("GET", "/status"));
-            let status = match request.send(*addr).await? {
-                Ok(response) if response.status == 200 => Ok(response.json()),
-                Ok(response) if response.status < 500 => return Err(refusal(&response).into()),
-                Ok(response) => Err(response.message()),
-                Err(err) => Err(err.message),
+            let (addr, status) = match request.send(*addr).await? {
+                Ok((addr, response)) if response.status == 200 => (addr, Ok(response.json())),
+                Ok((_, response)) if response.status < 500 => {
+                    return Err(refusal(&response).into());
+                }
+                Ok((addr, response)) => (addr, Err(response.message())),
+                Err(err) => (*addr, Err(err.message)),
             };
-            statuses.push(ReplicaStatus {
-                addr: *addr,
-                status,
-            });
+            // Several processes may redirect to one replica.
+            if statuses.iter().all(|known| known.addr != addr) {
+                statuses.push(ReplicaStatus { addr, status });
+            }
         }
         Ok(statuses)
     }
@@ -136,8 +140,10 @@
             }
             for addr in &self.control_addrs {
                 match self.authorized(request.clone()).send(*addr).await? {
-                    Ok(response) if response.status < 500 => return put_outcome(&response, base),
-                    Ok(response) => {
+                    Ok((_, response)) if response.status < 500 => {
+                        return put_outcome(&response, base);
+                    }
+                    Ok((addr, response)) => {
                         verdict = verdict.combine(response.verdict());
                         reason = format!("{addr}: {}", response.message());
                     }
@@ -162,8 +168,8 @@
         let mut reasons = Vec::new();
         for addr in &self.control_addrs {
             match self.authorized(request.clone()).send(*addr).await? {
-                Ok(response) if response.status < 500 => return Ok(response),
-                Ok(response) => reasons.push(format!("{addr}: {}", response.message())),
+                Ok((_, response)) if response.status < 500 => return Ok(response),
+                Ok((addr, response)) => reasons.push(format!("{addr}: {}", response.message())),
                 Err(err) => reasons.push(err.message),
             }
         }
