Test entries and the command line at processes without a replica

Cause: no test had an entry or an operator's command that knows only control processes without a replica.

--- a/laburnumlug-daemon/tests/it/cli.rs
+++ b/laburnumlug-daemon/tests/it/cli.rs
@@ -9,14 +9,14 @@
 
 use crate::harness::{Fleet, FleetConfig, block_on, wait_for};
 
-struct CliOutput {
-    code: Option<i32>,
-    stdout: String,
-    stderr: String,
+pub struct CliOutput {
+    pub code: Option<i32>,
+    pub stdout: String,
+    pub stderr: String,
 }
 
 impl CliOutput {
-    fn json(&self) -> Value {
+    pub fn json(&self) -> Value {
         serde_json::from_str(&self.stdout).unwrap()
     }
 }
@@ -54,7 +54,8 @@
     }
 }
 
-async fn cli(control: &str, args: &[&str]) -> CliOutput {
+/// Runs a command at the control processes in `control`.
+pub async fn cli(control: &str, args: &[&str]) -> CliOutput {
     finish_cli(start_cli(control, args)).await
 }
 
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod control;
 mod control_discovery;
 mod control_fleet;
+mod control_referral;
 mod customers;
 mod end_to_end;
 mod frozen_control;
