Report control replicas to gateways that have been restarted

Cause: a gateway that was restarted with seeds that are all lost found no control replica, although other gateways, which keep connecting to a listed gateway for 5 s after its last request to control, know the replicas.

Change: the first message between gateways names up to 16 replicas that have answered its sender within 2 s, in an optional field that the version before ignores and leaves out. A gateway whose view no majority confirms polls them. Such a gateway is not reached where it is not listed any longer, or where all are restarted at once; it waits for changed settings then, as before.

--- a/laburnumlug-daemon/src/fleet_watch/control_addrs.rs
+++ b/laburnumlug-daemon/src/fleet_watch/control_addrs.rs
@@ -9,6 +9,9 @@
 /// Maximum number of polled processes that are neither named by the settings nor voters.
 const MAX_LEARNED: usize = 64;
 
+/// Maximum number of replicas that one gateway reports to another.
+const MAX_REPORTED: usize = 16;
+
 /// Time after the last answer for which the number of a process is not assigned to another one; what was recorded under it,
 /// such as samples of its clock, is discarded earlier.
 const NUMBER_LIFETIME: Duration = Duration::from_secs(600);
@@ -34,7 +37,15 @@
     is_polled: bool,
 }
 
-/// Control processes that the settings, replicas or referrals name. Time is an argument of each decision.
+impl Process {
+    /// Returns whether the process has recently answered as a replica.
+    fn has_answered(&self, now: Instant) -> bool {
+        self.holds_replica == Some(true)
+            && now.saturating_duration_since(self.heard_at) <= MAX_ANSWER_AGE
+    }
+}
+
+/// Control processes that the settings, replicas, referrals or other gateways name. Time is an argument of each decision.
 #[derive(Debug, Default)]
 pub(super) struct ControlAddrs {
     /// Addresses in the settings, nearest first.
@@ -82,6 +93,19 @@
         self.add_all(now, replicas)
     }
 
+    /// Records that another gateway named these replicas, and returns the processes that are to be polled from now on.
+    pub(super) fn record_reported(&mut self, now: Instant, replicas: &[SocketAddr]) -> Vec<Poll> {
+        let count = replicas.len().min(MAX_REPORTED);
+        self.add_all(now, &replicas[..count])
+    }
+
+    /// Returns the replicas that have answered recently, at most as many as one gateway reports to another.
+    pub(super) fn answering(&self, now: Instant) -> Vec<SocketAddr> {
+        let polled = self.processes.iter().filter(|p| p.is_polled);
+        let answering = polled.filter(|p| p.has_answered(now)).map(|p| p.addr);
+        answering.take(MAX_REPORTED).collect()
+    }
+
     /// Records an answer of the replica at `addr`.
     pub(super) fn record_answer(&mut self, now: Instant, addr: SocketAddr) {
         self.record(now, addr, true);
@@ -111,11 +135,9 @@
         let mut replicas: Vec<&Process> =
             polled.filter(|p| p.holds_replica != Some(false)).collect();
         replicas.sort_by_key(|process| {
-            let has_answered = process.holds_replica == Some(true)
-                && now.saturating_duration_since(process.heard_at) <= MAX_ANSWER_AGE;
             let position = self.seeds.iter().position(|seed| *seed == process.addr);
             (
-                !has_answered,
+                !process.has_answered(now),
                 preferred != Some(process.addr),
                 position.unwrap_or(usize::MAX),
                 !self.voters.contains(&process.addr),
--- a/laburnumlug-daemon/src/fleet_watch/control_addrs_tests.rs
+++ b/laburnumlug-daemon/src/fleet_watch/control_addrs_tests.rs
@@ -159,3 +159,21 @@
     let rounds = NUMBER_LIFETIME.as_secs() / MAX_SILENCE.as_secs() + 2;
     assert!(known.processes.len() <= MAX_LEARNED * rounds as usize);
 }
+
+#[test]
+fn answering_recent_replicas() {
+    let start = Instant::now();
+    let mut known = ControlAddrs::default();
+    known.set_seeds(start, &addrs(&[1, 2]));
+    known.record_referral(start, addr(1), &addrs(&[3]));
+    assert_eq!(known.answering(start), []);
+    known.record_answer(start, addr(3));
+    assert_eq!(known.answering(start + MAX_ANSWER_AGE), addrs(&[3]));
+    let later = start + MAX_ANSWER_AGE + Duration::from_millis(1);
+    assert_eq!(known.answering(later), []);
+    let reported: Vec<usize> = (10..10 + 2 * MAX_REPORTED).collect();
+    let added = known.record_reported(later, &addrs(&reported));
+    assert_eq!(added.len(), MAX_REPORTED);
+    // One that does not answer is dropped, as those of referrals are.
+    assert!(known.end_if_silent(later + MAX_SILENCE, addr(10)));
+}
--- a/laburnumlug-daemon/src/fleet_watch/mod.rs
+++ b/laburnumlug-daemon/src/fleet_watch/mod.rs
@@ -21,6 +21,7 @@
 use self::control_addrs::{ControlAddrs, Poll};
 use self::poll::{FleetAnswer, poll_replica};
 pub(crate) use self::view::FleetView;
+use crate::gateway_exchange::ControlReplicas;
 use crate::settings::MeshSettings;
 
 /// Interval between polls of one replica.
@@ -279,6 +280,22 @@
     }
 }
 
+impl ControlReplicas for FleetWatch {
+    fn answering(&self, now: Instant) -> Vec<SocketAddr> {
+        self.state.borrow().addrs.answering(now)
+    }
+
+    /// A process whose view is confirmed has found a majority already, so that it needs no others.
+    fn add_reported(&self, now: Instant, replicas: &[SocketAddr]) {
+        let mut state = self.state.borrow_mut();
+        if !state.is_confirmed(now) {
+            let added = state.addrs.record_reported(now, replicas);
+            drop(state);
+            self.start_polls(added);
+        }
+    }
+}
+
 /// Returns the interval between reports of counts in a fleet of this many gateways.
 fn usage_interval(window: Duration, gateways: usize) -> Duration {
     let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -158,12 +158,13 @@
     );
     forwarder.set_event_sink(exchange.clone());
     let view_applier = ViewApplier {
-        exchange,
+        exchange: exchange.clone(),
         forwarder: forwarder.clone(),
         limits: server.limits_handle(),
         max_connections: settings.max_connections,
     };
     let watch = FleetWatch::start_with_observer(&settings.mesh, Rc::new(view_applier));
+    exchange.set_control(Rc::new(watch.clone()));
     let stopping = Rc::new(Cell::new(false));
     serve_readiness(settings.ready, forwarder.clone(), stopping.clone()).await?;
     compio::runtime::spawn(poll_stale_targets(settings.target_list, forwarder.clone())).detach();
--- a/laburnumlug-daemon/src/gateway_exchange/mod.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/mod.rs
@@ -66,6 +66,15 @@
     }
 }
 
+/// Control replicas that this process has found, which gateways report to each other.
+pub(crate) trait ControlReplicas {
+    /// Returns the mesh addresses of those that have recently answered.
+    fn answering(&self, now: Instant) -> Vec<SocketAddr>;
+
+    /// Adds those that another gateway reports.
+    fn add_reported(&self, now: Instant, replicas: &[SocketAddr]);
+}
+
 /// A connection to another gateway, which is replaced when it fails.
 struct Link {
     route: ExchangeLink,
@@ -91,6 +100,7 @@
 /// Connections to and from the other gateways.
 pub(crate) struct GatewayExchange {
     state: Rc<dyn EngineState>,
+    control: RefCell<Option<Rc<dyn ControlReplicas>>>,
     key: MeshKey,
     own_addr: SocketAddr,
     own_zone: ZoneName,
@@ -121,6 +131,7 @@
     ) -> Rc<GatewayExchange> {
         let exchange = Rc::new(GatewayExchange {
             state,
+            control: RefCell::default(),
             key,
             own_addr,
             own_zone: own_zone.to_string(),
@@ -142,6 +153,11 @@
         exchange
     }
 
+    /// Sets the control replicas that this gateway reports to others, and to which it adds those that others report.
+    pub(crate) fn set_control(&self, control: Rc<dyn ControlReplicas>) {
+        *self.control.borrow_mut() = Some(control);
+    }
+
     /// Returns the address and zone of this gateway.
     pub(crate) fn own_listing(&self) -> ListedGateway {
         ListedGateway {
@@ -233,5 +249,7 @@
     }
 }
 
+#[cfg(test)]
+mod control_tests;
 #[cfg(test)]
 mod tests;
--- a/laburnumlug-daemon/src/gateway_exchange/receiver.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/receiver.rs
@@ -34,11 +34,16 @@
                 sender,
                 session,
                 forwards,
+                control: replicas,
             }),
         )) = conn.recv().await
         else {
             return;
         };
+        let control = self.control.borrow().clone();
+        if let Some(control) = control {
+            control.add_reported(Instant::now(), &replicas);
+        }
         let path = self.last_path.get() + 1;
         self.last_path.set(path);
         if !self.sessions.borrow_mut().begin(sender, session, path) {
--- a/laburnumlug-daemon/src/gateway_exchange/sender.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/sender.rs
@@ -47,10 +47,12 @@
     async fn send_events(&self, link: &Rc<Link>, mut conn: Connection) -> Result<(), Error> {
         let session = self.last_session.get() + 1;
         self.last_session.set(session);
+        let control = self.control.borrow().clone();
         let hello = GatewayMessage::Hello {
             sender: self.sender,
             session,
             forwards: link.route.forwards,
+            control: control.map_or_else(Vec::new, |c| c.answering(Instant::now())),
         };
         conn.send("", &Message::Gateway(hello)).await?;
         link.outbox.borrow_mut().clear();
--- a/laburnumlug-daemon/src/gateway_exchange/tests.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/tests.rs
@@ -69,13 +69,13 @@
     }
 }
 
-struct Gateway {
-    exchange: Rc<GatewayExchange>,
+pub(super) struct Gateway {
+    pub(super) exchange: Rc<GatewayExchange>,
     state: Rc<RecordedState>,
 }
 
 impl Gateway {
-    async fn start(zone: &str) -> Gateway {
+    pub(super) async fn start(zone: &str) -> Gateway {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         let state = Rc::<RecordedState>::default();
@@ -288,6 +288,7 @@
                 sender: 7,
                 session,
                 forwards: false,
+                control: Vec::new(),
             };
             conn.send("", &Message::Gateway(hello)).await.unwrap();
             conn
@@ -332,6 +333,7 @@
             sender: 7,
             session: 1,
             forwards: false,
+            control: Vec::new(),
         };
         conn.send("", &Message::Gateway(hello)).await.unwrap();
         compio::time::sleep(Duration::from_millis(100)).await;
--- a/laburnumlug-daemon/tests/it/control_referral.rs
+++ b/laburnumlug-daemon/tests/it/control_referral.rs
@@ -1,4 +1,4 @@
-//! Entries and the command line, which know only control processes without a replica.
+//! Entries, gateways and the command line, whose addresses of control processes lead to no replica.
 
 use std::time::Duration;
 
@@ -7,7 +7,7 @@
 use crate::cli::cli;
 use crate::control_fleet::ControlFleet;
 use crate::harness::{MESH_KEY, Process, block_on, free_addr, wait_for};
-use crate::platform_fleet::config;
+use crate::platform_fleet::{Cluster, Gateway, config, readiness_status, serve_target_list};
 
 /// Time after which everyone must have found the replicas: the recovery time that the platform states.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
@@ -104,3 +104,34 @@
         }
     });
 }
+
+/// Guards against a gateway that finds no replica after a restart, as all seeds in its settings are lost, although other gateways
+/// connect to it and know the replicas.
+#[test]
+fn gateway_restarted_with_lost_seeds() {
+    block_on(async {
+        let list = include_str!("../../../platform/tests/sample-list.json");
+        let list_addr = serve_target_list(list.to_string()).await;
+        let cluster = Cluster::start_with_list(list_addr);
+        cluster.replace_config(0, 1, 500).await;
+        let (folder, seeds) = (&cluster.folder, cluster.seeds());
+        let start = |name| Gateway::start_with_list(folder, name, list_addr, &seeds);
+        let (other, mut restarted) = (start("g1"), start("g2"));
+        for gateway in [&other, &restarted] {
+            wait_for_ready(gateway).await;
+        }
+        // Both are listed by then, and connected.
+        compio::time::sleep(Duration::from_secs(2)).await;
+        restarted.process.kill();
+        restarted.change_seeds(folder, &[free_addr(), free_addr(), free_addr()]);
+        restarted.restart(folder);
+        wait_for_ready(&restarted).await;
+    });
+}
+
+async fn wait_for_ready(gateway: &Gateway) {
+    wait_for("a ready gateway", || async {
+        (readiness_status(gateway.ready_addr).await? == 200).then_some(())
+    })
+    .await;
+}
--- a/laburnumlug-mesh/src/gateway_message.rs
+++ b/laburnumlug-mesh/src/gateway_message.rs
@@ -1,5 +1,7 @@
 //! Messages between gateways.
 
+use std::net::SocketAddr;
+
 use laburnumlug::EngineEvent;
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +21,9 @@
         /// [`GatewayMessage::Alive`] while the connection is open.
         #[serde(default)]
         forwards: bool,
+        /// Mesh addresses of control replicas that have recently answered the sender.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        control: Vec<SocketAddr>,
     },
     /// Engine events of the sender, oldest first.
     Engines(Vec<EngineEvent>),
@@ -54,3 +59,7 @@
     /// The session ended because the connection of its sender was closed.
     Ended,
 }
+
+#[cfg(test)]
+#[path = "gateway_message_tests.rs"]
+mod tests;
