State that a change was not made where no replica can be found

Cause: a control process without a replica that finds none answers 503 without a verdict, so that the command line reported the outcome of a change as unknown, although nothing was passed on.

Change: the answer carries the verdict not-run, as those of replicas do.

Result: cli_without_any_replica passes.

--- a/laburnumlug-daemon/src/redirect.rs
+++ b/laburnumlug-daemon/src/redirect.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use laburnumlug::Verdict;
 use laburnumlug_control::{DirectoryService, DirectoryStatus, OperatorInterface, serve_directory};
 use laburnumlug_http::{Request, Response, Server, json_response, text_response};
 use laburnumlug_mesh::ControlContact;
@@ -117,7 +118,12 @@
         None => {
             counters.count_refusal();
             log::info!(path = req.uri().path(); "refused an operator with status 503: no control replica can answer");
-            text_response(503, "no control replica can answer")
+            let error = json!({
+                "code": "unavailable",
+                "message": "no control replica can answer",
+                "verdict": Verdict::NotRun,
+            });
+            json_response(503, &json!({ "error": error }))
         }
     }
 }
--- a/laburnumlug-daemon/tests/it/control_referral.rs
+++ b/laburnumlug-daemon/tests/it/control_referral.rs
@@ -105,6 +105,25 @@
     });
 }
 
+/// Guards against a change that is reported as possibly made although no replica was reached.
+#[test]
+fn cli_without_any_replica() {
+    block_on(async {
+        let mut fleet = ControlFleet::new(1, 3, 1);
+        fleet.start(3, &[0, 1, 2], true);
+        let control = fleet.members[3].operator_addr.to_string();
+        let document = cli(&control, &["fleet", "template"]).await.stdout;
+        let file = fleet.folder.write("first.json", &document);
+        let args = ["fleet", "apply", "--base", "0", file.to_str().unwrap()];
+        let apply = cli(&control, &args).await;
+        assert_eq!(apply.code, Some(1), "{}", apply.stderr);
+        let reason = "nothing was changed: ";
+        assert!(apply.stderr.contains(reason), "{}", apply.stderr);
+        let reason = "no control replica can answer";
+        assert!(apply.stderr.contains(reason), "{}", apply.stderr);
+    });
+}
+
 /// Guards against a gateway that finds no replica after a restart, as all seeds in its settings are lost, although other gateways
 /// connect to it and know the replicas.
 #[test]
