--- a/laburnumlug-cli/src/operator_args.rs
+++ b/laburnumlug-cli/src/operator_args.rs
@@ -20,8 +20,8 @@
         pub(crate) struct $name {
             $($fields)*
 
-            /// operator addresses of control replicas, separated by commas; if one does not answer,
-            /// the next is tried (default LABURNUMLUG_CONTROL, else 127.0.0.1:7401)
+            /// operator addresses of control processes, separated by commas; if one does not answer,
+            /// the next is tried, and redirects to a replica are followed (default LABURNUMLUG_CONTROL, else 127.0.0.1:7401)
             #[argh(option)]
             pub(crate) control: Option<String>,
 
--- a/laburnumlug-daemon/src/settings/common.rs
+++ b/laburnumlug-daemon/src/settings/common.rs
@@ -65,7 +65,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct MeshSettings {
     pub(crate) key: MeshKey,
-    /// Addresses of all control replicas.
+    /// Addresses of control processes, from which the replicas are found.
     pub(crate) control: Vec<SocketAddr>,
 }
 
