Show a membership that is short in laburnumlug status

Cause: the command showed the voters of unknown state only, and failed as a whole where one address belongs to a process without a disk, whose redirect it took for a refusal.

Change: a line gives voters, wanted, responsive and silent ones and learners. A process that redirects is shown as one without a replica, and the other addresses are asked in its place.

--- a/laburnumlug-cli/src/operator_client.rs
+++ b/laburnumlug-cli/src/operator_client.rs
@@ -23,6 +23,9 @@
 /// Delay before the second round of submissions; the delay doubles before each further round.
 const FIRST_ROUND_DELAY: Duration = Duration::from_millis(250);
 
+/// Reason why a process that redirects operators has no status of a replica.
+pub(crate) const NO_REPLICA: &str = "no replica";
+
 /// The fleet document in force.
 pub(crate) struct FleetDocument {
     /// Version; 0 if no document has been accepted yet.
@@ -92,12 +95,12 @@
 
     /// Returns the status of each replica, or why it could not be obtained; fails if a replica refuses the request.
     ///
-    /// An address of a process without a replica gives the status of the replica to which the process redirects.
+    /// A process without a replica is listed as such, beside the replica to which it redirects.
     pub(crate) async fn statuses(&self) -> Result<Vec<ReplicaStatus>> {
         let mut statuses: Vec<ReplicaStatus> = Vec::new();
         for addr in &self.control_addrs {
             let request = self.authorized(Request::new("GET", "/status"));
-            let (addr, status) = match request.send(*addr).await? {
+            let (answered_addr, status) = match request.send(*addr).await? {
                 Ok((addr, response)) if response.status == 200 => (addr, Ok(response.json())),
                 Ok((_, response)) if response.status < 500 => {
                     return Err(refusal(&response).into());
@@ -105,8 +108,13 @@
                 Ok((addr, response)) => (addr, Err(response.message())),
                 Err(err) => (*addr, Err(err.message)),
             };
+            if answered_addr != *addr {
+                let status = Err(NO_REPLICA.to_string());
+                statuses.push(ReplicaStatus { addr: *addr, status });
+            }
             // Several processes may redirect to one replica.
-            if statuses.iter().all(|known| known.addr != addr) {
+            if statuses.iter().all(|known| known.addr != answered_addr) {
+                let addr = answered_addr;
                 statuses.push(ReplicaStatus { addr, status });
             }
         }
@@ -163,7 +171,7 @@
         .into())
     }
 
-    /// Sends a request without side effects to each replica in turn until one answers with a status below 500.
+    /// Sends a request without side effects to each replica in turn until one answers with a status below 500 and no redirect.
     async fn query(&self, request: Request) -> Result<Response> {
         let mut reasons = Vec::new();
         for addr in &self.control_addrs {
--- a/laburnumlug-cli/src/status.rs
+++ b/laburnumlug-cli/src/status.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 
 use crate::operator_args::StatusArgs;
-use crate::operator_client::{OperatorClient, ReplicaStatus};
+use crate::operator_client::{NO_REPLICA, OperatorClient, ReplicaStatus};
 use crate::table::Table;
 
 /// Interval at which `--watch` prints.
@@ -62,6 +62,7 @@
         cell_text(&newest["version"])
     );
     text.push_str(&replica_table(replicas));
+    text.push_str(&membership(replicas));
     text.push_str(&voters_of_unknown_state(replicas, &newest));
     text.push_str(&duties(replicas));
     text.push_str(&target_table(&newest, document));
@@ -82,9 +83,16 @@
     let mut table = Table::new(&header);
     for replica in replicas {
         let addr = replica.addr.to_string();
-        let Ok(status) = &replica.status else {
-            table.push_row(&["-".to_string(), addr, "no answer".to_string()]);
-            continue;
+        let status = match &replica.status {
+            Ok(status) => status,
+            Err(reason) => {
+                let state = match reason == NO_REPLICA {
+                    true => NO_REPLICA,
+                    false => "no answer",
+                };
+                table.push_row(&["-".to_string(), addr, state.to_string()]);
+                continue;
+            }
         };
         let name = cell_text(&status["replica"]["name"]);
         let state = match (status["leader"] == *name, status["is_voter"] == true) {
@@ -106,6 +114,48 @@
     format!("\n{}", table.render())
 }
 
+/// Returns how many voters there are and answer their leader, or nothing if replicas of earlier versions do not tell.
+fn membership(replicas: &[ReplicaStatus]) -> String {
+    let statuses = replicas.iter().filter_map(|r| r.status.as_ref().ok());
+    let told: Vec<&Value> = statuses
+        .filter(|status| status.get("voters_wanted").is_some())
+        .collect();
+    // A deposed leader may take itself for the leader for a moment.
+    let leading = told.iter().filter(|s| s["voters_responsive"].is_u64());
+    let newest = match leading.max_by_key(|status| status["term"].as_u64()) {
+        Some(leader) => leader,
+        None => match told.iter().max_by_key(|s| s["committed"].as_u64()) {
+            Some(newest) => newest,
+            None => return String::new(),
+        },
+    };
+    let count = array_items(newest, "voters").len() as u64;
+    let wanted = match newest["voters_wanted"].as_u64() {
+        Some(wanted) => format!(" of {wanted} wanted"),
+        None => String::new(),
+    };
+    let Some(responsive) = newest["voters_responsive"].as_u64() else {
+        return format!("voters: {count}{wanted}, no status of their leader\n");
+    };
+    let names = |list| {
+        let names = array_items(newest, list).into_iter().map(cell_text);
+        names.collect::<Vec<String>>().join(", ")
+    };
+    let silent = match names("voters_silent") {
+        silent if silent.is_empty() => String::new(),
+        silent => format!(", silent: {silent}"),
+    };
+    let learners = match names("learners") {
+        learners if learners.is_empty() => String::new(),
+        learners => format!(", learners: {learners}"),
+    };
+    let few = match responsive < newest["voters_wanted"].as_u64().unwrap_or(0).max(count) {
+        true => " (TOO FEW)",
+        false => "",
+    };
+    format!("voters: {count}{wanted}, {responsive} responsive{few}{silent}{learners}\n")
+}
+
 /// Lists the voters of unknown state: those that `--control` does not name or that did not answer.
 fn voters_of_unknown_state(replicas: &[ReplicaStatus], newest: &Value) -> String {
     let statuses = replicas.iter().filter_map(|r| r.status.as_ref().ok());
--- a/laburnumlug-cli/src/status_tests.rs
+++ b/laburnumlug-cli/src/status_tests.rs
@@ -57,3 +57,63 @@
     assert_eq!(words(3), ["s", "z1", "6", "4", "2", "accepted", "surplus"]);
     assert_eq!(words(4), ["s", "z2", "-", "4", "0", "-", "-"]);
 }
+
+/// Returns the status of a replica of which `members` are set.
+fn membership_status(members: Value) -> ReplicaStatus {
+    ReplicaStatus {
+        addr: "127.0.0.1:1".parse().unwrap(),
+        status: Ok(members),
+    }
+}
+
+fn voters(count: usize) -> Value {
+    let voters = (0..count).map(|i| json!({ "name": format!("c{i}"), "incarnation": 1 }));
+    voters.collect()
+}
+
+#[test]
+fn membership_short() {
+    let leader = membership_status(json!({
+        "term": 4, "voters": voters(4), "voters_wanted": 5, "voters_responsive": 3, "voters_silent": ["c3"], "learners": ["c7"],
+    }));
+    let deposed = membership_status(json!({
+        "term": 3, "voters": voters(5), "voters_wanted": 5, "voters_responsive": 5, "voters_silent": [], "learners": [],
+    }));
+    assert_eq!(
+        membership(&[deposed, leader]),
+        "voters: 4 of 5 wanted, 3 responsive (TOO FEW), silent: c3, learners: c7\n"
+    );
+}
+
+#[test]
+fn membership_complete() {
+    let status = |wanted: Value| {
+        membership_status(json!({
+            "term": 4, "voters": voters(3), "voters_wanted": wanted, "voters_responsive": 3, "voters_silent": [], "learners": [],
+        }))
+    };
+    let configured = membership(&[status(json!(3))]);
+    assert_eq!(configured, "voters: 3 of 3 wanted, 3 responsive\n");
+    assert_eq!(
+        membership(&[status(Value::Null)]),
+        "voters: 3, 3 responsive\n"
+    );
+}
+
+#[test]
+fn membership_without_leader() {
+    let follower = membership_status(json!({
+        "committed": 9, "voters": voters(3), "voters_wanted": 5, "voters_responsive": null,
+    }));
+    assert_eq!(
+        membership(&[follower]),
+        "voters: 3 of 5 wanted, no status of their leader\n"
+    );
+}
+
+/// Replicas of earlier versions do not tell the number.
+#[test]
+fn membership_not_told() {
+    let earlier = membership_status(json!({ "voters": voters(3) }));
+    assert_eq!(membership(&[earlier]), "");
+}
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -11,6 +11,7 @@
 mod control_discovery;
 mod control_fleet;
 mod control_referral;
+mod control_status;
 mod customers;
 mod end_to_end;
 mod frozen_control;
