Log the peer of a connection that a process without a disk refuses

Cause: replicas log the address and the time of a refused mesh connection; a process without a disk logged neither.

Change: the same fields.

--- a/laburnumlug-control/src/directory/serve.rs
+++ b/laburnumlug-control/src/directory/serve.rs
@@ -16,9 +16,18 @@
 }
 
 async fn serve_connection(stream: TcpStream, key: MeshKey, directory: Rc<DirectoryService>) {
+    let peer = stream
+        .peer_addr()
+        .map_or(String::new(), |addr| addr.to_string());
+    let accepted_at = Instant::now();
     let mut conn = match Connection::accept(stream, &key).await {
         Ok(conn) => conn,
-        Err(err) => return log::warn!("refused a mesh connection: {err}"),
+        Err(err) => {
+            return log::warn!(
+                peer = peer.as_str(), taken_ms = accepted_at.elapsed().as_millis() as u64;
+                "refused a mesh connection: {err}"
+            );
+        }
     };
     while let Ok((request_id, message)) = conn.recv().await {
         let Message::Control(request) = message else {
