--- a/laburnumlug-daemon/src/fleet_watch/control_addrs.rs
+++ b/laburnumlug-daemon/src/fleet_watch/control_addrs.rs
@@ -111,21 +111,35 @@
         self.record(now, addr, true);
     }
 
-    /// Ends the polling of the process at `addr` if it has been silent for too long, and returns whether it has ended.
+    /// Ends the polling of the process at `addr` if it is no longer needed, and returns whether it has ended.
+    pub(super) fn end_if_unneeded(&mut self, now: Instant, addr: SocketAddr) -> bool {
+        let is_needed = self.is_needed(now, addr);
+        if let Some(process) = self.processes.iter_mut().find(|p| p.addr == addr)
+            && !is_needed
+        {
+            process.is_polled = false;
+            process.holds_replica = None;
+        }
+        !is_needed
+    }
+
+    /// Returns whether the process at `addr` is still to be polled.
     ///
-    /// Processes that the settings name and voters are always polled; another one may have ended for good.
-    pub(super) fn end_if_silent(&mut self, now: Instant, addr: SocketAddr) -> bool {
-        let is_named = self.is_named(addr);
-        let Some(process) = self.processes.iter_mut().find(|p| p.addr == addr) else {
-            return true;
-        };
-        let silent_for = now.saturating_duration_since(process.heard_at);
-        if is_named || silent_for < MAX_SILENCE {
-            return false;
+    /// Processes that the settings name and voters always are. Another one may have ended for good, and one without a replica,
+    /// such as a former seed, is of no use while a replica answers.
+    pub(super) fn is_needed(&self, now: Instant, addr: SocketAddr) -> bool {
+        let process = self.processes.iter().find(|p| p.addr == addr);
+        match process {
+            None => false,
+            Some(_) if self.is_named(addr) => true,
+            Some(process) if now.saturating_duration_since(process.heard_at) >= MAX_SILENCE => {
+                false
+            }
+            Some(process) => {
+                process.holds_replica != Some(false)
+                    || !self.processes.iter().any(|p| p.has_answered(now))
+            }
         }
-        process.is_polled = false;
-        process.holds_replica = None;
-        true
     }
 
     /// Returns the addresses of the polled processes that may hold a replica, in the order in which they are tried: those that
--- a/laburnumlug-daemon/src/fleet_watch/control_addrs_tests.rs
+++ b/laburnumlug-daemon/src/fleet_watch/control_addrs_tests.rs
@@ -46,32 +46,32 @@
 }
 
 #[test]
-fn end_if_silent_only_if_neither_seed_nor_voter() {
+fn end_if_unneeded_silent_if_neither_seed_nor_voter() {
     let start = Instant::now();
     let mut known = ControlAddrs::default();
     known.set_seeds(start, &addrs(&[1]));
     known.record_voters(start, 1, &addrs(&[2]));
     known.record_referral(start, addr(1), &addrs(&[3]));
     let before = start + MAX_SILENCE - Duration::from_millis(1);
-    assert!(!known.end_if_silent(before, addr(3)));
+    assert!(!known.end_if_unneeded(before, addr(3)));
     known.record_answer(before, addr(3));
     let silent = start + MAX_SILENCE;
-    assert!(!known.end_if_silent(silent, addr(3)));
+    assert!(!known.end_if_unneeded(silent, addr(3)));
     let silent = before + MAX_SILENCE;
-    assert!(known.end_if_silent(silent, addr(3)));
+    assert!(known.end_if_unneeded(silent, addr(3)));
     for named in [1, 2] {
-        assert!(!known.end_if_silent(silent, addr(named)));
+        assert!(!known.end_if_unneeded(silent, addr(named)));
     }
     assert_eq!(known.replicas(silent, None), addrs(&[2]));
     // A voter that was replaced is no longer named, but one of the membership before still is by a replica that lags.
     known.record_voters(silent, 2, &addrs(&[4]));
-    assert!(known.end_if_silent(silent, addr(2)));
+    assert!(known.end_if_unneeded(silent, addr(2)));
     assert_eq!(
         known.record_voters(silent, 1, &addrs(&[2])),
         polls(&[(1, 2)])
     );
-    assert!(known.end_if_silent(silent + MAX_SILENCE, addr(2)));
-    assert!(!known.end_if_silent(silent + MAX_SILENCE, addr(4)));
+    assert!(known.end_if_unneeded(silent + MAX_SILENCE, addr(2)));
+    assert!(!known.end_if_unneeded(silent + MAX_SILENCE, addr(4)));
 }
 
 /// Guards against seeds that take effect only at the next start, and against former ones that are polled for ever.
@@ -83,11 +83,11 @@
     known.record_answer(start, addr(2));
     let added = known.set_seeds(start, &addrs(&[2, 3]));
     assert_eq!(added, polls(&[(2, 3)]));
-    assert!(!known.end_if_silent(start, addr(1)));
+    assert!(!known.end_if_unneeded(start, addr(1)));
     let silent = start + MAX_SILENCE;
-    assert!(known.end_if_silent(silent, addr(1)));
-    assert!(!known.end_if_silent(silent, addr(2)));
-    assert!(!known.end_if_silent(silent, addr(3)));
+    assert!(known.end_if_unneeded(silent, addr(1)));
+    assert!(!known.end_if_unneeded(silent, addr(2)));
+    assert!(!known.end_if_unneeded(silent, addr(3)));
     // A seed that is named again is polled again.
     assert_eq!(known.set_seeds(silent, &addrs(&[1])), polls(&[(0, 1)]));
 }
@@ -117,14 +117,14 @@
     known.set_seeds(start, &addrs(&[1]));
     known.record_referral(start, addr(1), &addrs(&[2]));
     let silent = start + MAX_SILENCE;
-    assert!(known.end_if_silent(silent, addr(2)));
+    assert!(known.end_if_unneeded(silent, addr(2)));
     assert_eq!(
         known.record_referral(silent, addr(1), &addrs(&[3, 2])),
         polls(&[(2, 3), (1, 2)])
     );
     let ended = silent + MAX_SILENCE;
     for addr in addrs(&[2, 3]) {
-        assert!(known.end_if_silent(ended, addr));
+        assert!(known.end_if_unneeded(ended, addr));
     }
     let free = silent + NUMBER_LIFETIME;
     assert_eq!(
@@ -149,7 +149,7 @@
     for round in 0..100 {
         now += MAX_SILENCE;
         for addr in known.replicas(now, None) {
-            known.end_if_silent(now, addr);
+            known.end_if_unneeded(now, addr);
         }
         let others: Vec<usize> = (0..MAX_LEARNED)
             .map(|i| first + round * MAX_LEARNED + i)
@@ -175,5 +175,30 @@
     let added = known.record_reported(later, &addrs(&reported));
     assert_eq!(added.len(), MAX_REPORTED);
     // One that does not answer is dropped, as those of referrals are.
-    assert!(known.end_if_silent(later + MAX_SILENCE, addr(10)));
+    assert!(known.end_if_unneeded(later + MAX_SILENCE, addr(10)));
+}
+
+/// Guards against former seeds without a replica that are polled for ever, and take the places of replicas in referrals.
+#[test]
+fn end_if_unneeded_without_replica() {
+    let now = Instant::now();
+    let mut known = ControlAddrs::default();
+    let former: Vec<usize> = (0..=MAX_LEARNED).collect();
+    known.set_seeds(now, &addrs(&former));
+    known.set_seeds(now, &addrs(&[100]));
+    for addr in addrs(&former) {
+        known.record_referral(now, addr, &[]);
+        // They are a way to find replicas until one answers.
+        assert!(!known.end_if_unneeded(now, addr));
+    }
+    known.record_answer(now, addr(100));
+    for addr in addrs(&former) {
+        assert!(known.end_if_unneeded(now, addr));
+    }
+    assert_eq!(
+        known.record_referral(now, addr(100), &addrs(&[101])).len(),
+        1
+    );
+    // A seed without a replica is still polled.
+    assert!(!known.end_if_unneeded(now, addr(100)));
 }
--- a/laburnumlug-daemon/src/fleet_watch/mod.rs
+++ b/laburnumlug-daemon/src/fleet_watch/mod.rs
@@ -260,10 +260,10 @@
         self.start_polls(added);
     }
 
-    /// Returns whether the polling of a process ends, as it is silent; removes its answers then.
-    fn end_if_silent(&self, poll: Poll) -> bool {
+    /// Returns whether the polling of a process ends, as it is no longer needed; removes its answers then.
+    fn end_if_unneeded(&self, poll: Poll) -> bool {
         let mut state = self.state.borrow_mut();
-        let ends = state.addrs.end_if_silent(Instant::now(), poll.addr);
+        let ends = state.addrs.end_if_unneeded(Instant::now(), poll.addr);
         if ends {
             state.confirmation.remove_answer(poll.number);
         }
--- a/laburnumlug-daemon/src/fleet_watch/poll.rs
+++ b/laburnumlug-daemon/src/fleet_watch/poll.rs
@@ -37,8 +37,8 @@
                 log::debug!("failed to connect to control replica {addr}: {err}");
             }
         }
-        if watch.end_if_silent(poll) {
-            log::info!(replica = addr.to_string().as_str(); "no longer polling a control process that does not answer");
+        if watch.end_if_unneeded(poll) {
+            log::info!(replica = addr.to_string().as_str(); "no longer polling a control process that does not answer or holds no replica");
             return;
         }
         // An attempt that has waited for its timeout is repeated at once, as the path may be back by now.
@@ -84,7 +84,11 @@
             Ok(Some(FleetReply::Referral(replicas))) => {
                 holds_replica = false;
                 watch.record_referral(poll.addr, &replicas);
-                let is_confirmed = state.borrow().is_confirmed(Instant::now());
+                let now = Instant::now();
+                if !state.borrow().addrs.is_needed(now, poll.addr) {
+                    return;
+                }
+                let is_confirmed = state.borrow().is_confirmed(now);
                 let interval = match is_confirmed {
                     true => REFERRAL_INTERVAL,
                     false => watch.poll_interval(),
