Widen the soak of gateways to control processes without a disk and an operator of the platform

Two operators pick from a list that lags by 3 s, follow two redirects, abandon a call after a second, back off, and resend a change unchanged to any process until it is acknowledged. Control processes are killed, wiped, suspended, replaced at a new address and added; seeds change with and without SIGHUP; all are killed at once with up to two disks lost, with seeds drawn at random. At most two replicas are lost at once, each until 4 s after it is back. Runs longer than 20 s have calm times of 17 s.

New checks: within 12 s after the faults each control process leads to the newest acknowledged configuration, each gateway serves, all replicas report one leader and the same five running voters, and each change is acknowledged; no change is refused; no redirect to a process without a replica, or to one that has been dead for over 1 s while others live; no call fails in calm. They replace waits of 30 s for readiness and for confirmed reads at replicas. The faults of replicas that were there (killed, wiped, suspended) are among the new ones.

The operator's call in control_fleet followed up to ten redirects, as the HTTP client follows them by itself; it now follows two, as was meant.

--- a/laburnumlug-daemon/tests/faults/options.rs
+++ b/laburnumlug-daemon/tests/faults/options.rs
@@ -30,7 +30,8 @@
     }
 }
 
-fn number_after(args: &[String], name: &str) -> Option<u64> {
+/// Returns the number that follows the option `name`.
+pub fn number_after(args: &[String], name: &str) -> Option<u64> {
     let i = args.iter().position(|arg| arg == name)?;
     let text = args
         .get(i + 1)
--- a/laburnumlug-daemon/tests/gateways/callers.rs
+++ b/laburnumlug-daemon/tests/gateways/callers.rs
@@ -8,8 +8,8 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use rand::Rng;
 use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 use crate::Load;
 use crate::orders::resumption_of;
@@ -204,6 +204,32 @@
     }
 }
 
+/// Sends requests to a gateway until one succeeds, and returns whether one did before `deadline`.
+pub fn is_served(
+    load: Arc<Load>,
+    gateways: Vec<SocketAddr>,
+    gateway: usize,
+    deadline: Instant,
+) -> bool {
+    let mut caller = Caller {
+        kept: gateways.iter().map(|_| None).collect(),
+        load,
+        gateways,
+        name: format!("last-{gateway}"),
+        next_number: 0,
+        rng: StdRng::seed_from_u64(gateway as u64),
+    };
+    while Instant::now() < deadline {
+        let record = caller.record(gateway, "safe", "/safe/0/0".to_string());
+        let record = caller.call(record);
+        if record.status() == Some(200) {
+            return record.ended_at <= deadline;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    false
+}
+
 impl Caller {
     fn record(&mut self, gateway: usize, route: &'static str, path: String) -> CallRecord {
         let now = Instant::now();
--- a/laburnumlug-daemon/tests/gateways/checker.rs
+++ b/laburnumlug-daemon/tests/gateways/checker.rs
@@ -5,6 +5,7 @@
 
 use crate::Run;
 use crate::callers::{CallRecord, End, ROUTE_TIMEOUT};
+use crate::control_checks::find_control_violations;
 use crate::deployment::Deployment;
 use crate::injector::{Interruption, Reason};
 use crate::orders::order_violation;
@@ -43,6 +44,7 @@
         }
     }
     find_version_violations(run, &calls, &mut violations);
+    find_control_violations(run, &mut violations);
     print_counts(run, &calls, &mut violations);
     violations
 }
@@ -194,9 +196,11 @@
         .iter()
         .filter(|i| i.reason == Reason::Fault)
         .count();
+    let attempts = run.control.attempts.borrow();
+    let redirects: usize = attempts.iter().map(|a| a.redirects.len()).sum();
     println!(
         "{} calls, {answered} answered, {} refused, {} cut, {} resumed by callers, {} stops, {faults} faults of gateways, \
-         {acknowledged} of {} changes acknowledged, {} reads",
+         {acknowledged} of {} changes acknowledged, {} reads, {} faults of control processes, {} redirects, ready after {:?}",
         calls.len(),
         count(&|record| record.status() == Some(503)),
         count(&|record| record.end == End::Cut),
@@ -204,6 +208,9 @@
         interruptions.len() - faults,
         changes.len(),
         run.reads.borrow().len(),
+        run.control.outages.borrow().len(),
+        redirects,
+        run.recovered_after.get(),
     );
     if answered == 0 || acknowledged == 0 {
         let text = "no request was answered or no change acknowledged, so nothing was tested";
--- a/laburnumlug-daemon/tests/gateways/deployment.rs
+++ b/laburnumlug-daemon/tests/gateways/deployment.rs
@@ -5,16 +5,28 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
 use serde_json::{Value, json};
 
 use crate::answers::Manner;
-use crate::client;
+use crate::control_fleet::ControlFleet;
 use crate::harness::wait_for;
-use crate::platform_fleet::{Cluster, Gateway, readiness_status, serve_changing_list};
+use crate::platform_fleet::{Gateway, readiness_status, serve_changing_list};
 use crate::servers::{Identity, RunLog, Server};
 
-/// Grace periods of the gateways, which all read the same target list.
-pub const GRACE_PERIODS: [Duration; 3] = [
+/// Number of replicas that may be lost at once.
+pub const TOLERATED_LOSSES: usize = 2;
+
+/// Number of control processes that have a disk at the start.
+pub const REPLICAS: usize = 2 * TOLERATED_LOSSES + 1;
+
+/// Number of seeds in a settings file.
+const SEEDS: usize = 3;
+
+/// Grace periods of the gateways in turn, which all read the same target list.
+const GRACE_PERIODS: [Duration; 3] = [
     Duration::from_secs(8),
     Duration::from_secs(8),
     Duration::from_secs(4),
@@ -36,10 +48,19 @@
 /// Versions of the servers' software; a server that is replaced may get the other one.
 const VERSIONS: [&str; 2] = ["v1", "v2"];
 
-/// Three control replicas, the gateways, and the servers behind them.
+/// Numbers of processes at the start of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub gateways: usize,
+    pub control: usize,
+}
+
+/// Control processes with and without a replica, the gateways, and the servers behind them.
 pub struct Deployment {
-    pub cluster: Cluster,
+    pub control: ControlFleet,
     pub gateways: Vec<Gateway>,
+    /// Control processes that each gateway's settings name.
+    gateway_seeds: Vec<Vec<usize>>,
     servers: Vec<Server>,
     list: Rc<RefCell<Value>>,
     pub runs: RunLog,
@@ -47,9 +68,17 @@
 }
 
 impl Deployment {
-    /// Starts everything and waits until all gateways are ready.
-    pub async fn start() -> Deployment {
-        let cluster = Cluster::start();
+    /// Starts everything and waits until all gateways are ready. In half of the runs, the seeds are three replicas.
+    pub async fn start(size: Size, rng: &mut StdRng) -> Deployment {
+        let others = size.control - REPLICAS;
+        let mut control = ControlFleet::new(TOLERATED_LOSSES, REPLICAS, others);
+        let seeds = match rng.random_ratio(1, 2) {
+            true => (0..SEEDS).collect(),
+            false => draw_seeds(&control, rng),
+        };
+        for member in control.present() {
+            control.start(member, &seeds, true);
+        }
         let runs = RunLog::default();
         let list = Rc::new(RefCell::new(
             json!({ "instances": vec![Value::Null; SERVERS.len()], "next": null }),
@@ -66,30 +95,34 @@
             servers.push(server);
         }
         let list_addr = serve_changing_list(list.clone()).await;
-        let gateways = GRACE_PERIODS.into_iter().enumerate().map(|(i, grace)| {
+        let seed_addrs = control.mesh_addrs(&seeds);
+        let gateways = (0..size.gateways).map(|i| {
             let name = format!("g-{i}");
-            Gateway::start_with_grace(&cluster.folder, &name, list_addr, &cluster.seeds(), grace)
+            let grace = grace_period(i);
+            Gateway::start_with_grace(&control.folder, &name, list_addr, &seed_addrs, grace)
         });
         let deployment = Deployment {
             gateways: gateways.collect(),
-            cluster,
+            gateway_seeds: vec![seeds; size.gateways],
+            control,
             servers,
             list,
             runs,
             replaced: 0,
         };
-        wait_for("acceptance of the first configuration", || async {
-            let addr = deployment.cluster.replicas[0].operator_addr;
-            let response = client::post(addr, "/config/replace", &[], &config(1)).await?;
-            (response.status == 200).then_some(())
-        })
-        .await;
+        let first: Value = serde_json::from_str(&config(1)).unwrap();
+        let present = deployment.control.present();
+        let timeout = Duration::from_secs(30);
+        let accepted = deployment
+            .control
+            .replace_until_accepted(&present, &first, timeout);
+        accepted.await;
         deployment.wait_until_ready().await;
         deployment
     }
 
     /// Waits until `/ready` returns status 200 at every gateway.
-    pub async fn wait_until_ready(&self) {
+    async fn wait_until_ready(&self) {
         for gateway in &self.gateways {
             wait_for("a ready gateway", || async {
                 (readiness_status(gateway.ready_addr).await? == 200).then_some(())
@@ -98,6 +131,48 @@
         }
     }
 
+    /// Starts a control process, with the seeds of before or with others.
+    pub fn start_control(&mut self, member: usize, rng: &mut StdRng) {
+        let kept = self.control.members[member].seeds.clone();
+        let seeds = self.next_seeds(kept, rng);
+        self.control.start(member, &seeds, false);
+    }
+
+    /// Restarts a gateway, with the seeds of before or with others.
+    pub fn restart_gateway(&mut self, gateway: usize, rng: &mut StdRng) {
+        let kept = self.gateway_seeds[gateway].clone();
+        let seeds = self.next_seeds(kept, rng);
+        self.set_gateway_seeds(gateway, seeds);
+        self.gateways[gateway].restart(&self.control.folder);
+    }
+
+    /// Writes other seeds to the settings of a gateway.
+    pub fn change_gateway_seeds(&mut self, gateway: usize, rng: &mut StdRng) {
+        self.set_gateway_seeds(gateway, draw_seeds(&self.control, rng));
+    }
+
+    /// Writes other seeds to the settings of a control process.
+    pub fn change_control_seeds(&mut self, member: usize, rng: &mut StdRng) {
+        let seeds = draw_seeds(&self.control, rng);
+        self.control.write_settings(member, &seeds, false);
+        self.control.members[member].seeds = seeds;
+    }
+
+    fn set_gateway_seeds(&mut self, gateway: usize, seeds: Vec<usize>) {
+        let addrs = self.control.mesh_addrs(&seeds);
+        self.gateways[gateway].change_seeds(&self.control.folder, &addrs);
+        self.gateway_seeds[gateway] = seeds;
+    }
+
+    /// Returns `kept` or other seeds; the settings of a process that starts name one at least that will serve.
+    fn next_seeds(&self, kept: Vec<usize>, rng: &mut StdRng) -> Vec<usize> {
+        let may_keep = kept.iter().any(|i| !self.control.members[*i].is_removed);
+        match rng.random_ratio(1, 2) {
+            true if may_keep => kept,
+            _ => draw_seeds(&self.control, rng),
+        }
+    }
+
     /// Lists a server as draining.
     pub fn drain_server(&mut self, server: usize) {
         self.list.borrow_mut()["instances"][server]["state"] = json!("draining");
@@ -124,12 +199,21 @@
             .map(|gateway| gateway.caller_addr)
             .collect()
     }
+}
 
-    /// Returns the addresses of the control replicas for operators.
-    pub fn operator_addrs(&self) -> Vec<SocketAddr> {
-        let replicas = self.cluster.replicas.iter();
-        replicas.map(|replica| replica.operator_addr).collect()
-    }
+/// Returns the grace period of a gateway.
+pub fn grace_period(gateway: usize) -> Duration {
+    GRACE_PERIODS[gateway % GRACE_PERIODS.len()]
+}
+
+/// Draws seeds among the control processes that run, or that will be started again if too few run.
+fn draw_seeds(control: &ControlFleet, rng: &mut StdRng) -> Vec<usize> {
+    let running = control.running();
+    let candidates = match running.len() >= SEEDS {
+        true => running,
+        false => control.present(),
+    };
+    candidates.choose_multiple(rng, SEEDS).copied().collect()
 }
 
 /// Returns the entry of a server in the target list.
--- a/laburnumlug-daemon/tests/gateways/injector.rs
+++ b/laburnumlug-daemon/tests/gateways/injector.rs
@@ -1,4 +1,4 @@
-//! Injects overlapping faults of processes, reloads, planned stops of gateways, and replacements of servers.
+//! Injects overlapping faults of gateways and control processes, changes of seeds, reloads, planned stops of gateways, and replacements of servers.
 
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -8,9 +8,9 @@
 use rustix::process::Signal;
 
 use crate::Run;
+use crate::control_faults::ControlFaults;
 use crate::deployment::{Deployment, SERVERS};
 use crate::platform_fleet::readiness_status;
-use crate::replica_faults::ReplicaFault;
 use crate::stops::{State, advance, begin_stop, random_ms};
 
 /// Range of the time between two faults, reloads or planned stops, in milliseconds.
@@ -19,9 +19,14 @@
 /// Range of a fault's duration, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..2500;
 
-/// Time after the end of a replica's fault in which no replica gets one: the replica catches up with the log, and may
-/// have to be made a voter again.
-const REPLICA_RECOVERY_TIME: Duration = Duration::from_secs(5);
+/// Range of the time between two faults of control processes, in milliseconds.
+const CONTROL_FAULT_INTERVAL_MS: std::ops::Range<u64> = 200..2000;
+
+/// Time with faults of control processes before each time without.
+const CONTROL_FAULTS_TIME: Duration = Duration::from_secs(20);
+
+/// Time without faults of control processes: that of the recovery, and some seconds.
+const CALM_TIME: Duration = Duration::from_secs(17);
 
 /// Time between the listing of a server as draining and its end.
 const DRAIN_TIME: Duration = Duration::from_millis(4000);
@@ -46,7 +51,7 @@
     pub until: Instant,
 }
 
-/// Injects faults until `end`, then ends them all and waits until the gateways are ready.
+/// Injects faults until `end`, and then, mostly, a last one that ends all processes at once.
 ///
 /// In every other seed, gateways are stopped and reloaded as planned, and have no faults; every seventh has
 /// busy threads beside it.
@@ -67,11 +72,13 @@
         });
     }
     let mut states: Vec<State> = deployment.gateways.iter().map(|_| State::Running).collect();
-    let mut replica_fault: Option<(ReplicaFault, Instant)> = None;
-    let mut replicas_recover_until = Instant::now() + REPLICA_RECOVERY_TIME;
+    let mut control_faults = ControlFaults::new(deployment, Instant::now());
+    let mut next_control_fault_at = Instant::now();
+    let mut calm_from = Instant::now() + CONTROL_FAULTS_TIME;
+    let mut has_last_fault = rng.random_ratio(2, 3);
     let mut draining: Option<(usize, Instant)> = None;
     let mut next_fault_at = Instant::now();
-    while Instant::now() < end || states.iter().any(|s| !matches!(s, State::Running)) {
+    loop {
         let now = Instant::now();
         let is_ending = now >= end;
         for (gateway, state) in states.iter_mut().enumerate() {
@@ -84,9 +91,16 @@
                 old => advance(deployment, run, gateway, old, now, &mut rng),
             };
         }
-        if let Some((fault, _)) = replica_fault.take_if(|(_, until)| now >= *until) {
-            fault.end(deployment);
-            replicas_recover_until = Instant::now() + REPLICA_RECOVERY_TIME;
+        let is_calm = now >= calm_from;
+        control_faults.end(deployment, run, now, is_calm, &mut rng);
+        if is_calm {
+            next_control_fault_at = now + CALM_TIME;
+            calm_from = next_control_fault_at + CONTROL_FAULTS_TIME;
+        }
+        if now >= next_control_fault_at && !is_ending {
+            next_control_fault_at = now + random_ms(&mut rng, CONTROL_FAULT_INTERVAL_MS);
+            let injected = control_faults.inject(deployment, run, now, &mut rng);
+            injected.await;
         }
         if let Some((server, _)) = draining.take_if(|(_, until)| now >= *until) {
             deployment.replace_server(server);
@@ -97,9 +111,7 @@
             let gateway = rng.random_range(0..states.len());
             let is_running = matches!(states[gateway], State::Running);
             match rng.random_range(0..12) {
-                0..=1 if replica_fault.is_none() && now >= replicas_recover_until => {
-                    replica_fault = Some((ReplicaFault::inject(deployment, &mut rng), until));
-                }
+                0..=1 => deployment.change_gateway_seeds(gateway, &mut rng),
                 // Until a starting process has installed its signal handlers, SIGHUP terminates it by default.
                 2 if is_running => {
                     let process = &deployment.gateways[gateway];
@@ -128,7 +140,7 @@
                 8..=11 if is_running => {
                     let stopping = states.iter().filter(|s| !matches!(s, State::Running));
                     // One gateway stays, or callers would have none.
-                    if stopping.count() < 2 {
+                    if stopping.count() + 1 < deployment.gateways.len() {
                         states[gateway] =
                             begin_stop(deployment, gateway, has_gateway_faults, &mut rng).await;
                     }
@@ -136,10 +148,22 @@
                 _ => {}
             }
         }
+        let is_over = control_faults.are_over() && states.iter().all(State::is_running);
+        match is_ending && is_over {
+            true if has_last_fault => {
+                has_last_fault = false;
+                let now = Instant::now();
+                control_faults.kill_all(deployment, run, now, &mut rng);
+                for (gateway, state) in states.iter_mut().enumerate() {
+                    if has_gateway_faults {
+                        deployment.gateways[gateway].process.kill();
+                        *state = State::Killed(now, now + random_ms(&mut rng, 100..1000));
+                    }
+                }
+            }
+            true => return,
+            false => {}
+        }
         compio::time::sleep(Duration::from_millis(10)).await;
     }
-    if let Some((fault, _)) = replica_fault {
-        fault.end(deployment);
-    }
-    deployment.wait_until_ready().await;
 }
--- a/laburnumlug-daemon/tests/gateways/operator.rs
+++ b/laburnumlug-daemon/tests/gateways/operator.rs
@@ -1,25 +1,30 @@
-//! Operator that replaces the configuration through a random replica, and reads it back from another.
+//! Operator that replaces and reads the configuration through any control process, as the platform's operator does.
 
-use std::net::SocketAddr;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use rand::Rng;
 use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
 use serde_json::Value;
 
 use crate::Run;
-use crate::client;
+use crate::control_fleet::call;
+use crate::control_record::Attempt;
 use crate::deployment::config;
-use crate::harness::wait_for;
-
-/// Time after which the operator stops waiting for a response and closes the connection.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
+use crate::settle::RECOVERY_TIMEOUT;
 
 /// Range of the delay between two changes, in milliseconds.
 const CHANGE_DELAY_MS: std::ops::Range<u64> = 100..700;
 
+/// First and longest delay between two calls for the same change.
+const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(800)];
+
+/// Statuses with which the operator gives up a change.
+const REFUSALS: [&str; 5] = ["400", "409", "412", "413", "422"];
+
 /// Attempt to replace the configuration by one of a newer version.
 #[derive(Clone, Copy, Debug)]
 pub struct Change {
@@ -27,63 +32,111 @@
     pub acknowledged_at: Option<Instant>,
 }
 
-/// Configuration that a replica returned.
+/// Configuration that the operator got.
 #[derive(Clone, Copy, Debug)]
 pub struct Read {
-    pub replica: SocketAddr,
+    /// Control process at which the call began.
+    pub member: usize,
     pub sent_at: Instant,
     pub answered_at: Instant,
     pub version: u64,
 }
 
 /// Replaces the configuration until the run is over, from version 2: version 1 is in force from the start.
-pub async fn run_operator(run: Rc<Run>, operators: Vec<SocketAddr>, mut rng: StdRng) {
-    for version in 2.. {
-        if run.load.faults_ended.load(Ordering::Relaxed) {
-            return;
-        }
-        let addr = operators[rng.random_range(0..operators.len())];
-        let text = config(version);
-        run.load.newest_sent.store(version, Ordering::Relaxed);
-        let response = client::post(addr, "/config/replace", &[], &text);
-        let response = compio::time::timeout(RESPONSE_TIMEOUT, response).await;
-        let is_acknowledged = matches!(response, Ok(Some(response)) if response.status == 200);
+///
+/// Several operators share the versions.
+pub async fn run_operator(run: Rc<Run>, mut rng: StdRng) {
+    while !run.load.faults_ended.load(Ordering::Relaxed) {
+        let version = run.load.newest_sent.fetch_add(1, Ordering::Relaxed) + 1;
         run.changes.borrow_mut().push(Change {
             version,
-            acknowledged_at: is_acknowledged.then(Instant::now),
+            acknowledged_at: None,
         });
-        let replica = operators[rng.random_range(0..operators.len())];
-        let sent_at = Instant::now();
-        let read = compio::time::timeout(RESPONSE_TIMEOUT, read_version(replica)).await;
-        if let Ok(Some(version)) = read {
-            run.reads.borrow_mut().push(Read {
-                replica,
-                sent_at,
-                answered_at: Instant::now(),
-                version,
-            });
+        replace(&run, version, &mut rng).await;
+        if let Some(member) = pick(&run, &mut rng) {
+            let _ = read(&run, member).await;
         }
         let delay_ms = rng.random_range(CHANGE_DELAY_MS);
         compio::time::sleep(Duration::from_millis(delay_ms)).await;
     }
 }
 
-/// Reads the version from each replica, once it has confirmed that it is the newest.
-pub async fn read_all(run: &Run, operators: Vec<SocketAddr>) {
-    for replica in operators {
-        let sent_at = Instant::now();
-        let version = wait_for("a confirmed configuration", || read_version(replica)).await;
-        run.reads.borrow_mut().push(Read {
-            replica,
-            sent_at,
-            answered_at: Instant::now(),
-            version,
-        });
+/// Sends a change, unchanged and to any process, until it is acknowledged.
+async fn replace(run: &Run, version: u64, rng: &mut StdRng) {
+    let text = config(version);
+    let mut backoff = BACKOFF[0];
+    let mut last_error = String::new();
+    while !is_overdue(run) {
+        if let Some(member) = pick(run, rng) {
+            match attempt(run, member, "/config/replace", Some(text.clone())).await {
+                Ok(_) => {
+                    let mut changes = run.changes.borrow_mut();
+                    let change = changes.iter_mut().find(|c| c.version == version);
+                    change.unwrap().acknowledged_at = Some(Instant::now());
+                    return;
+                }
+                Err(error) => last_error = error,
+            }
+            let status = last_error.strip_prefix("status ").unwrap_or_default();
+            if REFUSALS.iter().any(|refusal| status.starts_with(refusal)) {
+                let text = format!("OPERATOR: version {version} was refused: {last_error}");
+                return run.violations.borrow_mut().push(text);
+            }
+        }
+        compio::time::sleep(backoff.mul_f64(rng.random_range(0.5..1.0))).await;
+        backoff = (backoff * 2).min(BACKOFF[1]);
     }
+    let text =
+        format!("OPERATOR: version {version} was not acknowledged after the faults: {last_error}");
+    run.violations.borrow_mut().push(text);
+}
+
+/// Returns whether the faults ended longer ago than the recovery may take.
+fn is_overdue(run: &Run) -> bool {
+    let ended_at = run.ended_at.get();
+    ended_at.is_some_and(|at| at.elapsed() > RECOVERY_TIMEOUT)
+}
+
+/// Picks a control process from the operator's list.
+fn pick(run: &Run, rng: &mut StdRng) -> Option<usize> {
+    let listed = run.control.on_list(Instant::now());
+    listed.choose(rng).map(|(member, _)| *member)
+}
+
+/// Reads the configuration, beginning at a control process, and returns its version.
+///
+/// # Errors
+///
+/// Fails with what the operator got instead.
+pub async fn read(run: &Run, member: usize) -> Result<u64, String> {
+    let sent_at = Instant::now();
+    let config = attempt(run, member, "/config/get", None).await?;
+    let version = config["version"].as_u64().ok_or("no version")?;
+    run.reads.borrow_mut().push(Read {
+        member,
+        sent_at,
+        answered_at: Instant::now(),
+        version,
+    });
+    Ok(version)
 }
 
-async fn read_version(replica: SocketAddr) -> Option<u64> {
-    let (status, body) = client::get_status_and_body(replica, "/config/get").await?;
-    let config: Value = serde_json::from_str(&body).ok()?;
-    config["version"].as_u64().filter(|_| status == 200)
+async fn attempt(
+    run: &Run,
+    member: usize,
+    path: &str,
+    body: Option<String>,
+) -> Result<Value, String> {
+    let addr = run.control.listed.borrow()[member].addr;
+    let sent_at = Instant::now();
+    let redirects = RefCell::default();
+    let result = call(addr, path, body, &redirects).await;
+    run.control.attempts.borrow_mut().push(Attempt {
+        member,
+        sent_at,
+        ended_at: Instant::now(),
+        redirects: redirects.into_inner(),
+        error: result.as_ref().err().cloned(),
+    });
+    result
 }
--- a/laburnumlug-daemon/tests/gateways/stops.rs
+++ b/laburnumlug-daemon/tests/gateways/stops.rs
@@ -7,7 +7,7 @@
 use rustix::process::Signal;
 
 use crate::Run;
-use crate::deployment::{Deployment, GRACE_PERIODS};
+use crate::deployment::{Deployment, grace_period};
 use crate::injector::{Interruption, Reason};
 use crate::platform_fleet::readiness_status;
 
@@ -25,6 +25,12 @@
     Killed(Instant, Instant),
 }
 
+impl State {
+    pub fn is_running(&self) -> bool {
+        matches!(self, State::Running)
+    }
+}
+
 /// Planned stop that is in progress.
 pub struct Stop {
     signalled_at: Instant,
@@ -63,7 +69,7 @@
         (from, from + random_ms(rng, 100..3500))
     });
     let kill_after = if has_faults {
-        GRACE_PERIODS[gateway]
+        grace_period(gateway)
     } else {
         EXIT_TIMEOUT
     };
@@ -94,7 +100,7 @@
         }
         State::Killed(from, until) if now >= until => {
             record(run, gateway, Reason::Fault, from);
-            deployment.gateways[gateway].restart(&deployment.cluster.folder);
+            deployment.restart_gateway(gateway, rng);
             State::Running
         }
         State::Stopping(stop) => advance_stop(deployment, run, gateway, stop, now, rng),
@@ -110,7 +116,7 @@
     now: Instant,
     rng: &mut StdRng,
 ) -> State {
-    let grace = GRACE_PERIODS[gateway];
+    let grace = grace_period(gateway);
     let process = &mut deployment.gateways[gateway].process;
     let exit = process.exit_status();
     if exit.is_none() && now < stop.kill_at {
@@ -143,7 +149,7 @@
     }
     process.kill();
     record(run, gateway, Reason::Stop { grace }, stop.signalled_at);
-    deployment.gateways[gateway].restart(&deployment.cluster.folder);
+    deployment.restart_gateway(gateway, rng);
     match rng.random_ratio(1, 5) {
         true => State::StopAt(now + random_ms(rng, 0..600)),
         false => State::Running,
--- a/laburnumlug-daemon/tests/gateways/versions.rs
+++ b/laburnumlug-daemon/tests/gateways/versions.rs
@@ -1,4 +1,4 @@
-//! Versions of the configuration that gateways obey and control replicas return, which never go back.
+//! Versions of the configuration that gateways obey and control processes return, which never go back.
 
 use std::time::Duration;
 
@@ -32,8 +32,8 @@
         let is_unknown = read.version > 1 && changes.iter().all(|c| c.version < read.version);
         if acknowledged.max(newest_read) > Some(read.version) || is_unknown {
             violations.push(format!(
-                "CONFIG: replica {} returned version {}; {acknowledged:?} had been acknowledged, {newest_read:?} read",
-                read.replica, read.version
+                "CONFIG: a call that began at control process {} returned version {}; {acknowledged:?} had been acknowledged, {newest_read:?} read",
+                read.member, read.version
             ));
         }
     }
--- a/laburnumlug-daemon/tests/it/control_fleet.rs
+++ b/laburnumlug-daemon/tests/it/control_fleet.rs
@@ -3,6 +3,7 @@
 // Each test binary that includes this module uses only a part of it.
 #![allow(dead_code)]
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -26,6 +27,18 @@
     pub has_disk: bool,
     /// The process, unless it was ended.
     pub process: Option<Process>,
+    /// Members that its settings name as seeds.
+    pub seeds: Vec<usize>,
+    /// Whether it will never be started again.
+    pub is_removed: bool,
+}
+
+/// Redirect that the operator got.
+#[derive(Clone, Copy, Debug)]
+pub struct Redirect {
+    pub to: SocketAddr,
+    /// When the request was sent that got the redirect.
+    pub sent_at: Instant,
 }
 
 /// Control processes of a deployment that tolerates a number of losses, and the folder of their settings and data.
@@ -56,6 +69,8 @@
             operator_addr: free_addr(),
             has_disk,
             process: None,
+            seeds: Vec::new(),
+            is_removed: false,
         });
         self.members.len() - 1
     }
@@ -65,6 +80,7 @@
         let path = self.write_settings(member, seeds, may_found);
         self.members[member].process = None;
         self.members[member].process = Some(Process::start("control", &path));
+        self.members[member].seeds = seeds.to_vec();
     }
 
     /// Writes the settings of a process, which need not be running.
@@ -126,6 +142,12 @@
             .collect()
     }
 
+    /// Returns the indexes of the members that run or will be started again.
+    pub fn present(&self) -> Vec<usize> {
+        let members = 0..self.members.len();
+        members.filter(|i| !self.members[*i].is_removed).collect()
+    }
+
     /// Returns the status of a replica, or `None` without a response.
     pub async fn status(&self, member: usize) -> Option<Value> {
         let body = client::get_body(self.members[member].operator_addr, "/status").await?;
@@ -179,7 +201,7 @@
     /// Fails with the last status or the silence that the operator meets at some address.
     pub async fn read_config(&self, member: usize) -> Result<Value, String> {
         let addr = self.members[member].operator_addr;
-        call(addr, "/config/get", None).await
+        call(addr, "/config/get", None, &RefCell::default()).await
     }
 
     /// Replaces the configuration as the platform's operator does, beginning at `member`.
@@ -189,7 +211,8 @@
     /// As [`ControlFleet::read_config`].
     pub async fn replace_config(&self, member: usize, config: &Value) -> Result<Value, String> {
         let addr = self.members[member].operator_addr;
-        call(addr, "/config/replace", Some(config.to_string())).await
+        let body = Some(config.to_string());
+        call(addr, "/config/replace", body, &RefCell::default()).await
     }
 
     /// Replaces the configuration through `members` in turn until it is accepted; panics after `timeout`.
@@ -228,40 +251,64 @@
     }
 }
 
-/// Calls an operator interface, and follows redirects, within [`CALL_TIMEOUT`].
-async fn call(addr: SocketAddr, path: &str, body: Option<String>) -> Result<Value, String> {
-    let following = follow(addr, path, body);
+/// Calls an operator interface as the platform's operator does, and records the redirects.
+///
+/// # Errors
+///
+/// Fails with the last status, or if no response arrives within [`CALL_TIMEOUT`].
+pub async fn call(
+    addr: SocketAddr,
+    path: &str,
+    body: Option<String>,
+    redirects: &RefCell<Vec<Redirect>>,
+) -> Result<Value, String> {
+    let following = follow(addr, path, body, redirects);
     match compio::time::timeout(CALL_TIMEOUT, following).await {
         Ok(result) => result,
-        Err(_) => Err(format!("silence after a call that began at {addr}")),
+        Err(_) => Err(format!(
+            "silence after a call that began at {addr}, redirects {:?}",
+            redirects.borrow()
+        )),
     }
 }
 
-async fn follow(addr: SocketAddr, path: &str, body: Option<String>) -> Result<Value, String> {
+async fn follow(
+    addr: SocketAddr,
+    path: &str,
+    body: Option<String>,
+    redirects: &RefCell<Vec<Redirect>>,
+) -> Result<Value, String> {
     let mut url = format!("http://{addr}{path}");
-    let mut redirects = 0;
     loop {
-        let client = cyper::Client::new().unwrap();
+        // The client would follow redirects by itself, and more of them.
+        let builder = cyper::Client::builder().redirect(cyper::redirect::Policy::none());
+        let client = builder.build().unwrap();
         let req = match &body {
             Some(body) => client.post(&url).unwrap().body(body.clone()),
             None => client.get(&url).unwrap(),
         };
+        let sent_at = Instant::now();
         let Ok(resp) = req.send().await else {
             return Err(format!("no connection at {url}"));
         };
         let status = resp.status().as_u16();
-        match status {
-            200 => {
+        let location = resp.headers().get("location");
+        let location = location.and_then(|l| l.to_str().ok()).map(str::to_string);
+        match (status, location) {
+            (200, _) => {
                 let text = resp.text().await.map_err(|err| err.to_string())?;
                 return serde_json::from_str(&text).map_err(|err| err.to_string());
             }
-            307 if redirects < MAX_REDIRECTS => {
-                redirects += 1;
-                let location = resp.headers().get("location");
-                url = location
-                    .and_then(|l| l.to_str().ok())
-                    .ok_or("no location")?
-                    .to_string();
+            (307, Some(location)) => {
+                let authority = location.split('/').nth(2).unwrap_or_default();
+                let to = authority
+                    .parse()
+                    .map_err(|_| format!("redirect to {location}"))?;
+                redirects.borrow_mut().push(Redirect { to, sent_at });
+                if redirects.borrow().len() > MAX_REDIRECTS {
+                    return Err(format!("status 307 from {url}"));
+                }
+                url = location;
             }
             _ => return Err(format!("status {status} from {url}")),
         }
