Check the soak's recovery while its operators go on

Cause: the checks after the faults began when the operators had finished.

Change: both run at the same time, with the same bound of 12 s for each. A read that fails is repeated with the operator's backoff instead of every 50 ms through each process.

--- a/laburnumlug-daemon/tests/gateways/main.rs
+++ b/laburnumlug-daemon/tests/gateways/main.rs
@@ -41,6 +41,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -152,10 +153,8 @@
     let ended_at = Instant::now();
     run.ended_at.set(Some(ended_at));
     run.load.faults_ended.store(true, Ordering::Relaxed);
-    for operator in operators {
-        let _ = operator.await;
-    }
-    settle::check_recovery(&deployment, &run, ended_at).await;
+    let recovery = settle::check_recovery(&deployment, &run, ended_at);
+    futures_util::join!(recovery, join_all(operators));
     run.recovered_after.set(ended_at.elapsed());
     // The list of the servers is served by this thread, so callers are awaited elsewhere.
     let joined = compio::runtime::spawn_blocking(|| {
--- a/laburnumlug-daemon/tests/gateways/operator.rs
+++ b/laburnumlug-daemon/tests/gateways/operator.rs
@@ -19,8 +19,8 @@
 /// Range of the delay between two changes, in milliseconds.
 const CHANGE_DELAY_MS: std::ops::Range<u64> = 100..700;
 
-/// First and longest delay between two calls for the same change.
-const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(800)];
+/// First and longest delay between two calls for the same purpose.
+pub const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(800)];
 
 /// Statuses with which the operator gives up a change.
 const REFUSALS: [&str; 5] = ["400", "409", "412", "413", "422"];
--- a/laburnumlug-daemon/tests/gateways/settle.rs
+++ b/laburnumlug-daemon/tests/gateways/settle.rs
@@ -8,12 +8,12 @@
 use crate::Run;
 use crate::callers::is_served;
 use crate::deployment::{Deployment, REPLICAS};
-use crate::operator::read;
+use crate::operator::{BACKOFF, read};
 
 /// Time after the end of the faults within which everything serves again.
 pub const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
-/// Delay between two tries.
+/// Delay between two questions to the replicas.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Adds what does not serve within [`RECOVERY_TIMEOUT`] after `ended_at` to the violations.
@@ -29,8 +29,7 @@
     let reads = present
         .iter()
         .map(|member| check_read(deployment, run, *member, deadline));
-    join_all(reads).await;
-    check_cluster(deployment, run, deadline).await;
+    futures_util::join!(join_all(reads), check_cluster(deployment, run, deadline));
     for (gateway, is_served) in served.into_iter().enumerate() {
         if !is_served.await.unwrap() {
             let text = format!("RECOVERY: gateway {gateway} serves nobody");
@@ -41,12 +40,16 @@
 
 /// Checks that a control process leads the operator to the newest acknowledged configuration.
 async fn check_read(deployment: &Deployment, run: &Run, member: usize, deadline: Instant) {
-    let newest = run.newest_acknowledged();
+    let mut backoff = BACKOFF[0];
     loop {
+        let newest = run.newest_acknowledged();
         let result = read(run, member).await;
         match result {
             Ok(version) if version >= newest => return,
-            _ if Instant::now() < deadline => compio::time::sleep(RETRY_DELAY).await,
+            _ if Instant::now() < deadline => {
+                compio::time::sleep(backoff).await;
+                backoff = (backoff * 2).min(BACKOFF[1]);
+            }
             _ => {
                 let has_disk = deployment.control.members[member].has_disk;
                 run.violations.borrow_mut().push(format!(
