--- a/laburnumlug-cli/src/operator_client.rs
+++ b/laburnumlug-cli/src/operator_client.rs
@@ -110,7 +110,10 @@
             };
             if answered_addr != *addr {
                 let status = Err(NO_REPLICA.to_string());
-                statuses.push(ReplicaStatus { addr: *addr, status });
+                statuses.push(ReplicaStatus {
+                    addr: *addr,
+                    status,
+                });
             }
             // Several processes may redirect to one replica.
             if statuses.iter().all(|known| known.addr != answered_addr) {
--- a/laburnumlug-control/src/directory/status_tests.rs
+++ b/laburnumlug-control/src/directory/status_tests.rs
@@ -33,7 +33,7 @@
         voters: Vec::new(),
         others: vec![other],
     };
-    contacts.record_report(start, addr(2), &report);
+    contacts.record_report(start, start, addr(2), &report);
     let now = start + Duration::from_secs(2);
     let status = contacts.status(now);
     assert_eq!((status.direct, status.reported), (1, 1));
