Count the silence of a voter across leaders

What callers saw: the configuration is lost, and gateways have no confirmation, although at most two of five replicas were lost at once.

Cause: a leader replaces a voter after 3 s without an answer, counted from its own election. If it is lost itself, its successor begins to count again, while the first replacement has been up for 4 s and counts as lost no more. A third loss leaves two voters of five.

Change: appends state which voters have been silent, and for how long; a replica also knows when the last leader was in contact. A new leader goes on counting from there, after 250 ms in which the voters can answer it. The time is 2 s in place of 3 s, so that it and an election fit into the 4 s; a restart takes about one.

--- a/laburnumlug-control/src/peer.rs
+++ b/laburnumlug-control/src/peer.rs
@@ -77,6 +77,9 @@
     /// Latest position of each replica that the leader observed.
     #[serde(rename = "seen")]
     pub(crate) observed_positions: Vec<(ReplicaId, Position)>,
+    /// Voters that have not answered the leader for a while, with that time in milliseconds.
+    #[serde(default)]
+    pub(crate) silent_voters: Vec<(ReplicaId, u64)>,
 }
 
 /// Chunk of a snapshot.
--- a/laburnumlug-control/src/replica/core.rs
+++ b/laburnumlug-control/src/replica/core.rs
@@ -69,6 +69,8 @@
     pub(super) leader: Option<String>,
     /// When the last message of the leader was accepted.
     pub(super) last_leader_contact: Option<Instant>,
+    /// When voters last answered a leader, as far as this replica was told by leaders or has led itself.
+    pub(super) voter_contacts: BTreeMap<ReplicaId, Instant>,
     pub(super) election_at: Instant,
     /// Whether the data folder holds everything it ever acknowledged, judged by what other replicas observed of it.
     pub(super) verified: bool,
@@ -112,6 +114,7 @@
             role: ReplicaRole::Follower,
             leader: None,
             last_leader_contact: None,
+            voter_contacts: BTreeMap::new(),
             election_at: now,
             verified: false,
             caught_up: false,
--- a/laburnumlug-control/src/replica/follower.rs
+++ b/laburnumlug-control/src/replica/follower.rs
@@ -1,7 +1,9 @@
 //! Follower: handling of a leader's heartbeats, appends and snapshots.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+use laburnumlug_mesh::ReplicaId;
 
 use super::Replica;
 use super::core::{Core, IncomingSnapshot, QueuedWrite, ReplicaRole};
@@ -24,7 +26,11 @@
         if !self.accept_leader(&req.header).await? {
             return Some(self.append_answer(AppendResult::Refused));
         }
-        let result = self.core.borrow_mut().append_entries(&req)?;
+        let result = {
+            let mut core = self.core.borrow_mut();
+            core.record_silent_voters(Instant::now(), &req.silent_voters);
+            core.append_entries(&req)?
+        };
         self.notify();
         if let AppendResult::Matched(match_index) = result {
             self.wait_for_sync(&req.header).await?;
@@ -84,6 +90,7 @@
         core.role = ReplicaRole::Follower;
         core.leader = Some(header.leader.name.clone());
         core.last_leader_contact = Some(now);
+        core.voter_contacts.insert(header.leader.clone(), now);
         core.postpone_election(now);
         Some(true)
     }
@@ -116,6 +123,18 @@
 }
 
 impl Core {
+    /// Records which voters a leader has found silent, so that a successor does not begin to count their silence again.
+    fn record_silent_voters(&mut self, now: Instant, silent_voters: &[(ReplicaId, u64)]) {
+        let voters = self.log.membership().voters.clone();
+        self.voter_contacts
+            .retain(|replica, _| voters.contains(replica));
+        for (replica, silent_ms) in silent_voters {
+            if let Some(at) = now.checked_sub(Duration::from_millis(*silent_ms)) {
+                self.voter_contacts.insert(replica.clone(), at);
+            }
+        }
+    }
+
     /// Appends a leader's entries to the log; returns `None` if they are invalid.
     ///
     /// If the entry before them is not in this log, returns the index from which the leader must send instead.
--- a/laburnumlug-control/src/replica/leadership.rs
+++ b/laburnumlug-control/src/replica/leadership.rs
@@ -16,7 +16,13 @@
 pub(super) const MAX_VOTERS: usize = 7;
 
 /// Time without an answer after which a learner replaces a voter; longer than a restart takes.
-const VOTER_SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
+const VOTER_SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time after an election in which voters can answer the new leader before their silence under earlier ones counts.
+const FIRST_CONTACT_TIME: Duration = Duration::from_millis(250);
+
+/// Time without an answer from which followers are told that a voter is silent.
+const STATED_SILENCE: Duration = Duration::from_millis(500);
 
 /// State of a leader.
 pub(super) struct Leadership {
@@ -238,24 +244,47 @@
     }
 
     /// Returns a voter that has not answered for [`VOTER_SILENCE_TIMEOUT`], if the other voters can commit without it.
-    ///
-    /// The time counts from the last message that it answered or from the election, whichever is later.
     fn unresponsive_voter(&self, now: Instant, leadership: &Leadership) -> Option<ReplicaId> {
+        if now.saturating_duration_since(leadership.elected_at) < FIRST_CONTACT_TIME {
+            return None;
+        }
         let voters = &self.log.membership().voters;
         let is_unresponsive = |voter: &&ReplicaId| {
-            let last_contact = match leadership.progress.get(&voter.name) {
-                Some(progress) if progress.replica == **voter => progress.last_contact,
-                _ => leadership.elected_at,
-            };
+            let last_contact = self.last_voter_contact(leadership, voter);
             **voter != self.meta.replica
-                && now.saturating_duration_since(last_contact.max(leadership.elected_at))
-                    >= VOTER_SILENCE_TIMEOUT
+                && now.saturating_duration_since(last_contact) >= VOTER_SILENCE_TIMEOUT
         };
         let unresponsive = voters.iter().find(is_unresponsive)?;
         let remaining = voters.iter().filter(|voter| *voter != unresponsive);
         let responsive = remaining.filter(|voter| self.has_recent_contact(now, leadership, voter));
         (responsive.count() > (voters.len() - 1) / 2).then(|| unresponsive.clone())
     }
+
+    /// Returns when a voter last answered this leader, or an earlier one, or else when this one was elected.
+    fn last_voter_contact(&self, leadership: &Leadership, voter: &ReplicaId) -> Instant {
+        match leadership.progress.get(&voter.name) {
+            Some(progress) if progress.replica == *voter => progress.last_contact,
+            _ => {
+                let earlier = self.voter_contacts.get(voter).copied();
+                earlier.map_or(leadership.elected_at, |at| at.min(leadership.elected_at))
+            }
+        }
+    }
+
+    /// Returns the voters that have not answered for [`STATED_SILENCE`], with that time in milliseconds, as the leader.
+    pub(super) fn silent_voters(&self, now: Instant) -> Vec<(ReplicaId, u64)> {
+        let ReplicaRole::Leader(leadership) = &self.role else {
+            return Vec::new();
+        };
+        let silence = |voter: &ReplicaId| {
+            let last_contact = self.last_voter_contact(leadership, voter);
+            let silence = now.saturating_duration_since(last_contact);
+            let is_stated = *voter != self.meta.replica && silence >= STATED_SILENCE;
+            is_stated.then(|| (voter.clone(), silence.as_millis() as u64))
+        };
+        let membership = self.log.membership();
+        membership.voters.iter().filter_map(silence).collect()
+    }
 }
 
 #[cfg(test)]
--- a/laburnumlug-control/src/replica/leadership_tests.rs
+++ b/laburnumlug-control/src/replica/leadership_tests.rs
@@ -210,3 +210,27 @@
         majorities > all && next.len() <= MAX_VOTERS && !next.is_empty()
     }
 }
+
+/// Guards against a voter that is replaced only 2 s after each election, although earlier leaders had found it silent: with
+/// leaders that are lost in between, more voters than are tolerated would be silent at once.
+#[test]
+fn next_membership_voter_silent_under_former_leader() {
+    let start = Instant::now();
+    let voters = ["a", "b", "c", "d", "e"].map(|name| replica(name, 1));
+    let elected_at = start + VOTER_SILENCE_TIMEOUT;
+    let mut core = leader(elected_at, &voters);
+    core.max_voters = 5;
+    core.voter_contacts.insert(replica("e", 1), start);
+    core.voter_contacts.insert(replica("d", 1), elected_at);
+    for name in ["b", "c", "f"] {
+        set_progress(&mut core, elected_at, &replica(name, 1), 1);
+    }
+    core.commit_to(1);
+    assert_eq!(core.next_membership(elected_at), None);
+    let now = elected_at + FIRST_CONTACT_TIME;
+    assert_eq!(core.next_membership(now), Some(voters[..4].to_vec()));
+    assert_eq!(
+        core.silent_voters(now),
+        [(replica("e", 1), (now - start).as_millis() as u64)]
+    );
+}
--- a/laburnumlug-control/src/replica/replication.rs
+++ b/laburnumlug-control/src/replica/replication.rs
@@ -269,6 +269,7 @@
             entries: self.encoded_entries(progress.next_index),
             commit: self.commit_index,
             observed_positions: self.positions_with_own(),
+            silent_voters: self.silent_voters(Instant::now()),
         }))
     }
 
