Refuse a read in time while no majority can confirm it

Cause: one attempt of a read lasts until the last replica has answered or timed out, 300 ms, and an attempt that began before the 900 ms of the read were over was finished. With the 100 ms of the search for a replica that is ready, an operator got nothing in his second and moved on only then.

Change: the attempt ends with the read.

--- a/laburnumlug-control/src/replica/read.rs
+++ b/laburnumlug-control/src/replica/read.rs
@@ -27,7 +27,10 @@
     pub async fn read_fleet(&self, timeout: Duration) -> Result<FleetSnapshot, Error> {
         let deadline = Instant::now() + timeout;
         loop {
-            if let Some(fleet) = self.majority_confirmed_fleet().await {
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            // One attempt lasts until the last replica has answered or timed out.
+            let attempt = compio::time::timeout(remaining, self.majority_confirmed_fleet());
+            if let Ok(Some(fleet)) = attempt.await {
                 return Ok(fleet);
             }
             let remaining = deadline.saturating_duration_since(Instant::now());
--- a/laburnumlug-daemon/tests/it/control_fleet.rs
+++ b/laburnumlug-daemon/tests/it/control_fleet.rs
@@ -83,6 +83,14 @@
         self.members[member].seeds = seeds.to_vec();
     }
 
+    /// Restarts a process like [`ControlFleet::start`]; if `is_full`, it cannot write files until its limit is removed.
+    pub fn start_full(&mut self, member: usize, seeds: &[usize], is_full: bool) {
+        let path = self.write_settings(member, seeds, false);
+        self.members[member].process = None;
+        let process = Process::start_with_file_limits("control", &path, is_full);
+        self.members[member].process = Some(process);
+    }
+
     /// Writes the settings of a process, which need not be running.
     pub fn write_settings(&self, member: usize, seeds: &[usize], may_found: bool) -> PathBuf {
         let Member {
--- a/laburnumlug-daemon/tests/it/harness.rs
+++ b/laburnumlug-daemon/tests/it/harness.rs
@@ -90,7 +90,7 @@
     /// Like [`Process::start`], but writes beyond a file size limit fail instead of ending the process.
     ///
     /// If `is_full`, the process cannot write files until [`Process::limit_file_size`] removes the limit.
-    fn start_with_file_limits(role: &str, settings: &Path, is_full: bool) -> Process {
+    pub fn start_with_file_limits(role: &str, settings: &Path, is_full: bool) -> Process {
         let limit = if is_full { "ulimit -S -f 0;" } else { "" };
         let script = format!("trap '' XFSZ; {limit} exec \"$@\"");
         let child = Command::new("sh")
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod client;
 mod control;
 mod control_discovery;
+mod control_faults;
 mod control_fleet;
 mod control_referral;
 mod control_status;
