--- a/laburnumlug-control/src/directory/contacts.rs
+++ b/laburnumlug-control/src/directory/contacts.rs
@@ -30,7 +30,7 @@
 const MAX_UNHEARD_REQUESTS: usize = 4;
 
 /// Interval between requests to a replica while one that is ready is known.
-const REPLICA_INTERVAL: Duration = Duration::from_secs(2);
+const REPLICA_INTERVAL: Duration = Duration::from_secs(3);
 
 /// Interval between requests to any process, which connect those that know nobody useful.
 const ANY_INTERVAL: Duration = Duration::from_secs(5);
@@ -39,7 +39,7 @@
 const UNHEARD_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time without an answer of a replica that is ready after which all known processes are asked.
-const READY_TIMEOUT: Duration = Duration::from_secs(5);
+const READY_TIMEOUT: Duration = Duration::from_secs(7);
 
 /// Interval between rounds of requests in the first [`SEARCH_TIME`] without a replica that is ready.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(250);
