--- a/laburnumlug-control/src/directory/contacts.rs
+++ b/laburnumlug-control/src/directory/contacts.rs
@@ -402,3 +402,7 @@
 #[cfg(test)]
 #[path = "contacts_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "contacts_fleet_tests.rs"]
+mod fleet_tests;
