Name the fields of the directory by what they hold

Cause: names such as heard_at, ready_at or Standing told a reader little.

Change: last_message_at, ready_replica_seen_at, ReplicaState and others. No behaviour changes.

--- a/laburnumlug-control/src/directory/contacts.rs
+++ b/laburnumlug-control/src/directory/contacts.rs
@@ -27,16 +27,16 @@
 const MAX_REPLICA_REQUESTS: usize = 4;
 
 /// Maximum number of processes that are asked at once because nobody has received a message of them.
-const MAX_UNHEARD_REQUESTS: usize = 4;
+const MAX_UNCONFIRMED_REQUESTS: usize = 4;
 
 /// Interval between requests to a replica while one that is ready is known.
 const REPLICA_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Interval between requests to any process, which connect those that know nobody useful.
-const ANY_INTERVAL: Duration = Duration::from_secs(5);
+/// Interval between requests to any process, which connect those that know no replica.
+const GOSSIP_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Interval between requests to processes of which nobody has received a message, such as a seed that itself knows nobody.
-const UNHEARD_INTERVAL: Duration = Duration::from_secs(1);
+const UNCONFIRMED_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time without an answer of a replica that is ready after which all known processes are asked.
 const READY_TIMEOUT: Duration = Duration::from_secs(7);
@@ -56,7 +56,7 @@
     /// The process, unless it is only named by the settings or by the membership.
     contact: Option<ControlContact>,
     /// When any process last received a message of it.
-    heard_at: Option<Instant>,
+    last_message_at: Option<Instant>,
     asked_at: Option<Instant>,
     /// When this process last received a message of it.
     received_at: Option<Instant>,
@@ -70,13 +70,13 @@
     membership: u64,
     voters: Vec<ReplicaId>,
     /// When a replica that is ready has answered last, or when the search for one began.
-    ready_at: Instant,
+    ready_replica_seen_at: Instant,
     /// Address of that replica, if there was one.
     last_ready: Option<SocketAddr>,
     search_began_at: Option<Instant>,
     asked_replica_at: Option<Instant>,
-    asked_any_at: Option<Instant>,
-    asked_unheard_at: Option<Instant>,
+    gossiped_at: Option<Instant>,
+    asked_unconfirmed_at: Option<Instant>,
     /// Address after which the next report continues, so that successive reports name all processes.
     reported_through: Option<SocketAddr>,
 }
@@ -92,12 +92,12 @@
             entries: BTreeMap::new(),
             membership: 0,
             voters: Vec::new(),
-            ready_at: now,
+            ready_replica_seen_at: now,
             last_ready: None,
             search_began_at: Some(now),
             asked_replica_at: None,
-            asked_any_at: None,
-            asked_unheard_at: None,
+            gossiped_at: None,
+            asked_unconfirmed_at: None,
             reported_through: None,
         };
         contacts.set_seeds(seeds);
@@ -155,15 +155,15 @@
         self.record_receipt(now, addr);
         for other in &report.others {
             let age = Duration::from_millis(other.age_ms);
-            if let Some(heard_at) = sent_at.checked_sub(age)
+            if let Some(last_message_at) = sent_at.checked_sub(age)
                 && age < CONTACT_LIFETIME
             {
-                self.merge(heard_at, other.contact);
+                self.merge(last_message_at, other.contact);
             }
         }
         let is_ready = report.readiness == Readiness::Ready;
         if is_ready {
-            self.ready_at = self.ready_at.max(sent_at);
+            self.ready_replica_seen_at = self.ready_replica_seen_at.max(sent_at);
             self.last_ready = Some(addr);
             self.search_began_at = None;
         }
@@ -182,31 +182,34 @@
         }
     }
 
-    fn merge(&mut self, heard_at: Instant, contact: ControlContact) {
+    fn merge(&mut self, last_message_at: Instant, contact: ControlContact) {
         if contact.mesh == self.own.mesh {
             return;
         }
         let entry = self.entries.entry(contact.mesh).or_default();
-        if entry.heard_at.is_none_or(|known| known < heard_at) {
+        if entry
+            .last_message_at
+            .is_none_or(|known| known < last_message_at)
+        {
             entry.contact = Some(contact);
-            entry.heard_at = Some(heard_at);
+            entry.last_message_at = Some(last_message_at);
         }
     }
 
-    /// Removes the processes that were not heard of for long, and the oldest ones beyond [`MAX_CONTACTS`].
+    /// Removes the processes that have sent no message for long, and the oldest ones beyond [`MAX_CONTACTS`].
     fn evict(&mut self, now: Instant) {
         let mut kept: BTreeSet<SocketAddr> = self.seeds.clone();
         kept.extend(self.voter_addrs());
         let is_recent = |entry: &Entry| {
             entry
-                .heard_at
+                .last_message_at
                 .is_some_and(|at| now.saturating_duration_since(at) < CONTACT_LIFETIME)
         };
         self.entries
             .retain(|addr, entry| kept.contains(addr) || is_recent(entry));
         while self.entries.len() > MAX_CONTACTS + kept.len() {
             let others = self.entries.iter().filter(|(addr, _)| !kept.contains(addr));
-            let Some((oldest, _)) = others.min_by_key(|(_, entry)| entry.heard_at) else {
+            let Some((oldest, _)) = others.min_by_key(|(_, entry)| entry.last_message_at) else {
                 return;
             };
             let oldest = *oldest;
@@ -273,7 +276,7 @@
 
     /// Returns the time since a replica that was ready last answered, or since the start.
     pub(crate) fn time_without_replica(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.ready_at)
+        now.saturating_duration_since(self.ready_replica_seen_at)
     }
 
     /// Returns whether all processes are asked for a replica that is ready.
@@ -281,10 +284,14 @@
         self.search_began_at.is_some()
     }
 
-    /// Returns the processes to ask now. `is_settled` tells that this process needs no replica, as it holds one that is ready.
-    pub(crate) fn next_requests(&mut self, now: Instant, is_settled: bool) -> Vec<SocketAddr> {
-        if is_settled {
-            self.ready_at = now;
+    /// Returns the processes to ask now. `needs_no_replica` tells that this process needs no replica, as it holds one that is ready.
+    pub(crate) fn next_requests(
+        &mut self,
+        now: Instant,
+        needs_no_replica: bool,
+    ) -> Vec<SocketAddr> {
+        if needs_no_replica {
+            self.ready_replica_seen_at = now;
             self.search_began_at = None;
         }
         if self.time_without_replica(now) >= READY_TIMEOUT {
@@ -299,8 +306,8 @@
                 true => SEARCH_INTERVAL,
                 false => LONG_SEARCH_INTERVAL,
             };
-            if is_due(self.asked_any_at, interval) {
-                self.asked_any_at = Some(now);
+            if is_due(self.gossiped_at, interval) {
+                self.gossiped_at = Some(now);
                 // Replicas have a share, so that hundreds of other processes do not delay the first answer of one that is ready.
                 requests = self.least_recently_asked(self.replicas(), MAX_REPLICA_REQUESTS);
                 let mut others = self.all();
@@ -309,17 +316,19 @@
                 requests.extend(self.least_recently_asked(others, count));
             }
         } else {
-            if !is_settled && is_due(self.asked_replica_at, REPLICA_INTERVAL) {
+            if !needs_no_replica && is_due(self.asked_replica_at, REPLICA_INTERVAL) {
                 self.asked_replica_at = Some(now);
                 requests = self.least_recently_asked(self.replicas(), 1);
             }
-            if is_due(self.asked_any_at, ANY_INTERVAL) {
-                self.asked_any_at = Some(now);
+            if is_due(self.gossiped_at, GOSSIP_INTERVAL) {
+                self.gossiped_at = Some(now);
                 requests.extend(self.least_recently_asked(self.all(), 1));
             }
-            if is_due(self.asked_unheard_at, UNHEARD_INTERVAL) {
-                self.asked_unheard_at = Some(now);
-                requests.extend(self.least_recently_asked(self.unheard(), MAX_UNHEARD_REQUESTS));
+            if is_due(self.asked_unconfirmed_at, UNCONFIRMED_INTERVAL) {
+                self.asked_unconfirmed_at = Some(now);
+                requests.extend(
+                    self.least_recently_asked(self.unconfirmed(), MAX_UNCONFIRMED_REQUESTS),
+                );
             }
         }
         requests.sort_unstable();
@@ -331,10 +340,10 @@
     }
 
     /// Returns the addresses that only the settings or the membership name.
-    fn unheard(&self) -> Vec<SocketAddr> {
+    fn unconfirmed(&self) -> Vec<SocketAddr> {
         let entries = self.entries.iter();
-        let unheard = entries.filter(|(_, entry)| entry.contact.is_none());
-        unheard.map(|(addr, _)| *addr).collect()
+        let unconfirmed = entries.filter(|(_, entry)| entry.contact.is_none());
+        unconfirmed.map(|(addr, _)| *addr).collect()
     }
 
     /// Returns the addresses that were asked least recently, first those after the own address, so that not all processes ask the
@@ -380,7 +389,7 @@
     /// Returns other processes for a report: replicas first, then the others in turn.
     pub(crate) fn reported(&mut self, now: Instant) -> Vec<ReportedContact> {
         let known = |(_, entry): (&SocketAddr, &Entry)| {
-            let age = now.saturating_duration_since(entry.heard_at?);
+            let age = now.saturating_duration_since(entry.last_message_at?);
             let age_ms = age.as_millis() as u64 + 1; // rounded up, so that the age never decreases on the way
             let contact = entry.contact?;
             Some(ReportedContact { contact, age_ms })
--- a/laburnumlug-control/src/directory/contacts_fleet_tests.rs
+++ b/laburnumlug-control/src/directory/contacts_fleet_tests.rs
@@ -104,8 +104,8 @@
                 if is_calm && !(self.step + u64::from(number)).is_multiple_of(CALM_STEPS) {
                     continue;
                 }
-                let is_settled = number < self.replicas && self.is_up;
-                for to in contacts.next_requests(self.now, is_settled) {
+                let needs_no_replica = number < self.replicas && self.is_up;
+                for to in contacts.next_requests(self.now, needs_no_replica) {
                     let [a, b, c, d] = match to.ip() {
                         std::net::IpAddr::V4(ip) => ip.octets(),
                         std::net::IpAddr::V6(_) => unreachable!(),
--- a/laburnumlug-control/src/directory/contacts_tests.rs
+++ b/laburnumlug-control/src/directory/contacts_tests.rs
@@ -82,7 +82,7 @@
     quickcheck(check as fn(Vec<(u16, bool, u16)>, Vec<u16>, Vec<u16>) -> bool);
 }
 
-/// The processes that were not heard of for longest are removed first.
+/// The processes that have sent no message for longest are removed first.
 #[test]
 fn evict_oldest() {
     let start = Instant::now();
@@ -157,7 +157,7 @@
 #[test]
 fn ages_never_decrease_on_the_way() {
     let mut now = Instant::now();
-    let heard_at = now;
+    let last_message_at = now;
     let (mut asked, mut asking) = (contacts(now, &[]), contacts(now, &[]));
     asked.record_message(now, contact(9, true));
     for _ in 0..1000 {
@@ -168,8 +168,8 @@
         now += Duration::from_micros(2300);
         asking.record_report(now, sent_at, addr(1), &answer);
         std::mem::swap(&mut asked, &mut asking);
-        let known_at = asked.entries[&addr(9)].heard_at.unwrap();
-        assert!(known_at <= heard_at);
+        let known_at = asked.entries[&addr(9)].last_message_at.unwrap();
+        assert!(known_at <= last_message_at);
     }
 }
 
@@ -244,7 +244,7 @@
 
 /// Guards against a process whose seeds know nobody, and which those that have it as a seed ask only after all others.
 #[test]
-fn next_requests_unheard_seed() {
+fn next_requests_unconfirmed_seed() {
     let start = Instant::now();
     let mut contacts = contacts(start, &[300]);
     for number in 1..251 {
--- a/laburnumlug-control/src/directory/mod.rs
+++ b/laburnumlug-control/src/directory/mod.rs
@@ -8,5 +8,5 @@
 
 pub use self::serve::serve_directory;
 pub use self::service::DirectoryService;
-pub(crate) use self::service::Standing;
+pub(crate) use self::service::ReplicaState;
 pub use self::status::{DirectoryStatus, SeedStatus};
--- a/laburnumlug-control/src/directory/service.rs
+++ b/laburnumlug-control/src/directory/service.rs
@@ -51,7 +51,7 @@
 
 /// What a replica knows of its cluster by itself.
 #[derive(Clone, Debug)]
-pub(crate) struct Standing {
+pub(crate) struct ReplicaState {
     /// How well the replica can answer operators.
     pub(crate) readiness: Readiness,
     /// Whether the replica is a voter.
@@ -98,21 +98,24 @@
         self.run_with(|| None).await;
     }
 
-    /// Asks other processes from time to time; `standing` returns what the replica of this process knows, if there is one.
-    pub(crate) async fn run_with<F>(self: Rc<Self>, standing: F)
+    /// Asks other processes from time to time; `replica_state` returns that of this process's replica, if there is one.
+    pub(crate) async fn run_with<F>(self: Rc<Self>, replica_state: F)
     where
-        F: Fn() -> Option<Standing>,
+        F: Fn() -> Option<ReplicaState>,
     {
         let mut warn_after = WARNING_INTERVAL;
         loop {
-            let standing = standing();
-            if let Some(standing) = &standing {
-                self.adopt(standing);
+            let state = replica_state();
+            if let Some(state) = &state {
+                self.adopt(state);
             }
-            let is_settled =
-                standing.is_some_and(|s| s.readiness == Readiness::Ready && s.is_voter);
+            let needs_no_replica =
+                state.is_some_and(|s| s.readiness == Readiness::Ready && s.is_voter);
             let now = Instant::now();
-            let requests = self.contacts.borrow_mut().next_requests(now, is_settled);
+            let requests = self
+                .contacts
+                .borrow_mut()
+                .next_requests(now, needs_no_replica);
             join_all(requests.iter().map(|addr| self.ask(*addr, ANSWER_TIMEOUT))).await;
             let missing_for = self.contacts.borrow().time_without_replica(now);
             match missing_for >= warn_after {
@@ -153,11 +156,11 @@
     }
 
     /// Adopts the membership in the log of this process's replica.
-    pub(crate) fn adopt(&self, standing: &Standing) {
+    pub(crate) fn adopt(&self, replica_state: &ReplicaState) {
         let mut contacts = self.contacts.borrow_mut();
-        let is_ready = standing.readiness == Readiness::Ready;
-        if standing.membership > contacts.membership().0 || is_ready {
-            contacts.set_membership(standing.membership, &standing.voters);
+        let is_ready = replica_state.readiness == Readiness::Ready;
+        if replica_state.membership > contacts.membership().0 || is_ready {
+            contacts.set_membership(replica_state.membership, &replica_state.voters);
         }
     }
 
@@ -186,10 +189,10 @@
         &self,
         now: Instant,
         sender: Option<ControlContact>,
-        standing: Option<Standing>,
+        replica_state: Option<ReplicaState>,
     ) -> DirectoryReport {
-        if let Some(standing) = &standing {
-            self.adopt(standing);
+        if let Some(replica_state) = &replica_state {
+            self.adopt(replica_state);
         }
         let mut contacts = self.contacts.borrow_mut();
         if let Some(sender) = sender {
@@ -199,7 +202,8 @@
         let (membership, voters) = contacts.membership();
         DirectoryReport {
             own: contacts.own(),
-            readiness: standing.map_or(Readiness::Unready, |standing| standing.readiness),
+            readiness: replica_state
+                .map_or(Readiness::Unready, |replica_state| replica_state.readiness),
             membership,
             voters: voters.to_vec(),
             others,
--- a/laburnumlug-control/src/mesh.rs
+++ b/laburnumlug-control/src/mesh.rs
@@ -170,7 +170,7 @@
         replica.add_peer(&sender.mesh.to_string());
     }
     let now = Instant::now();
-    let report = directory.answer(now, sender, Some(replica.standing(now)));
+    let report = directory.answer(now, sender, Some(replica.replica_state(now)));
     Some(Message::Control(ControlMessage::Directory(report)))
 }
 
--- a/laburnumlug-control/src/replica/mod.rs
+++ b/laburnumlug-control/src/replica/mod.rs
@@ -199,7 +199,7 @@
 
     /// Returns how well this replica can answer operators.
     pub fn readiness(&self, now: Instant) -> Readiness {
-        self.standing(now).readiness
+        self.replica_state(now).readiness
     }
 
     /// Returns the name of the leader if this replica knows it.
--- a/laburnumlug-control/src/replica/open.rs
+++ b/laburnumlug-control/src/replica/open.rs
@@ -98,8 +98,8 @@
         compio::runtime::spawn(replica.clone().run_voter_warnings()).detach();
         if let Some(directory) = replica.directory.clone() {
             let replica = replica.clone();
-            let standing = move || Some(replica.standing(Instant::now()));
-            compio::runtime::spawn(directory.run_with(standing)).detach();
+            let state = move || Some(replica.replica_state(Instant::now()));
+            compio::runtime::spawn(directory.run_with(state)).detach();
         }
         compio::runtime::spawn(replica.clone().run_writer(journal, snapshots)).detach();
         compio::runtime::spawn(replica.clone().run_bootstrap()).detach();
--- a/laburnumlug-control/src/replica/peers.rs
+++ b/laburnumlug-control/src/replica/peers.rs
@@ -9,7 +9,7 @@
 
 use super::core::ReplicaRole;
 use super::{PeerReplica, Replica, wait_for_event};
-use crate::directory::Standing;
+use crate::directory::ReplicaState;
 
 /// Interval between updates of the known replicas from the directory.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(500);
@@ -119,7 +119,7 @@
     }
 
     /// Returns what this replica knows of its cluster.
-    pub(crate) fn standing(&self, now: Instant) -> Standing {
+    pub(crate) fn replica_state(&self, now: Instant) -> ReplicaState {
         let core = self.core.borrow();
         let membership = core.log.membership();
         let is_led = match core.role {
@@ -131,7 +131,7 @@
             true => Readiness::CaughtUp,
             false => Readiness::Unready,
         };
-        Standing {
+        ReplicaState {
             readiness,
             is_voter: core.is_voter(),
             membership: membership.index,
