Expect processes without a replica in the table of laburnumlug status

Cause: cli_at_processes_without_replica expected replicas only, and status_command_beside_process_without_replica, written beside it, a row for each process without one. The table lists both.

Change: the first test now expects each process without a replica to be listed as such, beside replicas with a status.

--- a/laburnumlug-daemon/tests/it/control_referral.rs
+++ b/laburnumlug-daemon/tests/it/control_referral.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::cli::cli;
 use crate::control_fleet::ControlFleet;
@@ -97,7 +97,22 @@
         assert_eq!(status.code, Some(0), "{}", status.stderr);
         let replicas = fleet.members[..3].iter();
         let replicas: Vec<String> = replicas.map(|m| m.operator_addr.to_string()).collect();
-        for row in status.json()["replicas"].as_array().unwrap() {
+        // The processes without a replica are listed as such, beside the replicas to which they redirect.
+        let status = status.json();
+        let (listed, reached): (Vec<&Value>, Vec<&Value>) = status["replicas"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .partition(|row| operators.iter().any(|addr| row["address"] == addr.as_str()));
+        assert_eq!(listed.len(), 2, "{status}");
+        for row in listed {
+            assert!(
+                row["error"].as_str().unwrap().contains("no replica"),
+                "{row}"
+            );
+        }
+        assert!(!reached.is_empty(), "{status}");
+        for row in reached {
             let addr = row["address"].as_str().unwrap().to_string();
             assert!(replicas.contains(&addr), "{row}");
             assert!(row["status"].is_object(), "{row}");
