Found the fleets of tests of faults with losses that their disks allow

Cause: read_beside_idle_connections founded three replicas that should tolerate two losses, and waited for a change that such a cluster refuses since changes need a majority for these losses.

Change: the tests derive the losses from the disks.

--- a/laburnumlug-daemon/tests/it/control_faults.rs
+++ b/laburnumlug-daemon/tests/it/control_faults.rs
@@ -15,9 +15,9 @@
 /// Maximum number of connections of a listener for operators.
 const MAX_CONNECTIONS: usize = 64;
 
-/// Starts a fleet that tolerates two losses with a configuration in force.
+/// Starts a fleet that tolerates as many losses as its disks allow, with a configuration in force.
 async fn found(disks: usize, others: usize) -> ControlFleet {
-    let mut fleet = ControlFleet::new(2, disks, others);
+    let mut fleet = ControlFleet::new((disks - 1) / 2, disks, others);
     for member in 0..disks + others {
         fleet.start(member, &[0, 1, 2], true);
     }
