--- a/laburnumlug-control/src/directory/service.rs
+++ b/laburnumlug-control/src/directory/service.rs
@@ -41,7 +41,7 @@
 const MAX_LOGGED_ADDRS: usize = 16;
 
 /// Time without an answer after which a search asks all processes, beside the replicas that are known.
-const SEARCH_HEDGE_DELAY: Duration = Duration::from_millis(100);
+const SEARCH_HEDGE_DELAY: Duration = Duration::from_millis(50);
 
 /// Time after a search that found no replica in which no other one is made.
 const FAILED_SEARCH_INTERVAL: Duration = Duration::from_millis(200);
