--- a/laburnumlug-cli/tests/redirects.rs
+++ b/laburnumlug-cli/tests/redirects.rs
@@ -16,7 +16,7 @@
     body: String,
 }
 
-/// Stand-in of a control process on a thread of its own.
+/// Stand-in of a control process, which runs on a separate thread.
 struct ControlProcess {
     addr: SocketAddr,
     received: Arc<Mutex<Vec<Received>>>,
--- a/laburnumlug-daemon/src/fleet_watch/referral_tests.rs
+++ b/laburnumlug-daemon/src/fleet_watch/referral_tests.rs
@@ -42,7 +42,7 @@
     });
 }
 
-/// Guards against seeds that are read only at the start: none of the former ones answers any more.
+/// Guards against seeds that are read only at the start, after all of the former ones have ended.
 #[test]
 fn set_seeds_while_none_answers() {
     compio::runtime::Runtime::new().unwrap().block_on(async {
--- a/laburnumlug-daemon/tests/it/control_discovery.rs
+++ b/laburnumlug-daemon/tests/it/control_discovery.rs
@@ -111,7 +111,7 @@
             fleet.wait_for_voters(&voters, RECOVERY_TIMEOUT).await;
         }
         fleet.start(0, &voters, false);
-        // It stands by, and replaces the next voter that is lost.
+        // It is a learner, and replaces the next voter that is lost.
         fleet.kill(voters[0]);
         let mut remaining = voters[1..].to_vec();
         remaining.push(0);
