Log which version of the routes a request is handled by, and its age

An account of a request that was handled by outdated routes needs the version that the gateway obeyed, the age of its last confirmation by a majority of the control replicas and whether a newer change was known; no line had them.

A gateway logs when it loses or regains contact with a majority of the voters, and when a replica has logged a change that its document does not include. No decision changes.

--- a/laburnumlug-control/src/replica/core.rs
+++ b/laburnumlug-control/src/replica/core.rs
@@ -258,6 +258,7 @@
 
     /// Commits and applies the entries up to `index` or the end of the log, and takes a snapshot if one is due.
     pub(super) fn commit_to(&mut self, index: LogIndex) {
+        let version = self.state.fleet().version;
         self.commit_index = self.commit_index.max(index.min(self.log.last_index()));
         while self.applied_index < self.commit_index {
             let Some(entry) = self.log.get(self.applied_index + 1).cloned() else {
@@ -268,6 +269,10 @@
                 self.apply(&entry, command.clone());
             }
         }
+        let applied = self.state.fleet().version;
+        if applied != version {
+            log::info!(version = applied, previous_version = version, index = self.applied_index; "applied changes of the fleet document that are committed");
+        }
         if self.is_snapshot_due() {
             self.queue_compaction();
         }
--- a/laburnumlug-daemon/src/fleet_watch/control_addrs.rs
+++ b/laburnumlug-daemon/src/fleet_watch/control_addrs.rs
@@ -35,6 +35,8 @@
     /// Whether its last answer was that of a replica; `None` before the first answer.
     holds_replica: Option<bool>,
     is_polled: bool,
+    /// Whether the latest attempt to connect or the latest exchange has failed.
+    has_failed: bool,
 }
 
 impl Process {
@@ -111,6 +113,29 @@
         self.record(now, addr, true);
     }
 
+    /// Records whether the process at `addr` was reached by the latest attempt to connect or exchange.
+    pub(super) fn record_contact(&mut self, addr: SocketAddr, is_reached: bool) {
+        if let Some(process) = self.processes.iter_mut().find(|p| p.addr == addr) {
+            process.has_failed = !is_reached;
+        }
+    }
+
+    /// Returns whether a majority of the voters can be reached; voters that were not asked yet count as reachable.
+    ///
+    /// Replicas that are not named by their addresses all stand in the settings.
+    pub(super) fn reaches_majority(&self) -> bool {
+        let voters = match self.voters.is_empty() {
+            true => &self.seeds,
+            false => &self.voters,
+        };
+        let has_failed = |addr: &&SocketAddr| {
+            let mut processes = self.processes.iter();
+            processes.any(|process| process.addr == **addr && process.has_failed)
+        };
+        let failed = voters.iter().filter(has_failed).count();
+        voters.len() - failed > voters.len() / 2
+    }
+
     /// Ends the polling of the process at `addr` if it is no longer needed, and returns whether it has ended.
     pub(super) fn end_if_unneeded(&mut self, now: Instant, addr: SocketAddr) -> bool {
         let is_needed = self.is_needed(now, addr);
@@ -192,6 +217,7 @@
             heard_at: now,
             holds_replica: None,
             is_polled: true,
+            has_failed: false,
         };
         let is_free = |p: &Process| {
             !p.is_polled && now.saturating_duration_since(p.heard_at) >= NUMBER_LIFETIME
--- a/laburnumlug-daemon/src/fleet_watch/mod.rs
+++ b/laburnumlug-daemon/src/fleet_watch/mod.rs
@@ -1,5 +1,6 @@
 //! A process's view of the fleet document, polled from the control replicas and confirmed against a majority of them.
 
+mod contact;
 mod control_addrs;
 mod poll;
 mod view;
@@ -16,7 +17,7 @@
 use laburnumlug_forward::PendingUsageReport;
 use laburnumlug_mesh::TargetsReport;
 use laburnumlug_operator::parse_document;
-use laburnumlug_policy::ChangeNumber;
+use laburnumlug_policy::{ChangeNumber, ControlContact};
 
 use self::control_addrs::{ControlAddrs, Poll};
 use self::poll::{FleetAnswer, poll_replica};
@@ -66,6 +67,8 @@
     fetching_since: Option<Instant>,
     /// Control processes that are polled.
     addrs: ControlAddrs,
+    /// Contact of which the observer was last notified.
+    contact: ControlContact,
     /// Digest of the latest list of live targets; a replica whose list has the same digest does not send it again.
     targets_digest: u64,
     targets_read_at: Option<Instant>,
@@ -82,6 +85,9 @@
     /// Called when a majority of the control replicas has confirmed that the view was the newest at `at`.
     fn view_confirmed(&self, at: BootTime);
 
+    /// Called when what is known of the control replicas has changed.
+    fn contact_changed(&self, contact: ControlContact);
+
     /// Called with a list of live targets that was read at `read_at`.
     fn targets_updated(&self, read_at: ReadTime, list: TargetList);
 
@@ -126,6 +132,7 @@
             last_confirmed_at: None,
             fetching_since: None,
             addrs: ControlAddrs::default(),
+            contact: ControlContact::default(),
             targets_digest: 0,
             targets_read_at: None,
             gateways: 1,
@@ -266,6 +273,7 @@
         let ends = state.addrs.end_if_unneeded(Instant::now(), poll.addr);
         if ends {
             state.confirmation.remove_answer(poll.number);
+            state.update_contact();
         }
         ends
     }
@@ -382,6 +390,7 @@
     if let (Some(observer), Some(at)) = (&state.observer, state.last_confirmed_at) {
         observer.view_confirmed(at.boot);
     }
+    state.update_contact();
 }
 
 #[cfg(test)]
--- a/laburnumlug-daemon/src/fleet_watch/poll.rs
+++ b/laburnumlug-daemon/src/fleet_watch/poll.rs
@@ -30,9 +30,12 @@
         match Connection::connect(addr, &watch.mesh.key, timeout).await {
             Ok(conn) => {
                 timeout = FIRST_CONNECT_TIMEOUT;
+                watch.record_contact(addr, true);
                 poll_connection(&watch, poll, conn).await;
+                watch.record_contact(addr, false);
             }
             Err(err) => {
+                watch.record_contact(addr, false);
                 timeout = (timeout * 2).min(ANSWER_TIMEOUT);
                 log::debug!("failed to connect to control replica {addr}: {err}");
             }
--- a/laburnumlug-daemon/src/fleet_watch/tests.rs
+++ b/laburnumlug-daemon/src/fleet_watch/tests.rs
@@ -72,6 +72,8 @@
         }
     }
 
+    fn contact_changed(&self, _contact: ControlContact) {}
+
     fn targets_updated(&self, _read_at: ReadTime, _list: TargetList) {}
 
     fn software_reported(&self, _: BootTime, _: &[SoftwareRecord]) {}
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -15,7 +15,7 @@
 use laburnumlug_platform::{
     InstanceListClient, PlatformHeaderCodec, PlatformInspector, TargetSource,
 };
-use laburnumlug_policy::{ChangeNumber, ShutdownSchedule};
+use laburnumlug_policy::{ChangeNumber, ControlContact, ShutdownSchedule};
 use rand::Rng;
 
 use crate::error::Error;
@@ -69,6 +69,10 @@
         self.forwarder.set_confirmed_at(at);
     }
 
+    fn contact_changed(&self, contact: ControlContact) {
+        self.forwarder.set_control_contact(contact);
+    }
+
     fn targets_updated(&self, read_at: ReadTime, list: TargetList) {
         self.forwarder.set_targets(read_at, list);
     }
--- a/laburnumlug-daemon/src/gateway_metrics.rs
+++ b/laburnumlug-daemon/src/gateway_metrics.rs
@@ -14,8 +14,15 @@
     0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.0, 2.0, 4.0, 8.0,
 ];
 
+/// Upper bounds of the buckets of the age of confirmations, in seconds; replicas are asked twice a second, and 2 s is the time in
+/// which a change must be in force.
+const CONFIRMATION_AGE_BOUNDS_SECONDS: [f64; 10] =
+    [0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0];
+
 /// Records the events of a forwarder as metrics.
 pub(crate) struct GatewayMetrics {
+    routes_age: Histogram<f64>,
+    unconfirmed_routes: Counter<u64>,
     answers: Counter<u64>,
     latency: Histogram<f64>,
     refusals: Counter<u64>,
@@ -32,6 +39,15 @@
     pub(crate) fn new(metrics: &Metrics) -> GatewayMetrics {
         let counter = |name, description| metrics.counter(name, description);
         GatewayMetrics {
+            routes_age: metrics.histogram(
+                "laburnumlug.gateway.routes.age.seconds",
+                "Time since the routes were last confirmed when a request was routed by them, by whether a newer change was logged",
+                &CONFIRMATION_AGE_BOUNDS_SECONDS,
+            ),
+            unconfirmed_routes: counter(
+                "laburnumlug.gateway.unconfirmed.routes",
+                "Requests that were routed by routes which no majority of control has confirmed since the start of the process",
+            ),
             answers: counter(
                 "laburnumlug.gateway.answers",
                 "Answers of targets that were passed on, by kind of route and status",
@@ -84,6 +100,14 @@
 }
 
 impl ForwardObserver for GatewayMetrics {
+    fn routed(&self, confirmation_age: Option<Duration>, newer_logged: bool) {
+        let newer_logged = [KeyValue::new("newer_logged", newer_logged)];
+        match confirmation_age {
+            Some(age) => self.routes_age.record(age.as_secs_f64(), &newer_logged),
+            None => self.unconfirmed_routes.add(1, &newer_logged),
+        }
+    }
+
     fn answered(&self, repetition: Repetition, status: u16, time: Duration) {
         let kind = KeyValue::new("kind", repetition_label(repetition));
         self.latency
--- a/laburnumlug-daemon/src/gateway_metrics_tests.rs
+++ b/laburnumlug-daemon/src/gateway_metrics_tests.rs
@@ -9,6 +9,8 @@
 fn text_names_and_buckets() {
     let metrics = Metrics::new().unwrap();
     let gateway = GatewayMetrics::new(&metrics);
+    gateway.routed(Some(Duration::from_millis(400)), false);
+    gateway.routed(None, true);
     gateway.answered(Repetition::Stream, 200, Duration::from_millis(350));
     gateway.refused(503, "no-target");
     gateway.stream_aborted();
@@ -21,6 +23,8 @@
     gateway.refresh(&forwarder, Instant::now());
     let text = metrics.prometheus_text();
     for line in [
+        "laburnumlug_gateway_routes_age_seconds_bucket{newer_logged=\"false\"",
+        "laburnumlug_gateway_unconfirmed_routes_total{newer_logged=\"true\"",
         "laburnumlug_gateway_answers_total{kind=\"stream\"",
         "laburnumlug_gateway_answer_seconds_bucket{kind=\"stream\"",
         "laburnumlug_gateway_refusals_total{cause=\"no-target\"",
--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::refusal::FailureCause;
 use crate::registry::TargetHandle;
 use crate::request_content::stream_id;
+use crate::route_basis::RouteBasis;
 use crate::routes::RouteEntry;
 
 /// Maximum size, in bytes, of a response body that is read and discarded so that the connection can be reused.
@@ -30,6 +31,8 @@
 pub(crate) struct CallerRequest {
     pub(crate) metadata: RequestMetadata,
     pub(crate) route: Rc<RouteEntry>,
+    /// What the route was taken from.
+    pub(crate) basis: RouteBasis,
     /// Customer that the request is served for; `None` if the request needs no API key and has none.
     pub(crate) customer: Option<Rc<CustomerEntry>>,
     /// Urgency of the request; 0 is the most urgent.
--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -113,7 +113,8 @@
             log::info!(
                 request_id = request.metadata.id.as_str(), target = target.instance.as_str(),
                 cause = failure.cause.as_str(), content = format!("{:x}", request.content).as_str(),
-                customer = request.customer_name();
+                customer = request.customer_name(), routes = request.basis.version,
+                routes_age_ms = request.basis.confirmation_age_ms();
                 "attempt failed: {}", failure.detail
             );
             attempts_made += u32::from(failure.reached_target);
@@ -241,7 +242,8 @@
             log::info!(
                 request_id = request.metadata.id.as_str(), target = target.instance.as_str(), cause = "late",
                 route = request.route.name.as_str(), taken_ms = taken.as_millis() as u64,
-                aim_ms = request.route.latency_objective.as_millis() as u64, customer = request.customer_name();
+                aim_ms = request.route.latency_objective.as_millis() as u64, customer = request.customer_name(),
+                routes = request.basis.version, routes_age_ms = request.basis.confirmation_age_ms();
                 "the response exceeded the latency objective"
             );
         }
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -12,8 +12,8 @@
 };
 use laburnumlug_http::ConnectionPool;
 use laburnumlug_policy::{
-    CrashAttribution, NoRoom, RetryBudget, RetrySchedule, SoftwareHistory, StreamOrigins,
-    rendezvous_rank,
+    ControlContact, CrashAttribution, NoRoom, RetryBudget, RetrySchedule, SoftwareHistory,
+    StreamOrigins, rendezvous_rank,
 };
 
 use crate::cache_reports::CacheReportQueue;
@@ -45,6 +45,8 @@
     table: Option<Rc<RouteTable>>,
     /// When the routes were last confirmed to be the newest.
     confirmed_at: Option<BootTime>,
+    /// Contact with the control replicas that can confirm the routes.
+    contact: ControlContact,
     registry: TargetRegistry,
 }
 
@@ -138,6 +140,11 @@
         view.confirmed_at = view.confirmed_at.max(Some(confirmed_at));
     }
 
+    /// Sets what is known of the control replicas that can confirm the routes.
+    pub fn set_control_contact(&self, contact: ControlContact) {
+        self.view.borrow_mut().contact = contact;
+    }
+
     /// Sets the targets from a list that was read at `read_at`, unless a newer list is already in place.
     ///
     /// Also fetches the cached prompts of newly listed engines, and closes idle connections to addresses that no target
@@ -217,6 +224,11 @@
         self.view.borrow().confirmed_at
     }
 
+    /// Returns the contact with the control replicas that can confirm the routes.
+    pub(crate) fn control_contact(&self) -> ControlContact {
+        self.view.borrow().contact
+    }
+
     /// Returns the health check path of a service, or [`DEFAULT_HEALTH_PATH`] if none is configured.
     pub(crate) fn health_path(&self, service: &str) -> String {
         let view = self.view.borrow();
--- a/laburnumlug-forward/src/handler.rs
+++ b/laburnumlug-forward/src/handler.rs
@@ -23,6 +23,7 @@
 use crate::header_codec::RequestMetadata;
 use crate::refusal::{FailureCause, Refusal};
 use crate::request_content::content_id;
+use crate::route_basis::RouteBasis;
 use crate::routes::{RouteEntry, RouteTable};
 
 /// Timeout for a caller to send the request body.
@@ -114,10 +115,13 @@
             Err(refusal) => {
                 let waited = arrived_at.elapsed();
                 let retry_after_ms = refusal.retry_after.map(|time| time.as_millis() as u64);
+                let basis = self.route_basis(BootTime::now());
                 log::info!(
                     request_id = id.as_str(), cause = refusal.cause.as_str(),
                     waited_ms = waited.as_millis() as u64, retry_after_ms = retry_after_ms,
-                    customer = refusal.customer.as_deref().unwrap_or_default();
+                    customer = refusal.customer.as_deref().unwrap_or_default(),
+                    routes = basis.version, routes_age_ms = basis.confirmation_age_ms(),
+                    newer_logged = basis.contact.newer_logged;
                     "request refused with status {}: {}", refusal.cause.status(), refusal.detail
                 );
                 self.observe(|observer| {
@@ -146,6 +150,10 @@
     ) -> Result<Response, Refusal> {
         let arrived_at = head.arrived_at;
         let (table, route) = self.route_request(arrived_at, &head.parts).await?;
+        let status = self.document_status(BootTime::now(), &table);
+        let basis = RouteBasis::new(&table, &status);
+        basis.log_if_outdated(&head.metadata.id);
+        self.observe(|o| o.routed(basis.confirmation_age, basis.contact.newer_logged));
         self.check_not_stopping(Instant::now(), head.deadline(&route))?;
         let limit = usize::try_from(table.limits.body_bytes).unwrap_or(usize::MAX);
         let reading_body = read_held_body(body, limit.min(memory_budget()), &head.held);
@@ -169,7 +177,7 @@
         };
         // A process that stops accepts what is complete in time, not what has begun.
         self.check_not_stopping(Instant::now(), head.deadline(&route))?;
-        let request = self.caller_request(head, body, &table, route.clone())?;
+        let request = self.caller_request(head, body, &table, (route.clone(), basis))?;
         let customer = request.customer.clone();
         let customer_name = customer.as_ref().map(|customer| customer.name.as_str());
         let sample = rand::rng().random_range(0.0..1.0);
@@ -193,7 +201,7 @@
         head: RequestHead,
         body: Bytes,
         table: &Rc<RouteTable>,
-        route: Rc<RouteEntry>,
+        (route, basis): (Rc<RouteEntry>, RouteBasis),
     ) -> Result<CallerRequest, Refusal> {
         let deadline = head.deadline(&route);
         let RequestHead {
@@ -241,6 +249,7 @@
             rank: rank.unwrap_or(route.rank),
             customer,
             route,
+            basis,
         })
     }
 
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -49,6 +49,7 @@
 mod refusal;
 mod registry;
 mod request_content;
+mod route_basis;
 mod routes;
 mod send_check;
 mod shutdown;
--- a/laburnumlug-forward/src/observer.rs
+++ b/laburnumlug-forward/src/observer.rs
@@ -6,6 +6,10 @@
 
 /// Observes the outcomes of requests and of their attempts.
 pub trait ForwardObserver {
+    /// A request was routed; a majority of the control replicas was asked `confirmation_age` ago to confirm the routes, or has
+    /// never confirmed them. `newer_logged` tells whether a replica has logged a change that they do not include.
+    fn routed(&self, confirmation_age: Option<Duration>, newer_logged: bool);
+
     /// A target's response was forwarded; `time` runs to the complete response, or to the first event of a stream.
     fn answered(&self, repetition: Repetition, status: u16, time: Duration);
 
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -191,7 +191,8 @@
             waited_ms = waited.as_millis() as u64, predicted_ms = predicted.as_millis() as u64,
             taken_ms = now.elapsed().as_millis() as u64, opened = result.is_ok(),
             software = target.listing.borrow().software.as_deref(), resumes = stream.request.resumes(),
-            customer = stream.request.customer_name();
+            customer = stream.request.customer_name(), routes = stream.request.basis.version,
+            routes_age_ms = stream.request.basis.confirmation_age_ms();
             "stream attempt finished"
         );
         stream
--- a/laburnumlug-policy/src/authorization.rs
+++ b/laburnumlug-policy/src/authorization.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::control_contact::ControlContact;
+
 /// Age of the last confirmation of the fleet document from which a request is not refused for good.
 ///
 /// The route or the key that it lacks may have been added since. The confirmation is renewed every half second.
@@ -61,6 +63,8 @@
     pub confirmation_age: Option<Duration>,
     /// Age of the confirmation up to which API keys may be accepted; `None` for any age.
     pub max_key_age: Option<Duration>,
+    /// Contact with the control replicas that can confirm the document.
+    pub contact: ControlContact,
 }
 
 impl DocumentStatus {
--- a/laburnumlug-policy/src/authorization_tests.rs
+++ b/laburnumlug-policy/src/authorization_tests.rs
@@ -7,6 +7,7 @@
         lists_customers: true,
         confirmation_age: age_ms.map(Duration::from_millis),
         max_key_age: Some(Duration::from_millis(5000)),
+        contact: ControlContact::default(),
     }
 }
 
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -64,6 +64,7 @@
 mod authorization;
 mod cache_report;
 mod clock_offset;
+mod control_contact;
 mod crash_attribution;
 mod crash_blame;
 mod customer_share;
@@ -116,6 +117,7 @@
 pub use crate::authorization::{Authorization, Credentials, DocumentStatus, KeyHash, authorize};
 pub use crate::cache_report::{CACHE_REPORT_INTERVAL, cache_reports};
 pub use crate::clock_offset::ClockOffset;
+pub use crate::control_contact::ControlContact;
 pub use crate::crash_attribution::{
     BlockedSuspect, ContentId, CrashAttribution, Suspect, TargetCrash,
 };
--- a/src/confirmation.rs
+++ b/src/confirmation.rs
@@ -104,6 +104,12 @@
         asked_times.get(voters.len() / 2).copied()
     }
 
+    /// Returns the index of the newest change, committed or not, that a replica has logged by its latest answer.
+    pub fn newest_logged_change(&self) -> Option<u64> {
+        let answers = self.answers.iter().flatten();
+        answers.map(|answer| answer.logged_change).max()
+    }
+
     /// Returns the voters of the newest membership among the answers.
     ///
     /// Majorities of successive memberships intersect, so any majority of an outdated membership includes a replica
