Show that a restarted gateway obeys routes that were withdrawn

A configuration that withdraws a route is acknowledged while one replica is down. The gateway and the two others are killed, one of these has lost its data, and the gateway returns with that one and the replica that has fallen behind. The first request on the withdrawn route then gets 200 from a server, and must get 404 or 503.

--- a/laburnumlug-daemon/tests/it/gateway_fleet.rs
+++ b/laburnumlug-daemon/tests/it/gateway_fleet.rs
@@ -28,9 +28,18 @@
 impl GatewayFleet {
     /// Starts all processes with these rows in the list of targets, and with further lines in the section `[gateway]`.
     pub async fn start(rows: Vec<Value>, gateway_lines: &str) -> GatewayFleet {
+        GatewayFleet::start_with(FleetConfig::default(), rows, gateway_lines).await
+    }
+
+    /// Starts like [`GatewayFleet::start`], with further settings of the control replicas in `config`.
+    pub async fn start_with(
+        config: FleetConfig,
+        rows: Vec<Value>,
+        gateway_lines: &str,
+    ) -> GatewayFleet {
         let list = Rc::new(RefCell::new(Value::Null));
         let list_addr = serve_changing_list(list.clone()).await;
-        let config = FleetConfig::default()
+        let config = config
             .control_replicas(3)
             .entries(0)
             .engines(0)
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -20,6 +20,7 @@
 mod harness;
 mod leaving_after_restart;
 mod log_fields;
+mod older_routes;
 mod operators;
 mod planned_stop;
 mod platform;
