Obey routes only while they are confirmed, or while control cannot be reached

What callers saw: a request was served by a route that an acknowledged configuration had withdrawn.

Cause: nothing bounded the age of the routes that a gateway obeys. A gateway took the first document that any replica sent for the routes in force, and went on with it until it got a newer one, on the assumption that a gateway which reaches control is soon confirmed.

Now a route is obeyed if a majority was asked to confirm the document less than max_route_age_ms ago (2 s by default; on the platform, the time in which a change must be in force). Otherwise the request waits for 100 ms, or 400 ms after a start, and is refused with 503 outdated-routes, unless attempts to reach the replicas have failed so often that no majority is left: then control may be gone for long, and the gateway goes on with what it has. Without a confirmation since its start it does so only if it has heard of no newer change. A gateway is not ready while it obeys no routes, and polls every 100 ms for the first 5 s until it is confirmed.

Why it works: a change is acknowledged once a majority has synced it, so each majority that is asked afterwards has a replica which tells of it. A request that was sent 2 s after an acknowledgement thus finds a confirmation that is too old or a document with the change.

--- a/laburnumlug-daemon/src/fleet_watch/mod.rs
+++ b/laburnumlug-daemon/src/fleet_watch/mod.rs
@@ -29,10 +29,11 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Interval between polls of one replica, and between attempts to connect to it, until a document and the live targets are
-/// known.
+/// known and the document is confirmed.
 const INITIAL_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time after the start in which the live targets are awaited; control replicas need not report them.
+/// Time after the start in which the live targets and a confirmation are awaited; control replicas need not report targets, and
+/// may lack a majority.
 const MAX_TARGETS_WAIT: Duration = Duration::from_secs(5);
 
 /// Minimum interval between polls of one replica.
@@ -165,8 +166,9 @@
         let is_starting = now.saturating_duration_since(self.started_at) < MAX_TARGETS_WAIT;
         let awaits_targets =
             is_starting && self.observer.is_some() && self.targets_read_at.is_none();
+        let awaits_confirmation = is_starting && self.last_confirmed_at.is_none();
         match self.view {
-            Some(_) if !awaits_targets => POLL_INTERVAL,
+            Some(_) if !awaits_targets && !awaits_confirmation => POLL_INTERVAL,
             _ => INITIAL_POLL_INTERVAL,
         }
     }
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -133,7 +133,8 @@
     let cfg = ForwardConfig::new(&settings.process.zone)
         .retry_budget(settings.retry_ratio, settings.retry_window)
         .retry_slack(settings.retry_slack)
-        .max_key_age(settings.max_key_age);
+        .max_key_age(settings.max_key_age)
+        .max_route_age(Some(settings.max_route_age));
     let forwarder = Forwarder::new(
         cfg,
         Rc::new(PlatformHeaderCodec),
@@ -235,10 +236,13 @@
 ) -> Result<(), Error> {
     let listener = bind(addr).await?;
     let handler = Rc::new(move |_req: Request| {
-        let resp = match (stopping.get(), forwarder.is_ready()) {
+        let resp = match (stopping.get(), forwarder.is_ready(BootTime::now())) {
             (true, _) => text_response(503, "stopping"),
             (false, true) => text_response(200, "ready"),
-            (false, false) => text_response(503, "routes or targets are not known yet"),
+            (false, false) => text_response(
+                503,
+                "routes are not known or not confirmed, or targets are not known yet",
+            ),
         };
         async move { resp }
     });
--- a/laburnumlug-daemon/src/settings/gateway.rs
+++ b/laburnumlug-daemon/src/settings/gateway.rs
@@ -25,6 +25,9 @@
 /// Default time between the request to stop and the forced termination of the process.
 const DEFAULT_GRACE_PERIOD: Duration = Duration::from_secs(8);
 
+/// Default time after its acknowledgement in which a change is in force at gateways that reach control.
+const DEFAULT_MAX_ROUTE_AGE: Duration = Duration::from_secs(2);
+
 const GATEWAY: Section = Section {
     name: "gateway",
     keys: &[
@@ -38,6 +41,7 @@
         "retry_slack",
         "grace_s",
         "max_key_age_ms",
+        "max_route_age_ms",
         "usage_window_s",
     ],
 };
@@ -68,6 +72,9 @@
     pub(crate) grace_period: Duration,
     /// Age of the last confirmation of the fleet document up to which API keys may be accepted; `None` for any age.
     pub(crate) max_key_age: Option<Duration>,
+    /// Age of the last confirmation of the fleet document up to which its routes are obeyed while a majority of the control replicas
+    /// can be reached.
+    pub(crate) max_route_age: Duration,
     /// Length of the windows in which the requests of customers are counted; `None` if they are not.
     pub(crate) usage_window: Option<Duration>,
 }
@@ -102,6 +109,12 @@
             "a number of milliseconds above 0, or nothing",
             parse_optional_millis,
         )?;
+        let max_route_age = reader.optional(
+            "gateway",
+            "max_route_age_ms",
+            "a number of milliseconds above 0, or nothing",
+            parse_optional_millis,
+        )?;
         Ok(GatewaySettings {
             process: ProcessSettings::read(&reader)?,
             log: LogSettings::read(&reader)?,
@@ -117,6 +130,7 @@
             retry_slack: slack.unwrap_or(DEFAULT_RETRY_SLACK),
             grace_period: grace_period.unwrap_or(DEFAULT_GRACE_PERIOD),
             max_key_age: max_key_age.flatten(),
+            max_route_age: max_route_age.flatten().unwrap_or(DEFAULT_MAX_ROUTE_AGE),
             usage_window: reader.optional(
                 "gateway",
                 "usage_window_s",
--- a/laburnumlug-forward/src/config.rs
+++ b/laburnumlug-forward/src/config.rs
@@ -18,6 +18,7 @@
     pub(crate) retry_window: Duration,
     retry_slack: f64,
     pub(crate) max_key_age: Option<Duration>,
+    pub(crate) max_route_age: Option<Duration>,
 }
 
 impl ForwardConfig {
@@ -29,6 +30,7 @@
             retry_window: Duration::from_secs(10),
             retry_slack: 0.0,
             max_key_age: None,
+            max_route_age: None,
         }
     }
 
@@ -51,6 +53,13 @@
         self
     }
 
+    /// Sets the age of the last confirmation of the routes up to which they are obeyed while a majority of the control replicas can
+    /// be reached; without one, they always are.
+    pub fn max_route_age(mut self, age: Option<Duration>) -> ForwardConfig {
+        self.max_route_age = age;
+        self
+    }
+
     /// Returns the part of the retry slack that one of `gateway_count` gateways may use.
     pub(crate) fn retry_slack_per_gateway(&self, gateway_count: usize) -> f64 {
         (self.retry_slack * RETRY_SLACK_SHARE / gateway_count.max(1) as f64)
--- a/laburnumlug-forward/src/customers.rs
+++ b/laburnumlug-forward/src/customers.rs
@@ -100,6 +100,7 @@
                 .confirmed_at()
                 .map(|at| now.saturating_duration_since(at)),
             max_key_age: self.cfg.max_key_age,
+            max_route_age: self.cfg.max_route_age,
             contact: self.control_contact(),
         }
     }
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -179,8 +179,16 @@
         self.view.borrow().registry.read_at()
     }
 
-    /// Returns whether routes and targets are known.
-    pub fn is_ready(&self) -> bool {
+    /// Returns whether targets are known, and routes by which requests may be served at `now`.
+    pub fn is_ready(&self, now: BootTime) -> bool {
+        let table = self.route_table();
+        let permits_routes =
+            |table: Rc<RouteTable>| self.document_status(now, &table).permits_routes();
+        self.targets_read_at().is_some() && table.is_some_and(permits_routes)
+    }
+
+    /// Returns whether routes, recent or not, and targets are known.
+    pub(crate) fn has_view(&self) -> bool {
         let view = self.view.borrow();
         view.table.is_some() && view.registry.read_at().is_some()
     }
--- a/laburnumlug-forward/src/handler.rs
+++ b/laburnumlug-forward/src/handler.rs
@@ -33,6 +33,10 @@
 /// routes; after most starts they are known within that time.
 const STARTUP_WAIT: Duration = Duration::from_millis(400);
 
+/// How long a request waits for routes to be confirmed again. A process that was busy or suspended has to read the answers of the
+/// replicas first.
+const CONFIRMATION_WAIT: Duration = Duration::from_millis(100);
+
 /// Interval at which a waiting request checks whether that is known.
 const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -260,13 +264,14 @@
         parts: &hyper::http::request::Parts,
     ) -> Result<(Rc<RouteTable>, Rc<RouteEntry>), Refusal> {
         loop {
-            let is_starting = arrived_at.elapsed() < STARTUP_WAIT;
+            let waited = arrived_at.elapsed();
+            let is_starting = waited < STARTUP_WAIT && self.confirmed_at().is_none();
             match self.try_route_request(BootTime::now(), parts) {
-                _ if is_starting && !self.is_ready() => {}
+                _ if waited < STARTUP_WAIT && !self.has_view() => {}
+                Err(refusal) if is_starting && refusal.cause.is_outdated() => {}
                 Err(refusal)
-                    if is_starting
-                        && refusal.cause == FailureCause::OutdatedKeys
-                        && self.confirmed_at().is_none() => {}
+                    if waited < CONFIRMATION_WAIT
+                        && refusal.cause == FailureCause::OutdatedRoutes => {}
                 result => return result,
             }
             compio::time::sleep(STARTUP_POLL_INTERVAL).await;
@@ -299,18 +304,16 @@
         let host = parts.headers.get(hyper::header::HOST);
         let host = host.and_then(|value| value.to_str().ok());
         let host = host.or(parts.uri.host()).unwrap_or("");
-        if let Some(route) = table.find(host, parts.uri.path()) {
-            return Ok(route);
-        }
-        Err(
-            match self.document_status(now, table).permits_final_refusal() {
-                true => Refusal::new(FailureCause::NoRoute, "no route leads there"),
-                false => Refusal::new(
-                    FailureCause::NoConfiguration,
-                    "the routes are not confirmed",
-                )
-                .retry_after(UNCONFIRMED_RETRY_AFTER),
-            },
-        )
+        let status = self.document_status(now, table);
+        let cause = match table.find(host, parts.uri.path()) {
+            Some(route) if status.permits_routes() => return Ok(route),
+            Some(_) => FailureCause::OutdatedRoutes,
+            None if status.permits_final_refusal() => {
+                return Err(Refusal::new(FailureCause::NoRoute, "no route leads there"));
+            }
+            None => FailureCause::NoConfiguration,
+        };
+        Err(Refusal::new(cause, "the routes are not confirmed")
+            .retry_after(UNCONFIRMED_RETRY_AFTER))
     }
 }
--- a/laburnumlug-forward/src/refusal.rs
+++ b/laburnumlug-forward/src/refusal.rs
@@ -20,6 +20,8 @@
     Unauthorized,
     /// The request may have a valid API key, but the fleet document may be outdated.
     OutdatedKeys,
+    /// A route leads there, but the fleet document may be outdated although control can be reached.
+    OutdatedRoutes,
     NoConfiguration,
     /// The gateway is stopping, and no target has got the request.
     Stopping,
@@ -63,6 +65,7 @@
             FailureCause::NoRoute => 404,
             FailureCause::NoConfiguration
             | FailureCause::OutdatedKeys
+            | FailureCause::OutdatedRoutes
             | FailureCause::Stopping
             | FailureCause::NoTarget
             | FailureCause::AboveShare
@@ -79,6 +82,14 @@
         }
     }
 
+    /// Returns whether the request was refused because the fleet document may be outdated.
+    pub(crate) fn is_outdated(self) -> bool {
+        matches!(
+            self,
+            FailureCause::OutdatedKeys | FailureCause::OutdatedRoutes
+        )
+    }
+
     /// Returns the name used in logs and metrics.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
@@ -88,6 +99,7 @@
             FailureCause::NoRoute => "no-route",
             FailureCause::Unauthorized => "unauthorized",
             FailureCause::OutdatedKeys => "outdated-keys",
+            FailureCause::OutdatedRoutes => "outdated-routes",
             FailureCause::NoConfiguration => "no-configuration",
             FailureCause::Stopping => "stopping",
             FailureCause::NoTarget => "no-target",
--- a/laburnumlug-policy/src/authorization.rs
+++ b/laburnumlug-policy/src/authorization.rs
@@ -63,6 +63,8 @@
     pub confirmation_age: Option<Duration>,
     /// Age of the confirmation up to which API keys may be accepted; `None` for any age.
     pub max_key_age: Option<Duration>,
+    /// Age of the confirmation up to which routes are obeyed in any case; `None` for any age, also without a confirmation.
+    pub max_route_age: Option<Duration>,
     /// Contact with the control replicas that can confirm the document.
     pub contact: ControlContact,
 }
@@ -74,6 +76,22 @@
             .is_some_and(|age| age < MAX_REFUSAL_AGE)
     }
 
+    /// Returns whether requests may be served by the routes of the document.
+    ///
+    /// A change that is acknowledged to an operator is in the log of a majority, so a process that can reach a majority waits for
+    /// its confirmation. One that cannot goes on with what it has: the replicas may be gone for long, and a refusal helps no
+    /// caller. Without any confirmation since its start, it only does so if its document has all changes that it has heard of, as
+    /// a replica that was restarted may know no more than an old snapshot.
+    pub fn permits_routes(&self) -> bool {
+        match (self.max_route_age, self.confirmation_age) {
+            (None, _) => true,
+            (Some(max_age), Some(age)) if age < max_age => true,
+            _ if self.contact.reaches_majority => false,
+            (_, Some(_)) => true,
+            (_, None) => !self.contact.newer_logged,
+        }
+    }
+
     /// Returns whether the confirmation is recent enough to rely on a key not having been revoked.
     fn permits_keys(&self) -> bool {
         let max_age = self.max_key_age.map(|age| age.mul_f64(KEY_AGE_SHARE));
--- a/laburnumlug-policy/src/authorization_tests.rs
+++ b/laburnumlug-policy/src/authorization_tests.rs
@@ -7,6 +7,7 @@
         lists_customers: true,
         confirmation_age: age_ms.map(Duration::from_millis),
         max_key_age: Some(Duration::from_millis(5000)),
+        max_route_age: Some(Duration::from_millis(2000)),
         contact: ControlContact::default(),
     }
 }
@@ -75,3 +76,34 @@
         assert_eq!(KeyHash::from_hex(malformed), None);
     }
 }
+
+/// Guards against requests that are served by routes which a newer, acknowledged document does not have, and against refusals while
+/// no majority of the control replicas can be reached.
+#[test]
+fn permits_routes_by_age_and_contact() {
+    let decide = |age_ms, reaches_majority, newer_logged| {
+        let contact = ControlContact {
+            reaches_majority,
+            newer_logged,
+        };
+        let document = document(age_ms);
+        DocumentStatus {
+            contact,
+            ..document
+        }
+        .permits_routes()
+    };
+    for newer_logged in [false, true] {
+        assert!(decide(Some(1999), true, newer_logged));
+        assert!(!decide(Some(2000), true, newer_logged));
+        assert!(decide(Some(2000), false, newer_logged));
+        assert!(!decide(None, true, newer_logged));
+    }
+    assert!(decide(None, false, false));
+    assert!(!decide(None, false, true));
+    let unlimited = DocumentStatus {
+        max_route_age: None,
+        ..document(None)
+    };
+    assert!(unlimited.permits_routes());
+}
