Simulate changes, failures and restarts against the routes that a gateway obeys

The decision on outdated routes rests on confirmations of a majority and on attempts to reach the replicas, over any order of failures; single tests show few of these.

Runs fail if routes are obeyed at any age, if one replica's answer confirms them, and if a change is acknowledged before a majority has it.

--- a/laburnumlug-daemon/src/fleet_watch/mod.rs
+++ b/laburnumlug-daemon/src/fleet_watch/mod.rs
@@ -395,6 +395,8 @@
     state.update_contact();
 }
 
+#[cfg(test)]
+mod freshness_tests;
 #[cfg(test)]
 mod referral_tests;
 #[cfg(test)]
