Count a replica as caught up only by commits of its leader's own term

The documents and the audit trail on its operator's interface, its readiness in the directory and the software versions that it reports to gateways rest on that.

Cause: a replica took itself for caught up once it had all entries up to its leader's commit index. Found while looking for the cause of outdated routes elsewhere: state that a replica has applied, used without the proof that it is all.

Now the last committed entry must be of the leader's term, and software versions are reported only by a replica that has caught up. Reads of the platform's operator were not concerned: a majority confirms each.

No test covers the reports of software versions.

--- a/laburnumlug-control/src/replica/follower.rs
+++ b/laburnumlug-control/src/replica/follower.rs
@@ -7,7 +7,7 @@
 
 use super::Replica;
 use super::core::{Core, IncomingSnapshot, QueuedWrite, ReplicaRole};
-use crate::entry::{Entry, LogIndex};
+use crate::entry::{Entry, LogIndex, Term};
 use crate::peer::{AppendAnswer, AppendRequest, AppendResult, InstallRequest, LeaderHeader};
 use crate::storage::Snapshot;
 
@@ -35,8 +35,7 @@
         if let AppendResult::Matched(match_index) = result {
             self.wait_for_sync(&req.header).await?;
             let mut core = self.core.borrow_mut();
-            core.commit_to(req.commit.min(match_index));
-            core.caught_up |= req.commit <= match_index;
+            core.follow_commit(req.header.term, req.commit, match_index);
             drop(core);
             self.notify();
         }
@@ -135,6 +134,15 @@
         }
     }
 
+    /// Commits what a leader of `term` has committed, as far as the log matches that of the leader.
+    ///
+    /// A new leader does not know which entries of earlier terms are committed until it has committed one of its own, so only
+    /// then does its commit index show that this replica has caught up.
+    fn follow_commit(&mut self, term: Term, commit: LogIndex, match_index: LogIndex) {
+        self.commit_to(commit.min(match_index));
+        self.caught_up |= commit <= match_index && self.log.term(commit) == Some(term);
+    }
+
     /// Appends a leader's entries to the log; returns `None` if they are invalid.
     ///
     /// If the entry before them is not in this log, returns the index from which the leader must send instead.
--- a/laburnumlug-control/src/replica/follower_tests.rs
+++ b/laburnumlug-control/src/replica/follower_tests.rs
@@ -164,3 +164,22 @@
         terms(&follower) == terms(&leader)
     }
 }
+
+/// Guards against a restarted replica that counts as caught up, and answers by its old state, because a new leader does not know yet
+/// what is committed.
+#[test]
+fn follow_commit_of_new_leader() {
+    let mut follower = restarted("b", 2, &[1, 1]);
+    follower.follow_commit(2, 0, 2);
+    follower.follow_commit(2, 1, 2);
+    assert!(!follower.caught_up);
+    follower.log.push(Rc::new(Entry {
+        index: 3,
+        term: 2,
+        time_ms: 0,
+        payload: Payload::Noop,
+    }));
+    follower.follow_commit(2, 3, 3);
+    assert!(follower.caught_up);
+    assert_eq!(follower.applied_index, 3);
+}
--- a/laburnumlug-control/src/replica/targets.rs
+++ b/laburnumlug-control/src/replica/targets.rs
@@ -86,9 +86,10 @@
                 .map(|contact| contact.zone.clone())
                 .collect(),
             list: (published.digest != known).then(|| published.list.clone()),
-            software: Some(
-                self.with_state(|state| state.software().records(unix_millis(unix_now))),
-            ),
+            // After a restart, the state may lack versions that were recorded before.
+            software: self
+                .is_caught_up()
+                .then(|| self.with_state(|state| state.software().records(unix_millis(unix_now)))),
         })
     }
 }
