Check requests on withdrawn routes in the soak of gateways

The soak checked that routes of acknowledged versions are there, but not that requests are refused on routes which newer versions have withdrawn, so a gateway that returns with an old document could serve them unnoticed.

Each version now has a route that no other has. A request that is served by it, 2 s after a newer version was acknowledged, is a violation if the gateway and most of the control processes have run for 3 s.

--- a/laburnumlug-daemon/tests/gateways/callers.rs
+++ b/laburnumlug-daemon/tests/gateways/callers.rs
@@ -278,11 +278,15 @@
         record
     }
 
-    /// Returns a request for a route that only newer configurations have.
+    /// Returns a request for a route that only newer configurations have, or only one.
     fn probe(&mut self, gateway: usize) -> CallRecord {
         let newest = self.load.newest_sent.load(Ordering::Relaxed);
         let version = newest.saturating_sub(self.rng.random_range(0..12)).max(1);
-        self.record(gateway, "v", format!("/v/{version}/x"))
+        let route = match self.rng.random_ratio(1, 2) {
+            true => "v",
+            false => "only",
+        };
+        self.record(gateway, route, format!("/{route}/{version}/x"))
     }
 
     /// Returns the kept connection to a gateway, or a new one.
--- a/laburnumlug-daemon/tests/gateways/checker.rs
+++ b/laburnumlug-daemon/tests/gateways/checker.rs
@@ -16,7 +16,7 @@
 const EXCUSED_TIME: Duration = Duration::from_secs(3);
 
 /// Time before a request in which a fault of its gateway excuses that the request was cut.
-const STABLE_TIME: Duration = Duration::from_secs(3);
+pub const STABLE_TIME: Duration = Duration::from_secs(3);
 
 /// Time after the last byte of a request within which a connection may end, if no server got the request.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
@@ -66,7 +66,9 @@
         _ if runs.iter().any(|run| run.content != content) => "UNASKED: the request was changed",
         _ if matches!(record.route, "once" | "held") && count > 1 => "TWICE: ran more than once",
         Some(408 | 421 | 429 | 503) if count > 0 => "REFUSED: answered as not run, but ran",
-        Some(404) if record.route != "v" => "DENIED: no route, though each configuration has it",
+        Some(404) if !matches!(record.route, "v" | "only") => {
+            "DENIED: no route, though each configuration has it"
+        }
         Some(_) if echo.is_some_and(|id| id != record.id) => "MIXED: answer to another request",
         Some(200) if count == 0 => "MIXED: success that no server gave",
         Some(200) if seal.is_none() => "MIXED: success without a seal",
@@ -177,7 +179,7 @@
 }
 
 /// Returns whether an interruption lies between the stable time before a request and its end.
-fn is_near(interruption: &Interruption, record: &CallRecord) -> bool {
+pub fn is_near(interruption: &Interruption, record: &CallRecord) -> bool {
     interruption.from <= record.ended_at && record.began_at <= interruption.until + STABLE_TIME
 }
 
--- a/laburnumlug-daemon/tests/gateways/control_record.rs
+++ b/laburnumlug-daemon/tests/gateways/control_record.rs
@@ -89,6 +89,25 @@
         on_list.map(|(i, listed)| (i, listed.addr)).collect()
     }
 
+    /// Returns whether no control process began or ended an outage in `stable_time` before `at`, and at most `losses` with a disk were
+    /// out.
+    pub fn was_stable(&self, at: Instant, stable_time: Duration, losses: usize) -> bool {
+        let listed = self.listed.borrow();
+        let outages = self.outages.borrow();
+        let is_recent = |time: Instant| time <= at && at < time + stable_time;
+        let lasting = outages.iter().filter(|outage| {
+            let process = &listed[outage.member];
+            process.has_disk
+                && process.removed_at.is_none_or(|removed| at < removed)
+                && outage.from <= at
+                && outage.until.is_none_or(|until| at < until)
+        });
+        lasting.count() <= losses
+            && !outages
+                .iter()
+                .any(|outage| is_recent(outage.from) || outage.until.is_some_and(is_recent))
+    }
+
     /// Describes the outages, with the time of day as in the logs of the processes.
     pub fn describe_outages(&self) -> Vec<String> {
         let listed = self.listed.borrow();
--- a/laburnumlug-daemon/tests/gateways/deployment.rs
+++ b/laburnumlug-daemon/tests/gateways/deployment.rs
@@ -229,17 +229,20 @@
 
 /// Returns the configuration with this version, from a template in the platform crate's tests.
 ///
-/// It has a route for itself and for each version before, which shows whether a gateway obeys it.
+/// It has a route for itself and for each version before, which shows whether a gateway obeys it, and one that no other version has.
 pub fn config(version: u64) -> String {
     let text = include_str!("../../../platform/tests/gateways-config.json");
     let mut config: Value = serde_json::from_str(text).unwrap();
     config["version"] = json!(version);
     let routes = config["routes"].as_array_mut().unwrap();
-    for older in 1..=version {
-        let mut route = routes[0].clone();
-        route["name"] = json!(format!("v-{older}"));
-        route["pathPrefix"] = json!(format!("/v/{older}/"));
+    let template = routes[0].clone();
+    let mut add = |kind: &str, version: u64| {
+        let mut route = template.clone();
+        route["name"] = json!(format!("{kind}-{version}"));
+        route["pathPrefix"] = json!(format!("/{kind}/{version}/"));
         routes.push(route);
-    }
+    };
+    (1..=version).for_each(|older| add("v", older));
+    add("only", version);
     config.to_string()
 }
--- a/laburnumlug-daemon/tests/gateways/versions.rs
+++ b/laburnumlug-daemon/tests/gateways/versions.rs
@@ -4,12 +4,18 @@
 
 use crate::Run;
 use crate::callers::CallRecord;
+use crate::checker::{STABLE_TIME, is_near};
+use crate::control_record::ControlRecord;
+use crate::deployment::TOLERATED_LOSSES;
 use crate::injector::Interruption;
 use crate::operator::Change;
 
 /// Time after an acknowledgement within which a gateway may obey the version before, if the core is disturbed.
 const DISTURBED_CONFIG_TIME: Duration = Duration::from_secs(7);
 
+/// Time after an acknowledgement within which a gateway may obey the version before, if nothing is disturbed.
+const CONFIG_TIME: Duration = Duration::from_secs(2);
+
 /// Time after the effect of a version was seen within which the gateway may obey the version before.
 const ROLLBACK_SLACK: Duration = Duration::from_millis(250);
 
@@ -38,7 +44,9 @@
         }
     }
     let interruptions = run.interruptions.borrow();
-    for denied in probes(calls).filter(|(record, _)| record.status() == Some(404)) {
+    let withdrawn = find_withdrawn_routes(&run.control, &changes, &interruptions, calls);
+    violations.extend(withdrawn);
+    for denied in probes(calls, "v").filter(|(record, _)| record.status() == Some(404)) {
         let (record, version) = denied;
         let acknowledged = changes.iter().any(|change| {
             let at = change.acknowledged_at;
@@ -51,7 +59,7 @@
                 record.gateway, record.id
             ));
         }
-        let seen = probes(calls).find(|(before, newer)| {
+        let seen = probes(calls, "v").find(|(before, newer)| {
             *newer >= version
                 && before.gateway == record.gateway
                 && before.status() == Some(200)
@@ -67,9 +75,39 @@
     }
 }
 
-/// Returns the requests for routes of a version, and the version.
-fn probes(calls: &[CallRecord]) -> impl Iterator<Item = (&CallRecord, u64)> {
-    let probes = calls.iter().filter(|record| record.route == "v");
+/// Returns each request that was served by the route of a single version although a newer one had been acknowledged, while the
+/// gateway and most of the control processes had run for the stable time.
+fn find_withdrawn_routes(
+    control: &ControlRecord,
+    changes: &[Change],
+    interruptions: &[Interruption],
+    calls: &[CallRecord],
+) -> Vec<String> {
+    let served = probes(calls, "only").filter(|(record, _)| record.status() == Some(200));
+    let outdated = served.filter_map(|(record, version)| {
+        let newer = changes.iter().find(|change| {
+            let at = change.acknowledged_at;
+            change.version > version && at.is_some_and(|at| at + CONFIG_TIME < record.began_at)
+        })?;
+        let mut own = interruptions.iter().filter(|i| i.gateway == record.gateway);
+        let is_bound = control.was_stable(record.began_at, STABLE_TIME, TOLERATED_LOSSES)
+            && !own.any(|interruption| is_near(interruption, record));
+        is_bound.then(|| {
+            format!(
+                "CONFIG: gateway {} served a route that only version {version} has, after version {} was acknowledged: {}",
+                record.gateway, newer.version, record.id
+            )
+        })
+    });
+    outdated.collect()
+}
+
+/// Returns the requests for routes of a version by the kind of route, and the version.
+fn probes<'a>(
+    calls: &'a [CallRecord],
+    kind: &'a str,
+) -> impl Iterator<Item = (&'a CallRecord, u64)> {
+    let probes = calls.iter().filter(move |record| record.route == kind);
     probes.filter_map(|record| {
         let version = record.path.split('/').nth(2)?.parse().ok()?;
         Some((record, version))
