Go on with confirmed routes while too few replicas have their data

Cause: a replica that has lost its data counted as one that can be reached, though it can confirm nothing before a majority is back, which may be never. Nothing can be acknowledged in that state, and a gateway that was confirmed until then lacks at most what was acknowledged in its last polling interval.

Now only voters that answer with their data count for a gateway that was confirmed since its start. One that was not waits while it reaches the machines of a majority, as its document may be from a replica that has fallen behind.

--- a/laburnumlug-daemon/src/fleet_watch/contact.rs
+++ b/laburnumlug-daemon/src/fleet_watch/contact.rs
@@ -12,6 +12,7 @@
         let newest_logged = self.confirmation.newest_logged_change();
         let contact = ControlContact {
             reaches_majority: self.addrs.reaches_majority(),
+            can_confirm: self.confirmation.can_confirm(|i| self.addrs.has_failed(i)),
             newer_logged: newest_logged.is_some_and(|newest| newest > self.applied_change),
         };
         if contact == self.contact {
@@ -20,7 +21,7 @@
         self.contact = contact;
         log::info!(
             routes = self.view_version(), reaches_majority = contact.reaches_majority,
-            newer_logged = contact.newer_logged;
+            can_confirm = contact.can_confirm, newer_logged = contact.newer_logged;
             "contact with the control replicas has changed"
         );
         if let Some(observer) = &self.observer {
--- a/laburnumlug-daemon/src/fleet_watch/control_addrs.rs
+++ b/laburnumlug-daemon/src/fleet_watch/control_addrs.rs
@@ -120,7 +120,12 @@
         }
     }
 
-    /// Returns whether a majority of the voters can be reached; voters that were not asked yet count as reachable.
+    /// Returns whether the latest attempt to reach the process with this number has failed.
+    pub(super) fn has_failed(&self, number: usize) -> bool {
+        self.processes.get(number).is_some_and(|p| p.has_failed)
+    }
+
+    /// Returns whether a majority of the voters' processes can be reached; voters that were not asked yet count as reachable.
     ///
     /// Replicas that are not named by their addresses all stand in the settings.
     pub(super) fn reaches_majority(&self) -> bool {
--- a/laburnumlug-daemon/tests/it/older_routes.rs
+++ b/laburnumlug-daemon/tests/it/older_routes.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use crate::control::wait_for_version;
+use crate::client;
+use crate::control::{Partition, partition_replica, wait_for_leader, wait_for_version};
 use crate::gateway_fleet::{GATEWAY, GatewayFleet, config, row};
 use crate::harness::{FleetConfig, block_on, wait_for};
 use crate::standin::{Behaviour, ServerStandIn};
@@ -16,6 +17,9 @@
 /// Time for which the gateway and two control machines run without the third one. The guarantee holds once they have run for 6 s.
 const REPLICA_AWAY_TIME: Duration = Duration::from_secs(8);
 
+/// Time after a restart in which requests are checked.
+const RESTART_TIME: Duration = Duration::from_secs(2);
+
 /// Processes whose replica 2 holds only configurations with the route, while the others have acknowledged its withdrawal.
 struct Deployment {
     processes: GatewayFleet,
@@ -88,3 +92,79 @@
         deployment.wait_for_status(404).await;
     });
 }
+
+/// Guards against a withdrawn route that is served while all processes return at once, each with its data, until the replicas know
+/// what is committed.
+#[test]
+fn restart_of_all_after_withdrawal() {
+    block_on(async {
+        let mut deployment = Deployment::start().await;
+        let names = ["control-1", "control-2", "control-3", GATEWAY];
+        for _ in 0..3 {
+            let fleet = &mut deployment.processes.fleet;
+            names.iter().for_each(|name| fleet.process(name).kill());
+            names.iter().for_each(|name| fleet.restart(name));
+            let end = Instant::now() + RESTART_TIME;
+            deployment.assert_withdrawn_until(end).await;
+            deployment.wait_for_status(404).await;
+        }
+    });
+}
+
+/// Guards against a gateway that refuses all requests once two of three replicas are gone or have lost their data, although its
+/// routes were confirmed before, and against one that serves a withdrawn route meanwhile.
+#[test]
+fn gateway_running_while_replicas_cannot_confirm() {
+    block_on(async {
+        let mut deployment = Deployment::start().await;
+        let fleet = &mut deployment.processes.fleet;
+        fleet.restart("control-3");
+        wait_for_version(fleet, 2, WITHDRAWN_IN).await;
+        for name in ["control-1", "control-2"] {
+            fleet.process(name).kill();
+        }
+        std::fs::remove_dir_all(fleet.folder.path().join("control-2")).unwrap();
+        fleet.restart("control-2");
+        let lost_at = Instant::now();
+        while lost_at.elapsed() < REPLICA_AWAY_TIME / 2 {
+            let status = deployment.processes.send("/once/x", &[]).await;
+            assert_eq!(status, Some(200));
+            deployment.assert_withdrawn_until(Instant::now()).await;
+            assert!(matches!(deployment.send().await, Some(404 | 503)));
+        }
+    });
+}
+
+/// Guards against a gateway that goes on with its routes although it reaches a majority of the replicas, which have logged a newer
+/// change and have no leader that commits it.
+#[test]
+fn gateway_running_while_majority_has_no_leader() {
+    block_on(async {
+        let mut deployment = Deployment::start().await;
+        let fleet = &mut deployment.processes.fleet;
+        fleet.restart("control-3");
+        wait_for_version(fleet, 2, WITHDRAWN_IN).await;
+        let leader = wait_for_leader(fleet, &[0, 1, 2]).await;
+        let others: Vec<usize> = (0..3).filter(|i| *i != leader).collect();
+        // The others get the change, and its leader no answer, so it is not committed and they elect nobody while cut from each other.
+        for other in &others {
+            partition_replica(fleet, *other, Partition::FromReplica);
+        }
+        let change = config(WITHDRAWN_IN + 1).to_string();
+        let addr = fleet.operator_addrs[leader];
+        let replacing = client::post(addr, "/config/replace", &[], &change);
+        let _ = compio::time::timeout(Duration::from_millis(500), replacing).await;
+        wait_for("a refusal", || async {
+            (deployment.processes.send("/once/x", &[]).await? == 503).then_some(())
+        })
+        .await;
+        let fleet = &deployment.processes.fleet;
+        for other in others {
+            partition_replica(fleet, other, Partition::None);
+        }
+        wait_for("an answer", || async {
+            (deployment.processes.send("/once/x", &[]).await? == 200).then_some(())
+        })
+        .await;
+    });
+}
--- a/laburnumlug-forward/src/route_basis.rs
+++ b/laburnumlug-forward/src/route_basis.rs
@@ -44,7 +44,8 @@
         if self.may_be_outdated() {
             log::info!(
                 request_id = request_id, routes = self.version, routes_age_ms = self.confirmation_age_ms(),
-                reaches_majority = self.contact.reaches_majority, newer_logged = self.contact.newer_logged;
+                reaches_majority = self.contact.reaches_majority, can_confirm = self.contact.can_confirm,
+                newer_logged = self.contact.newer_logged;
                 "the request is handled by routes that were not confirmed recently"
             );
         }
--- a/laburnumlug-policy/src/authorization.rs
+++ b/laburnumlug-policy/src/authorization.rs
@@ -78,17 +78,17 @@
 
     /// Returns whether requests may be served by the routes of the document.
     ///
-    /// A change that is acknowledged to an operator is in the log of a majority, so a process that can reach a majority waits for
-    /// its confirmation. One that cannot goes on with what it has: the replicas may be gone for long, and a refusal helps no
-    /// caller. Without any confirmation since its start, it only does so if its document has all changes that it has heard of, as
-    /// a replica that was restarted may know no more than an old snapshot.
+    /// A change that is acknowledged to an operator is in the log of a majority, so a process that reaches a majority which can
+    /// confirm the document waits for that. One that does not goes on with what was confirmed: the replicas may be gone for
+    /// long, and a refusal helps no caller. Without any confirmation since its start, it waits for a majority that is reached
+    /// even if it can confirm nothing, and for changes that it has heard of: the document may come from a replica that has
+    /// fallen behind, or that was restarted and knows no more than an old snapshot.
     pub fn permits_routes(&self) -> bool {
+        let contact = &self.contact;
         match (self.max_route_age, self.confirmation_age) {
             (None, _) => true,
-            (Some(max_age), Some(age)) if age < max_age => true,
-            _ if self.contact.reaches_majority => false,
-            (_, Some(_)) => true,
-            (_, None) => !self.contact.newer_logged,
+            (Some(max_age), Some(age)) => age < max_age || !contact.can_confirm,
+            (Some(_), None) => !contact.reaches_majority && !contact.newer_logged,
         }
     }
 
--- a/src/confirmation.rs
+++ b/src/confirmation.rs
@@ -110,6 +110,26 @@
         answers.map(|answer| answer.logged_change).max()
     }
 
+    /// Returns whether a majority of the voters has answered, leaving out the answers of replicas whose indexes `is_left_out` names.
+    ///
+    /// A replica that has lost its data answers under a new incarnation and is no voter. A majority that has answered either
+    /// confirms a copy, or has logged a change that the copy lacks, or will confirm it once the replicas know of each other.
+    pub fn can_confirm<F>(&self, is_left_out: F) -> bool
+    where
+        F: Fn(usize) -> bool,
+    {
+        let Some(voters) = self.voters() else {
+            return false;
+        };
+        let answers = self.answers.iter().enumerate();
+        let replicas: Vec<&ReplicaId> = answers
+            .filter(|(i, _)| !is_left_out(*i))
+            .filter_map(|(_, answer)| Some(&answer.as_ref()?.voting_status.replica))
+            .collect();
+        let answered = voters.iter().filter(|voter| replicas.contains(voter));
+        answered.count() > voters.len() / 2
+    }
+
     /// Returns the voters of the newest membership among the answers.
     ///
     /// Majorities of successive memberships intersect, so any majority of an outdated membership includes a replica
