--- a/laburnumlug-control/src/replica/follower.rs
+++ b/laburnumlug-control/src/replica/follower.rs
@@ -136,8 +136,8 @@
 
     /// Commits what a leader of `term` has committed, as far as the log matches that of the leader.
     ///
-    /// A new leader does not know which entries of earlier terms are committed until it has committed one of its own, so only
-    /// then does its commit index show that this replica has caught up.
+    /// A new leader does not know which entries of earlier terms are committed until an entry of the current term is, so only then
+    /// does its commit index show that this replica has caught up.
     fn follow_commit(&mut self, term: Term, commit: LogIndex, match_index: LogIndex) {
         self.commit_to(commit.min(match_index));
         self.caught_up |= commit <= match_index && self.log.term(commit) == Some(term);
--- a/laburnumlug-daemon/src/fleet_watch/freshness_tests.rs
+++ b/laburnumlug-daemon/src/fleet_watch/freshness_tests.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 
+use laburnumlug::BootTime;
 use laburnumlug_mesh::{CompressedText, ReplicaId, VotingStatus};
 use laburnumlug_policy::DocumentStatus;
 use rand::rngs::StdRng;
@@ -40,7 +41,7 @@
     AnyAge,
     /// A change is acknowledged once the leader has logged it.
     AcknowledgedBeforeCommit,
-    /// The answer of one replica confirms the routes, whatever became of its data.
+    /// The answer of one replica confirms the routes, even if it has lost its data.
     ConfirmedByOne,
 }
 
--- a/laburnumlug-daemon/src/fleet_watch/tests.rs
+++ b/laburnumlug-daemon/src/fleet_watch/tests.rs
@@ -1,6 +1,9 @@
+use laburnumlug::{BootTime, DemandReport, ListedGateway, SoftwareRecord, TargetList};
+use laburnumlug_forward::PendingUsageReport;
 use laburnumlug_mesh::{
     CompressedText, Connection, ControlMessage, MeshKey, Message, ReplicaId, VotingStatus,
 };
+use laburnumlug_policy::ChangeNumber;
 use laburnumlug_standin::{Fault, FaultProxy};
 
 use super::*;
--- a/laburnumlug-daemon/src/settings/gateway.rs
+++ b/laburnumlug-daemon/src/settings/gateway.rs
@@ -72,8 +72,7 @@
     pub(crate) grace_period: Duration,
     /// Age of the last confirmation of the fleet document up to which API keys may be accepted; `None` for any age.
     pub(crate) max_key_age: Option<Duration>,
-    /// Age of the last confirmation of the fleet document up to which its routes are obeyed while a majority of the control replicas
-    /// can be reached.
+    /// Age of the last confirmation of the fleet document up to which its routes are obeyed while the control replicas can confirm it.
     pub(crate) max_route_age: Duration,
     /// Length of the windows in which the requests of customers are counted; `None` if they are not.
     pub(crate) usage_window: Option<Duration>,
--- a/laburnumlug-forward/src/config.rs
+++ b/laburnumlug-forward/src/config.rs
@@ -53,8 +53,9 @@
         self
     }
 
-    /// Sets the age of the last confirmation of the routes up to which they are obeyed while a majority of the control replicas can
-    /// be reached; without one, they always are.
+    /// Sets the age of the last confirmation of the routes up to which they are obeyed in any case; without one, they always are.
+    ///
+    /// Beyond it, the [`ControlContact`](laburnumlug_policy::ControlContact) decides.
     pub fn max_route_age(mut self, age: Option<Duration>) -> ForwardConfig {
         self.max_route_age = age;
         self
--- a/laburnumlug-forward/src/route_basis.rs
+++ b/laburnumlug-forward/src/route_basis.rs
@@ -11,7 +11,7 @@
 /// Age of the last confirmation from which requests that are routed are logged.
 const OUTDATED_AGE: Duration = Duration::from_millis(1500);
 
-/// Version of the routes by which a request is handled, and how recent they were known to be.
+/// Version of the routes by which a request is handled, and the age of their last confirmation.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RouteBasis {
     /// Version of the routes; 0 if none are known.
--- a/laburnumlug-policy/src/authorization.rs
+++ b/laburnumlug-policy/src/authorization.rs
@@ -80,9 +80,11 @@
     ///
     /// A change that is acknowledged to an operator is in the log of a majority, so a process that reaches a majority which can
     /// confirm the document waits for that. One that does not goes on with what was confirmed: the replicas may be gone for
-    /// long, and a refusal helps no caller. Without any confirmation since its start, it waits for a majority that is reached
-    /// even if it can confirm nothing, and for changes that it has heard of: the document may come from a replica that has
-    /// fallen behind, or that was restarted and knows no more than an old snapshot.
+    /// long, and a refusal helps no caller.
+    ///
+    /// Without any confirmation since its start, a process waits as long as it reaches a majority, even if that cannot confirm
+    /// anything, or as long as a replica reports a newer change: the document may come from a replica that has fallen behind,
+    /// or that was restarted and has only applied its snapshot.
     pub fn permits_routes(&self) -> bool {
         let contact = &self.contact;
         match (self.max_route_age, self.confirmation_age) {
