Probe gateways for the version that they obey in the soak

The check of withdrawn routes found nothing in a variant whose gateways poll the replicas every 60 s: callers asked too seldom for just the version that a gateway obeys. A prober now asks every 20 ms for the route of the version that the gateway has served last, or of a recent one.

--- a/laburnumlug-daemon/tests/gateways/callers.rs
+++ b/laburnumlug-daemon/tests/gateways/callers.rs
@@ -24,6 +24,9 @@
 /// Deadlines of requests; most have the first one.
 const DEADLINES: [Duration; 2] = [Duration::from_millis(9500), Duration::from_millis(1500)];
 
+/// Interval between two probes for the version that a gateway obeys.
+const PROBE_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Names of the routes in `gateways-config.json`, each of which is also the first segment of its path prefix.
 const ROUTES: [&str; 4] = ["safe", "once", "stream", "held"];
 
@@ -171,6 +174,8 @@
     load: Arc<Load>,
     gateways: Vec<SocketAddr>,
     kept: Vec<Option<Connection>>,
+    /// Version whose own route each gateway has served last.
+    served_versions: Vec<Option<u64>>,
     name: String,
     next_number: u32,
     rng: StdRng,
@@ -178,21 +183,13 @@
 
 /// Sends requests to random gateways and routes until the faults have ended.
 pub fn run_caller(load: Arc<Load>, gateways: Vec<SocketAddr>, name: String, rng: StdRng) {
-    let mut caller = Caller {
-        kept: gateways.iter().map(|_| None).collect(),
-        load,
-        gateways,
-        name,
-        next_number: 0,
-        rng,
-    };
+    let mut caller = Caller::new(load, gateways, name, rng);
     while !caller.load.faults_ended.load(Ordering::Relaxed) {
         let gateway = caller.rng.random_range(0..caller.gateways.len());
         match caller.rng.random_range(0..10) {
             0 => caller.call_pipelined(gateway),
             1 => {
-                let record = caller.probe(gateway);
-                caller.call(record);
+                caller.call_probe(gateway);
             }
             _ => {
                 let record = caller.draw(gateway);
@@ -204,6 +201,16 @@
     }
 }
 
+/// Probes random gateways for the version that they obey until the faults have ended.
+pub fn run_prober(load: Arc<Load>, gateways: Vec<SocketAddr>, name: String, rng: StdRng) {
+    let mut caller = Caller::new(load, gateways, name, rng);
+    while !caller.load.faults_ended.load(Ordering::Relaxed) {
+        let gateway = caller.rng.random_range(0..caller.gateways.len());
+        caller.call_probe(gateway);
+        std::thread::sleep(PROBE_INTERVAL);
+    }
+}
+
 /// Sends requests to a gateway until one succeeds, and returns whether one did before `deadline`.
 pub fn is_served(
     load: Arc<Load>,
@@ -211,14 +218,8 @@
     gateway: usize,
     deadline: Instant,
 ) -> bool {
-    let mut caller = Caller {
-        kept: gateways.iter().map(|_| None).collect(),
-        load,
-        gateways,
-        name: format!("last-{gateway}"),
-        next_number: 0,
-        rng: StdRng::seed_from_u64(gateway as u64),
-    };
+    let rng = StdRng::seed_from_u64(gateway as u64);
+    let mut caller = Caller::new(load, gateways, format!("last-{gateway}"), rng);
     while Instant::now() < deadline {
         let mut record = caller.record(gateway, "safe", "/safe/0/0".to_string());
         // An erratic server may hold the request until its deadline.
@@ -233,6 +234,18 @@
 }
 
 impl Caller {
+    fn new(load: Arc<Load>, gateways: Vec<SocketAddr>, name: String, rng: StdRng) -> Caller {
+        Caller {
+            kept: gateways.iter().map(|_| None).collect(),
+            served_versions: vec![None; gateways.len()],
+            load,
+            gateways,
+            name,
+            next_number: 0,
+            rng,
+        }
+    }
+
     fn record(&mut self, gateway: usize, route: &'static str, path: String) -> CallRecord {
         let now = Instant::now();
         self.next_number += 1;
@@ -278,15 +291,24 @@
         record
     }
 
-    /// Returns a request for a route that only newer configurations have, or only one.
-    fn probe(&mut self, gateway: usize) -> CallRecord {
+    /// Sends a request for a route that only newer configurations have, or only one; mostly the one that the gateway has served last.
+    fn call_probe(&mut self, gateway: usize) {
         let newest = self.load.newest_sent.load(Ordering::Relaxed);
-        let version = newest.saturating_sub(self.rng.random_range(0..12)).max(1);
-        let route = match self.rng.random_ratio(1, 2) {
-            true => "v",
-            false => "only",
+        let recent = newest.saturating_sub(self.rng.random_range(0..12)).max(1);
+        let (route, version) = match (self.rng.random_range(0..4), self.served_versions[gateway]) {
+            (0, _) => ("v", recent),
+            (1, _) | (_, None) => ("only", recent),
+            (_, Some(version)) => ("only", version),
         };
-        self.record(gateway, route, format!("/{route}/{version}/x"))
+        let mut record = self.record(gateway, route, format!("/{route}/{version}/x"));
+        record.is_chunked = false;
+        record.deadline = DEADLINES[1];
+        let status = self.call(record).status();
+        match (route, status) {
+            ("only", Some(200)) => self.served_versions[gateway] = Some(version),
+            ("only", Some(404)) => self.served_versions[gateway] = None,
+            _ => {}
+        }
     }
 
     /// Returns the kept connection to a gateway, or a new one.
--- a/laburnumlug-daemon/tests/gateways/main.rs
+++ b/laburnumlug-daemon/tests/gateways/main.rs
@@ -142,6 +142,11 @@
             std::thread::spawn(move || callers::run_caller(load, gateways, name, rng))
         })
         .collect();
+    let prober = {
+        let rng = StdRng::seed_from_u64(seed * 1000 + 99);
+        let (load, gateways, name) = (run.load.clone(), gateways.clone(), format!("{seed}-p"));
+        std::thread::spawn(move || callers::run_prober(load, gateways, name, rng))
+    };
     let operators: Vec<_> = (0..OPERATORS)
         .map(|i| {
             let rng = StdRng::seed_from_u64(seed * 1000 + 100 + i);
@@ -160,6 +165,7 @@
     let joined = compio::runtime::spawn_blocking(|| {
         callers
             .into_iter()
+            .chain([prober])
             .for_each(|caller| caller.join().unwrap());
     });
     joined.await.unwrap();
