Give the memory of large bodies back when they end

What was seen: 300 clients with bodies of 4 MiB less a byte take a process of 16 MB to 218 MB with a budget of 65 MB, and 132 MB stay after they have left (release build, x86-64).

Cause: a body grows on the heap by doubling. After the first large buffer is freed, the C library takes further ones from its heap, and a heap with holes is not given back. The budget counts bytes, the machine counts pages.

Change: a body of more than 16 KB has a mapping of its own, which is returned to the system when the body is dropped; pages that were not written to occupy nothing. A body whose declared length exceeds the limit is refused before it is read.

--- a/laburnumlug-http/src/body_reader.rs
+++ b/laburnumlug-http/src/body_reader.rs
@@ -4,12 +4,13 @@
 use std::pin::pin;
 use std::task::Poll;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, StatusCode};
 
+use crate::body_buffer::BodyBuffer;
 use crate::error::Error;
 use crate::held_bytes::HeldBytes;
 
@@ -117,7 +118,11 @@
 where
     B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
 {
-    let mut buf = BytesMut::new();
+    let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if declared > limit {
+        return Err(Error::body_too_large(limit));
+    }
+    let mut buf = BodyBuffer::new(declared);
     loop {
         let added = match next_held_chunk(&mut body, held).await {
             Ok(Some(chunk)) => add_chunk(&mut buf, &chunk, limit, held),
@@ -136,7 +141,7 @@
 }
 
 fn add_chunk(
-    buf: &mut BytesMut,
+    buf: &mut BodyBuffer,
     chunk: &[u8],
     limit: usize,
     held: &HeldBytes,
--- a/laburnumlug-http/src/lib.rs
+++ b/laburnumlug-http/src/lib.rs
@@ -25,6 +25,7 @@
 */
 
 mod body;
+mod body_buffer;
 mod body_reader;
 mod client;
 mod connection;
