Bound connections by the memory and the descriptors of the process

What was seen: crowds of 900 clients that stop within a head, a body, a chunk, a trailer or a chunk extension take a gateway with a budget of 24 MB to 98 to 191 MB, of 96 MB that its machine would have, and to all of its 700 descriptors; up to 94 MB are bytes that have arrived and are not read. While 2,300 stay, ordinary callers get 503.

Cause: the limit on connections knows neither the memory nor the descriptors. Connections beyond it are served their 503 without any limit. Nothing bounds what the kernel keeps for a connection from a client, and a request whose body is arriving already has the state of its forwarding. A connection whose body has stopped arriving is kept for 30 s, whoever waits.

Change: each listener takes at most as many connections as the memory budget and the descriptors allow. A further one replaces a connection that waits for its client: one whose first request or body does not arrive or arrives slowly, else one without a request for 1 s. A body that has arrived is never closed. While none can be replaced, 32 connections at once get a 503, and others are closed. The receive buffer is 32 KB, set at the listener. The state of forwarding is allocated once the body has arrived. Ports for probes and collectors take 64 connections.

--- a/laburnumlug-daemon/src/entry/handler.rs
+++ b/laburnumlug-daemon/src/entry/handler.rs
@@ -10,7 +10,8 @@
 use hyper::body::Body;
 use laburnumlug_caller::{ApiError, CallHeaders, Operation, REQUEST_ID_HEADER, VERDICT_HEADER};
 use laburnumlug_http::{
-    Handler, Request, Response, discard_body, hold_until_sent, read_body, text_response,
+    Handler, Request, RequestBody, Response, discard_body, hold_until_sent, read_body,
+    text_response,
 };
 use laburnumlug_mesh::PlainRequest;
 
@@ -162,7 +163,7 @@
     async fn admit_and_read_body(
         &self,
         headers: &CallHeaders,
-        mut body: hyper::body::Incoming,
+        mut body: RequestBody,
         expects_continue: bool,
     ) -> Result<(Bytes, InFlightPermit), ApiError> {
         let declared_bytes = body.size_hint().exact();
@@ -182,7 +183,7 @@
         Err(err)
     }
 
-    async fn read_body(&self, body: &mut hyper::body::Incoming) -> Result<Bytes, ApiError> {
+    async fn read_body(&self, body: &mut RequestBody) -> Result<Bytes, ApiError> {
         let limit = self.settings.max_body_bytes;
         match laburnumlug_http::timeout(BODY_TIMEOUT, read_body(body, limit)).await {
             Ok(Ok(body)) => Ok(body),
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -246,7 +246,7 @@
         };
         async move { resp }
     });
-    compio::runtime::spawn(Server::new(listener, Limits::default()).run(handler)).detach();
+    compio::runtime::spawn(Server::new(listener, Limits::for_probes()).run(handler)).detach();
     Ok(())
 }
 
--- a/laburnumlug-daemon/src/metrics.rs
+++ b/laburnumlug-daemon/src/metrics.rs
@@ -232,7 +232,7 @@
         refresh();
         async move { handle_request(&metrics, &req) }
     });
-    compio::runtime::spawn(Server::new(listener, Limits::default()).run(handler)).detach();
+    compio::runtime::spawn(Server::new(listener, Limits::for_probes()).run(handler)).detach();
     Ok(())
 }
 
--- a/laburnumlug-daemon/tests/it/harness.rs
+++ b/laburnumlug-daemon/tests/it/harness.rs
@@ -87,6 +87,20 @@
         Process { child }
     }
 
+    /// Like [`Process::start`], with a limit on the number of descriptors.
+    pub fn start_with_descriptors(role: &str, settings: &Path, descriptors: usize) -> Process {
+        let child = Command::new("sh")
+            .args(["-c", "ulimit -n \"$0\"; exec \"$@\""])
+            .arg(descriptors.to_string())
+            .arg(env!("CARGO_BIN_EXE_laburnumlugd"))
+            .args([role, "--settings"])
+            .arg(settings)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        Process { child }
+    }
+
     /// Like [`Process::start`], but writes beyond a file size limit fail instead of ending the process.
     ///
     /// If `is_full`, the process cannot write files until [`Process::limit_file_size`] removes the limit.
--- a/laburnumlug-forward/src/handler.rs
+++ b/laburnumlug-forward/src/handler.rs
@@ -12,7 +12,7 @@
 use hyper::header::AUTHORIZATION;
 use laburnumlug::{BootTime, Repetition};
 use laburnumlug_http::{
-    Handler, HeldBytes, Request, Response, discard_body, memory_budget, read_held_body,
+    Handler, HeldBytes, Request, RequestBody, Response, discard_body, memory_budget, read_held_body,
 };
 use laburnumlug_policy::PromptParts;
 use rand::Rng;
@@ -150,7 +150,7 @@
     async fn forward(
         self: Rc<Self>,
         head: RequestHead,
-        body: &mut hyper::body::Incoming,
+        body: &mut RequestBody,
     ) -> Result<Response, Refusal> {
         let arrived_at = head.arrived_at;
         let (table, route) = self.route_request(arrived_at, &head.parts).await?;
@@ -190,8 +190,13 @@
             return Err(refusal.customer(customer_name));
         };
         let result = match route.repetition {
-            Repetition::Stream => self.clone().forward_stream(request, service, table).await,
-            Repetition::Safe | Repetition::Unsafe => self.forward_buffered(&request, service).await,
+            // Boxed, as a request whose body is arriving has no use for their state yet.
+            Repetition::Stream => {
+                Box::pin(self.clone().forward_stream(request, service, table)).await
+            }
+            Repetition::Safe | Repetition::Unsafe => {
+                Box::pin(self.forward_buffered(&request, service)).await
+            }
         };
         let resp = result.map_err(|refusal| refusal.customer(customer_name))?;
         let time = arrived_at.elapsed();
--- a/laburnumlug-http/src/lib.rs
+++ b/laburnumlug-http/src/lib.rs
@@ -26,6 +26,7 @@
 
 mod body;
 mod body_buffer;
+mod body_progress;
 mod body_reader;
 mod client;
 mod connection;
@@ -36,8 +37,10 @@
 mod held_bytes;
 mod idle_limit;
 mod lingering_close;
+mod max_connections;
 mod open_connections;
 mod pool;
+mod request_body;
 mod requests_in_progress;
 mod revocable;
 mod server;
@@ -55,7 +58,9 @@
 pub use crate::error::Error;
 pub use crate::held_body::held_body;
 pub use crate::held_bytes::{HeldBytes, OverBudget, held_bytes, memory_budget, set_memory_budget};
+pub use crate::max_connections::max_connections;
 pub use crate::pool::{ConnectionPool, PooledResponse, SendError};
+pub use crate::request_body::RequestBody;
 pub use crate::revocable::send_before;
 pub use crate::server::{Handler, Limits, LimitsHandle, PeerAddr, Request, Server, ShutdownHandle};
 pub use crate::timeout::{Elapsed, timeout};
--- a/laburnumlug-http/src/open_connections.rs
+++ b/laburnumlug-http/src/open_connections.rs
@@ -1,4 +1,4 @@
-//! Open connections of a server, to close one without a request when there are too many.
+//! Open connections of a server, to close one that waits for its client when there are too many.
 
 use std::cell::RefCell;
 use std::rc::{Rc, Weak};
@@ -20,16 +20,15 @@
         connections.push(Rc::downgrade(requests));
     }
 
-    /// Closes the connection that has been without a request for longest, if that is `min_time` or more; returns whether there
-    /// was one.
-    pub(crate) fn close_longest_unused(&self, now: Instant, min_time: Duration) -> bool {
+    /// Closes the connection whose client lets it wait most, unless all are in use or for less than `min_time` without a request;
+    /// returns whether there was one.
+    pub(crate) fn close_for_new(&self, now: Instant, min_time: Duration) -> bool {
         let connections = self.connections.borrow();
-        let unused = connections.iter().filter_map(|connection| {
+        let replaceable = connections.iter().filter_map(|connection| {
             let requests = connection.upgrade()?;
-            let since = requests.unused_since()?;
-            (now.saturating_duration_since(since) >= min_time).then_some((since, requests))
+            Some((requests.replaceable(now, min_time)?, requests))
         });
-        match unused.min_by_key(|(since, _)| *since) {
+        match replaceable.min_by_key(|(replaceable, _)| *replaceable) {
             Some((_, requests)) => {
                 requests.close();
                 true
--- a/laburnumlug-http/src/requests_in_progress.rs
+++ b/laburnumlug-http/src/requests_in_progress.rs
@@ -6,6 +6,17 @@
 
 use event_listener::Event;
 
+use crate::body_progress::BodyProgress;
+
+/// What a connection that may be closed for a new one waits for; the least one is closed first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Replaceable {
+    /// The first request, or the rest of a body: its recent bytes, and when it began.
+    Incomplete(usize, Instant),
+    /// A further request since then. Its client may be about to send one.
+    Unused(Instant),
+}
+
 /// Number of requests of one connection whose responses have not been sent.
 pub(crate) struct RequestsInProgress {
     opened_at: Instant,
@@ -13,6 +24,8 @@
     is_closing: Cell<bool>,
     /// When the last response was handed to the connection.
     last_ended_at: Cell<Option<Instant>>,
+    /// Progress of the body that is arriving.
+    body: Cell<Option<BodyProgress>>,
     changed: Event,
 }
 
@@ -24,14 +37,48 @@
             count: Cell::new(0),
             is_closing: Cell::new(false),
             last_ended_at: Cell::new(None),
+            body: Cell::new(None),
             changed: Event::new(),
         }
     }
 
-    /// Returns since when the connection has been without a request; `None` if one is in progress or the connection is closing.
-    pub(crate) fn unused_since(&self) -> Option<Instant> {
-        let is_unused = self.count.get() == 0 && !self.is_closing.get();
-        is_unused.then(|| self.last_ended_at.get().unwrap_or(self.opened_at))
+    /// Returns what the client lets the connection wait for, as far as the connection may be closed for a new one after `min_time`
+    /// without a request.
+    ///
+    /// A request whose body has arrived is never closed.
+    pub(crate) fn replaceable(&self, now: Instant, min_time: Duration) -> Option<Replaceable> {
+        let is_long_ago = |at: Instant| now.saturating_duration_since(at) >= min_time;
+        match (self.count.get(), self.last_ended_at.get(), self.body.get()) {
+            _ if self.is_closing.get() => None,
+            (0, None, _) if is_long_ago(self.opened_at) => {
+                Some(Replaceable::Incomplete(0, self.opened_at))
+            }
+            (0, Some(at), _) if is_long_ago(at) => Some(Replaceable::Unused(at)),
+            (0, _, _) | (_, _, None) => None,
+            (_, _, Some(body)) => {
+                let bytes = body.slow_bytes(now)?;
+                Some(Replaceable::Incomplete(bytes, body.began_at()))
+            }
+        }
+    }
+
+    /// Records that the body of a request begins to arrive.
+    pub(crate) fn begin_body(&self, now: Instant) {
+        self.body.set(Some(BodyProgress::new(now)));
+    }
+
+    /// Records that bytes of the body have arrived.
+    pub(crate) fn record_body(&self, now: Instant, bytes: usize) {
+        let mut body = self.body.get();
+        if let Some(body) = &mut body {
+            body.record(now, bytes);
+        }
+        self.body.set(body);
+    }
+
+    /// Records that the body has arrived, or that its connection is broken.
+    pub(crate) fn end_body(&self) {
+        self.body.set(None);
     }
 
     /// Closes the connection, for which [`RequestsInProgress::closed`] waits.
--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -12,27 +12,38 @@
 use cyper_core::CompioTimer;
 use event_listener::Event;
 use futures_util::future::{Either, select};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use rustix::net::sockopt::set_socket_send_buffer_size;
+use rustix::net::sockopt::{set_socket_recv_buffer_size, set_socket_send_buffer_size};
 use rustix::net::{Shutdown, SocketFlags};
 
 use crate::fair_stream::{FairStream, HeadLimit};
 use crate::lingering_close::keep_until_closed;
 use crate::open_connections::OpenConnections;
+use crate::request_body::RequestBody;
 use crate::requests_in_progress::RequestsInProgress;
-use crate::{Response, hold_until_sent, text_response};
+use crate::{Response, hold_until_sent, max_connections, text_response};
 
 /// Kernel send buffer of one connection.
 const SEND_BUFFER_BYTES: usize = 128 * 1024;
 
+/// Kernel receive buffer of one connection; by default it would keep megabytes that are not read.
+const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
+
+/// Maximum number of connections beyond the limit that are answered with a 503; further ones are closed at once.
+const MAX_REFUSED_CONNECTIONS: usize = 32;
+
+/// Time that a client has for the head of a request which is answered with a 503.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+
 /// Time for which a connection without a request in progress stays open after the shutdown or after an answer that did not
 /// announce it. A caller may have sent a request that has not arrived yet, and would lose it without an answer.
 const SHUTDOWN_LINGER: Duration = Duration::from_secs(1);
 
 /// Request as a [`Handler`] receives it.
-pub type Request = hyper::Request<hyper::body::Incoming>;
+pub type Request = hyper::Request<RequestBody>;
 
 /// Address of the client, which the server adds to the extensions of each [`Request`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -62,7 +73,7 @@
     header_count: usize,
     header_timeout: Duration,
     lifetime: Option<Duration>,
-    replaceable_after: Option<Duration>,
+    replaceable_after: Duration,
 }
 
 impl Default for Limits {
@@ -73,23 +84,30 @@
             header_count: 64,
             header_timeout: Duration::from_secs(10),
             lifetime: None,
-            replaceable_after: None,
+            replaceable_after: Duration::from_secs(1),
         }
     }
 }
 
 impl Limits {
-    /// Sets how many connections may be open at once; requests on further connections get a 503.
+    /// Returns the limits of a listener for probes and collectors, of which there are few.
+    pub fn for_probes() -> Limits {
+        Limits::default().connections(64)
+    }
+
+    /// Sets how many connections may be open at once, unless the process has [fewer](crate::set_memory_budget).
+    ///
+    /// A further connection replaces one that waits for its client; while there is none, its request gets a 503.
     pub fn connections(mut self, connections: usize) -> Limits {
         self.connections = connections;
         self
     }
 
-    /// Sets the time without a request after which a connection may be closed for a new one beyond the limit.
+    /// Sets the time without a request after which a connection may be closed for a new one beyond the limit, 1 s by default.
     ///
-    /// By default none is, as a client may be about to reuse it.
+    /// A connection may also be closed while the body of a request arrives slowly, but not once it has arrived.
     pub fn replaceable_after(mut self, time: Duration) -> Limits {
-        self.replaceable_after = Some(time);
+        self.replaceable_after = time;
         self
     }
 
@@ -120,6 +138,8 @@
 struct Shared {
     stopping: Cell<bool>,
     connections: Cell<usize>,
+    /// Number of those connections whose requests get a 503.
+    refused: Cell<usize>,
     open: OpenConnections,
     /// Notified whenever `stopping` or `connections` changes.
     changed: Event,
@@ -141,6 +161,30 @@
     fn notify(&self) {
         self.changed.notify(usize::MAX);
     }
+
+    /// Decides about a new connection, and closes another one for it if need be.
+    fn admit(&self, now: Instant, limits: &Limits, max_connections: usize) -> Admission {
+        let served = self.connections.get() - self.refused.get();
+        let max = limits.connections.min(max_connections);
+        let replace = || {
+            let time = limits.replaceable_after;
+            served < max + MAX_REFUSED_CONNECTIONS && self.open.close_for_new(now, time)
+        };
+        match () {
+            () if served < max || replace() => Admission::Serve,
+            () if self.refused.get() < MAX_REFUSED_CONNECTIONS => Admission::Refuse,
+            () => Admission::Close,
+        }
+    }
+}
+
+/// What happens to a new connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Admission {
+    Serve,
+    /// Its request gets a 503.
+    Refuse,
+    Close,
 }
 
 /// Starts the graceful shutdown of a [`Server`].
@@ -165,6 +209,8 @@
 pub struct Server {
     listener: TcpListener,
     limits: LimitsHandle,
+    /// Limit on the connections that the process has, whatever `limits` allow.
+    max_connections: usize,
     shared: Rc<Shared>,
 }
 
@@ -184,11 +230,18 @@
 impl Server {
     /// Creates a server on a bound listener.
     pub fn new(listener: TcpListener, limits: Limits) -> Server {
+        // Accepted sockets inherit the size, also for what arrives before they are accepted.
+        if let Err(err) = set_socket_recv_buffer_size(&listener, RECEIVE_BUFFER_BYTES) {
+            log::warn!(
+                "failed to set SO_RCVBUF, unread bytes may take more memory than planned: {err}"
+            );
+        }
         Server {
             listener,
             limits: LimitsHandle {
                 limits: Rc::new(RefCell::new(limits)),
             },
+            max_connections: max_connections(),
             shared: Rc::default(),
         }
     }
@@ -264,24 +317,35 @@
         let shared = self.shared.clone();
         let limits = self.limits.limits.borrow().clone();
         let now = Instant::now();
-        let requests = Rc::new(RequestsInProgress::new(now));
-        let is_replaced = || {
-            let time = limits.replaceable_after;
-            time.is_some_and(|time| shared.open.close_longest_unused(now, time))
+        let admission = shared.admit(now, &limits, self.max_connections);
+        let refused = match admission {
+            Admission::Serve => 0,
+            Admission::Refuse => 1,
+            Admission::Close => {
+                log::debug!("closed a connection from {peer}: too many connections");
+                return;
+            }
         };
-        let over_limit = shared.connections.get() >= limits.connections && !is_replaced();
-        shared.open.add(&requests);
+        let requests = Rc::new(RequestsInProgress::new(now));
+        if admission == Admission::Serve {
+            shared.open.add(&requests);
+        }
         shared.connections.set(shared.connections.get() + 1);
+        shared.refused.set(shared.refused.get() + refused);
         compio::runtime::spawn(async move {
-            if over_limit {
-                let overload_handler =
-                    Rc::new(|_| async { text_response(503, "too many connections") });
-                let handler = overload_handler;
-                serve_connection(stream, peer, handler, &limits, shared.clone(), requests).await;
-            } else {
-                serve_connection(stream, peer, handler, &limits, shared.clone(), requests).await;
+            let serving = shared.clone();
+            match admission {
+                Admission::Serve => {
+                    serve_connection(stream, peer, handler, &limits, serving, requests).await;
+                }
+                Admission::Refuse | Admission::Close => {
+                    let handler = Rc::new(|_| async { text_response(503, "too many connections") });
+                    let limits = limits.header_timeout(REFUSAL_TIME).lifetime(REFUSAL_TIME);
+                    serve_connection(stream, peer, handler, &limits, serving, requests).await;
+                }
             }
             shared.connections.set(shared.connections.get() - 1);
+            shared.refused.set(shared.refused.get() - refused);
             shared.notify();
         })
         .detach();
@@ -309,8 +373,10 @@
         let started = requests.clone();
         let set_http_1_0 = is_http_1_0.clone();
         let is_stopping = shared.clone();
-        let service = service_fn(move |mut req: Request| {
+        let service = service_fn(move |req: hyper::Request<Incoming>| {
             set_http_1_0.set(req.version() == hyper::Version::HTTP_10);
+            let progress = started.clone();
+            let mut req = req.map(|body| RequestBody::new(Instant::now(), body, progress));
             req.extensions_mut().insert(PeerAddr(peer));
             let guard = started.clone().start();
             let response = handler.handle(req);
@@ -345,7 +411,7 @@
         match select(select(conn.as_mut(), stop_reading), replaced).await {
             Either::Left((Either::Left((result, _)), _)) => Some(result),
             Either::Right(_) => {
-                log::info!(peer = peer.to_string().as_str(); "closed a connection without a request for a new one");
+                log::info!(peer = peer.to_string().as_str(); "closed a connection that waited for its client, for a new one");
                 return;
             }
             Either::Left((Either::Right(_), _)) => {
