Wait for a request's body until its deadline at most

What was seen: a request with a deadline of 0.6 s whose body stops keeps its connection and its bytes for 30 s.

Cause: the timeout of bodies is a constant, whatever deadline the request states.

--- a/laburnumlug-forward/src/handler.rs
+++ b/laburnumlug-forward/src/handler.rs
@@ -26,7 +26,7 @@
 use crate::route_basis::RouteBasis;
 use crate::routes::{RouteEntry, RouteTable};
 
-/// Timeout for a caller to send the request body.
+/// Timeout for a caller to send the request body; its deadline may be earlier.
 const REQUEST_BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// How long a request waits for the first routes and targets, and one with an API key for the first confirmation of the
@@ -161,7 +161,11 @@
         self.check_not_stopping(Instant::now(), head.deadline(&route))?;
         let limit = usize::try_from(table.limits.body_bytes).unwrap_or(usize::MAX);
         let reading_body = read_held_body(body, limit.min(memory_budget()), &head.held);
-        let body = match laburnumlug_http::timeout(REQUEST_BODY_TIMEOUT, reading_body).await {
+        let time_left = head
+            .deadline(&route)
+            .saturating_duration_since(Instant::now());
+        let timeout = REQUEST_BODY_TIMEOUT.min(time_left);
+        let body = match laburnumlug_http::timeout(timeout, reading_body).await {
             Ok(Ok(body)) => body,
             Ok(Err(err)) if err.is_body_too_large() => {
                 return Err(Refusal::new(FailureCause::TooLarge, err.to_string()));
