Limit the handshakes of accepted mesh connections

What was seen: 900 strangers at a mesh port that stop within the head of the handshake take all of the 700 descriptors of a process for 2 s, and any number of them does so for as long as they return.

Cause: each accepted connection may take 2 s to prove the key, and any number may do so at once.

Change: beyond 256 handshakes the oldest one ends. A sound peer needs a few round trips for it.

--- a/laburnumlug-daemon/tests/crowds/main.rs
+++ b/laburnumlug-daemon/tests/crowds/main.rs
@@ -372,6 +372,16 @@
     });
 }
 
+#[test]
+fn gateway_mesh_port() {
+    run_alone(async {
+        let mut system = System::start().await;
+        let addr = system.gateway_mesh_addr;
+        drop(play(&mut system.gateway, addr, endless_head("/mesh")).await);
+        system.wait_for_answer().await;
+    });
+}
+
 /// Plays a crowd at one listener of the control replica.
 fn play_at_control<F>(addr: F, script: Script)
 where
@@ -404,3 +414,8 @@
         endless_head("/metrics"),
     );
 }
+
+#[test]
+fn control_mesh_port() {
+    play_at_control(|system| system.control_mesh_addr, endless_head("/mesh"));
+}
--- a/laburnumlug-mesh/src/connection.rs
+++ b/laburnumlug-mesh/src/connection.rs
@@ -7,6 +7,7 @@
 
 use compio::io::compat::AsyncStream;
 use compio::net::TcpStream;
+use futures_util::future::{Either, select};
 use futures_util::{SinkExt, StreamExt};
 use laburnumlug::{Incarnation, RequestId};
 use rustix::net::sockopt::{set_socket_send_buffer_size, set_tcp_user_timeout};
@@ -20,6 +21,7 @@
 use crate::counted_stream::{CountedStream, ReceivedBytes};
 use crate::error::Error;
 use crate::handshake::{Handshake, MeshKey, SessionId, Side, derive_session_id, new_nonce};
+use crate::handshake_limit::HandshakePermit;
 use crate::message::Message;
 use crate::traffic;
 use crate::unknown_events::remove_unknown_events;
@@ -174,9 +176,11 @@
             conn.received_bytes.remove_limit();
             Ok(conn)
         };
-        match compio::time::timeout(HANDSHAKE_TIMEOUT, accepting).await {
-            Ok(result) => result,
-            Err(_) => Err(Error::handshake_timed_out()),
+        let mut permit = HandshakePermit::begin();
+        let accepting = pin!(compio::time::timeout(HANDSHAKE_TIMEOUT, accepting));
+        match select(accepting, pin!(permit.ended())).await {
+            Either::Left((Ok(result), _)) => result,
+            Either::Left((Err(_), _)) | Either::Right(_) => Err(Error::handshake_timed_out()),
         }
     }
 
--- a/laburnumlug-mesh/src/lib.rs
+++ b/laburnumlug-mesh/src/lib.rs
@@ -32,6 +32,7 @@
 mod error;
 mod gateway_message;
 mod handshake;
+mod handshake_limit;
 mod intent;
 mod message;
 mod node_command;
