Hold documents of operators in the memory budget until their answer

What was seen: 900 clients at the operators' port with bodies of 4 MiB less a byte take a control replica beyond the memory of its machine.

Cause: what the kernel keeps unread, as for callers. Besides, a document counted towards the budget only while it arrived, and was copied once more.

Change: a document is held until its answer. One that would exceed half of the budget together with others gets a 503 that has not run.

--- a/laburnumlug-control/src/operator/fleet.rs
+++ b/laburnumlug-control/src/operator/fleet.rs
@@ -4,7 +4,9 @@
 
 use hyper::HeaderMap;
 use laburnumlug::{FleetVersion, IdempotencyKey, Verdict};
-use laburnumlug_http::{Request, Response, full_body, json_response, read_body};
+use laburnumlug_http::{
+    HeldBytes, Request, Response, full_body, json_response, memory_budget, read_held_body,
+};
 use laburnumlug_operator::{diff_documents, merge_documents, validate_document};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -40,8 +42,8 @@
 
     /// Returns the validation faults of a document and its differences from the one in force.
     pub(super) async fn check_fleet(&self, req: Request) -> Response {
-        let text = match read_document(req).await {
-            Ok(text) => text,
+        let (text, _held) = match read_document(req).await {
+            Ok(received) => received,
             Err(response) => return response,
         };
         let faults = validate_document(&text).err().unwrap_or_default();
@@ -62,8 +64,8 @@
 
     /// Merges the requester's edits of an older version into the document in force, and returns the result.
     pub(super) async fn merge_fleet(&self, req: Request) -> Response {
-        let text = match read_text(req, MAX_MERGE_BYTES).await {
-            Ok(text) => text,
+        let (text, _held) = match read_text(req, MAX_MERGE_BYTES).await {
+            Ok(received) => received,
             Err(response) => return response,
         };
         let edits: Edits = match serde_json::from_str(&text) {
@@ -93,8 +95,8 @@
             Ok(key) => key,
             Err(message) => return error_response(400, "bad_request", &message),
         };
-        let document = match read_document(req).await {
-            Ok(document) => document,
+        let (document, _held) = match read_document(req).await {
+            Ok(received) => received,
             Err(response) => return response,
         };
         let change = FleetChange::new(&requester.operator, base, &document)
@@ -135,15 +137,18 @@
 }
 
 /// Reads the document in the body of a request, or returns the error response.
-async fn read_document(req: Request) -> Result<String, Response> {
+async fn read_document(req: Request) -> Result<(String, HeldBytes), Response> {
     read_text(req, MAX_DOCUMENT_BYTES).await
 }
 
-/// Reads a text body of at most `limit` bytes, or returns the error response.
-async fn read_text(req: Request, limit: usize) -> Result<String, Response> {
-    let body = read_body(req.into_body(), limit);
+/// Reads a text body of at most `limit` bytes with its share of the memory budget, or returns the error response.
+async fn read_text(req: Request, limit: usize) -> Result<(String, HeldBytes), Response> {
+    let held = HeldBytes::default();
+    let body = read_held_body(req.into_body(), limit.min(memory_budget()), &held);
     let body = match laburnumlug_http::timeout(BODY_TIMEOUT, body).await {
+        Ok(Ok(_)) if !held.mark_whole() => return Err(no_memory()),
         Ok(Ok(body)) => body,
+        Ok(Err(err)) if err.as_over_budget().is_some() => return Err(no_memory()),
         Ok(Err(err)) if err.is_body_too_large() => {
             return Err(error_response(413, "too_large", &err.to_string()));
         }
@@ -156,8 +161,15 @@
             ));
         }
     };
-    String::from_utf8(body.to_vec())
-        .map_err(|_| error_response(400, "bad_request", "the document is not UTF-8"))
+    let text = String::from_utf8(body.to_vec())
+        .map_err(|_| error_response(400, "bad_request", "the document is not UTF-8"))?;
+    Ok((text, held))
+}
+
+/// Returns the response to a document that exceeds the memory that is left.
+fn no_memory() -> Response {
+    let message = "too many bytes of requests are in progress";
+    error_with_verdict(503, "no_memory", message, Verdict::NotRun)
 }
 
 /// Returns the version on which a change is based, from the header `If-Match`.
--- a/laburnumlug-daemon/tests/crowds/main.rs
+++ b/laburnumlug-daemon/tests/crowds/main.rs
@@ -396,6 +396,18 @@
     });
 }
 
+#[test]
+fn operators_whole_bodies() {
+    let body = Script::announced("/config/replace", 4 * MB, 4 * MB - 1, 64 * 1024);
+    play_at_control(|system| system.operator_addr, body);
+}
+
+#[test]
+fn operators_chunks_of_one_byte() {
+    let body = Script::chunked("/config/replace", 1, 4 * MB);
+    play_at_control(|system| system.operator_addr, body);
+}
+
 /// Guards against operators who get no connection for as long as a crowd stays.
 #[test]
 fn operators_small_bodies_beside_ordinary_request() {
--- a/laburnumlug-http/src/held_bytes.rs
+++ b/laburnumlug-http/src/held_bytes.rs
@@ -94,11 +94,12 @@
         Ok(())
     }
 
-    /// Marks the holder as whole, so that it ends only if whole holders have too much of the budget.
-    pub fn mark_whole(&self) {
-        if let Some(id) = self.id.get() {
-            LEDGER.with_borrow_mut(|ledger| ledger.budget.mark_whole(id));
-        }
+    /// Marks the holder as whole, so that it ends only if whole holders have too much of the budget; returns whether it never ends.
+    pub fn mark_whole(&self) -> bool {
+        let Some(id) = self.id.get() else {
+            return true;
+        };
+        LEDGER.with_borrow_mut(|ledger| ledger.budget.mark_whole(id))
     }
 
     /// Releases all bytes; the holder may be used again.
--- a/laburnumlug-policy/src/memory_budget.rs
+++ b/laburnumlug-policy/src/memory_budget.rs
@@ -111,16 +111,18 @@
         self.vacant.push(id);
     }
 
-    /// Marks a holder as whole, unless it has been named or whole holders would have more than half of the budget.
-    pub fn mark_whole(&mut self, id: HolderId) {
+    /// Marks a holder as whole, unless it has been named or whole holders would have more than half of the budget; returns whether it
+    /// is whole.
+    pub fn mark_whole(&mut self, id: HolderId) -> bool {
         let Some(holder) = self.holders.get_mut(id).and_then(Option::as_mut) else {
-            return;
+            return false;
         };
         let whole = self.whole + holder.bytes;
         if holder.state == State::Growing && whole <= self.limit / WHOLE_SHARE {
             holder.state = State::Whole;
             self.whole = whole;
         }
+        holder.state == State::Whole
     }
 
     /// Sets the number of bytes of a holder, which is not whole then, and returns the holder that has to end for it, if any.
