Count bodies at an entry towards the memory budget until their answer

What was seen: 900 clients with bodies of 1 MiB less a byte take an entry to 159 MB, and with chunks of 256 KB to 143 MB, of 96 MB.

Change: bytes count as they arrive, and until the answer, towards the memory budget of the process. The limiter counts requests only; its test of bytes is replaced by those of the budget, which also hold for bytes that arrive without being declared, and by the crowds.

--- a/laburnumlug-daemon/src/entry/handler.rs
+++ b/laburnumlug-daemon/src/entry/handler.rs
@@ -10,8 +10,8 @@
 use hyper::body::Body;
 use laburnumlug_caller::{ApiError, CallHeaders, Operation, REQUEST_ID_HEADER, VERDICT_HEADER};
 use laburnumlug_http::{
-    Handler, Request, RequestBody, Response, discard_body, hold_until_sent, read_body,
-    text_response,
+    Handler, HeldBytes, Request, RequestBody, Response, discard_body, hold_until_sent,
+    memory_budget, read_held_body, text_response,
 };
 use laburnumlug_mesh::PlainRequest;
 
@@ -104,7 +104,7 @@
     let is_keyed_call =
         headers.idempotency_key.is_some() && matches!(operation, Operation::Call { .. });
     let expects_continue = parts.headers.contains_key(hyper::header::EXPECT);
-    let (body, permit) = match entry
+    let (body, guards) = match entry
         .admit_and_read_body(&headers, body, expects_continue)
         .await
     {
@@ -127,7 +127,7 @@
         }
         Operation::Health => Ok(entry.health(Instant::now())),
     };
-    result.map(|resp| hold_until_sent(resp, permit))
+    result.map(|resp| hold_until_sent(resp, guards))
 }
 
 impl Entry {
@@ -137,7 +137,7 @@
         ApiError::unavailable("the configuration is not confirmed", RETRY_AFTER)
     }
 
-    /// Admits a request before its body is read, by the declared body size or else the size limit.
+    /// Admits a request before its body is read, unless the declared body size exceeds the limit.
     fn admit(
         &self,
         now: Instant,
@@ -151,11 +151,10 @@
             return Err(self.unconfirmed_configuration_error());
         }
         let limit = self.settings.max_body_bytes;
-        let bytes =
-            declared_bytes.map_or(limit, |bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
-        match bytes > limit {
+        let declared_bytes = declared_bytes.unwrap_or(0);
+        match usize::try_from(declared_bytes).unwrap_or(usize::MAX) > limit {
             true => Err(ApiError::too_large(limit)),
-            false => self.in_flight_limiter.admit(&headers.caller, bytes),
+            false => self.in_flight_limiter.admit(&headers.caller),
         }
     }
 
@@ -165,14 +164,11 @@
         headers: &CallHeaders,
         mut body: RequestBody,
         expects_continue: bool,
-    ) -> Result<(Bytes, InFlightPermit), ApiError> {
+    ) -> Result<(Bytes, (InFlightPermit, HeldBytes)), ApiError> {
         let declared_bytes = body.size_hint().exact();
         let err = match self.admit(Instant::now(), headers, declared_bytes) {
-            Ok(mut permit) => match self.read_body(&mut body).await {
-                Ok(bytes) => {
-                    permit.shrink_body(bytes.len());
-                    return Ok((bytes, permit));
-                }
+            Ok(permit) => match self.read_body(&mut body).await {
+                Ok((bytes, held)) => return Ok((bytes, (permit, held))),
                 Err(err) => err,
             },
             // A caller that expects `100 Continue` sends no body without it, so there is nothing to discard.
@@ -183,11 +179,17 @@
         Err(err)
     }
 
-    async fn read_body(&self, body: &mut RequestBody) -> Result<Bytes, ApiError> {
+    /// Reads the body of a request, and returns it with its share of the memory budget.
+    async fn read_body(&self, body: &mut RequestBody) -> Result<(Bytes, HeldBytes), ApiError> {
         let limit = self.settings.max_body_bytes;
-        match laburnumlug_http::timeout(BODY_TIMEOUT, read_body(body, limit)).await {
-            Ok(Ok(body)) => Ok(body),
+        let held = HeldBytes::default();
+        let reading = read_held_body(body, limit.min(memory_budget()), &held);
+        match laburnumlug_http::timeout(BODY_TIMEOUT, reading).await {
+            // Nothing has run yet, so the caller may come back.
+            Ok(Ok(_)) if !held.mark_whole() => Err(no_memory()),
+            Ok(Ok(body)) => Ok((body, held)),
             Ok(Err(err)) if err.is_body_too_large() => Err(ApiError::too_large(limit)),
+            Ok(Err(err)) if err.as_over_budget().is_some() => Err(no_memory()),
             Ok(Err(err)) => Err(ApiError::bad_body(&err.to_string())),
             Err(_) => Err(ApiError::body_timed_out(BODY_TIMEOUT)),
         }
@@ -202,6 +204,11 @@
     }
 }
 
+/// Returns the error for a request whose body exceeds the memory that is left.
+fn no_memory() -> ApiError {
+    ApiError::overloaded("too many bytes of requests are in flight", RETRY_AFTER)
+}
+
 fn operation_label(path: &str) -> &'static str {
     match path {
         "/v1/completions" | "/v1/chat/completions" => "generate",
--- a/laburnumlug-daemon/tests/crowds/main.rs
+++ b/laburnumlug-daemon/tests/crowds/main.rs
@@ -23,7 +23,9 @@
 use serde_json::json;
 
 use crate::crowd::{Crowd, Script, head, send};
-use crate::harness::{Folder, MESH_KEY, Process, block_on, free_addr, wait_for};
+use crate::harness::{
+    Fleet, FleetConfig, Folder, MESH_KEY, Process, block_on, free_addr, wait_for,
+};
 use crate::machine::{MB, Peak, Sampler};
 use crate::platform_fleet::config;
 
@@ -431,3 +433,48 @@
 fn control_mesh_port() {
     play_at_control(|system| system.control_mesh_addr, endless_head("/mesh"));
 }
+
+/// Plays a crowd at an entry's listener for callers.
+fn play_at_entry(script: Script) {
+    run_alone(async {
+        let config = FleetConfig::default()
+            .entries(0)
+            .engines(1)
+            .booking_servers(0);
+        let mut fleet = Fleet::start(config).await;
+        let control_addrs = fleet.control_addrs.clone();
+        let settings = fleet
+            .common_settings("entry-1", "vest-a", &control_addrs)
+            .await;
+        let process = format!("[process]\nmemory_budget_mb = {BUDGET_MB}\n");
+        let addr = free_addr();
+        let settings = format!(
+            "{}[entry]\nlisten = {addr}\nmax_body_bytes = {MAX_BODY}\n",
+            settings.replace("[process]\n", &process)
+        );
+        let path = fleet.folder.write("entry-1.ini", &settings);
+        let mut entry = Process::start_with_descriptors("entry", &path, MAX_DESCRIPTORS);
+        wait_for_completion(addr).await;
+        drop(play(&mut entry, addr, script).await);
+        wait_for_completion(addr).await;
+    });
+}
+
+async fn wait_for_completion(addr: SocketAddr) {
+    wait_for("a completion", || async {
+        let body = json!({ "model": "digest", "prompt": "hi", "max_tokens": 1 });
+        let response = client::post(addr, "/v1/completions", &[], &body.to_string()).await?;
+        (response.status == 200).then_some(())
+    })
+    .await;
+}
+
+#[test]
+fn entry_whole_bodies() {
+    play_at_entry(whole_body("/v1/completions"));
+}
+
+#[test]
+fn entry_large_chunks() {
+    play_at_entry(Script::chunked("/v1/completions", MAX_BODY / 4, 4));
+}
