--- a/laburnumlug-daemon/tests/crowds/crowd.rs
+++ b/laburnumlug-daemon/tests/crowds/crowd.rs
@@ -119,6 +119,18 @@
     )
     .into_bytes();
     request.resize(request.len() + body_bytes, b'x');
+    exchange(addr, request).await
+}
+
+/// Sends a request whose body stops short of its end, and returns the status of its answer.
+pub async fn send_part(addr: SocketAddr, path: &str, deadline_ms: u32) -> Option<u16> {
+    let former = format!("X-Deadline-Ms: {DEADLINE_MS}");
+    let head = String::from_utf8(head(path, "Content-Length: 2")).unwrap();
+    let head = head.replace(&former, &format!("X-Deadline-Ms: {deadline_ms}"));
+    exchange(addr, (head + "x").into_bytes()).await
+}
+
+async fn exchange(addr: SocketAddr, request: Vec<u8>) -> Option<u16> {
     let exchange = async {
         let mut stream = TcpStream::connect(addr).await.ok()?;
         // A refusal may arrive before the request was written in full.
--- a/laburnumlug-daemon/tests/crowds/main.rs
+++ b/laburnumlug-daemon/tests/crowds/main.rs
@@ -22,7 +22,7 @@
 use laburnumlug_http::{Limits, Request, Response, Server, full_body};
 use serde_json::json;
 
-use crate::crowd::{Crowd, Script, head, send};
+use crate::crowd::{Crowd, Script, head, send, send_part};
 use crate::harness::{
     Fleet, FleetConfig, Folder, MESH_KEY, Process, block_on, free_addr, wait_for,
 };
@@ -233,6 +233,12 @@
     Script::bytes(bytes)
 }
 
+fn pipelined_requests() -> Script {
+    let mut request = head(PATH, "Content-Length: 2");
+    request.extend_from_slice(b"hi");
+    Script::repeated(PATH, "Content-Length: 0", request.repeat(100), 1000)
+}
+
 #[test]
 fn gateway_whole_bodies() {
     play_at_gateway(whole_body(PATH));
@@ -312,10 +318,7 @@
 /// Guards against requests behind a first one, whose bytes nobody reads, and against answers that nobody reads.
 #[test]
 fn gateway_pipelined_requests() {
-    let mut request = head(PATH, "Content-Length: 2");
-    request.extend_from_slice(b"hi");
-    let batch = request.repeat(100);
-    play_at_gateway(Script::repeated(PATH, "Content-Length: 0", batch, 1000));
+    play_at_gateway(pipelined_requests());
 }
 
 #[test]
@@ -333,6 +336,16 @@
     });
 }
 
+/// Guards against a body that is waited for after the deadline of its request.
+#[test]
+fn gateway_body_beyond_deadline() {
+    run_alone(async {
+        let system = System::start().await;
+        let status = send_part(system.caller_addr, PATH, 500).await;
+        assert_eq!(status, Some(408));
+    });
+}
+
 /// Guards against memory that is free, but not for bodies of another size.
 #[test]
 fn gateway_second_crowd_of_other_size() {
