Make room for ordinary callers beside clients that do not read, or never stop

Cause: a connection with an answer in progress was never closed for a new one, even if its client reads nothing, and a client that sends its next request at once keeps its connection for good.

Change: a connection whose client has read nothing of its answer for 2 s may be closed for a new one, after all others that wait for their client. While connections are refused, and for 1 s after, answers close their connections.

--- a/laburnumlug-daemon/tests/crowds/main.rs
+++ b/laburnumlug-daemon/tests/crowds/main.rs
@@ -336,6 +336,21 @@
     });
 }
 
+/// Guards against clients that read no answer and keep ordinary callers out.
+#[test]
+fn gateway_unread_answers_beside_ordinary_request() {
+    run_alone(async {
+        let mut system = System::start().await;
+        let _crowd = play(
+            &mut system.gateway,
+            system.caller_addr,
+            pipelined_requests(),
+        )
+        .await;
+        system.wait_for_answer().await;
+    });
+}
+
 /// Guards against a body that is waited for after the deadline of its request.
 #[test]
 fn gateway_body_beyond_deadline() {
--- a/laburnumlug-http/src/fair_stream.rs
+++ b/laburnumlug-http/src/fair_stream.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use compio::io::compat::AsyncStream;
 use compio::net::TcpStream;
@@ -15,6 +16,8 @@
 use hyper::rt::ReadBufCursor;
 use laburnumlug::ReadTurn;
 
+use crate::requests_in_progress::RequestsInProgress;
+
 /// Maximum number of bytes of one head of an answer.
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -89,6 +92,8 @@
     has_buffered: bool,
     turn: ReadTurn,
     head_limit: HeadLimit,
+    /// Requests of the connection, which observe whether the peer reads.
+    requests: Option<Rc<RequestsInProgress>>,
 }
 
 impl FairStream {
@@ -99,7 +104,22 @@
             has_buffered: false,
             turn: ReadTurn::default(),
             head_limit,
+            requests: None,
+        }
+    }
+
+    /// Sets the requests of the connection, which observe whether the peer reads.
+    pub(crate) fn observed_by(mut self, requests: Rc<RequestsInProgress>) -> FairStream {
+        self.requests = Some(requests);
+        self
+    }
+
+    /// Records whether a write waits for the peer, and returns its result.
+    fn record_write<T>(&self, polled: Poll<T>) -> Poll<T> {
+        if let Some(requests) = &self.requests {
+            requests.record_write(polled.is_pending(), Instant::now);
         }
+        polled
     }
 }
 
@@ -141,7 +161,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.inner.as_mut().poll_write(cx, buf)
+        let polled = self.inner.as_mut().poll_write(cx, buf);
+        self.record_write(polled)
     }
 
     fn poll_write_vectored(
@@ -149,7 +170,8 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.inner.as_mut().poll_write_vectored(cx, bufs)
+        let polled = self.inner.as_mut().poll_write_vectored(cx, bufs);
+        self.record_write(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -157,7 +179,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.inner.as_mut().poll_flush(cx)
+        let polled = self.inner.as_mut().poll_flush(cx);
+        self.record_write(polled)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/laburnumlug-http/src/requests_in_progress.rs
+++ b/laburnumlug-http/src/requests_in_progress.rs
@@ -8,6 +8,9 @@
 
 use crate::body_progress::BodyProgress;
 
+/// Time in which a client reads nothing of an answer after which its connection may be closed for a new one.
+const MIN_UNREAD_TIME: Duration = Duration::from_secs(2);
+
 /// What a connection that may be closed for a new one waits for; the least one is closed first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Replaceable {
@@ -15,6 +18,8 @@
     Incomplete(usize, Instant),
     /// A further request since then. Its client may be about to send one.
     Unused(Instant),
+    /// That the client reads its answer, of which nothing was taken since then.
+    Unread(Instant),
 }
 
 /// Number of requests of one connection whose responses have not been sent.
@@ -26,6 +31,8 @@
     last_ended_at: Cell<Option<Instant>>,
     /// Progress of the body that is arriving.
     body: Cell<Option<BodyProgress>>,
+    /// Since when the client has read nothing of an answer that waits for it.
+    unread_since: Cell<Option<Instant>>,
     changed: Event,
 }
 
@@ -38,6 +45,7 @@
             is_closing: Cell::new(false),
             last_ended_at: Cell::new(None),
             body: Cell::new(None),
+            unread_since: Cell::new(None),
             changed: Event::new(),
         }
     }
@@ -45,20 +53,36 @@
     /// Returns what the client lets the connection wait for, as far as the connection may be closed for a new one after `min_time`
     /// without a request.
     ///
-    /// A request whose body has arrived is never closed.
+    /// It is never closed between the end of a request's body and its answer.
     pub(crate) fn replaceable(&self, now: Instant, min_time: Duration) -> Option<Replaceable> {
-        let is_long_ago = |at: Instant| now.saturating_duration_since(at) >= min_time;
-        match (self.count.get(), self.last_ended_at.get(), self.body.get()) {
+        let is_past = |at: Instant, time| now.saturating_duration_since(at) >= time;
+        match (self.unread_since.get(), self.body.get()) {
             _ if self.is_closing.get() => None,
-            (0, None, _) if is_long_ago(self.opened_at) => {
-                Some(Replaceable::Incomplete(0, self.opened_at))
-            }
-            (0, Some(at), _) if is_long_ago(at) => Some(Replaceable::Unused(at)),
-            (0, _, _) | (_, _, None) => None,
-            (_, _, Some(body)) => {
+            (Some(at), _) => is_past(at, MIN_UNREAD_TIME).then_some(Replaceable::Unread(at)),
+            (None, Some(body)) if self.count.get() > 0 => {
                 let bytes = body.slow_bytes(now)?;
                 Some(Replaceable::Incomplete(bytes, body.began_at()))
             }
+            (None, _) if self.count.get() > 0 => None,
+            (None, _) => {
+                let (since, replaceable) = match self.last_ended_at.get() {
+                    Some(at) => (at, Replaceable::Unused(at)),
+                    None => (self.opened_at, Replaceable::Incomplete(0, self.opened_at)),
+                };
+                is_past(since, min_time).then_some(replaceable)
+            }
+        }
+    }
+
+    /// Records whether bytes wait until the client reads.
+    pub(crate) fn record_write<F>(&self, is_waiting: bool, now: F)
+    where
+        F: FnOnce() -> Instant,
+    {
+        match (is_waiting, self.unread_since.get()) {
+            (true, None) => self.unread_since.set(Some(now())),
+            (false, Some(_)) => self.unread_since.set(None),
+            (true, Some(_)) | (false, None) => {}
         }
     }
 
--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -35,7 +35,8 @@
 /// Maximum number of connections beyond the limit that are answered with a 503; further ones are closed at once.
 const MAX_REFUSED_CONNECTIONS: usize = 32;
 
-/// Time that a client has for the head of a request which is answered with a 503.
+/// Time that a client has for the head of a request which is answered with a 503, and for which answers to others close their
+/// connections after that.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
 /// Time for which a connection without a request in progress stays open after the shutdown or after an answer that did not
@@ -140,6 +141,8 @@
     connections: Cell<usize>,
     /// Number of those connections whose requests get a 503.
     refused: Cell<usize>,
+    /// When a connection was last refused, as there were too many.
+    refused_at: Cell<Option<Instant>>,
     open: OpenConnections,
     /// Notified whenever `stopping` or `connections` changes.
     changed: Event,
@@ -170,11 +173,21 @@
             let time = limits.replaceable_after;
             served < max + MAX_REFUSED_CONNECTIONS && self.open.close_for_new(now, time)
         };
-        match () {
-            () if served < max || replace() => Admission::Serve,
-            () if self.refused.get() < MAX_REFUSED_CONNECTIONS => Admission::Refuse,
-            () => Admission::Close,
+        if served < max || replace() {
+            return Admission::Serve;
         }
+        self.refused_at.set(Some(now));
+        match self.refused.get() < MAX_REFUSED_CONNECTIONS {
+            true => Admission::Refuse,
+            false => Admission::Close,
+        }
+    }
+
+    /// Returns whether answers close their connections: for a shutdown, or to make room for connections that are refused.
+    fn closes_after_answer(&self, now: Instant) -> bool {
+        let refused_at = self.refused_at.get();
+        let is_full = refused_at.is_some_and(|at| now.saturating_duration_since(at) < REFUSAL_TIME);
+        self.stopping.get() || is_full
     }
 }
 
@@ -368,6 +381,7 @@
     // By default the kernel would buffer megabytes for a slow reader.
     let _ = set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
     let socket = stream.clone();
+    let stream = FairStream::new(stream, HeadLimit::default()).observed_by(requests.clone());
     let is_http_1_0 = Rc::new(Cell::new(false));
     let result = {
         let started = requests.clone();
@@ -383,7 +397,7 @@
             let shared = is_stopping.clone();
             async move {
                 let mut resp = response.await;
-                if shared.stopping.get() {
+                if shared.closes_after_answer(Instant::now()) {
                     let close = HeaderValue::from_static("close");
                     resp.headers_mut().insert(CONNECTION, close);
                 }
@@ -395,7 +409,7 @@
             .header_read_timeout(limits.header_timeout)
             .max_headers(limits.header_count)
             .max_buf_size(limits.header_bytes)
-            .serve_connection(FairStream::new(stream, HeadLimit::default()), service);
+            .serve_connection(stream, service);
         let mut conn = pin!(conn);
         let stop_reading = pin!(async {
             if with_timeout(limits.lifetime, shared.stopped())
