--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 server with limits on connections, headers and time, and graceful shutdown.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -19,7 +19,9 @@
 use rustix::net::sockopt::{set_socket_recv_buffer_size, set_socket_send_buffer_size};
 use rustix::net::{Shutdown, SocketFlags};
 
+use crate::connection_report::ConnectionReport;
 use crate::fair_stream::{FairStream, HeadLimit};
+use crate::limits::{Limits, LimitsHandle};
 use crate::lingering_close::keep_until_closed;
 use crate::open_connections::OpenConnections;
 use crate::request_body::RequestBody;
@@ -66,74 +68,6 @@
     }
 }
 
-/// Limits of one listener.
-#[derive(Clone, Debug)]
-pub struct Limits {
-    connections: usize,
-    header_bytes: usize,
-    header_count: usize,
-    header_timeout: Duration,
-    lifetime: Option<Duration>,
-    replaceable_after: Duration,
-}
-
-impl Default for Limits {
-    fn default() -> Limits {
-        Limits {
-            connections: 4096,
-            header_bytes: 32 * 1024,
-            header_count: 64,
-            header_timeout: Duration::from_secs(10),
-            lifetime: None,
-            replaceable_after: Duration::from_secs(1),
-        }
-    }
-}
-
-impl Limits {
-    /// Returns the limits of a listener for probes and collectors, of which there are few.
-    pub fn for_probes() -> Limits {
-        Limits::default().connections(64)
-    }
-
-    /// Sets how many connections may be open at once, unless the process has [fewer](crate::set_memory_budget).
-    ///
-    /// A further connection replaces one that waits for its client; while there is none, its request gets a 503.
-    pub fn connections(mut self, connections: usize) -> Limits {
-        self.connections = connections;
-        self
-    }
-
-    /// Sets the time without a request after which a connection may be closed for a new one beyond the limit, 1 s by default.
-    ///
-    /// A connection may also be closed while the body of a request arrives slowly, but not once it has arrived.
-    pub fn replaceable_after(mut self, time: Duration) -> Limits {
-        self.replaceable_after = time;
-        self
-    }
-
-    /// Sets the maximum size of a request's head in bytes.
-    pub fn header_bytes(mut self, bytes: usize) -> Limits {
-        self.header_bytes = bytes;
-        self
-    }
-
-    /// Sets how long a client may stay idle or take to send a request's head.
-    pub fn header_timeout(mut self, timeout: Duration) -> Limits {
-        self.header_timeout = timeout;
-        self
-    }
-
-    /// Sets the lifetime of a connection; it is unlimited by default.
-    ///
-    /// After this time no further request is read. A response still in progress gets the same time again, after which
-    /// the connection is closed.
-    pub fn lifetime(mut self, lifetime: Duration) -> Limits {
-        self.lifetime = Some(lifetime);
-        self
-    }
-}
-
 /// State shared between the accept loop, its connections and the shutdown handle.
 #[derive(Default)]
 struct Shared {
@@ -144,6 +78,7 @@
     /// When a connection was last refused, as there were too many.
     refused_at: Cell<Option<Instant>>,
     open: OpenConnections,
+    report: ConnectionReport,
     /// Notified whenever `stopping` or `connections` changes.
     changed: Event,
 }
@@ -166,20 +101,25 @@
     }
 
     /// Decides about a new connection, and closes another one for it if need be.
-    fn admit(&self, now: Instant, limits: &Limits, max_connections: usize) -> Admission {
+    fn admit(&self, now: Instant, max_connections: usize, limits: &Limits) -> Admission {
         let served = self.connections.get() - self.refused.get();
-        let max = limits.connections.min(max_connections);
-        let replace = || {
-            let time = limits.replaceable_after;
-            served < max + MAX_REFUSED_CONNECTIONS && self.open.close_for_new(now, time)
-        };
-        if served < max || replace() {
-            return Admission::Serve;
-        }
-        self.refused_at.set(Some(now));
-        match self.refused.get() < MAX_REFUSED_CONNECTIONS {
-            true => Admission::Refuse,
-            false => Admission::Close,
+        let may_replace = served < max_connections + MAX_REFUSED_CONNECTIONS;
+        match () {
+            () if served < max_connections => Admission::Serve,
+            () if may_replace && self.open.close_for_new(now, limits.replaceable_after) => {
+                self.report.count_replaced();
+                Admission::Serve
+            }
+            () if self.refused.get() < MAX_REFUSED_CONNECTIONS => {
+                self.refused_at.set(Some(now));
+                self.report.count_refused();
+                Admission::Refuse
+            }
+            () => {
+                self.refused_at.set(Some(now));
+                self.report.count_closed();
+                Admission::Close
+            }
         }
     }
 
@@ -227,19 +167,6 @@
     shared: Rc<Shared>,
 }
 
-/// Changes the limits of a [`Server`] for connections that are accepted later.
-#[derive(Clone)]
-pub struct LimitsHandle {
-    limits: Rc<RefCell<Limits>>,
-}
-
-impl LimitsHandle {
-    /// Replaces the limits; open connections keep the previous ones.
-    pub fn set(&self, limits: Limits) {
-        *self.limits.borrow_mut() = limits;
-    }
-}
-
 impl Server {
     /// Creates a server on a bound listener.
     pub fn new(listener: TcpListener, limits: Limits) -> Server {
@@ -249,13 +176,15 @@
                 "failed to set SO_RCVBUF, unread bytes may take more memory than planned: {err}"
             );
         }
+        let shared = Shared {
+            report: ConnectionReport::new(listener.local_addr().ok()),
+            ..Shared::default()
+        };
         Server {
             listener,
-            limits: LimitsHandle {
-                limits: Rc::new(RefCell::new(limits)),
-            },
+            limits: LimitsHandle::new(limits),
             max_connections: max_connections(),
-            shared: Rc::default(),
+            shared: Rc::new(shared),
         }
     }
 
@@ -328,16 +257,16 @@
     {
         let handler = handler.clone();
         let shared = self.shared.clone();
-        let limits = self.limits.limits.borrow().clone();
+        let limits = self.limits.get();
         let now = Instant::now();
-        let admission = shared.admit(now, &limits, self.max_connections);
+        let max_connections = limits.connections.min(self.max_connections);
+        let admission = shared.admit(now, max_connections, &limits);
+        let open = shared.connections.get();
+        shared.report.log(now, open, max_connections);
         let refused = match admission {
             Admission::Serve => 0,
             Admission::Refuse => 1,
-            Admission::Close => {
-                log::debug!("closed a connection from {peer}: too many connections");
-                return;
-            }
+            Admission::Close => return,
         };
         let requests = Rc::new(RequestsInProgress::new(now));
         if admission == Admission::Serve {
@@ -425,7 +354,9 @@
         match select(select(conn.as_mut(), stop_reading), replaced).await {
             Either::Left((Either::Left((result, _)), _)) => Some(result),
             Either::Right(_) => {
-                log::info!(peer = peer.to_string().as_str(); "closed a connection that waited for its client, for a new one");
+                log::debug!(
+                    "closed the connection from {peer}, which waited for its client, for a new one"
+                );
                 return;
             }
             Either::Left((Either::Right(_), _)) => {
