--- a/laburnumlug-http/src/server.rs
+++ b/laburnumlug-http/src/server.rs
@@ -37,7 +37,7 @@
 /// Maximum number of connections beyond the limit that are answered with a 503; further ones are closed at once.
 const MAX_REFUSED_CONNECTIONS: usize = 32;
 
-/// Time that a client has for the head of a request which is answered with a 503, and for which answers to others close their
+/// Time that a client has for the head of a request that gets a 503, and for which other answers close their
 /// connections after that.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
