Keep ended handshakes within the descriptors of a process

Cause: a handshake that has to end keeps its descriptor until its task runs, so that a burst of strangers has about twice as many as the limit.

Change: 128 handshakes at once instead of 256.

--- a/laburnumlug-mesh/src/handshake_limit.rs
+++ b/laburnumlug-mesh/src/handshake_limit.rs
@@ -6,7 +6,7 @@
 use futures_channel::oneshot;
 
 /// Maximum number of handshakes at once. Peers that have not proved the key are strangers, who may stop at any point.
-const MAX_HANDSHAKES: usize = 256;
+const MAX_HANDSHAKES: usize = 128;
 
 thread_local! {
     /// Ends of the handshakes in progress, oldest first.
