Count a connection with the memory that a crowd takes for it

What was seen: 2,300 clients with chunks of 256 KB take a gateway with a budget of 40 MB, as on a machine of 160 MB, to 158 MB, and with 30 MB to 118 MB of 120 (trials, release build, x86-64, beside other work).

Cause: a connection was counted with 64 KB; about 104 KB of buffers, tasks and unread bytes were seen for each.

Tried and dropped: two reads in a row for each turn of a client's connection instead of eight, 150 MB instead of 158.

--- a/laburnumlug-http/src/max_connections.rs
+++ b/laburnumlug-http/src/max_connections.rs
@@ -5,7 +5,7 @@
 use crate::held_bytes::memory_budget;
 
 /// Memory, in bytes, of one connection with a request: its buffers, its tasks, and what its socket keeps unread.
-const CONNECTION_BYTES: usize = 64 * 1024;
+const CONNECTION_BYTES: usize = 96 * 1024;
 
 /// Descriptors that are kept for files.
 const FILE_DESCRIPTORS: u64 = 200;
