--- a/laburnumlug-control/src/operator/fleet.rs
+++ b/laburnumlug-control/src/operator/fleet.rs
@@ -5,7 +5,8 @@
 use hyper::HeaderMap;
 use laburnumlug::{FleetVersion, IdempotencyKey, Verdict};
 use laburnumlug_http::{
-    HeldBytes, Request, Response, full_body, json_response, memory_budget, read_held_body,
+    HeldBytes, Request, Response, discard_body, full_body, json_response, memory_budget,
+    read_held_body,
 };
 use laburnumlug_operator::{diff_documents, merge_documents, validate_document};
 use serde::Deserialize;
@@ -144,26 +145,29 @@
 /// Reads a text body of at most `limit` bytes with its share of the memory budget, or returns the error response.
 async fn read_text(req: Request, limit: usize) -> Result<(String, HeldBytes), Response> {
     let held = HeldBytes::default();
-    let body = read_held_body(req.into_body(), limit.min(memory_budget()), &held);
-    let body = match laburnumlug_http::timeout(BODY_TIMEOUT, body).await {
-        Ok(Ok(_)) if !held.mark_whole() => return Err(no_memory()),
-        Ok(Ok(body)) => body,
-        Ok(Err(err)) if err.as_over_budget().is_some() => return Err(no_memory()),
-        Ok(Err(err)) if err.is_body_too_large() => {
-            return Err(error_response(413, "too_large", &err.to_string()));
+    let mut body = req.into_body();
+    let reading = read_held_body(&mut body, limit.min(memory_budget()), &held);
+    let result = laburnumlug_http::timeout(BODY_TIMEOUT, reading).await;
+    let refusal = match result {
+        Ok(Ok(bytes)) if held.mark_whole() => {
+            return match String::from_utf8(bytes.to_vec()) {
+                Ok(text) => Ok((text, held)),
+                Err(_) => {
+                    let message = "the document is not UTF-8";
+                    Err(error_response(400, "bad_request", message))
+                }
+            };
         }
-        Ok(Err(err)) => return Err(error_response(400, "bad_request", &err.to_string())),
-        Err(_) => {
-            return Err(error_response(
-                408,
-                "timeout",
-                "the document came too slowly",
-            ));
+        Ok(Ok(_)) => no_memory(),
+        Ok(Err(err)) if err.as_over_budget().is_some() => no_memory(),
+        Ok(Err(err)) if err.is_body_too_large() => {
+            error_response(413, "too_large", &err.to_string())
         }
+        Ok(Err(err)) => error_response(400, "bad_request", &err.to_string()),
+        Err(_) => error_response(408, "timeout", "the document came too slowly"),
     };
-    let text = String::from_utf8(body.to_vec())
-        .map_err(|_| error_response(400, "bad_request", "the document is not UTF-8"))?;
-    Ok((text, held))
+    discard_body(body);
+    Err(refusal)
 }
 
 /// Returns the response to a document that exceeds the memory that is left.
--- a/laburnumlug-http/src/max_connections.rs
+++ b/laburnumlug-http/src/max_connections.rs
@@ -10,8 +10,8 @@
 /// Descriptors that are kept for files.
 const FILE_DESCRIPTORS: u64 = 200;
 
-/// Smallest limit, in which a process with few descriptors still serves.
-const MIN_CONNECTIONS: usize = 16;
+/// Smallest limit, with which a process with little memory or few descriptors still serves.
+const MIN_CONNECTIONS: usize = 64;
 
 /// Returns how many connections one listener may have open at once, whatever its settings allow.
 ///
