Add a case: entries of another writer end the service of listed servers

Cause: the list of servers may hold entries of another writer. An entry of a service that is not named, with the id of a listed server, takes that server's place and marks it as leaving.

Change: case 7 of the review with its claim, script and record, and the traffic that it shares with case 8. Nothing is fixed.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,9 +3,11 @@
 
 mod crash;
 mod deployment;
+mod foreign;
 mod http;
 mod servers;
 mod stream;
+mod traffic;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -23,6 +25,7 @@
     let record = Record::new();
     let result = std::fs::create_dir_all(&folder).and_then(|()| match name.as_str() {
         "crash" => crash::run(&folder, record.clone(), has_trouble),
+        "foreign" => foreign::run(&folder, record.clone(), has_trouble),
         _ => Err(std::io::Error::other("no case has this name")),
     });
     let (code, line) = match &result {
