Add a case: a machine lost in the first start keeps the system from starting

Cause: only the first seed by name bootstraps the cluster, and not any more once it has lost its disk.

Nothing is fixed.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 mod crash;
 mod deployment;
 mod foreign;
+mod founding;
 mod http;
 mod release;
 mod servers;
@@ -27,6 +28,7 @@
     let result = std::fs::create_dir_all(&folder).and_then(|()| match name.as_str() {
         "crash" => crash::run(&folder, record.clone(), has_trouble),
         "foreign" => foreign::run(&folder, record.clone(), has_trouble),
+        "founding" => founding::run(&folder, record.clone(), has_trouble),
         "release" => release::run(&folder, record.clone(), has_trouble),
         _ => Err(std::io::Error::other("no case has this name")),
     });
