Add a case: servers work on for clients that left while a stream is resumed

Cause: the resumption of a broken stream does not watch whether the caller has gone.

Nothing is fixed.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod foreign;
 mod founding;
+mod gone;
 mod http;
 mod release;
 mod servers;
@@ -30,6 +31,7 @@
         "foreign" => foreign::run(&folder, record.clone(), has_trouble),
         "founding" => founding::run(&folder, record.clone(), has_trouble),
         "release" => release::run(&folder, record.clone(), has_trouble),
+        "gone" => gone::run(&folder, record.clone(), has_trouble),
         _ => Err(std::io::Error::other("no case has this name")),
     });
     let (code, line) = match &result {
