Break off an answer whose connection is lost while its request is sent

What callers saw: a server answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is being written. The caller gets the part as a whole answer.

Cause: a socket reports its error once. The waiting write of the request takes ECONNRESET, and the next read returns 0, as after an orderly end. The HTTP library polls reads before writes, so the body ends before the error is seen. The same holds for a connection that the kernel gives up after TCP_USER_TIMEOUT.

Change: FairStream, under each connection of the pool, of the clients with one connection for a request and of the calls that expire, polls the write side when a read returns 0, and fails the read with the write's error. EPIPE does not count: it follows an orderly end. The body fails as it does when the read gets the reset: 502, another attempt, or a stream that is resumed or cut.

Evidence: the thread of the client does not run while the server answers and resets, so the outcome does not depend on chance.

--- a/laburnumlug-daemon/tests/it/gateway_fleet.rs
+++ b/laburnumlug-daemon/tests/it/gateway_fleet.rs
@@ -95,10 +95,15 @@
 
 /// Returns the row of a server in the list of targets.
 pub fn row(id: &str, service: &str, server: &ServerStandIn) -> Value {
+    row_at(id, service, server.addr())
+}
+
+/// Returns the row of a server at `addr` in the list of targets.
+pub fn row_at(id: &str, service: &str, addr: SocketAddr) -> Value {
     let text = include_str!("../../../platform/tests/soak-row.json")
         .replace("INSTANCE", id)
         .replace("SERVICE", service)
-        .replace("ADDRESS", &server.addr().to_string());
+        .replace("ADDRESS", &addr.to_string());
     serde_json::from_str(&text).unwrap()
 }
 
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -25,6 +25,7 @@
 mod planned_stop;
 mod platform;
 mod platform_fleet;
+mod reset_while_sending;
 mod restart_of_all;
 mod scaling;
 mod settings;
--- a/laburnumlug-http/src/client.rs
+++ b/laburnumlug-http/src/client.rs
@@ -128,7 +128,8 @@
 
 /// Runs `work` while driving its connection.
 ///
-/// The driver's result is ignored, as `work` itself fails if the connection breaks.
+/// The driver's result is ignored, as `work` itself fails if the connection breaks: [`FairStream`] ends its data with the
+/// connection's error, whichever call took it.
 async fn drive<F>(driver: &mut Fuse<Driver>, work: F) -> F::Output
 where
     F: Future,
--- a/laburnumlug-http/src/fair_stream.rs
+++ b/laburnumlug-http/src/fair_stream.rs
@@ -114,6 +114,19 @@
         self
     }
 
+    /// Checks that the peer has ended its data, which a read of 0 bytes does not prove.
+    ///
+    /// A socket reports its error once. If a write in flight took the error, the next read returns 0, as it does after a FIN.
+    /// `EPIPE` does not count: the kernel reports it for a reset that arrived after a FIN, when the data was complete.
+    ///
+    /// A pending write took no error, as the driver stores the result of a completed operation before a later read returns.
+    fn check_end(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        match self.inner.as_mut().poll_flush(cx) {
+            Poll::Ready(Err(err)) if err.kind() != io::ErrorKind::BrokenPipe => Err(err),
+            Poll::Ready(_) | Poll::Pending => Ok(()),
+        }
+    }
+
     /// Records whether a write waits for the peer, and returns its result.
     fn record_write<T>(&self, polled: Poll<T>) -> Poll<T> {
         if let Some(requests) = &self.requests {
@@ -146,6 +159,9 @@
             return Poll::Pending;
         };
         let filled = filled?;
+        if filled.is_empty() {
+            return Poll::Ready(this.check_end(cx));
+        }
         let len = filled.len().min(buf.remaining()).min(max_len);
         buf.put_slice(&filled[..len]);
         this.has_buffered = len < filled.len();
