--- a/laburnumlug-mesh/src/connection_tests.rs
+++ b/laburnumlug-mesh/src/connection_tests.rs
@@ -57,3 +57,23 @@
         .unwrap();
     assert!(accepting.await.unwrap() > 1024 * 1024);
 }
+
+/// A peer that answers the handshake with an invalid status is none.
+#[compio::test]
+async fn connect_invalid_status() {
+    for status in ["000", "099", "600"] {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let peer = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let _ = stream.read(&mut [0; 4096]).unwrap();
+            let head = format!("HTTP/1.1 {status} x\r\n\r\n");
+            stream.write_all(head.as_bytes()).unwrap();
+            let _ = stream.read(&mut [0; 1]);
+        });
+        let timeout = Duration::from_secs(5);
+        let connected = Connection::connect(addr, &MeshKey::new("key"), timeout).await;
+        assert!(connected.is_err_and(|err| err.is_connect()), "{status}");
+        peer.join().unwrap();
+    }
+}
