Refuse answers whose status is not that of a final response

What callers saw: answers with the statuses 600 and 999 on routes whose requests may not be repeated, and 101 without a body on all routes.

Cause: the HTTP library takes any number from 100 to 999 for a status, and 101 for the end of HTTP on the connection. RFC 9110, section 15, defines 100 to 599, and 101 answers an upgrade, which nothing here requests.

Change: the pool and the client with one connection for a request fail for a head whose status is not one of 200 to 599, as they do for one that cannot be parsed. Callers get 502, or another server's answer where the request may be repeated, and the connection is closed.

--- a/laburnumlug-http/src/client.rs
+++ b/laburnumlug-http/src/client.rs
@@ -8,6 +8,7 @@
 use futures_util::FutureExt;
 use futures_util::future::Fuse;
 use http_body_util::Full;
+use hyper::StatusCode;
 use hyper::client::conn::http1;
 use std::future::Future;
 use std::pin::{Pin, pin};
@@ -74,6 +75,7 @@
     head_limit.end();
     drop(sending);
     let (parts, body) = head.into_parts();
+    check_status(parts.status)?;
     Ok(ClientResponse {
         framing: Framing::of(&method, parts.status, &parts.headers),
         status: parts.status.as_u16(),
@@ -84,6 +86,17 @@
     })
 }
 
+/// Checks that a status is that of a final response.
+///
+/// RFC 9110, section 15, defines no classes beyond 5xx. [`hyper`] passes 101 on, although no request asks for an upgrade, and
+/// fails for what is not a number from 100 to 999.
+pub(crate) fn check_status(status: StatusCode) -> Result<(), Error> {
+    match status.as_u16() {
+        200..=599 => Ok(()),
+        status => Err(Error::invalid_status(status)),
+    }
+}
+
 /// Response whose body is still arriving.
 pub struct ClientResponse {
     framing: Framing,
--- a/laburnumlug-http/src/error.rs
+++ b/laburnumlug-http/src/error.rs
@@ -18,6 +18,7 @@
     TimedOut,
     BodyTooLarge { limit: usize },
     UnsupportedCoding,
+    InvalidStatus { status: u16 },
     OverBudget(OverBudget),
 }
 
@@ -52,6 +53,12 @@
         }
     }
 
+    pub(crate) fn invalid_status(status: u16) -> Error {
+        Error {
+            kind: ErrorKind::InvalidStatus { status },
+        }
+    }
+
     pub(crate) fn over_budget(over: OverBudget) -> Error {
         Error {
             kind: ErrorKind::OverBudget(over),
@@ -109,6 +116,9 @@
             ErrorKind::UnsupportedCoding => {
                 f.write_str("the body has a transfer coding that is not supported")
             }
+            ErrorKind::InvalidStatus { status } => {
+                write!(f, "the status {status} is not that of a final response")
+            }
             ErrorKind::OverBudget(over) => {
                 write!(f, "ended by the memory budget: {over}")
             }
--- a/laburnumlug-http/src/pool.rs
+++ b/laburnumlug-http/src/pool.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 
 use crate::body_reader::{Framing, next_held_chunk, read_whole_body};
+use crate::client::check_status;
 use crate::connection::{Connection, RequestTag};
 use crate::error::Error;
 use crate::held_bytes::{HeldBytes, OverBudget};
@@ -279,6 +280,7 @@
         Ok(head) => {
             conn.record_head();
             let (parts, body) = head.into_parts();
+            check_status(parts.status).map_err(ExchangeError::Sent)?;
             Ok(PooledResponse {
                 addr,
                 framing: Framing::of(&method, parts.status, &parts.headers),
--- a/laburnumlug-http/tests/invalid_heads.rs
+++ b/laburnumlug-http/tests/invalid_heads.rs
@@ -14,7 +14,9 @@
 const LIMIT: usize = 1000;
 
 /// Status codes that no final response has, by RFC 9110, section 15.
-const STATUSES: [&str; 8] = ["000", "001", "099", "0200", "20", "2OO", "-20", "1000"];
+const STATUSES: [&str; 11] = [
+    "000", "001", "099", "101", "0200", "20", "2OO", "-20", "600", "999", "1000",
+];
 
 const FIELDS: [&[u8]; 15] = [
     b"x bad: 1",
