--- a/laburnumlug-http/tests/reset_while_sending.rs
+++ b/laburnumlug-http/tests/reset_while_sending.rs
@@ -1,7 +1,7 @@
 //! Answers of servers that reset the connection, or end it in order, while the request is still being written.
 //!
 //! The part of the answer and the end of its connection reach the client at the same moment, as the thread that drives the
-//! connection does not run in between. The write of the request is then the first call that the socket's error ends.
+//! connection does not run in between. The write of the request is then the first call that gets the error of the socket.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -59,6 +59,8 @@
     Length,
     /// No last chunk.
     Chunks,
+    /// As many bytes as are sent.
+    WholeLength,
 }
 
 impl Framing {
@@ -66,6 +68,7 @@
         let (field, body) = match self {
             Framing::None => ("", BODY.to_string()),
             Framing::Length => ("content-length: 1000\r\n", BODY.to_string()),
+            Framing::WholeLength => ("content-length: 15\r\n", BODY.to_string()),
             Framing::Chunks => (
                 "transfer-encoding: chunked\r\n",
                 format!("{:x}\r\n{BODY}\r\n", BODY.len()),
@@ -220,7 +223,7 @@
 /// The connection ends without a segment of the peer, as it does when the network is cut.
 #[test]
 fn connection_given_up_while_sending_breaks_off() {
-    // `send_before` sets a timeout of its own.
+    // `send_before` overrides `TCP_USER_TIMEOUT`.
     let exchanges = [Client::Pool, Client::NewConnection].map(|client| {
         std::thread::spawn(move || exchange(client, Framing::None, End::Stall).is_err())
     });
@@ -245,3 +248,12 @@
         assert_eq!(body.unwrap(), BODY, "{client:?}");
     }
 }
+
+/// A reset that follows an answer with a length does not break it off.
+#[test]
+fn reset_after_whole_length_is_whole() {
+    for client in CLIENTS {
+        let body = exchange(client, Framing::WholeLength, End::Reset);
+        assert_eq!(body.unwrap(), BODY, "{client:?}");
+    }
+}
