List a whole answer that counts as broken off after a long pause

What callers see: 502 for a whole answer without a length, if its server ends it in order and reads nothing of the request, the gateway does not run for 3 s, and the kernel gives the connection up meanwhile.

Cause: the write takes ETIMEDOUT and the next read returns 0, as for a part of an answer on a lost connection. Since parts are broken off, this answer is, too.

--- a/laburnumlug-http/tests/reset_while_sending.rs
+++ b/laburnumlug-http/tests/reset_while_sending.rs
@@ -46,6 +46,8 @@
     Stall,
     /// Ends its sending side, and reads the rest of the request.
     HalfClose,
+    /// Ends its sending side, and reads nothing until the client's kernel has given the connection up.
+    HalfCloseAndStall,
     /// Ends its sending side, and then resets the connection.
     HalfCloseAndReset,
 }
@@ -145,6 +147,10 @@
             while stream.read(&mut chunk).is_ok_and(|len| len > 0) {}
             return;
         }
+        End::HalfCloseAndStall => {
+            stream.shutdown(Shutdown::Write).unwrap();
+            std::thread::sleep(GIVE_UP_TIME);
+        }
         End::Stall => std::thread::sleep(GIVE_UP_TIME),
     }
     ended_tx.send(()).unwrap();
@@ -257,3 +263,13 @@
         assert_eq!(body.unwrap(), BODY, "{client:?}");
     }
 }
+
+/// The answer has ended before the client's kernel gives the connection up, but the client's thread has not run since.
+#[test]
+fn half_close_given_up_while_sending_is_whole() {
+    // `send_before` overrides `TCP_USER_TIMEOUT`.
+    for client in [Client::Pool, Client::NewConnection] {
+        let body = exchange(client, Framing::None, End::HalfCloseAndStall);
+        assert_eq!(body.unwrap(), BODY, "{client:?}");
+    }
+}
