Log how far requests had got when a target crashed

The logs did not tell a part that crashes servers from one that nearly all requests have.

Each request that a target runs is tracked with the time after which its answer was expected to begin, for the requests of this gateway and for those that others report. The line on a crash names how far the requests with each suspect had got there, and at other targets that run.

Tests of policy, forward and platform pass.

--- a/laburnumlug-forward/src/crashes.rs
+++ b/laburnumlug-forward/src/crashes.rs
@@ -1,12 +1,15 @@
 //! Detection of crashed targets from broken connections, and refusal of the requests that crash targets.
 
+use std::collections::HashMap;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use futures_util::future::{Either, select};
 use laburnumlug::{EngineEvent, TargetName, Verdict};
-use laburnumlug_policy::{BlockedSuspect, ContentId, PartId, Suspect, TargetCrash};
+use laburnumlug_policy::{
+    BlockedSuspect, ContentId, PartId, Progress, RunId, RunningRequest, Suspect, TargetCrash,
+};
 
 use crate::attempt::CallerRequest;
 use crate::attempt_failure::AttemptFailure;
@@ -14,9 +17,6 @@
 use crate::refusal::FailureCause;
 use crate::registry::TargetHandle;
 
-/// Time after its first event within which a stream still counts as beginning to be decoded.
-const DECODE_START_TIME: Duration = Duration::from_millis(200);
-
 /// Maximum age of a reported crash to which a gateway adds its own requests.
 const UNFINISHED_REPORT_TIME: Duration = Duration::from_millis(500);
 
@@ -27,45 +27,46 @@
 /// requests may be the cause.
 const CRASH_REPORT_TIME: Duration = Duration::from_millis(30);
 
-/// Returns whether a request that breaks now may have crashed its engine, by beginning to be decoded.
-pub(crate) fn is_decode_start(now: Instant, first_event_at: Option<Instant>) -> bool {
-    first_event_at.is_none_or(|at| now.saturating_duration_since(at) < DECODE_START_TIME)
-}
-
 /// Tracks a request that a target runs; if it is dropped before the request has ended, the request may have crashed the
 /// target.
 pub(crate) struct RunGuard {
     target: Rc<TargetHandle>,
-    suspects: Vec<Suspect>,
+    run: RunId,
+    has_ended: bool,
 }
 
 impl RunGuard {
     /// Starts to track a request that is sent to a target.
     pub(crate) fn start(target: &Rc<TargetHandle>, request: &CallerRequest) -> RunGuard {
+        let running = RunningRequest::new(Instant::now(), request.suspects(), Duration::ZERO);
         RunGuard {
             target: target.clone(),
-            suspects: request.suspects(),
+            run: target.running.borrow_mut().begin(running),
+            has_ended: false,
         }
     }
 
     /// Records that the request has not been run.
     pub(crate) fn mark_not_run(&mut self) {
-        self.suspects.clear();
+        self.has_ended = true;
     }
 
     /// Records that the request has run to its end.
     pub(crate) fn mark_complete(&mut self, now: Instant, forwarder: &Forwarder) {
-        let suspects = std::mem::take(&mut self.suspects);
-        forwarder.record_completion(now, &suspects);
+        self.has_ended = true;
+        let run = self.target.running.borrow_mut().end(self.run);
+        if let Some(run) = run {
+            forwarder.record_completion(now, run.suspects());
+        }
     }
 }
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        if !self.suspects.is_empty() {
-            let suspects = std::mem::take(&mut self.suspects);
+        let run = self.target.running.borrow_mut().end(self.run);
+        if let Some(run) = run.filter(|_| !self.has_ended) {
             let mut unfinished = self.target.unfinished_requests.borrow_mut();
-            unfinished.push(Instant::now(), suspects);
+            unfinished.push(Instant::now(), run);
         }
     }
 }
@@ -135,22 +136,54 @@
         }
     }
 
-    fn publish_crash(&self, now: Instant, target: &TargetHandle, suspects: Vec<Suspect>) {
-        let crash = TargetCrash {
-            target: target.instance.clone(),
-            at: now,
-            suspects,
-        };
-        if !crash.suspects.is_empty() {
+    fn publish_crash(
+        &self,
+        now: Instant,
+        target: &TargetHandle,
+        suspects: Vec<(Suspect, Progress)>,
+    ) {
+        target.running.borrow_mut().record_crash(now);
+        let progress_of = self.running_progress(now, &suspects);
+        let furthest = |suspect: &Suspect| progress_of[suspect].iter().max().copied();
+        let elsewhere = suspects.iter();
+        let elsewhere = elsewhere.filter_map(|(suspect, _)| Some((*suspect, furthest(suspect)?)));
+        let elsewhere: Vec<(Suspect, Progress)> = elsewhere.collect();
+        if !suspects.is_empty() {
             log::warn!(
-                target = target.instance.as_str(), suspects = describe(&crash.suspects).as_str();
+                target = target.instance.as_str(), suspects = describe(&suspects).as_str(),
+                elsewhere = describe(&elsewhere).as_str();
                 "the target crashed: it was beginning to run requests of this gateway"
             );
         }
+        let crash = TargetCrash {
+            target: target.instance.clone(),
+            at: now,
+            suspects: suspects.into_iter().map(|(suspect, _)| suspect).collect(),
+        };
         self.engine_requests.publish(crash_event(now, &crash));
         self.record_crash(now, crash);
     }
 
+    /// Returns how far the running requests with each of these suspects have got, at targets that are not known to have
+    /// crashed or to be out of reach.
+    fn running_progress(
+        &self,
+        now: Instant,
+        suspects: &[(Suspect, Progress)],
+    ) -> HashMap<Suspect, Vec<Progress>> {
+        let suspects = suspects.iter().map(|(suspect, _)| *suspect);
+        let mut progress_of: HashMap<Suspect, Vec<Progress>> =
+            suspects.map(|suspect| (suspect, Vec::new())).collect();
+        for target in self.recent_targets() {
+            let is_suspected = target.health.borrow().is_suspected(now);
+            if !is_suspected && !target.is_doubted.get() {
+                let running = target.running.borrow();
+                running.collect_progress(now, &mut progress_of);
+            }
+        }
+        progress_of
+    }
+
     /// Records a crash that another gateway reported `age` ago.
     pub(crate) fn record_remote_crash(
         &self,
@@ -273,11 +306,11 @@
     }
 }
 
-/// Returns suspects as `part` or `content` with a hexadecimal id, separated by spaces.
-fn describe(suspects: &[Suspect]) -> String {
-    let describe = |suspect: &Suspect| match suspect {
-        Suspect::Part(part) => format!("part:{part:x}"),
-        Suspect::Content(content) => format!("content:{content:x}"),
+/// Returns suspects as `part` or `content` with a hexadecimal id and the progress of their requests, separated by spaces.
+fn describe(suspects: &[(Suspect, Progress)]) -> String {
+    let describe = |(suspect, progress): &(Suspect, Progress)| match suspect {
+        Suspect::Part(part) => format!("part:{part:x}@{progress}"),
+        Suspect::Content(content) => format!("content:{content:x}@{progress}"),
     };
     let described: Vec<String> = suspects.iter().map(describe).collect();
     described.join(" ")
--- a/laburnumlug-forward/src/engine_request_guard.rs
+++ b/laburnumlug-forward/src/engine_request_guard.rs
@@ -4,10 +4,11 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{BootTime, EngineEvent, SendNumber, StreamOrigin};
-use laburnumlug_policy::{FIRST_TOKEN_OVERHEAD, PromptParts, Suspect, prefill_work};
+use laburnumlug_policy::{
+    FIRST_TOKEN_OVERHEAD, PromptParts, RunId, RunningRequest, Suspect, prefill_work,
+};
 
 use crate::attempt::CallerRequest;
-use crate::crashes::is_decode_start;
 use crate::customer_shares::{SentWork, customer_of};
 use crate::engine_requests::LOCAL_SENDER;
 use crate::engine_watch::EventWait;
@@ -21,6 +22,8 @@
     number: SendNumber,
     prompt_parts: PromptParts,
     suspects: Vec<Suspect>,
+    /// The request among those that the target runs; `None` if the engine only prefills the prompt.
+    run: Option<RunId>,
     /// Tokens that the request may use in the engine's memory.
     memory_tokens: u64,
     sent_at: Instant,
@@ -28,7 +31,6 @@
     /// Whether the engine prefills the prompt, and has not done so yet.
     adds_parts: bool,
     is_prefilled: bool,
-    first_event_at: Option<Instant>,
     is_complete: bool,
     /// The stream that the engine is to generate; `None` if it only prefills the prompt, or if all targets of the service
     /// have the same software version.
@@ -57,6 +59,7 @@
         let number = engine_requests.last_number.get() + 1;
         engine_requests.last_number.set(number);
         let work = prefill_work(uncached_tokens, prompt_parts.tokens());
+        let expected_start = target.expected_start(now, priority, work, prompt_parts.tokens());
         let mut prefill_queue = target.prefill_queue.borrow_mut();
         let predicted_prefill =
             prefill_queue.waiting_time(now, priority) + prefill_queue.prefill_time(work);
@@ -110,18 +113,23 @@
             .insert(number, event.clone());
         engine_requests.publish(event);
         target.own_requests.set(target.own_requests.get() + 1);
+        let suspects = request.suspects();
+        let run = decode_share.map(|_| {
+            let running = RunningRequest::new(now, suspects.clone(), expected_start);
+            target.running.borrow_mut().begin(running)
+        });
         EngineRequestGuard {
             forwarder: forwarder.clone(),
             target: target.clone(),
             number,
             prompt_parts: prompt_parts.clone(),
-            suspects: request.suspects(),
+            suspects,
+            run,
             memory_tokens,
             sent_at: now,
             predicted_prefill,
             adds_parts,
             is_prefilled: false,
-            first_event_at: None,
             is_complete: false,
             stream,
             sent_work,
@@ -157,7 +165,9 @@
 
     /// Records that the first event of the answer has arrived, for which the prompt was prefilled.
     pub(crate) fn mark_decoding(&mut self, now: Instant) {
-        self.first_event_at = Some(now);
+        if let Some(run) = self.run {
+            self.target.running.borrow_mut().mark_decoding(now, run);
+        }
         if let Some(origin) = &self.stream {
             self.forwarder.record_stream_begun(now, origin);
         }
@@ -204,10 +214,13 @@
             true => memory.keep_handle(now, self.memory_tokens),
             false => memory.release(self.memory_tokens),
         }
-        let may_have_run = self.decode_share.is_some() && !self.suspects.is_empty();
-        if may_have_run && !is_complete && is_decode_start(now, self.first_event_at) {
+        let run = self
+            .run
+            .and_then(|run| self.target.running.borrow_mut().end(run));
+        let may_have_run = !self.suspects.is_empty() && !is_complete;
+        if let Some(run) = run.filter(|run| may_have_run && !run.has_outlasted_start(now)) {
             let mut unfinished = self.target.unfinished_requests.borrow_mut();
-            unfinished.push(now, std::mem::take(&mut self.suspects));
+            unfinished.push(now, run);
         }
         if let Some(origin) = &self.stream {
             self.forwarder.record_stream_end(now, origin, is_complete);
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{BootTime, CustomerId, DemandReport, EngineEvent, SendNumber, StreamOrigin};
-use laburnumlug_policy::{FIRST_TOKEN_OVERHEAD, PrefillId, PromptParts, cache_reports};
+use laburnumlug_policy::{
+    FIRST_TOKEN_OVERHEAD, PrefillId, PromptParts, RunId, RunningRequest, cache_reports,
+};
 
 use crate::customer_shares::{SentWork, ServiceShares};
 use crate::demand::DemandTotals;
@@ -40,6 +42,7 @@
     stream: Option<StreamOrigin>,
     customer: Option<CustomerId>,
     sent_work: Option<SentWork>,
+    run: RunId,
 }
 
 impl RemoteRequest {
@@ -65,6 +68,7 @@
         }
         target.prefill_queue.borrow_mut().cancel(now, id);
         target.in_flight.set(target.in_flight.get() - 1);
+        target.running.borrow_mut().end(self.run);
         let mut memory = target.memory.borrow_mut();
         match self.is_prefilled && self.output_tokens == 0 {
             true => memory.keep_handle(now, self.memory_tokens()),
@@ -208,12 +212,16 @@
                     return;
                 };
                 let work = work.min(MAX_REMOTE_WORK);
+                let prompt_parts = PromptParts::from_parts(parts);
+                let expected_start =
+                    target.expected_start(now, priority, work, prompt_parts.tokens());
+                let running = RunningRequest::new(now, prompt_parts.suspects(), expected_start);
+                let run = target.running.borrow_mut().begin(running);
                 target
                     .prefill_queue
                     .borrow_mut()
                     .enqueue(now, (sender, number), priority, work);
                 target.in_flight.set(target.in_flight.get() + 1);
-                let prompt_parts = PromptParts::from_parts(parts);
                 let sent_work = customer.map(|customer| {
                     let decode_share = self.remote_decode_share(&target, &prompt_parts);
                     let shares = &self.engine_requests.shares;
@@ -233,18 +241,22 @@
                     stream,
                     customer,
                     sent_work,
+                    run,
                 };
                 let mut memory = request.target.memory.borrow_mut();
                 memory.assign(request.memory_tokens());
                 drop(memory);
                 if let Some(replaced) = remote.insert((sender, number), request) {
                     self.release_share(now, &replaced);
+                    replaced.target.running.borrow_mut().end(replaced.run);
                 }
             }
             EngineEvent::PrefillDone { number } => {
                 if let Some(request) = remote.get_mut(&(sender, number)) {
                     if !std::mem::replace(&mut request.is_prefilled, true) {
                         request.remove_pending_parts();
+                        let mut running = request.target.running.borrow_mut();
+                        running.mark_decoding(now, request.run);
                     }
                     self.record_sign_of_life(now, &request.target);
                     let mut prefill_queue = request.target.prefill_queue.borrow_mut();
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -9,7 +9,7 @@
 use laburnumlug::{LiveTarget, Role, ServiceName, TargetList, TargetName};
 use laburnumlug_policy::{
     EngineActivity, EngineMemory, KvCacheEstimate, PendingParts, PrefillQueue, RecentSuspects,
-    TargetHealth, TargetStatus,
+    RunningRequests, TargetHealth, TargetStatus,
 };
 
 use crate::departed_targets::DepartedTargets;
@@ -74,6 +74,8 @@
     pub(crate) has_crashed: Cell<bool>,
     /// Suspects of requests that ended while the target was beginning to run them, and when.
     pub(crate) unfinished_requests: RefCell<RecentSuspects>,
+    /// Requests that the target runs and that may crash it, of this process and of other gateways.
+    pub(crate) running: RefCell<RunningRequests>,
 }
 
 impl TargetHandle {
@@ -101,6 +103,7 @@
             crash_checked: Event::new(),
             has_crashed: Cell::new(false),
             unfinished_requests: RefCell::default(),
+            running: RefCell::default(),
         }
     }
 
@@ -112,6 +115,23 @@
         }
     }
 
+    /// Returns the expected time until the answer to a prompt begins that is sent now, with this prefill work.
+    pub(crate) fn expected_start(
+        &self,
+        now: Instant,
+        priority: u8,
+        work: u64,
+        tokens: u64,
+    ) -> Duration {
+        let prefill_queue = self.prefill_queue.borrow();
+        match work {
+            // The work of a server that is not a known engine is not predicted, but grows with its prompt.
+            0 if self.listing.borrow().role.is_none() => prefill_queue.prefill_time(tokens),
+            0 => Duration::ZERO,
+            _ => prefill_queue.waiting_time(now, priority) + prefill_queue.prefill_time(work),
+        }
+    }
+
     /// Marks the target as suspected to be unreachable, and wakes the requests that wait for it.
     pub(crate) fn mark_suspected(&self, now: Instant) {
         self.health.borrow_mut().mark_suspected(now);
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -100,6 +100,7 @@
 mod role_plan;
 mod room;
 mod route;
+mod running_requests;
 mod server_count;
 mod server_forecast;
 mod shutdown_schedule;
@@ -160,6 +161,7 @@
 pub use crate::route::{
     ByRole, Candidate, LeastQueue, PredictedFinish, ReportedLoad, RouteQuery, Router, router,
 };
+pub use crate::running_requests::{Progress, RunId, RunningRequest, RunningRequests};
 pub use crate::server_count::{
     OrderReason, ServerCount, ServerOrder, ServiceLoad, StandingOrder, ZoneTargets,
 };
--- /dev/null
+++ b/laburnumlug-policy/src/running_requests_tests.rs
@@ -0,0 +1,52 @@
+use super::*;
+
+const SHARED: Suspect = Suspect::Part(1);
+
+fn request(now: Instant, expected_ms: u64) -> RunningRequest {
+    RunningRequest::new(now, vec![SHARED], Duration::from_millis(expected_ms))
+}
+
+fn progress(running: &RunningRequests, now: Instant) -> Vec<Progress> {
+    let mut progress_of = HashMap::from([(SHARED, Vec::new())]);
+    running.collect_progress(now, &mut progress_of);
+    progress_of.remove(&SHARED).unwrap()
+}
+
+/// A long prompt that was sent first has got less far than a short one.
+#[test]
+fn progress_relative_to_expected_time() {
+    let now = Instant::now();
+    let later = now + Duration::from_millis(300);
+    let long = request(now, 1000);
+    let short = request(now + Duration::from_millis(100), 200);
+    assert!(long.progress(later) < short.progress(later));
+}
+
+/// A stream with an event has got further than any without one, however long they have run.
+#[test]
+fn progress_after_first_event() {
+    let now = Instant::now();
+    let mut running = RunningRequests::default();
+    let id = running.begin(request(now, 10));
+    let later = now + Duration::from_secs(3600);
+    let waiting = request(now, 0).progress(later);
+    running.mark_decoding(later, id);
+    assert!(progress(&running, later)[0] >= waiting);
+    let begun = running.get(id).unwrap();
+    assert!(!begun.has_outlasted_start(later));
+    assert!(begun.has_outlasted_start(later + DECODE_START_TIME));
+}
+
+/// The requests of a crashed target are no evidence that others do not crash, although their ends are not yet known.
+#[test]
+fn record_crash_ends_requests() {
+    let now = Instant::now();
+    let mut running = RunningRequests::default();
+    running.begin(request(now, 10));
+    let crashed_at = now + Duration::from_millis(5);
+    running.record_crash(crashed_at);
+    assert!(progress(&running, crashed_at).is_empty());
+    let later = crashed_at + Duration::from_millis(1);
+    running.begin(request(later, 10));
+    assert_eq!(progress(&running, later), [0]);
+}
