Suspect what crashed targets only if nothing with it got as far elsewhere

Cause: a suspect "in each crash, in no completion" was blocked, although nearly every request had it, so that it was in each crash by chance. The block cancelled and refused every request that could have completed and cleared it.

Change: what crashes targets crashes each one that gets as far. A suspect is dropped from a crash if a request with it has got as far at another target, or if most were sent together. Decoding that goes on for 200 ms clears like a completion. If most requests of a service have a blocked suspect, one at a time tests it, while the others are refused for a second; a trial whose target crashes ends trials until the block does. Gateways tell each other what they have cleared, also one that reports a crash with what completed elsewhere before it started, and that they begin a trial.

--- a/laburnumlug-daemon/src/gateway_exchange/outbox.rs
+++ b/laburnumlug-daemon/src/gateway_exchange/outbox.rs
@@ -99,7 +99,9 @@
 fn is_urgent(event: &EngineEvent) -> bool {
     matches!(
         event,
-        EngineEvent::PromptSent { .. } | EngineEvent::HealthChanged { serves: false, .. }
+        EngineEvent::PromptSent { .. }
+            | EngineEvent::HealthChanged { serves: false, .. }
+            | EngineEvent::SuspectsTested { .. }
     )
 }
 
--- a/laburnumlug-forward/src/attempt.rs
+++ b/laburnumlug-forward/src/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::HeaderMap;
 use laburnumlug::{StreamId, Verdict};
 use laburnumlug_http::{HeldBytes, PooledResponse, SendError};
-use laburnumlug_policy::{ContentId, PromptParts, Suspect};
+use laburnumlug_policy::{ContentId, PromptParts, Suspect, TrialId};
 
 use crate::attempt_failure::AttemptFailure;
 use crate::customers::CustomerEntry;
@@ -52,6 +52,8 @@
     pub(crate) deadline: Instant,
     /// Whether a target may have run the request; it is known while the request waits for a response, too.
     pub(crate) may_have_run: Rc<Cell<bool>>,
+    /// Trial of blocked suspects for which the request is sent, if any.
+    pub(crate) trial: Cell<Option<TrialId>>,
 }
 
 impl CallerRequest {
--- a/laburnumlug-forward/src/buffered.rs
+++ b/laburnumlug-forward/src/buffered.rs
@@ -55,6 +55,7 @@
         service: &str,
     ) -> Result<Response, Refusal> {
         self.record_request(Instant::now(), service);
+        let _trial = self.begin_trial(Instant::now(), service, request);
         let usage = self.track_usage(request.metered_customer());
         let mut tried: Vec<Rc<TargetHandle>> = Vec::new();
         let mut attempts_made = 0;
--- a/laburnumlug-forward/src/crashes.rs
+++ b/laburnumlug-forward/src/crashes.rs
@@ -9,6 +9,7 @@
 use laburnumlug::{EngineEvent, TargetName, Verdict};
 use laburnumlug_policy::{
     BlockedSuspect, ContentId, PartId, Progress, RunId, RunningRequest, Suspect, TargetCrash,
+    TrialId, has_been_outlasted,
 };
 
 use crate::attempt::CallerRequest;
@@ -17,6 +18,9 @@
 use crate::refusal::FailureCause;
 use crate::registry::TargetHandle;
 
+/// A suspect, and how far requests with it have got.
+pub(crate) type SuspectProgress = (Suspect, Progress);
+
 /// Maximum age of a reported crash to which a gateway adds its own requests.
 const UNFINISHED_REPORT_TIME: Duration = Duration::from_millis(500);
 
@@ -71,6 +75,19 @@
     }
 }
 
+/// Ends the trial of a request's suspects when it is dropped.
+pub(crate) struct TrialGuard {
+    forwarder: Rc<Forwarder>,
+    id: TrialId,
+}
+
+impl Drop for TrialGuard {
+    fn drop(&mut self) {
+        let mut crash_attribution = self.forwarder.crash_attribution.borrow_mut();
+        crash_attribution.end_trial(Instant::now(), self.id);
+    }
+}
+
 impl Forwarder {
     /// Starts a check whether a target has crashed, after the connection of a request broke that it was beginning to run.
     ///
@@ -136,40 +153,67 @@
         }
     }
 
-    fn publish_crash(
-        &self,
-        now: Instant,
-        target: &TargetHandle,
-        suspects: Vec<(Suspect, Progress)>,
-    ) {
+    fn publish_crash(&self, now: Instant, target: &TargetHandle, suspects: Vec<SuspectProgress>) {
         target.running.borrow_mut().record_crash(now);
-        let progress_of = self.running_progress(now, &suspects);
-        let furthest = |suspect: &Suspect| progress_of[suspect].iter().max().copied();
-        let elsewhere = suspects.iter();
-        let elsewhere = elsewhere.filter_map(|(suspect, _)| Some((*suspect, furthest(suspect)?)));
-        let elsewhere: Vec<(Suspect, Progress)> = elsewhere.collect();
-        if !suspects.is_empty() {
+        let has_suspects = !suspects.is_empty();
+        let described = describe(&suspects);
+        let (mut suspects, elsewhere) = self.split_outlasted(now, suspects);
+        let crash_attribution = self.crash_attribution.borrow();
+        suspects.retain(|(suspect, _)| !crash_attribution.is_cleared(now, suspect));
+        drop(crash_attribution);
+        if has_suspects {
             log::warn!(
-                target = target.instance.as_str(), suspects = describe(&suspects).as_str(),
-                elsewhere = describe(&elsewhere).as_str();
+                target = target.instance.as_str(), suspects = described.as_str(),
+                elsewhere = describe(&elsewhere).as_str(), remaining = describe(&suspects).as_str();
                 "the target crashed: it was beginning to run requests of this gateway"
             );
         }
+        let (target, age_ms) = (target.instance.clone(), 0);
+        let progress = suspects.iter().map(|(_, progress)| *progress).collect();
+        let suspects: Vec<Suspect> = suspects.into_iter().map(|(suspect, _)| suspect).collect();
+        let (parts, contents) = split_suspects(&suspects);
+        self.engine_requests.publish(EngineEvent::TargetCrashed {
+            target: target.clone(),
+            age_ms,
+            parts,
+            contents,
+            progress,
+        });
         let crash = TargetCrash {
-            target: target.instance.clone(),
+            target,
             at: now,
-            suspects: suspects.into_iter().map(|(suspect, _)| suspect).collect(),
+            suspects,
         };
-        self.engine_requests.publish(crash_event(now, &crash));
         self.record_crash(now, crash);
     }
 
+    /// Splits the suspects of a crash into those that may have caused it, parts first, and those that have got as far at
+    /// other targets, with the furthest progress there.
+    fn split_outlasted(
+        &self,
+        now: Instant,
+        suspects: Vec<SuspectProgress>,
+    ) -> (Vec<SuspectProgress>, Vec<SuspectProgress>) {
+        let progress_of = self.running_progress(now, &suspects);
+        let is_outlasted = |(suspect, progress): &SuspectProgress| {
+            has_been_outlasted(*progress, &progress_of[suspect])
+        };
+        let (outlasted, mut remaining): (Vec<_>, Vec<_>) =
+            suspects.into_iter().partition(is_outlasted);
+        remaining.sort_by_key(|(suspect, _)| matches!(suspect, Suspect::Content(_)));
+        let furthest = |(suspect, _): SuspectProgress| {
+            let furthest = progress_of[&suspect].iter().max().copied();
+            (suspect, furthest.unwrap_or_default())
+        };
+        (remaining, outlasted.into_iter().map(furthest).collect())
+    }
+
     /// Returns how far the running requests with each of these suspects have got, at targets that are not known to have
     /// crashed or to be out of reach.
     fn running_progress(
         &self,
         now: Instant,
-        suspects: &[(Suspect, Progress)],
+        suspects: &[SuspectProgress],
     ) -> HashMap<Suspect, Vec<Progress>> {
         let suspects = suspects.iter().map(|(suspect, _)| *suspect);
         let mut progress_of: HashMap<Suspect, Vec<Progress>> =
@@ -184,21 +228,31 @@
         progress_of
     }
 
-    /// Records a crash that another gateway reported `age` ago.
+    /// Records a crash that another gateway reported `age` ago, and reports those of its suspects that have completed.
     pub(crate) fn record_remote_crash(
         &self,
         now: Instant,
-        target: TargetName,
+        target: &TargetName,
         age: Duration,
-        parts: Vec<PartId>,
-        contents: Vec<ContentId>,
+        suspects: Vec<SuspectProgress>,
     ) {
-        let parts = parts.into_iter().map(Suspect::Part);
-        let contents = contents.into_iter().map(Suspect::Content);
+        let at = now.checked_sub(age).unwrap_or(now);
+        if let Some(target) = self.live_target(target) {
+            target.running.borrow_mut().record_crash(at);
+        }
+        let (suspects, _) = self.split_outlasted(now, suspects);
+        let suspects: Vec<Suspect> = suspects.into_iter().map(|(suspect, _)| suspect).collect();
+        // The other gateway may have started since they completed.
+        let crash_attribution = self.crash_attribution.borrow();
+        let cleared = suspects.iter().copied();
+        let cleared = cleared.filter(|suspect| crash_attribution.is_cleared(now, suspect));
+        let cleared: Vec<Suspect> = cleared.collect();
+        drop(crash_attribution);
+        self.publish_cleared(&cleared);
         let crash = TargetCrash {
-            target,
-            at: now.checked_sub(age).unwrap_or(now),
-            suspects: parts.chain(contents).collect(),
+            target: target.clone(),
+            at,
+            suspects,
         };
         self.record_crash(now, crash);
     }
@@ -208,14 +262,72 @@
         self.apply_blocks(now, blocked);
     }
 
-    /// Records that a request with these suspects has completed.
+    /// Records that a request of this gateway with these suspects has completed, or runs on for so long that it does not
+    /// crash its target, and reports it to the other gateways if they were suspected.
     pub(crate) fn record_completion(&self, now: Instant, suspects: &[Suspect]) {
+        let crash_attribution = self.crash_attribution.borrow();
+        let suspected = suspects.iter().copied();
+        let suspected = suspected.filter(|suspect| crash_attribution.is_suspected(suspect));
+        let suspected: Vec<Suspect> = suspected.collect();
+        drop(crash_attribution);
+        self.publish_cleared(&suspected);
+        self.record_remote_completion(now, suspects);
+    }
+
+    /// Records that a request with these suspects has completed, as another gateway reports.
+    pub(crate) fn record_remote_completion(&self, now: Instant, suspects: &[Suspect]) {
         let mut crash_attribution = self.crash_attribution.borrow_mut();
+        let unblocked = match crash_attribution.has_blocks() {
+            true => crash_attribution.blocked(now, suspects, None),
+            false => None,
+        };
         let blocked = crash_attribution.record_completion(now, suspects);
         drop(crash_attribution);
+        if let Some(unblocked) = unblocked {
+            log::info!(
+                suspect = describe(&[(unblocked.suspect, 0)]).as_str(), crashes = unblocked.crashes;
+                "ended a block: a request with what was blocked has completed"
+            );
+        }
         self.apply_blocks(now, blocked);
     }
 
+    fn publish_cleared(&self, suspects: &[Suspect]) {
+        if !suspects.is_empty() {
+            let (parts, contents) = split_suspects(suspects);
+            let event = EngineEvent::SuspectsCleared { parts, contents };
+            self.engine_requests.publish(event);
+        }
+    }
+
+    /// Records that a request for a service has arrived. If it is blocked, it may become the trial of its suspects, until the
+    /// returned guard is dropped.
+    pub(crate) fn begin_trial(
+        self: &Rc<Self>,
+        now: Instant,
+        service: &str,
+        request: &CallerRequest,
+    ) -> Option<TrialGuard> {
+        let suspects = request.suspects();
+        let mut crash_attribution = self.crash_attribution.borrow_mut();
+        crash_attribution.record_request(service, &suspects);
+        let (id, tested) = crash_attribution.begin_trial(now, service, &suspects)?;
+        drop(crash_attribution);
+        request.trial.set(Some(id));
+        let (parts, contents) = split_suspects(&tested);
+        log::warn!(
+            request_id = request.metadata.id.as_str(), parts = hex(&parts).as_str(),
+            contents = hex(&contents).as_str();
+            "a request tests whether what is blocked crashes targets, as most requests have it"
+        );
+        let event = EngineEvent::SuspectsTested { parts, contents };
+        self.engine_requests.publish(event);
+        Some(TrialGuard {
+            forwarder: self.clone(),
+            id,
+        })
+    }
+
     /// Logs new blocks, and wakes the attempts that have to be cancelled because of them.
     fn apply_blocks(&self, now: Instant, blocked: Vec<BlockedSuspect>) {
         if !blocked.is_empty() {
@@ -286,7 +398,9 @@
         if !crash_attribution.has_blocks() {
             return Ok(());
         }
-        let Some(blocked) = crash_attribution.blocked(now, &request.suspects()) else {
+        let Some(blocked) =
+            crash_attribution.blocked(now, &request.suspects(), request.trial.get())
+        else {
             return Ok(());
         };
         let (cause, detail) = match blocked.suspect {
@@ -307,8 +421,8 @@
 }
 
 /// Returns suspects as `part` or `content` with a hexadecimal id and the progress of their requests, separated by spaces.
-fn describe(suspects: &[(Suspect, Progress)]) -> String {
-    let describe = |(suspect, progress): &(Suspect, Progress)| match suspect {
+fn describe(suspects: &[SuspectProgress]) -> String {
+    let describe = |(suspect, progress): &SuspectProgress| match suspect {
         Suspect::Part(part) => format!("part:{part:x}@{progress}"),
         Suspect::Content(content) => format!("content:{content:x}@{progress}"),
     };
@@ -316,20 +430,41 @@
     described.join(" ")
 }
 
+/// Returns ids as hexadecimal numbers, separated by spaces.
+fn hex(ids: &[u64]) -> String {
+    let ids: Vec<String> = ids.iter().map(|id| format!("{id:x}")).collect();
+    ids.join(" ")
+}
+
+/// Returns an event that describes a known crash.
 fn crash_event(now: Instant, crash: &TargetCrash) -> EngineEvent {
-    let suspects = crash.suspects.iter();
-    let parts = suspects.clone().filter_map(|suspect| match suspect {
+    let (parts, contents) = split_suspects(&crash.suspects);
+    EngineEvent::TargetCrashed {
+        target: crash.target.clone(),
+        age_ms: now.saturating_duration_since(crash.at).as_millis() as u64,
+        parts,
+        contents,
+        progress: Vec::new(),
+    }
+}
+
+/// Returns the parts and the contents among suspects.
+fn split_suspects(suspects: &[Suspect]) -> (Vec<PartId>, Vec<ContentId>) {
+    let parts = suspects.iter().filter_map(|suspect| match suspect {
         Suspect::Part(part) => Some(*part),
         Suspect::Content(_) => None,
     });
-    let contents = suspects.clone().filter_map(|suspect| match suspect {
+    let contents = suspects.iter().filter_map(|suspect| match suspect {
         Suspect::Part(_) => None,
         Suspect::Content(content) => Some(*content),
     });
-    EngineEvent::TargetCrashed {
-        target: crash.target.clone(),
-        age_ms: now.saturating_duration_since(crash.at).as_millis() as u64,
-        parts: parts.collect(),
-        contents: contents.collect(),
-    }
+    (parts.collect(), contents.collect())
+}
+
+/// Returns parts and then contents as suspects.
+pub(crate) fn join_suspects(parts: Vec<PartId>, contents: Vec<ContentId>) -> Vec<Suspect> {
+    let parts = parts.into_iter().map(Suspect::Part);
+    parts
+        .chain(contents.into_iter().map(Suspect::Content))
+        .collect()
 }
--- a/laburnumlug-forward/src/engine_request_guard.rs
+++ b/laburnumlug-forward/src/engine_request_guard.rs
@@ -1,11 +1,13 @@
 //! Tracking of one prompt that this process sends to an engine.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use laburnumlug::{BootTime, EngineEvent, SendNumber, StreamOrigin};
 use laburnumlug_policy::{
-    FIRST_TOKEN_OVERHEAD, PromptParts, RunId, RunningRequest, Suspect, prefill_work,
+    DECODE_START_TIME, FIRST_TOKEN_OVERHEAD, PromptParts, RunId, RunningRequest, Suspect,
+    prefill_work,
 };
 
 use crate::attempt::CallerRequest;
@@ -24,6 +26,8 @@
     suspects: Vec<Suspect>,
     /// The request among those that the target runs; `None` if the engine only prefills the prompt.
     run: Option<RunId>,
+    /// When the engine has decoded the prompt for long enough to clear the request's suspects, and it has not been recorded.
+    cleared_at: Cell<Option<Instant>>,
     /// Tokens that the request may use in the engine's memory.
     memory_tokens: u64,
     sent_at: Instant,
@@ -125,6 +129,7 @@
             prompt_parts: prompt_parts.clone(),
             suspects,
             run,
+            cleared_at: Cell::default(),
             memory_tokens,
             sent_at: now,
             predicted_prefill,
@@ -167,6 +172,7 @@
     pub(crate) fn mark_decoding(&mut self, now: Instant) {
         if let Some(run) = self.run {
             self.target.running.borrow_mut().mark_decoding(now, run);
+            self.cleared_at.set(Some(now + DECODE_START_TIME));
         }
         if let Some(origin) = &self.stream {
             self.forwarder.record_stream_begun(now, origin);
@@ -182,6 +188,10 @@
     /// Records that a part of the answer has arrived.
     pub(crate) fn record_event(&self, now: Instant) {
         self.forwarder.record_event(now, &self.target);
+        if self.cleared_at.get().is_some_and(|at| at <= now) {
+            self.cleared_at.set(None);
+            self.forwarder.record_completion(now, &self.suspects);
+        }
     }
 
     /// Records that the engine has not run the request.
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -7,9 +7,10 @@
 
 use laburnumlug::{BootTime, CustomerId, DemandReport, EngineEvent, SendNumber, StreamOrigin};
 use laburnumlug_policy::{
-    FIRST_TOKEN_OVERHEAD, PrefillId, PromptParts, RunId, RunningRequest, cache_reports,
+    FIRST_TOKEN_OVERHEAD, PrefillId, Progress, PromptParts, RunId, RunningRequest, cache_reports,
 };
 
+use crate::crashes::join_suspects;
 use crate::customer_shares::{SentWork, ServiceShares};
 use crate::demand::DemandTotals;
 use crate::forwarder::Forwarder;
@@ -279,7 +280,7 @@
                     self.release_share(now, &request);
                     if is_complete {
                         self.record_sign_of_life(now, &request.target);
-                        self.record_completion(now, &request.prompt_parts.suspects());
+                        self.record_remote_completion(now, &request.prompt_parts.suspects());
                     }
                     if let Some(origin) = &request.stream {
                         self.record_stream_end(now, origin, is_complete);
@@ -336,13 +337,24 @@
                 age_ms,
                 parts,
                 contents,
+                progress,
             } => {
                 let age = Duration::from_millis(age_ms);
-                self.record_remote_crash(now, target.clone(), age, parts, contents);
+                let suspects = join_suspects(parts, contents);
+                let progress = progress.into_iter().chain(std::iter::repeat(Progress::MAX));
+                let suspects = suspects.into_iter().zip(progress).collect();
+                self.record_remote_crash(now, &target, age, suspects);
                 if let Some(target) = self.live_target(&target) {
                     self.report_unfinished_requests(now, &target, age);
                 }
             }
+            EngineEvent::SuspectsCleared { parts, contents } => {
+                self.record_remote_completion(now, &join_suspects(parts, contents));
+            }
+            EngineEvent::SuspectsTested { parts, contents } => {
+                let mut crash_attribution = self.crash_attribution.borrow_mut();
+                crash_attribution.record_remote_trial(now, &join_suspects(parts, contents));
+            }
             EngineEvent::PrefillRate {
                 engine,
                 tokens_per_s,
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -16,6 +16,8 @@
     StreamOrigins, rendezvous_rank,
 };
 
+use rand::Rng;
+
 use crate::cache_reports::CacheReportQueue;
 use crate::config::ForwardConfig;
 use crate::engine_requests::EngineRequests;
@@ -39,6 +41,14 @@
 /// Health check path of services that do not configure one.
 const DEFAULT_HEALTH_PATH: &str = "/health";
 
+/// Maximum time after a crash until this gateway may test what all block; the others learn within milliseconds which of them
+/// is first.
+const MAX_TRIAL_DELAY: Duration = Duration::from_secs(1);
+
+fn random_trial_delay() -> Duration {
+    MAX_TRIAL_DELAY.mul_f64(rand::rng().random_range(0.0..1.0))
+}
+
 /// Routes and targets as last reported to this process.
 #[derive(Default)]
 struct RoutingView {
@@ -98,7 +108,7 @@
             gateways: RefCell::default(),
             observer: RefCell::default(),
             engine_requests: EngineRequests::new(),
-            crash_attribution: RefCell::default(),
+            crash_attribution: RefCell::new(CrashAttribution::new(random_trial_delay())),
             stream_origins: RefCell::default(),
             software_histories: RefCell::default(),
             knows_software_records: Cell::default(),
--- a/laburnumlug-forward/src/handler.rs
+++ b/laburnumlug-forward/src/handler.rs
@@ -259,6 +259,7 @@
             arrived_at,
             deadline,
             may_have_run,
+            trial: Cell::default(),
             rank: rank.unwrap_or(route.rank),
             customer,
             route,
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -18,6 +18,7 @@
 use self::upstream::Upstream;
 use crate::attempt::CallerRequest;
 use crate::attempt_failure::AttemptFailure;
+use crate::crashes::TrialGuard;
 use crate::engine_selection::EngineSelection;
 use crate::forwarder::Forwarder;
 use crate::refusal::{FailureCause, Refusal};
@@ -35,6 +36,8 @@
 /// A streaming request, with the state that its attempts share.
 struct StreamRequest {
     request: CallerRequest,
+    /// Ends the trial of the request's suspects, if it is one.
+    _trial: Option<TrialGuard>,
     service: String,
     table: Rc<RouteTable>,
     /// Software version that has begun the stream, once it has.
@@ -85,9 +88,11 @@
             .required_software(&request, service)
             .await
             .map_err(|failure| failure.to_refusal(RETRY_AFTER))?;
+        let trial = self.begin_trial(Instant::now(), service, &request);
         let mut stream = StreamRequest {
             software,
             request,
+            _trial: trial,
             service: service.to_string(),
             table,
             tried: Vec::new(),
--- a/laburnumlug-mesh/src/unknown_events_tests.rs
+++ b/laburnumlug-mesh/src/unknown_events_tests.rs
@@ -141,6 +141,7 @@
         age_ms: 3,
         parts: vec![5],
         contents: vec![6],
+        progress: vec![700, 800],
     };
     let earlier_sent: EarlierEvent = reencode(&sent);
     let earlier_crashed: EarlierEvent = reencode(&crashed);
@@ -164,8 +165,11 @@
         (number, output_tokens, stream, customer),
         (7, 0, None, None)
     );
-    let EngineEvent::TargetCrashed { contents, .. } = reencode(&earlier_crashed) else {
+    let EngineEvent::TargetCrashed {
+        contents, progress, ..
+    } = reencode(&earlier_crashed)
+    else {
         panic!("{earlier_crashed:?}");
     };
-    assert!(contents.is_empty());
+    assert!(contents.is_empty() && progress.is_empty());
 }
--- a/laburnumlug-policy/src/crash_attribution.rs
+++ b/laburnumlug-policy/src/crash_attribution.rs
@@ -8,6 +8,7 @@
 use crate::crash_blame::{Blocks, blocked_contents, blocked_parts};
 use crate::kv_cache::PartId;
 use crate::recent_map::RecentMap;
+use crate::suspect_trial::{SuspectTrials, TrialId};
 
 /// Time within which reports about the same target concern the same crash.
 const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
@@ -54,6 +55,8 @@
     pub suspect: Suspect,
     /// Number of crashes that it explains.
     pub crashes: usize,
+    /// When the latest of them happened.
+    pub latest_at: Instant,
     /// When the block ends.
     pub until: Instant,
 }
@@ -63,6 +66,10 @@
 /// What crashes targets is in a request of each target that crashes, but in none that completes. Suspects that have
 /// recently completed are therefore cleared, and each crash is explained by as few others as possible: requests that share
 /// only their other parts with a harmful prompt are not affected.
+///
+/// A suspect is cleared, suspected, blocked or tested. A crash makes it suspected, unless a request with it has recently
+/// completed or [has got as far elsewhere](crate::has_been_outlasted). Further crashes block it. The block ends by time, or when a
+/// request with the suspect completes: one that ran meanwhile, or one that tests it, if most requests have it.
 #[derive(Clone, Debug)]
 pub struct CrashAttribution {
     /// Crashes, oldest first.
@@ -71,20 +78,22 @@
     suspected: HashSet<Suspect>,
     completed: RecentMap<Suspect, ()>,
     blocked: Blocks,
+    trials: SuspectTrials,
 }
 
-impl Default for CrashAttribution {
-    fn default() -> CrashAttribution {
+impl CrashAttribution {
+    /// Creates an attribution without crashes. Trials begin at the earliest `trial_delay` after a crash; it should differ between
+    /// gateways, so that one of them goes first and the others learn of its trial.
+    pub fn new(trial_delay: Duration) -> CrashAttribution {
         CrashAttribution {
             crashes: VecDeque::new(),
             suspected: HashSet::new(),
             completed: RecentMap::new(MAX_COMPLETED),
             blocked: Blocks::new(),
+            trials: SuspectTrials::new(trial_delay),
         }
     }
-}
 
-impl CrashAttribution {
     /// Records that a request has completed, which clears its suspects, and returns the suspects that are newly blocked
     /// since fewer are left.
     pub fn record_completion(&mut self, now: Instant, cleared: &[Suspect]) -> Vec<BlockedSuspect> {
@@ -111,7 +120,7 @@
         }
         self.crashes.retain(|known| !is_expired(known.at));
         let mut suspects = crash.suspects;
-        suspects.retain(|suspect| self.completed.get(now, suspect).is_none());
+        suspects.retain(|suspect| !self.is_cleared(now, suspect));
         let is_same = |known: &&mut TargetCrash| {
             known.target == crash.target && time_between(known.at, crash.at) < SAME_CRASH_TIME
         };
@@ -137,15 +146,64 @@
         self.update_blocked(now)
     }
 
-    /// Returns the blocked one of a request's suspects whose block lasts longest, or `None` if the request may be sent.
-    pub fn blocked(&self, now: Instant, suspects: &[Suspect]) -> Option<BlockedSuspect> {
-        let blocked = suspects
-            .iter()
-            .filter_map(|suspect| self.blocked.get(suspect));
+    /// Records that a request for a service has arrived, before it is known whether it may be sent.
+    pub fn record_request(&mut self, service: &str, suspects: &[Suspect]) {
+        self.trials.record_request(service, suspects);
+    }
+
+    /// Returns the blocked one of a request's suspects whose block lasts longest, or `None` if the request may be sent, for
+    /// instance for the trial of a suspect.
+    pub fn blocked(
+        &self,
+        now: Instant,
+        suspects: &[Suspect],
+        trial: Option<TrialId>,
+    ) -> Option<BlockedSuspect> {
+        let blocked = self.all_blocked(now, suspects).into_iter();
         blocked
-            .filter(|blocked| now < blocked.until)
+            .filter(|blocked| !self.trials.is_tested_by(&blocked.suspect, trial))
             .max_by_key(|blocked| blocked.until)
-            .copied()
+    }
+
+    /// Begins a trial of a request's blocked suspects, if there are any and most requests for its service have them. The
+    /// request may be sent then.
+    pub fn begin_trial(
+        &mut self,
+        now: Instant,
+        service: &str,
+        suspects: &[Suspect],
+    ) -> Option<(TrialId, Vec<Suspect>)> {
+        let blocked: Vec<BlockedSuspect> = suspects
+            .iter()
+            .filter(|suspect| self.is_blocked(now, suspect))
+            .filter_map(|suspect| self.blocked.get(suspect).copied())
+            .collect();
+        let id = self.trials.begin(now, service, &blocked)?;
+        Some((id, blocked.iter().map(|blocked| blocked.suspect).collect()))
+    }
+
+    /// Records that another gateway has begun a trial of suspects.
+    pub fn record_remote_trial(&mut self, now: Instant, suspects: &[Suspect]) {
+        for suspect in suspects {
+            if let Some(blocked) = self.blocked.get(suspect) {
+                self.trials.record_remote(now, *suspect, blocked.crashes);
+            }
+        }
+    }
+
+    /// Records that the request of a trial has ended.
+    pub fn end_trial(&mut self, now: Instant, id: TrialId) {
+        self.trials.end(now, id);
+    }
+
+    /// Returns whether a request with a suspect has recently completed.
+    pub fn is_cleared(&self, now: Instant, suspect: &Suspect) -> bool {
+        self.completed.get(now, suspect).is_some()
+    }
+
+    /// Returns whether a crashed target was beginning to run requests with a suspect that has not been cleared.
+    pub fn is_suspected(&self, suspect: &Suspect) -> bool {
+        self.suspected.contains(suspect)
     }
 
     /// Returns whether any suspect has been blocked.
@@ -158,6 +216,26 @@
         self.crashes.iter()
     }
 
+    /// Returns the blocked ones of some suspects, with the end of their blocks as it is known now.
+    fn all_blocked(&self, now: Instant, suspects: &[Suspect]) -> Vec<BlockedSuspect> {
+        let blocked = suspects
+            .iter()
+            .filter_map(|suspect| self.blocked.get(suspect));
+        let blocked = blocked.filter_map(|blocked| {
+            let left = self.trials.time_blocked(now, blocked)?;
+            Some(BlockedSuspect {
+                until: now + left,
+                ..*blocked
+            })
+        });
+        blocked.collect()
+    }
+
+    fn is_blocked(&self, now: Instant, suspect: &Suspect) -> bool {
+        let blocked = self.blocked.get(suspect);
+        blocked.is_some_and(|blocked| self.trials.time_blocked(now, blocked).is_some())
+    }
+
     /// Removes a crash if there are too many: the oldest one that no blocked suspect explains, or else the oldest.
     fn evict_crash(&mut self) {
         if self.crashes.len() <= MAX_CRASHES {
@@ -179,6 +257,8 @@
         let mut blocked = blocked_parts(&crashes);
         blocked.extend(blocked_contents(&crashes, &blocked));
         let before = std::mem::replace(&mut self.blocked, blocked);
+        let blocked = &self.blocked;
+        self.trials.retain(|suspect| blocked.contains_key(suspect));
         let is_new = |blocked: &&BlockedSuspect| {
             let before = before.get(&blocked.suspect);
             now < blocked.until && before.is_none_or(|before| before.until <= now)
--- a/laburnumlug-policy/src/crash_attribution_tests.rs
+++ b/laburnumlug-policy/src/crash_attribution_tests.rs
@@ -22,14 +22,14 @@
 }
 
 fn is_blocked(attribution: &CrashAttribution, now: Instant, parts: &[PartId]) -> bool {
-    attribution.blocked(now, &prompt(parts)).is_some()
+    attribution.blocked(now, &prompt(parts), None).is_some()
 }
 
 /// The same part is in prompts of two engines that crash; each engine was beginning other prompts as well.
 #[test]
 fn record_crash_part_in_two_crashes() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     attribution.record_completion(now, &prompt(&[COMMON]));
     let first = crash("a", now, &[COMMON, HARMFUL, COMMON, 30, 31]);
     assert!(attribution.record_crash(now, first).is_empty());
@@ -48,7 +48,7 @@
 #[test]
 fn record_crash_before_any_completion() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     for (i, engine) in ["a", "b", "c"].into_iter().enumerate() {
         let at = now + SECOND * i as u32;
         attribution.record_crash(at, crash(engine, at, &[COMMON, HARMFUL]));
@@ -61,7 +61,7 @@
 #[test]
 fn record_completion_ends_block() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     for engine in ["a", "b"] {
         attribution.record_crash(now, crash(engine, now, &[60]));
     }
@@ -74,7 +74,7 @@
 #[test]
 fn record_crash_common_cause() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     let parts = [&[70, 71][..], &[72], &[71, 72], &[70], &[], &[]];
     for (i, parts) in parts.into_iter().enumerate() {
         let at = now + Duration::from_millis(10) * i as u32;
@@ -87,7 +87,7 @@
 #[test]
 fn record_crash_part_in_most_of_a_group() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     for (engine, parts) in [("a", &[HARMFUL][..]), ("b", &[75]), ("c", &[HARMFUL, 76])] {
         attribution.record_crash(now, crash(engine, now, parts));
     }
@@ -98,7 +98,7 @@
 #[test]
 fn record_crash_reports_of_several_gateways() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     for ms in [0, 5, 300] {
         let at = now + Duration::from_millis(ms);
         attribution.record_crash(at, crash("a", at, &[80]));
@@ -111,7 +111,7 @@
 #[test]
 fn blocked_part_again_after_block() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     for i in 0..2 {
         let at = now + SECOND * i;
         attribution.record_crash(at, crash(&format!("e-{i}"), at, &[HARMFUL]));
@@ -127,7 +127,7 @@
 #[test]
 fn crashes_restore_blocks() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     for i in 0..3 {
         let at = now + SECOND * i;
         attribution.record_crash(
@@ -135,24 +135,24 @@
             crash(&format!("e-{i}"), at, &[HARMFUL, 90 + u64::from(i)]),
         );
     }
-    let mut restarted = CrashAttribution::default();
+    let mut restarted = CrashAttribution::new(Duration::ZERO);
     let crashes: Vec<TargetCrash> = attribution.crashes().cloned().collect();
     for crash in crashes.into_iter().rev() {
         restarted.record_crash(now + 4 * SECOND, crash);
     }
     let prompt = prompt(&[HARMFUL]);
     let later = now + 5 * SECOND;
-    assert!(restarted.blocked(later, &prompt).is_some());
+    assert!(restarted.blocked(later, &prompt, None).is_some());
     assert_eq!(
-        restarted.blocked(later, &prompt),
-        attribution.blocked(later, &prompt)
+        restarted.blocked(later, &prompt, None),
+        attribution.blocked(later, &prompt, None)
     );
 }
 
 #[test]
 fn record_crash_is_bounded() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     for i in 0..1000 {
         let at = now + SECOND * i;
         let parts: Vec<PartId> = (0..1000).map(|part| u64::from(i) * 1000 + part).collect();
@@ -180,7 +180,7 @@
 
 fn is_content_blocked(attribution: &CrashAttribution, now: Instant, content: ContentId) -> bool {
     attribution
-        .blocked(now, &[Suspect::Content(content)])
+        .blocked(now, &[Suspect::Content(content)], None)
         .is_some()
 }
 
@@ -188,7 +188,7 @@
 #[test]
 fn record_crash_only_request() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     let blocked = attribution.record_crash(now, content_crash("a", now, &[REPEATED]));
     assert_eq!(blocked[0].suspect, Suspect::Content(REPEATED));
     assert!(!is_content_blocked(&attribution, now, 3));
@@ -204,7 +204,7 @@
 #[test]
 fn record_crash_several_requests() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     attribution.record_crash(now, content_crash("a", now, &[REPEATED, 20, 21]));
     for content in [REPEATED, 20, 21] {
         assert!(is_content_blocked(&attribution, now, content));
@@ -221,7 +221,7 @@
 #[test]
 fn record_crash_many_requests() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     let contents: Vec<ContentId> = (0..20).collect();
     attribution.record_crash(now, content_crash("a", now, &contents));
     for content in contents {
@@ -236,7 +236,7 @@
 #[test]
 fn record_crash_explained_by_part() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     for i in 0..2 {
         let at = now + SECOND * i;
         let mut crash = content_crash(&format!("t-{i}"), at, &[25 + u64::from(i)]);
@@ -253,7 +253,7 @@
 #[test]
 fn record_completion_clears_request() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     attribution.record_crash(now, content_crash("a", now, &[REPEATED, 40]));
     attribution.record_completion(now + SECOND, &[Suspect::Content(40)]);
     assert!(!is_content_blocked(&attribution, now + SECOND, 40));
@@ -264,7 +264,7 @@
 #[test]
 fn record_crash_after_completion() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     attribution.record_completion(now, &[Suspect::Content(50)]);
     for i in 1..4 {
         let at = now + SECOND * i;
@@ -277,7 +277,7 @@
 #[test]
 fn record_crash_common_cause_of_requests() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     for i in 0..3 {
         let at = now + Duration::from_millis(10) * i;
         let crash = content_crash(&format!("t-{i}"), at, &[60 + u64::from(i)]);
@@ -292,7 +292,7 @@
 #[test]
 fn record_crash_keeps_explained_crashes() {
     let now = Instant::now();
-    let mut attribution = CrashAttribution::default();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
     for i in 0..3 {
         let at = now + SECOND * i;
         attribution.record_crash(at, content_crash(&format!("t-{i}"), at, &[REPEATED]));
@@ -304,3 +304,65 @@
     let later = now + 1000 * SECOND;
     assert!(is_content_blocked(&attribution, later, REPEATED));
 }
+
+/// Returns an attribution that blocks [`COMMON`], which all requests for a service have.
+fn block_common(now: Instant) -> CrashAttribution {
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
+    for i in 0..2 {
+        attribution.record_crash(now, crash(&format!("e-{i}"), now, &[COMMON]));
+    }
+    for _ in 0..20 {
+        attribution.record_request("s", &prompt(&[COMMON]));
+    }
+    assert!(is_blocked(&attribution, now, &[COMMON]));
+    attribution
+}
+
+/// Guards against the failure in which a block kept out all requests that could have ended it: the request that tests what all
+/// have is not blocked, and ends the block when it completes.
+#[test]
+fn begin_trial_completes() {
+    let now = Instant::now();
+    let mut attribution = block_common(now);
+    let suspects = prompt(&[COMMON]);
+    let (trial, tested) = attribution.begin_trial(now, "s", &suspects).unwrap();
+    assert_eq!(tested, suspects);
+    assert_eq!(attribution.blocked(now, &suspects, Some(trial)), None);
+    let refused = attribution.blocked(now, &suspects, None).unwrap();
+    assert!(refused.until < now + FIRST_PART_BLOCK_TIME);
+    attribution.record_completion(now, &suspects);
+    assert!(!is_blocked(&attribution, now, &[COMMON]));
+    assert!(attribution.begin_trial(now, "s", &suspects).is_none());
+}
+
+/// The part that all requests have does crash targets: a trial costs one, and no request is sent until the block ends. From
+/// then on one request at a time is.
+#[test]
+fn begin_trial_crashes() {
+    let now = Instant::now();
+    let mut attribution = block_common(now);
+    let suspects = prompt(&[COMMON]);
+    let (trial, _) = attribution.begin_trial(now, "s", &suspects).unwrap();
+    let later = now + SECOND;
+    attribution.record_crash(later, crash("e-2", later, &[COMMON]));
+    attribution.end_trial(later, trial);
+    let end = later + 2 * FIRST_PART_BLOCK_TIME;
+    for at in [later, end - SECOND] {
+        assert!(attribution.begin_trial(at, "s", &suspects).is_none());
+        assert!(is_blocked(&attribution, at, &[COMMON]));
+    }
+    assert!(is_blocked(&attribution, end, &[COMMON]));
+    assert!(attribution.begin_trial(end, "s", &suspects).is_some());
+    assert!(attribution.begin_trial(end, "s", &suspects).is_none());
+}
+
+#[test]
+fn is_suspected_unless_cleared() {
+    let now = Instant::now();
+    let mut attribution = CrashAttribution::new(Duration::ZERO);
+    attribution.record_completion(now, &prompt(&[COMMON]));
+    attribution.record_crash(now, crash("a", now, &[COMMON, HARMFUL]));
+    let (common, harmful) = (Suspect::Part(COMMON), Suspect::Part(HARMFUL));
+    assert!(attribution.is_cleared(now, &common) && !attribution.is_suspected(&common));
+    assert!(!attribution.is_cleared(now, &harmful) && attribution.is_suspected(&harmful));
+}
--- a/laburnumlug-policy/src/crash_blame.rs
+++ b/laburnumlug-policy/src/crash_blame.rs
@@ -44,6 +44,7 @@
             let block = BlockedSuspect {
                 suspect: part,
                 crashes: count,
+                latest_at: latest.at,
                 until: latest.at + part_block_time(count),
             };
             blocked.insert(part, block);
@@ -83,6 +84,7 @@
                 let block = BlockedSuspect {
                     suspect: content,
                     crashes: max,
+                    latest_at: crash.at,
                     until,
                 };
                 blocked.insert(content, block);
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -107,6 +107,7 @@
 mod software_history;
 mod stream_origins;
 mod subset;
+mod suspect_trial;
 mod target_status;
 mod usage_counts;
 mod usage_meter;
@@ -161,7 +162,9 @@
 pub use crate::route::{
     ByRole, Candidate, LeastQueue, PredictedFinish, ReportedLoad, RouteQuery, Router, router,
 };
-pub use crate::running_requests::{Progress, RunId, RunningRequest, RunningRequests};
+pub use crate::running_requests::{
+    DECODE_START_TIME, Progress, RunId, RunningRequest, RunningRequests, has_been_outlasted,
+};
 pub use crate::server_count::{
     OrderReason, ServerCount, ServerOrder, ServiceLoad, StandingOrder, ZoneTargets,
 };
@@ -169,6 +172,7 @@
 pub use crate::software_history::{AssumedOrigin, SoftwareHistory};
 pub use crate::stream_origins::StreamOrigins;
 pub use crate::subset::select_subset;
+pub use crate::suspect_trial::TrialId;
 pub use crate::target_status::{Decline, TargetStatus};
 pub use crate::usage_counts::{ChangeNumber, ChangedCounts, UsageCounts, window_at};
 pub use crate::usage_meter::{MeteredId, UsageMeter};
--- a/laburnumlug-policy/src/running_requests.rs
+++ b/laburnumlug-policy/src/running_requests.rs
@@ -6,7 +6,7 @@
 use crate::crash_attribution::Suspect;
 
 /// Time after its first event within which a stream still counts as beginning to be decoded.
-const DECODE_START_TIME: Duration = Duration::from_millis(200);
+pub const DECODE_START_TIME: Duration = Duration::from_millis(200);
 
 /// Added to the expected time until an answer begins, which is zero where nothing has to be prefilled.
 const START_OVERHEAD: Duration = Duration::from_millis(50);
@@ -20,6 +20,24 @@
 /// expected to begin. From then on, it grows with the time since the first event.
 pub type Progress = u64;
 
+/// Share of the progress at a crash, in thousandths, from which a request has got nearly as far.
+const NEARLY_AS_FAR: u64 = 900;
+
+/// Number of running requests from which it matters how many have got nearly as far.
+const MIN_COMPARED: usize = 4;
+
+/// Returns whether requests with a suspect run at other targets although they have got as far as those of a crashed target,
+/// whose progress was `at_crash`. Then they have nothing to do with the crash.
+///
+/// What crashes targets crashes each one that gets as far. If most requests have got nearly as far as the furthest of the crashed
+/// target, they were sent at about the same time, and which of them was first says nothing.
+pub fn has_been_outlasted(at_crash: Progress, running: &[Progress]) -> bool {
+    let nearly = at_crash.saturating_mul(NEARLY_AS_FAR) / 1000;
+    let nearly_as_far = running.iter().filter(|progress| **progress >= nearly);
+    let are_most = 2 * nearly_as_far.count() > running.len() && running.len() >= MIN_COMPARED;
+    are_most || running.iter().any(|progress| *progress >= at_crash)
+}
+
 /// Identifies a running request at its target.
 pub type RunId = u64;
 
--- a/laburnumlug-policy/src/running_requests_tests.rs
+++ b/laburnumlug-policy/src/running_requests_tests.rs
@@ -50,3 +50,38 @@
     running.begin(request(later, 10));
     assert_eq!(progress(&running, later), [0]);
 }
+
+/// Guards against the failure in which a part that all prompts share was blocked after two crashes during the first
+/// prompts, while requests with it that had got as far ran at the other servers.
+#[test]
+fn has_been_outlasted_by_request_as_far() {
+    assert!(has_been_outlasted(241, &[120, 242]));
+    assert!(has_been_outlasted(241, &[FIRST_EVENT_PROGRESS]));
+    let begun = FIRST_EVENT_PROGRESS + 50;
+    assert!(!has_been_outlasted(begun, &[900, FIRST_EVENT_PROGRESS]));
+}
+
+/// All requests were sent at about the same time, and those of the crashed target happen to have been first.
+#[test]
+fn has_been_outlasted_sent_together() {
+    assert!(has_been_outlasted(242, &[241; 7]));
+    assert!(has_been_outlasted(1000, &[200, 901, 905, 950]));
+}
+
+/// A part that crashes engines when they begin to decode it, in prompts that were sent one after the other.
+#[test]
+fn has_been_outlasted_harmful_part() {
+    let running: Vec<Progress> = (1..10).map(|i| i * 100).collect();
+    assert!(!has_been_outlasted(1050, &running));
+    assert!(!has_been_outlasted(1050, &[1000]));
+    assert!(!has_been_outlasted(1050, &[]));
+}
+
+/// Earlier versions do not report how far their requests had got.
+#[test]
+fn has_been_outlasted_unknown_progress() {
+    assert!(!has_been_outlasted(
+        Progress::MAX,
+        &[FIRST_EVENT_PROGRESS; 9]
+    ));
+}
--- a/src/engine_event.rs
+++ b/src/engine_event.rs
@@ -115,6 +115,25 @@
         /// Hashes of what the requests asked for that the target was beginning to run.
         #[serde(default)]
         contents: Vec<u64>,
+        /// How far the target had got at most with requests that have each part, and then each content.
+        #[serde(default)]
+        progress: Vec<u64>,
+    },
+    /// Requests have completed with what crashed targets were beginning to run.
+    #[serde(rename = "Cleared")]
+    SuspectsCleared {
+        /// Parts of prompts.
+        parts: Vec<u64>,
+        /// Hashes of what the requests asked for.
+        contents: Vec<u64>,
+    },
+    /// The sender is about to send a request that tests whether what it blocks does crash targets.
+    #[serde(rename = "Tested")]
+    SuspectsTested {
+        /// Parts of the prompt.
+        parts: Vec<u64>,
+        /// Hashes of what the request asks for.
+        contents: Vec<u64>,
     },
     /// Rate at which an engine prefills, as the sender has measured it.
     #[serde(rename = "Rate")]
