Suspect again what got as far at a target that crashed later

The suspects that are dropped from a crash are kept for two seconds, and checked again when another target crashes, whose requests no longer count.

The module of reports and that of trials are files of their own.

--- a/laburnumlug-forward/src/crashes.rs
+++ b/laburnumlug-forward/src/crashes.rs
@@ -1,29 +1,20 @@
 //! Detection of crashed targets from broken connections, and refusal of the requests that crash targets.
 
-use std::collections::HashMap;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use futures_util::future::{Either, select};
-use laburnumlug::{EngineEvent, TargetName, Verdict};
-use laburnumlug_policy::{
-    BlockedSuspect, ContentId, PartId, Progress, RunId, RunningRequest, Suspect, TargetCrash,
-    TrialId, has_been_outlasted,
-};
+use laburnumlug::Verdict;
+use laburnumlug_policy::{BlockedSuspect, RunId, RunningRequest, Suspect, TargetCrash};
 
 use crate::attempt::CallerRequest;
 use crate::attempt_failure::AttemptFailure;
+use crate::crash_reports::describe;
 use crate::forwarder::Forwarder;
 use crate::refusal::FailureCause;
 use crate::registry::TargetHandle;
 
-/// A suspect, and how far requests with it have got.
-pub(crate) type SuspectProgress = (Suspect, Progress);
-
-/// Maximum age of a reported crash to which a gateway adds its own requests.
-const UNFINISHED_REPORT_TIME: Duration = Duration::from_millis(500);
-
 /// Maximum time for which a retry, or an answer in doubt, waits for the check whether its target has crashed.
 pub(crate) const MAX_CRASH_CHECK_TIME: Duration = Duration::from_millis(100);
 
@@ -75,19 +66,6 @@
     }
 }
 
-/// Ends the trial of a request's suspects when it is dropped.
-pub(crate) struct TrialGuard {
-    forwarder: Rc<Forwarder>,
-    id: TrialId,
-}
-
-impl Drop for TrialGuard {
-    fn drop(&mut self) {
-        let mut crash_attribution = self.forwarder.crash_attribution.borrow_mut();
-        crash_attribution.end_trial(Instant::now(), self.id);
-    }
-}
-
 impl Forwarder {
     /// Starts a check whether a target has crashed, after the connection of a request broke that it was beginning to run.
     ///
@@ -127,137 +105,7 @@
         }
     }
 
-    /// Records a crash and reports it to the other gateways.
-    fn report_crash(&self, now: Instant, target: &TargetHandle) {
-        let suspects = target.unfinished_requests.borrow_mut().take(now);
-        self.publish_crash(now, target, suspects);
-    }
-
-    /// Reports the requests of this process that a target was beginning to run when it crashed, as another gateway
-    /// reported `age` ago.
-    ///
-    /// The requests may have ended otherwise, for instance because their callers had left, so that this process does
-    /// not check the target itself.
-    pub(crate) fn report_unfinished_requests(
-        &self,
-        now: Instant,
-        target: &TargetHandle,
-        age: Duration,
-    ) {
-        if age >= UNFINISHED_REPORT_TIME {
-            return;
-        }
-        let suspects = target.unfinished_requests.borrow_mut().take(now);
-        if !suspects.is_empty() {
-            self.publish_crash(now, target, suspects);
-        }
-    }
-
-    fn publish_crash(&self, now: Instant, target: &TargetHandle, suspects: Vec<SuspectProgress>) {
-        target.running.borrow_mut().record_crash(now);
-        let has_suspects = !suspects.is_empty();
-        let described = describe(&suspects);
-        let (mut suspects, elsewhere) = self.split_outlasted(now, suspects);
-        let crash_attribution = self.crash_attribution.borrow();
-        suspects.retain(|(suspect, _)| !crash_attribution.is_cleared(now, suspect));
-        drop(crash_attribution);
-        if has_suspects {
-            log::warn!(
-                target = target.instance.as_str(), suspects = described.as_str(),
-                elsewhere = describe(&elsewhere).as_str(), remaining = describe(&suspects).as_str();
-                "the target crashed: it was beginning to run requests of this gateway"
-            );
-        }
-        let (target, age_ms) = (target.instance.clone(), 0);
-        let progress = suspects.iter().map(|(_, progress)| *progress).collect();
-        let suspects: Vec<Suspect> = suspects.into_iter().map(|(suspect, _)| suspect).collect();
-        let (parts, contents) = split_suspects(&suspects);
-        self.engine_requests.publish(EngineEvent::TargetCrashed {
-            target: target.clone(),
-            age_ms,
-            parts,
-            contents,
-            progress,
-        });
-        let crash = TargetCrash {
-            target,
-            at: now,
-            suspects,
-        };
-        self.record_crash(now, crash);
-    }
-
-    /// Splits the suspects of a crash into those that may have caused it, parts first, and those that have got as far at
-    /// other targets, with the furthest progress there.
-    fn split_outlasted(
-        &self,
-        now: Instant,
-        suspects: Vec<SuspectProgress>,
-    ) -> (Vec<SuspectProgress>, Vec<SuspectProgress>) {
-        let progress_of = self.running_progress(now, &suspects);
-        let is_outlasted = |(suspect, progress): &SuspectProgress| {
-            has_been_outlasted(*progress, &progress_of[suspect])
-        };
-        let (outlasted, mut remaining): (Vec<_>, Vec<_>) =
-            suspects.into_iter().partition(is_outlasted);
-        remaining.sort_by_key(|(suspect, _)| matches!(suspect, Suspect::Content(_)));
-        let furthest = |(suspect, _): SuspectProgress| {
-            let furthest = progress_of[&suspect].iter().max().copied();
-            (suspect, furthest.unwrap_or_default())
-        };
-        (remaining, outlasted.into_iter().map(furthest).collect())
-    }
-
-    /// Returns how far the running requests with each of these suspects have got, at targets that are not known to have
-    /// crashed or to be out of reach.
-    fn running_progress(
-        &self,
-        now: Instant,
-        suspects: &[SuspectProgress],
-    ) -> HashMap<Suspect, Vec<Progress>> {
-        let suspects = suspects.iter().map(|(suspect, _)| *suspect);
-        let mut progress_of: HashMap<Suspect, Vec<Progress>> =
-            suspects.map(|suspect| (suspect, Vec::new())).collect();
-        for target in self.recent_targets() {
-            let is_suspected = target.health.borrow().is_suspected(now);
-            if !is_suspected && !target.is_doubted.get() {
-                let running = target.running.borrow();
-                running.collect_progress(now, &mut progress_of);
-            }
-        }
-        progress_of
-    }
-
-    /// Records a crash that another gateway reported `age` ago, and reports those of its suspects that have completed.
-    pub(crate) fn record_remote_crash(
-        &self,
-        now: Instant,
-        target: &TargetName,
-        age: Duration,
-        suspects: Vec<SuspectProgress>,
-    ) {
-        let at = now.checked_sub(age).unwrap_or(now);
-        if let Some(target) = self.live_target(target) {
-            target.running.borrow_mut().record_crash(at);
-        }
-        let (suspects, _) = self.split_outlasted(now, suspects);
-        let suspects: Vec<Suspect> = suspects.into_iter().map(|(suspect, _)| suspect).collect();
-        // The other gateway may have started since they completed.
-        let crash_attribution = self.crash_attribution.borrow();
-        let cleared = suspects.iter().copied();
-        let cleared = cleared.filter(|suspect| crash_attribution.is_cleared(now, suspect));
-        let cleared: Vec<Suspect> = cleared.collect();
-        drop(crash_attribution);
-        self.publish_cleared(&cleared);
-        let crash = TargetCrash {
-            target: target.clone(),
-            at,
-            suspects,
-        };
-        self.record_crash(now, crash);
-    }
-
-    fn record_crash(&self, now: Instant, crash: TargetCrash) {
+    pub(crate) fn record_crash(&self, now: Instant, crash: TargetCrash) {
         let blocked = self.crash_attribution.borrow_mut().record_crash(now, crash);
         self.apply_blocks(now, blocked);
     }
@@ -292,42 +140,6 @@
         self.apply_blocks(now, blocked);
     }
 
-    fn publish_cleared(&self, suspects: &[Suspect]) {
-        if !suspects.is_empty() {
-            let (parts, contents) = split_suspects(suspects);
-            let event = EngineEvent::SuspectsCleared { parts, contents };
-            self.engine_requests.publish(event);
-        }
-    }
-
-    /// Records that a request for a service has arrived. If it is blocked, it may become the trial of its suspects, until the
-    /// returned guard is dropped.
-    pub(crate) fn begin_trial(
-        self: &Rc<Self>,
-        now: Instant,
-        service: &str,
-        request: &CallerRequest,
-    ) -> Option<TrialGuard> {
-        let suspects = request.suspects();
-        let mut crash_attribution = self.crash_attribution.borrow_mut();
-        crash_attribution.record_request(service, &suspects);
-        let (id, tested) = crash_attribution.begin_trial(now, service, &suspects)?;
-        drop(crash_attribution);
-        request.trial.set(Some(id));
-        let (parts, contents) = split_suspects(&tested);
-        log::warn!(
-            request_id = request.metadata.id.as_str(), parts = hex(&parts).as_str(),
-            contents = hex(&contents).as_str();
-            "a request tests whether what is blocked crashes targets, as most requests have it"
-        );
-        let event = EngineEvent::SuspectsTested { parts, contents };
-        self.engine_requests.publish(event);
-        Some(TrialGuard {
-            forwarder: self.clone(),
-            id,
-        })
-    }
-
     /// Logs new blocks, and wakes the attempts that have to be cancelled because of them.
     fn apply_blocks(&self, now: Instant, blocked: Vec<BlockedSuspect>) {
         if !blocked.is_empty() {
@@ -381,13 +193,6 @@
         }
     }
 
-    /// Returns the events that describe the known crashes.
-    pub(crate) fn crash_events(&self, now: Instant) -> Vec<EngineEvent> {
-        let crash_attribution = self.crash_attribution.borrow();
-        let crashes = crash_attribution.crashes();
-        crashes.map(|crash| crash_event(now, crash)).collect()
-    }
-
     /// Checks that neither a request nor a part of its prompt is blocked.
     pub(crate) fn check_not_blocked(
         &self,
@@ -419,52 +224,3 @@
         })
     }
 }
-
-/// Returns suspects as `part` or `content` with a hexadecimal id and the progress of their requests, separated by spaces.
-fn describe(suspects: &[SuspectProgress]) -> String {
-    let describe = |(suspect, progress): &SuspectProgress| match suspect {
-        Suspect::Part(part) => format!("part:{part:x}@{progress}"),
-        Suspect::Content(content) => format!("content:{content:x}@{progress}"),
-    };
-    let described: Vec<String> = suspects.iter().map(describe).collect();
-    described.join(" ")
-}
-
-/// Returns ids as hexadecimal numbers, separated by spaces.
-fn hex(ids: &[u64]) -> String {
-    let ids: Vec<String> = ids.iter().map(|id| format!("{id:x}")).collect();
-    ids.join(" ")
-}
-
-/// Returns an event that describes a known crash.
-fn crash_event(now: Instant, crash: &TargetCrash) -> EngineEvent {
-    let (parts, contents) = split_suspects(&crash.suspects);
-    EngineEvent::TargetCrashed {
-        target: crash.target.clone(),
-        age_ms: now.saturating_duration_since(crash.at).as_millis() as u64,
-        parts,
-        contents,
-        progress: Vec::new(),
-    }
-}
-
-/// Returns the parts and the contents among suspects.
-fn split_suspects(suspects: &[Suspect]) -> (Vec<PartId>, Vec<ContentId>) {
-    let parts = suspects.iter().filter_map(|suspect| match suspect {
-        Suspect::Part(part) => Some(*part),
-        Suspect::Content(_) => None,
-    });
-    let contents = suspects.iter().filter_map(|suspect| match suspect {
-        Suspect::Part(_) => None,
-        Suspect::Content(content) => Some(*content),
-    });
-    (parts.collect(), contents.collect())
-}
-
-/// Returns parts and then contents as suspects.
-pub(crate) fn join_suspects(parts: Vec<PartId>, contents: Vec<ContentId>) -> Vec<Suspect> {
-    let parts = parts.into_iter().map(Suspect::Part);
-    parts
-        .chain(contents.into_iter().map(Suspect::Content))
-        .collect()
-}
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -10,7 +10,7 @@
     FIRST_TOKEN_OVERHEAD, PrefillId, Progress, PromptParts, RunId, RunningRequest, cache_reports,
 };
 
-use crate::crashes::join_suspects;
+use crate::crash_reports::join_suspects;
 use crate::customer_shares::{SentWork, ServiceShares};
 use crate::demand::DemandTotals;
 use crate::forwarder::Forwarder;
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -20,6 +20,7 @@
 
 use crate::cache_reports::CacheReportQueue;
 use crate::config::ForwardConfig;
+use crate::crash_reports::OutlastedSuspects;
 use crate::engine_requests::EngineRequests;
 use crate::header_codec::HeaderCodec;
 use crate::observer::ForwardObserver;
@@ -74,6 +75,8 @@
     observer: RefCell<Option<Rc<dyn ForwardObserver>>>,
     pub(crate) engine_requests: EngineRequests,
     pub(crate) crash_attribution: RefCell<CrashAttribution>,
+    /// Suspects of recent crashes that got as far at other targets.
+    pub(crate) outlasted_suspects: RefCell<Vec<OutlastedSuspects>>,
     pub(crate) stream_origins: RefCell<StreamOrigins>,
     pub(crate) software_histories: RefCell<HashMap<ServiceName, SoftwareHistory>>,
     /// Whether the control replicas have reported which software versions they have recorded, since this process last was
@@ -109,6 +112,7 @@
             observer: RefCell::default(),
             engine_requests: EngineRequests::new(),
             crash_attribution: RefCell::new(CrashAttribution::new(random_trial_delay())),
+            outlasted_suspects: RefCell::default(),
             stream_origins: RefCell::default(),
             software_histories: RefCell::default(),
             knows_software_records: Cell::default(),
--- a/laburnumlug-forward/src/lib.rs
+++ b/laburnumlug-forward/src/lib.rs
@@ -30,6 +30,7 @@
 mod buffered;
 mod cache_reports;
 mod config;
+mod crash_reports;
 mod crashes;
 mod customer_shares;
 mod customers;
@@ -56,6 +57,7 @@
 mod stream;
 mod stream_origins;
 mod target_statements;
+mod trials;
 mod unframed;
 mod usage;
 
--- a/laburnumlug-forward/src/stream/mod.rs
+++ b/laburnumlug-forward/src/stream/mod.rs
@@ -18,13 +18,13 @@
 use self::upstream::Upstream;
 use crate::attempt::CallerRequest;
 use crate::attempt_failure::AttemptFailure;
-use crate::crashes::TrialGuard;
 use crate::engine_selection::EngineSelection;
 use crate::forwarder::Forwarder;
 use crate::refusal::{FailureCause, Refusal};
 use crate::registry::{TargetHandle, can_respond};
 use crate::routes::RouteTable;
 use crate::stream_origins::RequiredSoftware;
+use crate::trials::TrialGuard;
 
 /// Maximum number of targets tried beyond the route's maximum number of attempts; a target that could not be connected
 /// to has not received the request, so it does not count as an attempt.
