Check suspects again once for each crash, and reword comments

Each of up to 70 gateways reports a crash, and each report had up to 64 earlier ones compared with all running requests again. Only the first report of a crash can change what runs, so only that one does now.

--- a/laburnumlug-forward/src/crash_reports.rs
+++ b/laburnumlug-forward/src/crash_reports.rs
@@ -59,8 +59,9 @@
 
     fn publish_crash(&self, now: Instant, target: &TargetHandle, suspects: Vec<SuspectProgress>) {
         let suspects = with_remote_progress(now, target, suspects);
-        target.running.borrow_mut().record_crash(now);
-        self.restore_outlasted(now);
+        if target.running.borrow_mut().record_crash(now) {
+            self.restore_outlasted(now);
+        }
         let described = describe(&suspects);
         let (remaining, outlasted) = self.split_outlasted(now, suspects);
         if !described.is_empty() {
@@ -199,10 +200,10 @@
         suspects: Vec<SuspectProgress>,
     ) {
         let at = now.checked_sub(age).unwrap_or(now);
-        if let Some(target) = self.live_target(target) {
-            target.running.borrow_mut().record_crash(at);
+        let live_target = self.live_target(target);
+        if live_target.is_some_and(|target| target.running.borrow_mut().record_crash(at)) {
+            self.restore_outlasted(now);
         }
-        self.restore_outlasted(now);
         let (remaining, outlasted) = self.split_outlasted(now, suspects);
         let outlasted = OutlastedSuspects {
             target: target.clone(),
@@ -305,3 +306,14 @@
         .chain(contents.into_iter().map(Suspect::Content))
         .collect()
 }
+
+/// Returns the suspects of a reported crash with their progress, which earlier versions do not report.
+pub(crate) fn reported_suspects(
+    parts: Vec<PartId>,
+    contents: Vec<ContentId>,
+    progress: Vec<Progress>,
+) -> Vec<SuspectProgress> {
+    let unknown = std::iter::repeat(Progress::MAX);
+    let suspects = join_suspects(parts, contents).into_iter();
+    suspects.zip(progress.into_iter().chain(unknown)).collect()
+}
--- a/laburnumlug-forward/src/engine_requests.rs
+++ b/laburnumlug-forward/src/engine_requests.rs
@@ -7,10 +7,10 @@
 
 use laburnumlug::{BootTime, CustomerId, DemandReport, EngineEvent, SendNumber, StreamOrigin};
 use laburnumlug_policy::{
-    FIRST_TOKEN_OVERHEAD, PrefillId, Progress, PromptParts, RunId, RunningRequest, cache_reports,
+    FIRST_TOKEN_OVERHEAD, PrefillId, PromptParts, RunId, RunningRequest, cache_reports,
 };
 
-use crate::crash_reports::join_suspects;
+use crate::crash_reports::{join_suspects, reported_suspects};
 use crate::customer_shares::{SentWork, ServiceShares};
 use crate::demand::DemandTotals;
 use crate::forwarder::Forwarder;
@@ -340,9 +340,7 @@
                 progress,
             } => {
                 let age = Duration::from_millis(age_ms);
-                let suspects = join_suspects(parts, contents);
-                let progress = progress.into_iter().chain(std::iter::repeat(Progress::MAX));
-                let suspects = suspects.into_iter().zip(progress).collect();
+                let suspects = reported_suspects(parts, contents, progress);
                 self.record_remote_crash(now, &target, age, suspects);
                 if let Some(target) = self.live_target(&target) {
                     self.report_unfinished_requests(now, &target, age);
--- a/laburnumlug-forward/src/engine_selection.rs
+++ b/laburnumlug-forward/src/engine_selection.rs
@@ -181,8 +181,8 @@
 const MAX_TRANSFERRED_TOKENS: u64 = 10_000_000;
 
 impl Forwarder {
-    /// Returns the expected time until the answer to a prompt begins that is sent now, with this prefill work. Without any, the
-    /// target transfers the KV cache from another engine, unless it is not known to be an engine.
+    /// Returns the expected time until the answer to a prompt begins that is sent now, with this prefill work. Without any, an
+    /// engine first transfers the KV cache from another one.
     pub(crate) fn expected_start(
         &self,
         now: Instant,
@@ -201,7 +201,7 @@
             _ if work > 0 => {
                 prefill_queue.waiting_time(now, priority) + prefill_queue.prefill_time(work)
             }
-            // The time of a server that is not a known engine is not predicted, but grows with its prompt.
+            // The work of a server without a role is not predicted, but grows with the prompt.
             _ if listing.role.is_none() => prefill_queue.prefill_time(tokens),
             Some(per_token) => per_token.mul_f64(tokens.min(MAX_TRANSFERRED_TOKENS) as f64),
             None => Duration::ZERO,
--- a/laburnumlug-policy/src/crash_attribution.rs
+++ b/laburnumlug-policy/src/crash_attribution.rs
@@ -11,7 +11,7 @@
 use crate::suspect_trial::{SuspectTrials, TrialId};
 
 /// Time within which reports about the same target concern the same crash.
-const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
+pub(crate) const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
 
 /// How long a crash is remembered.
 const CRASH_RETENTION: Duration = Duration::from_secs(3600);
--- a/laburnumlug-policy/src/running_requests.rs
+++ b/laburnumlug-policy/src/running_requests.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use crate::crash_attribution::Suspect;
+use crate::crash_attribution::{SAME_CRASH_TIME, Suspect};
 
 /// Time after its first event within which a stream still counts as beginning to be decoded.
 pub const DECODE_START_TIME: Duration = Duration::from_millis(200);
@@ -33,8 +33,9 @@
 /// nothing to do with the crash. `at_crash` is the progress of its furthest request there, and `elsewhere` that at each other
 /// target which runs any.
 ///
-/// What crashes targets crashes each one that gets as far. A single target may only be slow, as progress is the time that has
-/// passed, so it is no evidence. If most have got nearly as far, the requests were sent at about the same time, and which was first says nothing.
+/// What crashes targets crashes each one that gets as far. Progress is the time that has passed, so a single target may only be
+/// slow, and is no evidence. If most have got nearly as far, the requests were sent at about the same time, and which was
+/// first says nothing.
 pub fn has_been_outlasted(at_crash: Progress, elsewhere: &[Progress]) -> bool {
     let count_from = |least: Progress| elsewhere.iter().filter(|p| **p >= least).count();
     let as_far = count_from(at_crash);
@@ -126,9 +127,11 @@
         self.requests.remove(&id)
     }
 
-    /// Records a crash of the target, which ends its requests.
-    pub fn record_crash(&mut self, at: Instant) {
-        self.crashed_at = self.crashed_at.max(Some(at));
+    /// Records a crash of the target, which ends its requests, and returns whether it has not been reported before.
+    pub fn record_crash(&mut self, at: Instant) -> bool {
+        let known = self.crashed_at;
+        self.crashed_at = known.max(Some(at));
+        known.is_none_or(|known| known + SAME_CRASH_TIME <= at)
     }
 
     /// Returns how far the furthest request with each of some suspects has got, if there is any.
--- a/laburnumlug-policy/src/running_requests_tests.rs
+++ b/laburnumlug-policy/src/running_requests_tests.rs
@@ -43,11 +43,13 @@
     let mut running = RunningRequests::default();
     running.begin(request(now, 10));
     let crashed_at = now + Duration::from_millis(5);
-    running.record_crash(crashed_at);
+    assert!(running.record_crash(crashed_at));
     assert_eq!(furthest(&running, crashed_at), None);
     let later = crashed_at + Duration::from_millis(1);
     running.begin(request(later, 10));
     assert_eq!(furthest(&running, later), Some(0));
+    assert!(!running.record_crash(crashed_at));
+    assert!(running.record_crash(crashed_at + SAME_CRASH_TIME));
 }
 
 /// Guards against the failure in which a part that all prompts share was blocked after two crashes during the first
