Let one gateway begin the trial after a block, too

The gateways wait for different times after a crash before one of them tests what all block, but not after the end of a block that a failed trial has prolonged: each could send a request at once, and each cost a target. They wait there, too. begin_after_delay checks both; its new half fails on the commit before.

--- a/laburnumlug-policy/src/suspect_trial.rs
+++ b/laburnumlug-policy/src/suspect_trial.rs
@@ -48,7 +48,7 @@
 /// Trials of suspects, and the latest requests of each service.
 #[derive(Clone, Debug)]
 pub(crate) struct SuspectTrials {
-    /// Time after a crash before which no trial begins.
+    /// Time after a crash, and after the end of a block, before which no trial begins.
     delay: Duration,
     last_id: TrialId,
     recent: HashMap<ServiceName, VecDeque<Vec<Suspect>>>,
@@ -162,7 +162,7 @@
             _ if now < blocked.latest_at + self.delay => false,
             None => self.is_common(service, &blocked.suspect),
             Some(trial) if trial.running.is_some() || now < trial.until => false,
-            Some(trial) => !self.has_failed(trial, blocked) || blocked.until <= now,
+            Some(trial) => !self.has_failed(trial, blocked) || blocked.until + self.delay <= now,
         }
     }
 
--- a/laburnumlug-policy/src/suspect_trial_tests.rs
+++ b/laburnumlug-policy/src/suspect_trial_tests.rs
@@ -125,7 +125,7 @@
     assert!(trials.begin(later, SERVICE, &[blocked]).is_some());
 }
 
-/// All gateways learn of a crash at about the same time. The one with the shortest delay goes first.
+/// All gateways learn of a crash, and of the end of a block, at about the same time. The one with the shortest delay goes first.
 #[test]
 fn begin_after_delay() {
     let now = Instant::now();
@@ -135,7 +135,15 @@
     let due = now + trials.delay;
     let before = due - Duration::from_millis(1);
     assert!(trials.begin(before, SERVICE, &[blocked]).is_none());
-    assert!(trials.begin(due, SERVICE, &[blocked]).is_some());
+    let id = trials.begin(due, SERVICE, &[blocked]).unwrap();
+    trials.end(due, id);
+    let again = BlockedSuspect {
+        crashes: 3,
+        ..blocked
+    };
+    assert!(trials.begin(again.until, SERVICE, &[again]).is_none());
+    let due = again.until + trials.delay;
+    assert!(trials.begin(due, SERVICE, &[again]).is_some());
 }
 
 #[test]
