Number usage windows by their exact length

Cause: a gateway and the control replicas divided Unix time by the length of the windows in whole milliseconds, and compared that length in reports in whole milliseconds. Change: numbers and ends of windows are computed in nanoseconds. Result: window_at_length_with_fraction and merge_window_with_other_fraction fail with the division and the comparison in milliseconds, and pass with the change.

--- a/laburnumlug-control/src/usage/collector.rs
+++ b/laburnumlug-control/src/usage/collector.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use laburnumlug::{CustomerCounts, Incarnation, UsageReport, WindowNumber};
-use laburnumlug_policy::{ClockOffset, window_at};
+use laburnumlug_policy::{ClockOffset, window_at, window_end};
 
 use super::{UsageConfig, UsageFix};
 
@@ -77,8 +77,7 @@
         F: Fn(WindowNumber) -> bool,
     {
         let is_known = self.gateways.contains_key(&report.sender);
-        if Duration::from_millis(report.window_ms) != self.cfg.window
-            || (!is_known && self.gateways.len() >= MAX_GATEWAYS)
+        if report.window() != self.cfg.window || (!is_known && self.gateways.len() >= MAX_GATEWAYS)
         {
             return Vec::new();
         }
@@ -170,8 +169,7 @@
     }
 
     fn end_of(&self, window: WindowNumber) -> Duration {
-        let millis = u64::try_from(self.cfg.window.as_millis()).unwrap_or(u64::MAX);
-        Duration::from_millis(window.saturating_add(1).saturating_mul(millis))
+        window_end(window, self.cfg.window)
     }
 
     fn current_window(&self, now: Instant) -> Option<WindowNumber> {
--- a/laburnumlug-control/src/usage/collector_tests.rs
+++ b/laburnumlug-control/src/usage/collector_tests.rs
@@ -26,6 +26,7 @@
     UsageReport {
         sender,
         window_ms: 5000,
+        window_ns: 0,
         time_ms: Some(UNIX_MS + at_ms),
         counted_until_ms: Some(UNIX_MS + at_ms),
         counts: counts.collect(),
@@ -174,3 +175,16 @@
         setup.due(5500) == Some((0, last(0) + last(1) + last(2)))
     }
 }
+
+/// Guards against counts that are merged although the gateway numbers its windows by another length.
+#[test]
+fn merge_window_with_other_fraction() {
+    let mut setup = Setup::new();
+    let mut other = report(1, 100, &[(0, 3)]);
+    other.set_window(CFG.window + Duration::from_micros(400));
+    setup.merge_report(100, &other);
+    assert_eq!(setup.collector.gateways(), 0);
+    other.set_window(CFG.window);
+    setup.merge_report(100, &other);
+    assert_eq!(setup.collector.gateways(), 1);
+}
--- a/laburnumlug-daemon/tests/it/usage.rs
+++ b/laburnumlug-daemon/tests/it/usage.rs
@@ -174,6 +174,7 @@
         UsageReport {
             sender: 7,
             window_ms: WINDOW_MS,
+            window_ns: 0,
             time_ms: Some(now),
             counted_until_ms: Some(now),
             counts: counts.collect(),
--- a/laburnumlug-mesh/src/message_tests.rs
+++ b/laburnumlug-mesh/src/message_tests.rs
@@ -81,6 +81,7 @@
     let usage = UsageReport {
         sender: u64::MAX,
         window_ms: 5000,
+        window_ns: 0,
         time_ms: Some(1_767_225_600_123),
         counted_until_ms: Some(1_767_225_600_000),
         counts: BTreeMap::from([(353_445_120, BTreeMap::from([("hule".to_string(), 412)]))]),
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -174,6 +174,6 @@
 pub use crate::subset::select_subset;
 pub use crate::suspect_trial::TrialId;
 pub use crate::target_status::{Decline, TargetStatus};
-pub use crate::usage_counts::{ChangeNumber, ChangedCounts, UsageCounts, window_at};
+pub use crate::usage_counts::{ChangeNumber, ChangedCounts, UsageCounts, window_at, window_end};
 pub use crate::usage_meter::{MeteredId, UsageMeter};
 pub use crate::work::{EngineLimits, WorkItem, next_to_start};
--- a/laburnumlug-policy/src/usage_counts.rs
+++ b/laburnumlug-policy/src/usage_counts.rs
@@ -111,10 +111,17 @@
 
 /// Returns the window that contains a Unix time.
 pub fn window_at(unix_time: Duration, window: Duration) -> WindowNumber {
-    let number = unix_time.as_millis() / window.as_millis().max(1);
+    let number = unix_time.as_nanos() / window.as_nanos().max(1);
     WindowNumber::try_from(number).unwrap_or(WindowNumber::MAX)
 }
 
+/// Returns the Unix time at which a window ends.
+pub fn window_end(window: WindowNumber, length: Duration) -> Duration {
+    let nanos = (u128::from(window) + 1).saturating_mul(length.as_nanos());
+    let seconds = u64::try_from(nanos / 1_000_000_000).unwrap_or(u64::MAX);
+    Duration::new(seconds, (nanos % 1_000_000_000) as u32)
+}
+
 fn is_retained(current: WindowNumber, window: WindowNumber) -> bool {
     window <= current && window + RETAINED_WINDOWS > current
 }
--- a/laburnumlug-policy/src/usage_counts_tests.rs
+++ b/laburnumlug-policy/src/usage_counts_tests.rs
@@ -63,3 +63,14 @@
     assert!(counts.count(at(100), at(100), "a"));
     assert_eq!(counts.changes_since(0, 10).counts.len(), 1);
 }
+
+/// Guards against requests in the wrong window, hours away, because the length of the windows was cut to whole milliseconds.
+#[test]
+fn window_at_length_with_fraction() {
+    let length = Duration::from_micros(9_999_600);
+    let now = Duration::from_secs(1_767_225_600);
+    let window = window_at(now, length);
+    assert_eq!(window, 176_729_629);
+    assert!(window_end(window - 1, length) <= now && now < window_end(window, length));
+    assert_eq!(window_end(0, length), length);
+}
--- a/laburnumlug-policy/src/usage_meter.rs
+++ b/laburnumlug-policy/src/usage_meter.rs
@@ -137,15 +137,16 @@
         let oldest_open = self.open.values().filter_map(OpenRequest::earliest).min();
         let counted_until = oldest_open.unwrap_or(now).min(now);
         let changed = self.counts.changes_since(known, MAX_COUNTS_PER_REPORT);
-        let report = UsageReport {
+        let mut report = UsageReport {
             sender: self.sender,
-            window_ms: millis(self.window),
             time_ms: unix_time(now).map(millis),
             counted_until_ms: unix_time(counted_until)
                 .map(millis)
                 .filter(|_| changed.is_complete),
             counts: changed.counts,
+            ..UsageReport::default()
         };
+        report.set_window(self.window);
         (report, changed.last_change)
     }
 
--- a/src/usage_report.rs
+++ b/src/usage_report.rs
@@ -1,6 +1,7 @@
 //! Numbers of requests of customers, as gateways report them to the control replicas.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -16,8 +17,12 @@
 pub struct UsageReport {
     /// Random number of the gateway process, different after each restart.
     pub sender: Incarnation,
-    /// Length of the windows in milliseconds.
+    /// Length of the windows in whole milliseconds.
     pub window_ms: u64,
+    /// Nanoseconds by which the windows are longer. Windows are numbered from 1970, so that a small difference of their length
+    /// gives other numbers.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub window_ns: u32,
     /// Unix time of sending as the gateway estimates it, in milliseconds; `None` until it can.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub time_ms: Option<u64>,
@@ -28,3 +33,20 @@
     /// Totals by window.
     pub counts: BTreeMap<WindowNumber, CustomerCounts>,
 }
+
+impl UsageReport {
+    /// Returns the length of the windows.
+    pub fn window(&self) -> Duration {
+        Duration::from_millis(self.window_ms) + Duration::from_nanos(u64::from(self.window_ns))
+    }
+
+    /// Sets the length of the windows.
+    pub fn set_window(&mut self, window: Duration) {
+        self.window_ms = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
+        self.window_ns = window.subsec_nanos() % 1_000_000;
+    }
+}
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
