Start with limits in each form that the platform may fill in

Cause: each key had a parser for the type in the code, and a value that the parser did not take ended the process. A value that is filled in from a template reaches all machines at once. Evidence: a test renders the templates of deploy/ with one field in another form at a time and starts the processes. Change: one set of parsers takes numbers with or without a point and any fraction. [process] rendered = yes, which the templates set, makes an empty limit a missing one, and replaces one that makes no sense by its default, with one error line. Names, addresses, unknown keys and files written by hand end the process as before. Gateways and control replicas log the limits in force at their start. The test of docs/SETTINGS.md takes the mark of these keys.

--- a/laburnumlug-daemon/src/control.rs
+++ b/laburnumlug-daemon/src/control.rs
@@ -1,7 +1,6 @@
 //! The role `control`: a replica of the control log, with its mesh listener and its HTTP interface for operators.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -20,7 +19,7 @@
 use crate::metrics::{self, Metrics};
 use crate::ready_router::ReadyRouter;
 use crate::role_planner::RolePlanner;
-use crate::settings::ControlSettings;
+use crate::settings::{ControlRoleSettings, ControlSettings, SettingsFile};
 use crate::signal::Signals;
 use crate::software_recorder::SoftwareRecorder;
 use crate::{logging, settings_watch, target_reader};
@@ -32,29 +31,36 @@
 /// Runs a control replica until it is asked to stop.
 pub(crate) async fn run(
     settings: ControlSettings,
-    path: PathBuf,
+    file: SettingsFile<ControlRoleSettings>,
     mut signals: Signals,
 ) -> Result<(), Error> {
     logging::start("control", &settings.process, &settings.log)?;
+    file.log_replaced();
     laburnumlug_http::set_memory_budget(settings.process.memory_budget);
     let server = start(settings, Rc::new(Metrics::new()?)).await?;
     let replica = server.replica.clone();
-    compio::runtime::spawn(settings_watch::run(
-        path.clone(),
-        move || match ControlSettings::read(&path) {
-            Ok(settings) => {
+    let path = file.path().to_path_buf();
+    compio::runtime::spawn(settings_watch::run(path.clone(), move || {
+        let file = SettingsFile::<ControlRoleSettings>::open(&path);
+        match file.as_ref().map(SettingsFile::settings) {
+            Ok(ControlRoleSettings::Replica(settings)) => {
                 if let Some(directory) = replica.directory() {
-                    directory.set_seeds(settings.mesh.control);
+                    directory.set_seeds(settings.mesh.control.clone());
                 }
                 for peer in &settings.replicas {
                     replica.add_peer(&peer.name);
                 }
             }
+            Ok(ControlRoleSettings::Redirect(_)) => {
+                log::error!(
+                    "the changed settings file names no data folder, keeping the previous settings"
+                );
+            }
             Err(err) => log::error!(
                 "the changed settings file is invalid, keeping the previous settings: {err}"
             ),
-        },
-    ))
+        }
+    }))
     .detach();
     signals.stop_requested().await;
     server.stop().await;
@@ -101,6 +107,7 @@
     settings: ControlSettings,
     metrics: Rc<Metrics>,
 ) -> Result<ControlServer, Error> {
+    log_limits(&settings);
     let replica = Replica::open(settings.replica_config()).await?;
     let mesh_listener = bind(settings.listen).await?;
     let operator_listener = bind(settings.operators).await?;
@@ -180,3 +187,17 @@
         server_task,
     })
 }
+
+/// Logs the limits that the replica starts with.
+fn log_limits(settings: &ControlSettings) {
+    let ms = |time: Duration| time.as_secs_f64() * 1e3;
+    let usage = settings.usage;
+    log::info!(
+        order_turn_ms = ms(settings.handover_time),
+        usage_window_ms = usage.map(|usage| ms(usage.window)),
+        usage_late_ms = usage.map(|usage| ms(usage.late)),
+        disk_bytes = settings.disk_bytes, losses = settings.tolerated_losses,
+        may_found = settings.may_bootstrap;
+        "limits in force"
+    );
+}
--- a/laburnumlug-daemon/src/entry/mod.rs
+++ b/laburnumlug-daemon/src/entry/mod.rs
@@ -31,7 +31,7 @@
 use crate::fleet_watch::FleetWatch;
 use crate::listener::bind;
 use crate::metrics::{self, Metrics};
-use crate::settings::EntrySettings;
+use crate::settings::{EntrySettings, SettingsFile};
 use crate::signal::Signals;
 use crate::{logging, registration};
 
@@ -66,8 +66,13 @@
 }
 
 /// Runs an entry until it is asked to stop.
-pub(crate) async fn run(settings: EntrySettings, mut signals: Signals) -> Result<(), Error> {
+pub(crate) async fn run(
+    file: SettingsFile<EntrySettings>,
+    mut signals: Signals,
+) -> Result<(), Error> {
+    let settings = file.settings().clone();
     logging::start("entry", &settings.process, &settings.log)?;
+    file.log_replaced();
     laburnumlug_http::set_memory_budget(settings.process.memory_budget);
     let metrics = Rc::new(Metrics::new()?);
     metrics::serve(settings.metrics, metrics.clone()).await?;
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -24,7 +23,7 @@
 use crate::gateway_metrics::GatewayMetrics;
 use crate::listener::bind;
 use crate::metrics::{self, Metrics};
-use crate::settings::GatewaySettings;
+use crate::settings::{GatewaySettings, SettingsFile};
 use crate::signal::Signals;
 use crate::{logging, settings_watch};
 
@@ -123,11 +122,13 @@
 
 /// Runs a gateway until it is asked to stop.
 pub(crate) async fn run(
-    settings: GatewaySettings,
-    path: PathBuf,
+    file: SettingsFile<GatewaySettings>,
     mut signals: Signals,
 ) -> Result<(), Error> {
+    let settings = file.settings().clone();
     logging::start("gateway", &settings.process, &settings.log)?;
+    file.log_replaced();
+    log_limits(&settings);
     laburnumlug_http::set_memory_budget(settings.process.memory_budget);
     let metrics = Rc::new(Metrics::new()?);
     let cfg = ForwardConfig::new(&settings.process.zone)
@@ -173,10 +174,11 @@
     let stopping = Rc::new(Cell::new(false));
     serve_readiness(settings.ready, forwarder.clone(), stopping.clone()).await?;
     compio::runtime::spawn(poll_stale_targets(settings.target_list, forwarder.clone())).detach();
+    let path = file.path().to_path_buf();
     compio::runtime::spawn(settings_watch::run(
         path.clone(),
-        move || match GatewaySettings::read(&path) {
-            Ok(settings) => watch.set_seeds(&settings.mesh.control),
+        move || match SettingsFile::<GatewaySettings>::open(&path) {
+            Ok(file) => watch.set_seeds(&file.settings().mesh.control),
             Err(err) => log::error!(
                 "the changed settings file is invalid, keeping the previous settings: {err}"
             ),
@@ -228,6 +230,18 @@
     Ok(())
 }
 
+/// Logs the limits that the gateway starts with.
+fn log_limits(settings: &GatewaySettings) {
+    let ms = |time: Duration| time.as_secs_f64() * 1e3;
+    log::info!(
+        grace_ms = ms(settings.grace_period), retry_ratio = settings.retry_ratio,
+        retry_window_ms = ms(settings.retry_window), retry_slack = settings.retry_slack,
+        max_route_age_ms = ms(settings.max_route_age), max_key_age_ms = settings.max_key_age.map(ms),
+        usage_window_ms = settings.usage_window.map(ms);
+        "limits in force"
+    );
+}
+
 /// Serves the readiness probe: 200 while the gateway accepts new callers, else 503.
 async fn serve_readiness(
     addr: SocketAddr,
--- a/laburnumlug-daemon/src/lib.rs
+++ b/laburnumlug-daemon/src/lib.rs
@@ -46,6 +46,7 @@
 
 pub use crate::args::Args;
 pub use crate::error::Error;
+use crate::settings::{ControlRoleSettings, SettingsFile};
 use crate::signal::{Hangup, Signals};
 
 /// Exit code for an invalid command line or settings file.
@@ -94,22 +95,23 @@
 
 async fn run_role(args: Args, signals: Signals) -> Result<(), Error> {
     match args.role {
-        args::Role::Entry(args) => {
-            entry::run(settings::EntrySettings::read(&args.settings)?, signals).await
-        }
-        args::Role::Target(args) => {
-            target::run(settings::TargetSettings::read(&args.settings)?, signals).await
-        }
-        args::Role::Control(args) => match settings::RedirectSettings::read(&args.settings)? {
-            Some(settings) => redirect::run(settings, args.settings, signals).await,
-            None => {
-                let settings = settings::ControlSettings::read(&args.settings)?;
-                control::run(settings, args.settings, signals).await
+        args::Role::Entry(args) => entry::run(SettingsFile::open(&args.settings)?, signals).await,
+        args::Role::Target(args) => target::run(SettingsFile::open(&args.settings)?, signals).await,
+        args::Role::Control(args) => {
+            let file = SettingsFile::open(&args.settings)?;
+            match file.settings() {
+                ControlRoleSettings::Replica(settings) => {
+                    let settings = (**settings).clone();
+                    control::run(settings, file, signals).await
+                }
+                ControlRoleSettings::Redirect(settings) => {
+                    let settings = (**settings).clone();
+                    redirect::run(settings, file, signals).await
+                }
             }
-        },
+        }
         args::Role::Gateway(args) => {
-            let settings = settings::GatewaySettings::read(&args.settings)?;
-            gateway::run(settings, args.settings, signals).await
+            gateway::run(SettingsFile::open(&args.settings)?, signals).await
         }
         args::Role::Dev(args) => dev::run(args, signals).await,
     }
--- a/laburnumlug-daemon/src/redirect.rs
+++ b/laburnumlug-daemon/src/redirect.rs
@@ -1,6 +1,5 @@
 //! The role `control` on a VM without a disk: holds no replica, and redirects operators to a replica that can answer.
 
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,7 +13,7 @@
 use crate::listener::bind;
 use crate::metrics::{self, Metrics};
 use crate::redirect_metrics::RedirectMetrics;
-use crate::settings::RedirectSettings;
+use crate::settings::{ControlRoleSettings, RedirectSettings, SettingsFile};
 use crate::signal::Signals;
 use crate::{control, logging, settings_watch};
 
@@ -28,10 +27,11 @@
 /// Runs the directory and redirects operators until the process is asked to stop.
 pub(crate) async fn run(
     settings: RedirectSettings,
-    path: PathBuf,
+    file: SettingsFile<ControlRoleSettings>,
     mut signals: Signals,
 ) -> Result<(), Error> {
     logging::start("control", &settings.process, &settings.log)?;
+    file.log_replaced();
     laburnumlug_http::set_memory_budget(settings.process.memory_budget);
     let own = ControlContact {
         mesh: settings.listen,
@@ -53,16 +53,21 @@
     })
     .await?;
     let reloaded = directory.clone();
-    compio::runtime::spawn(settings_watch::run(
-        path.clone(),
-        move || match RedirectSettings::read(&path) {
-            Ok(Some(settings)) => reloaded.set_seeds(settings.mesh.control),
-            Ok(None) => log::info!("a data folder takes effect when this process is restarted"),
+    let path = file.path().to_path_buf();
+    compio::runtime::spawn(settings_watch::run(path.clone(), move || {
+        let file = SettingsFile::<ControlRoleSettings>::open(&path);
+        match file.as_ref().map(SettingsFile::settings) {
+            Ok(ControlRoleSettings::Redirect(settings)) => {
+                reloaded.set_seeds(settings.mesh.control.clone());
+            }
+            Ok(ControlRoleSettings::Replica(_)) => {
+                log::info!("a data folder takes effect when this process is restarted");
+            }
             Err(err) => log::error!(
                 "the changed settings file is invalid, keeping the previous settings: {err}"
             ),
-        },
-    ))
+        }
+    }))
     .detach();
     let server = Server::new(listener, OperatorInterface::limits());
     let shutdown = server.shutdown_handle();
--- a/laburnumlug-daemon/src/settings/common.rs
+++ b/laburnumlug-daemon/src/settings/common.rs
@@ -7,7 +7,8 @@
 use laburnumlug_mesh::MeshKey;
 
 use super::error::SettingsError;
-use super::reader::{Reader, Section, parse_addr, parse_addrs, parse_count, parse_text};
+use super::numbers::parse_count;
+use super::reader::{Reader, Section, parse_addr, parse_addrs, parse_text};
 
 /// Share of the machine's memory that may be held of what arrives from outside. Buffers that grow by doubling may take
 /// twice as much, and the rest is for the process itself and for its sockets.
@@ -19,7 +20,7 @@
 // Sections that the settings file of any role may have.
 pub(super) const PROCESS: Section = Section {
     name: "process",
-    keys: &["vm", "zone", "memory_budget_mb"],
+    keys: &["vm", "zone", "memory_budget_mb", "rendered"],
 };
 pub(super) const LOG: Section = Section {
     name: "log",
--- a/laburnumlug-daemon/src/settings/control.rs
+++ b/laburnumlug-daemon/src/settings/control.rs
@@ -1,24 +1,26 @@
 //! Settings of a control replica.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use laburnumlug_control::{OperatorToken, OperatorTokens, PeerReplica, ReplicaConfig, UsageConfig};
 use laburnumlug_mesh::ControlContact;
 use laburnumlug_platform::Duty;
 
-use super::common::{
-    LOG, LogSettings, MESH, METRICS, MeshSettings, PROCESS, ProcessSettings, read_metrics_addr,
-};
+use super::common::{LogSettings, MeshSettings, ProcessSettings, read_metrics_addr};
 use super::error::SettingsError;
-use super::reader::{
-    Reader, Section, parse_addr, parse_count, parse_millis, parse_text, parse_whole_millis,
+use super::numbers::{
+    parse_count, parse_megabytes, parse_millis_from_zero, parse_whole, parse_window,
 };
+use super::reader::{Reader, Section, parse_addr, parse_text, parse_yes_or_no};
 
 /// Default minimum time between orders of two successive leaders.
 const DEFAULT_HANDOVER_TIME: Duration = Duration::from_secs(3);
 
+/// Default time after the end of a window within which its usage report is due, if the platform's limits give only the window.
+const DEFAULT_USAGE_LATE: Duration = Duration::from_secs(10);
+
 pub(super) const CONTROL: Section = Section {
     name: "control",
     keys: &[
@@ -90,19 +92,17 @@
 }
 
 impl ControlSettings {
-    /// Reads and validates a settings file.
-    pub(crate) fn read(path: &Path) -> Result<ControlSettings, SettingsError> {
-        let reader = Reader::open(path, &[PROCESS, LOG, MESH, METRICS, CONTROL])?;
+    /// Reads and validates the settings.
+    pub(super) fn read(reader: &Reader) -> Result<ControlSettings, SettingsError> {
         let allowed_tokens = "NAME:SHA256 of each operator's token, separated by commas";
         let allowed_replicas = "NAME:IP:PORT of each other replica, separated by commas";
         let listen = reader.required("control", "listen", "IP:PORT", parse_addr)?;
-        let mesh = MeshSettings::read(&reader)?;
+        let mesh = MeshSettings::read(reader)?;
         let allowed_peers =
             "mesh, where the replicas are those of [mesh] control, named by their addresses";
         let address_peers = reader.optional("control", "peers", allowed_peers, |text| {
             (text == "mesh").then(|| peers_by_address(&mesh, listen))
         })?;
-        let allowed_losses = "a whole number";
         let allowed_duties = "names of duties, separated by commas, or nothing";
         let (duties, unknown_duties) = reader
             .optional("control", "duties", allowed_duties, |text| {
@@ -112,9 +112,9 @@
         let data: String =
             reader.required("control", "data", "the path of a folder", parse_text)?;
         Ok(ControlSettings {
-            process: ProcessSettings::read(&reader)?,
-            log: LogSettings::read(&reader)?,
-            metrics: read_metrics_addr(&reader)?,
+            process: ProcessSettings::read(reader)?,
+            log: LogSettings::read(reader)?,
+            metrics: read_metrics_addr(reader)?,
             name: reader.required("control", "name", "the replica's name", parse_text)?,
             listen,
             operators: reader.required("control", "operators", "IP:PORT", parse_addr)?,
@@ -124,9 +124,7 @@
                     .optional("control", "tokens", allowed_tokens, parse_operator_tokens)?
                     .unwrap_or_default(),
             ),
-            may_bootstrap: reader
-                .optional("control", "may_found", "yes or no", parse_yes_or_no)?
-                .unwrap_or(true),
+            may_bootstrap: read_may_bootstrap(reader)?,
             has_seeds: address_peers.is_some(),
             replicas: match address_peers {
                 Some(replicas) => replicas,
@@ -135,19 +133,26 @@
                     .unwrap_or_default(),
             },
             mesh,
-            tolerated_losses: reader.optional("control", "losses", allowed_losses, |text| {
-                text.parse().ok()
-            })?,
+            tolerated_losses: reader
+                .limit(
+                    "control",
+                    "losses",
+                    "a whole number",
+                    |text| parse_whole(text).map(Some),
+                    None,
+                )?
+                .flatten(),
             target_list: reader.optional("control", "target_list", "IP:PORT", parse_addr)?,
             handover_time: reader
-                .optional(
+                .limit(
                     "control",
                     "order_turn_ms",
-                    "a whole number from 1",
-                    parse_millis,
+                    "a number of milliseconds from 0",
+                    parse_millis_from_zero,
+                    DEFAULT_HANDOVER_TIME,
                 )?
                 .unwrap_or(DEFAULT_HANDOVER_TIME),
-            usage: read_usage(&reader)?,
+            usage: read_usage(reader)?,
             scaling: duties.contains(&Duty::Scaling),
             unknown_duties,
             platform_operator: reader
@@ -163,8 +168,14 @@
                 parse_count,
             )?,
             disk_bytes: reader
-                .optional("control", "disk_mb", "a whole number from 1", parse_count)?
-                .map(|megabytes| megabytes as u64 * 1_000_000),
+                .limit(
+                    "control",
+                    "disk_mb",
+                    "a number of megabytes above 0",
+                    |text| parse_megabytes(text).map(Some),
+                    None,
+                )?
+                .flatten(),
         })
     }
 
@@ -190,7 +201,7 @@
         };
         let cfg = match self.tolerated_losses {
             // With 2n + 1 voters, a majority remains after n losses.
-            Some(losses) => cfg.voters(2 * losses + 1),
+            Some(losses) => cfg.voters(losses.saturating_mul(2).saturating_add(1)),
             None => cfg,
         };
         let cfg = match self.disk_bytes {
@@ -206,21 +217,41 @@
 
 /// Reads the windows whose usage is reported; both settings or neither must be present.
 fn read_usage(reader: &Reader) -> Result<Option<UsageConfig>, SettingsError> {
-    let allowed = "a number of seconds, in whole milliseconds and above 0";
-    let window = reader.optional("control", "usage_window_s", allowed, parse_whole_millis)?;
-    let late = reader.optional("control", "usage_late_s", allowed, parse_whole_millis)?;
-    let error = |key| {
+    let window = |key, substitute| {
+        let allowed = "a number of seconds from 0.001";
+        let parse = |text: &str| parse_window(text).map(Some);
+        reader.limit("control", key, allowed, parse, substitute)
+    };
+    let late = window("usage_late_s", Some(DEFAULT_USAGE_LATE))?.flatten();
+    let window = window("usage_window_s", None)?.flatten();
+    let missing = |key| {
         let allowed = "both of usage_window_s and usage_late_s, or neither";
         reader.error_at("control", Some(key), "nothing".into(), allowed.into())
     };
     match (window, late) {
         (Some(window), Some(late)) => Ok(Some(UsageConfig { window, late })),
-        (None, None) => Ok(None),
-        (None, Some(_)) => Err(error("usage_window_s")),
-        (Some(_), None) => Err(error("usage_late_s")),
+        (Some(window), None) => {
+            reader.replace(missing("usage_late_s"))?;
+            let late = DEFAULT_USAGE_LATE;
+            Ok(Some(UsageConfig { window, late }))
+        }
+        (None, Some(_)) if !reader.has_key("control", "usage_window_s") => {
+            reader.replace(missing("usage_window_s")).map(|()| None)
+        }
+        (None, _) => Ok(None),
     }
 }
 
+/// Reads whether this process may found a cluster, or agree to its founding.
+///
+/// A process that the platform does not tell whether the whole system starts for the first time must not: a second cluster
+/// would lose what the first has acknowledged.
+pub(super) fn read_may_bootstrap(reader: &Reader) -> Result<bool, SettingsError> {
+    let default = !reader.is_rendered();
+    let may_found = reader.limit("control", "may_found", "yes or no", parse_yes_or_no, false)?;
+    Ok(may_found.unwrap_or(default))
+}
+
 /// Parses the duties that the platform lists; returns the known ones, and the names of the others.
 fn parse_duties(text: &str) -> (Vec<Duty>, Vec<String>) {
     let names = text
@@ -267,16 +298,10 @@
         .collect()
 }
 
-pub(super) fn parse_yes_or_no(text: &str) -> Option<bool> {
-    match text {
-        "yes" | "true" => Some(true),
-        "no" | "false" => Some(false),
-        _ => None,
-    }
-}
-
 #[cfg(test)]
 mod tests {
+    use std::path::Path;
+
     use super::*;
 
     /// A platform that lists duties which this version does not know, or none, must not keep the process from starting.
--- a/laburnumlug-daemon/src/settings/entry.rs
+++ b/laburnumlug-daemon/src/settings/entry.rs
@@ -1,13 +1,14 @@
 //! Settings of an entry.
 
 use std::net::SocketAddr;
-use std::path::Path;
 
 use super::common::{
     LOG, LogSettings, MESH, METRICS, MeshSettings, PROCESS, ProcessSettings, read_metrics_addr,
 };
 use super::error::SettingsError;
-use super::reader::{Reader, Section, parse_addr, parse_count};
+use super::file::RoleSettings;
+use super::numbers::parse_count;
+use super::reader::{Reader, Section, parse_addr};
 
 /// Default maximum number of open connections of callers.
 const DEFAULT_MAX_CONNECTIONS: usize = 4096;
@@ -35,25 +36,29 @@
     pub(crate) max_body_bytes: usize,
 }
 
-impl EntrySettings {
-    /// Reads and validates a settings file.
-    pub(crate) fn read(path: &Path) -> Result<EntrySettings, SettingsError> {
-        let reader = Reader::open(path, &[PROCESS, LOG, MESH, METRICS, ENTRY])?;
+impl RoleSettings for EntrySettings {
+    fn sections() -> Vec<Section> {
+        vec![PROCESS, LOG, MESH, METRICS, ENTRY]
+    }
+
+    fn read(reader: &Reader) -> Result<EntrySettings, SettingsError> {
         let allowed_count = "a whole number from 1";
         let connections =
             reader.optional("entry", "max_connections", allowed_count, parse_count)?;
         let body_bytes = reader.optional("entry", "max_body_bytes", allowed_count, parse_count)?;
         Ok(EntrySettings {
-            process: ProcessSettings::read(&reader)?,
-            log: LogSettings::read(&reader)?,
-            mesh: MeshSettings::read(&reader)?,
-            metrics: read_metrics_addr(&reader)?,
+            process: ProcessSettings::read(reader)?,
+            log: LogSettings::read(reader)?,
+            mesh: MeshSettings::read(reader)?,
+            metrics: read_metrics_addr(reader)?,
             listen: reader.required("entry", "listen", "IP:PORT", parse_addr)?,
             max_connections: connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
             max_body_bytes: body_bytes.unwrap_or(DEFAULT_MAX_BODY_BYTES),
         })
     }
+}
 
+impl EntrySettings {
     /// Returns settings with the default limits.
     pub(crate) fn with_defaults(
         process: ProcessSettings,
--- a/laburnumlug-daemon/src/settings/gateway.rs
+++ b/laburnumlug-daemon/src/settings/gateway.rs
@@ -1,14 +1,15 @@
 //! Settings of a gateway.
 
 use std::net::SocketAddr;
-use std::path::Path;
 use std::time::Duration;
 
 use super::common::{
     LOG, LogSettings, MESH, METRICS, MeshSettings, PROCESS, ProcessSettings, read_metrics_addr,
 };
 use super::error::SettingsError;
-use super::reader::{Reader, Section, parse_addr, parse_count, parse_seconds, parse_whole_millis};
+use super::file::RoleSettings;
+use super::numbers::{parse_count, parse_millis, parse_non_negative, parse_seconds, parse_window};
+use super::reader::{Reader, Section, parse_addr};
 
 /// Default maximum number of open connections of callers.
 const DEFAULT_MAX_CONNECTIONS: usize = 2048;
@@ -28,6 +29,10 @@
 /// Default time after its acknowledgement in which a change is in force at gateways that reach control.
 const DEFAULT_MAX_ROUTE_AGE: Duration = Duration::from_secs(2);
 
+/// Age of the last confirmation up to which API keys are accepted if the platform's limit is not allowed: revoked keys must be
+/// refused at some time.
+const SUBSTITUTE_MAX_KEY_AGE: Duration = Duration::from_secs(2);
+
 const GATEWAY: Section = Section {
     name: "gateway",
     keys: &[
@@ -78,83 +83,76 @@
     pub(crate) usage_window: Option<Duration>,
 }
 
-impl GatewaySettings {
-    /// Reads and validates a settings file.
-    pub(crate) fn read(path: &Path) -> Result<GatewaySettings, SettingsError> {
-        let reader = Reader::open(path, &[PROCESS, LOG, MESH, METRICS, GATEWAY])?;
+impl RoleSettings for GatewaySettings {
+    fn sections() -> Vec<Section> {
+        vec![PROCESS, LOG, MESH, METRICS, GATEWAY]
+    }
+
+    fn read(reader: &Reader) -> Result<GatewaySettings, SettingsError> {
+        let non_negative = |key, default| {
+            let limit = reader.limit(
+                "gateway",
+                key,
+                "a number from 0",
+                parse_non_negative,
+                default,
+            )?;
+            Ok(limit.unwrap_or(default))
+        };
+        let seconds = |key, default| {
+            let allowed = "a number of seconds above 0";
+            let limit = reader.limit("gateway", key, allowed, parse_seconds, default)?;
+            Ok(limit.unwrap_or(default))
+        };
+        let age = |key, substitute| {
+            let allowed = "a number of milliseconds above 0, or nothing";
+            reader.limit(
+                "gateway",
+                key,
+                allowed,
+                parse_optional_millis,
+                Some(substitute),
+            )
+        };
         let allowed_count = "a whole number from 1";
         let connections =
             reader.optional("gateway", "max_connections", allowed_count, parse_count)?;
-        let ratio = reader.optional(
-            "gateway",
-            "retry_ratio",
-            "a number from 0",
-            parse_non_negative,
-        )?;
-        let allowed_seconds = "a number of seconds above 0";
-        let allowed_millis = "a number of seconds, in whole milliseconds and above 0";
-        let window =
-            reader.optional("gateway", "retry_window_s", allowed_seconds, parse_seconds)?;
-        let slack = reader.optional(
+        let max_key_age = age("max_key_age_ms", SUBSTITUTE_MAX_KEY_AGE)?;
+        let max_route_age = age("max_route_age_ms", DEFAULT_MAX_ROUTE_AGE)?;
+        let allowed_window = "a number of seconds from 0.001";
+        let usage_window = reader.limit(
             "gateway",
-            "retry_slack",
-            "a number from 0",
-            parse_non_negative,
-        )?;
-        let grace_period = reader.optional("gateway", "grace_s", allowed_seconds, parse_seconds)?;
-        let max_key_age = reader.optional(
-            "gateway",
-            "max_key_age_ms",
-            "a number of milliseconds above 0, or nothing",
-            parse_optional_millis,
-        )?;
-        let max_route_age = reader.optional(
-            "gateway",
-            "max_route_age_ms",
-            "a number of milliseconds above 0, or nothing",
-            parse_optional_millis,
+            "usage_window_s",
+            allowed_window,
+            |text| parse_window(text).map(Some),
+            None,
         )?;
         Ok(GatewaySettings {
-            process: ProcessSettings::read(&reader)?,
-            log: LogSettings::read(&reader)?,
-            mesh: MeshSettings::read(&reader)?,
-            metrics: read_metrics_addr(&reader)?,
+            process: ProcessSettings::read(reader)?,
+            log: LogSettings::read(reader)?,
+            mesh: MeshSettings::read(reader)?,
+            metrics: read_metrics_addr(reader)?,
             listen: reader.required("gateway", "listen", "IP:PORT", parse_addr)?,
             ready: reader.required("gateway", "ready", "IP:PORT", parse_addr)?,
             mesh_listen: reader.required("gateway", "mesh_listen", "IP:PORT", parse_addr)?,
             target_list: reader.required("gateway", "target_list", "IP:PORT", parse_addr)?,
             max_connections: connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
-            retry_ratio: ratio.unwrap_or(DEFAULT_RETRY_RATIO),
-            retry_window: window.unwrap_or(DEFAULT_RETRY_WINDOW),
-            retry_slack: slack.unwrap_or(DEFAULT_RETRY_SLACK),
-            grace_period: grace_period.unwrap_or(DEFAULT_GRACE_PERIOD),
+            retry_ratio: non_negative("retry_ratio", DEFAULT_RETRY_RATIO)?,
+            retry_window: seconds("retry_window_s", DEFAULT_RETRY_WINDOW)?,
+            retry_slack: non_negative("retry_slack", DEFAULT_RETRY_SLACK)?,
+            grace_period: seconds("grace_s", DEFAULT_GRACE_PERIOD)?,
             max_key_age: max_key_age.flatten(),
             max_route_age: max_route_age.flatten().unwrap_or(DEFAULT_MAX_ROUTE_AGE),
-            usage_window: reader.optional(
-                "gateway",
-                "usage_window_s",
-                allowed_millis,
-                parse_whole_millis,
-            )?,
+            usage_window: usage_window.flatten(),
         })
     }
 }
 
-fn parse_non_negative(text: &str) -> Option<f64> {
-    text.parse()
-        .ok()
-        .filter(|number: &f64| number.is_finite() && *number >= 0.0)
-}
-
 /// Parses a number of milliseconds; an empty text, as a template without that bound leaves it, is no number.
 fn parse_optional_millis(text: &str) -> Option<Option<Duration>> {
     match text {
         "" => Some(None),
-        _ => {
-            let millis: f64 = text.parse().ok()?;
-            let duration = Duration::try_from_secs_f64(millis / 1000.0).ok()?;
-            (!duration.is_zero()).then_some(Some(duration))
-        }
+        _ => parse_millis(text).map(Some),
     }
 }
 
--- a/laburnumlug-daemon/src/settings/gateway_tests.rs
+++ b/laburnumlug-daemon/src/settings/gateway_tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::settings::SettingsFile;
 
 fn read(line: &str) -> Result<GatewaySettings, SettingsError> {
     let path = std::env::temp_dir().join(format!("gateway-{}.ini", rand::random::<u64>()));
@@ -7,9 +8,9 @@
          ready = 127.0.0.1:0\nmesh_listen = 127.0.0.1:0\ntarget_list = 127.0.0.1:1\n{line}\n"
     );
     std::fs::write(&path, text).unwrap();
-    let settings = GatewaySettings::read(&path);
+    let file = SettingsFile::<GatewaySettings>::open(&path);
     std::fs::remove_file(path).unwrap();
-    settings
+    file.map(|file| file.settings().clone())
 }
 
 /// Guards against a gateway that does not start because its template leaves the value empty, and against a malformed bound
--- a/laburnumlug-daemon/src/settings/reader.rs
+++ b/laburnumlug-daemon/src/settings/reader.rs
@@ -1,39 +1,40 @@
 //! Reader of INI files that rejects unknown sections and keys.
+//!
+//! A file that an operator writes is rejected as a whole for its first fault, before the process starts. A limit that the
+//! platform filled in is replaced by its default instead, as every process would be without it.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
 
 use ini::Ini;
 
 use super::error::SettingsError;
 
 /// A known section and its known keys.
-pub(super) struct Section {
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Section {
     pub(super) name: &'static str,
     pub(super) keys: &'static [&'static str],
 }
 
 /// A settings file whose sections and keys are all known.
-pub(super) struct Reader {
+pub(crate) struct Reader {
     path: PathBuf,
     text: String,
     ini: Ini,
+    /// Whether the platform filled in the file from a template.
+    is_rendered: bool,
+    /// Faults whose keys were replaced.
+    replaced: RefCell<Vec<SettingsError>>,
 }
 
 impl Reader {
-    /// Reads a file and rejects any section or key that is not in `sections`.
-    pub(super) fn open(path: &Path, sections: &[Section]) -> Result<Reader, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|err| SettingsError {
-            file: path.to_path_buf(),
-            line: None,
-            location: None,
-            found: err.to_string(),
-            allowed: "a readable UTF-8 file".to_string(),
-        })?;
-        Reader::parse(path, text, sections)
-    }
-
+    /// Parses the file at `path` with the content `text`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text is no INI file, or has an unknown section or key.
     pub(super) fn parse(
         path: &Path,
         text: String,
@@ -56,15 +57,29 @@
         }
         let ini = Ini::load_from_str(&text)
             .map_err(|err| malformed(err.line + 1, err.msg.to_string()))?;
-        let reader = Reader {
+        let mut reader = Reader {
             path: path.to_path_buf(),
             text,
             ini,
+            is_rendered: false,
+            replaced: RefCell::default(),
         };
         reader.check_known_names(sections)?;
+        let is_rendered = reader.optional("process", "rendered", "yes or no", parse_yes_or_no)?;
+        reader.is_rendered = is_rendered.unwrap_or(false);
         Ok(reader)
     }
 
+    /// Returns whether the platform filled in the file from a template.
+    pub(super) fn is_rendered(&self) -> bool {
+        self.is_rendered
+    }
+
+    /// Returns the faults whose keys were replaced.
+    pub(super) fn into_replaced(self) -> Vec<SettingsError> {
+        self.replaced.into_inner()
+    }
+
     fn check_known_names(&self, sections: &[Section]) -> Result<(), SettingsError> {
         for (name, properties) in self.ini.iter() {
             let name = name.unwrap_or("");
@@ -119,6 +134,11 @@
         self.ini.section(Some(section)).is_some()
     }
 
+    /// Returns whether the file has a key, whatever its value.
+    pub(super) fn has_key(&self, section: &str, key: &str) -> bool {
+        self.get(section, key).is_some()
+    }
+
     /// Returns the value of a required key.
     pub(super) fn required<T, P>(
         &self,
@@ -156,6 +176,46 @@
         }
     }
 
+    /// Returns the value of a key for which the platform's templates use one of its limits, or `None` if it is missing.
+    ///
+    /// In a file that the platform filled in, an empty text means that the deployment has no such limit, and `substitute`
+    /// replaces a text that is not allowed: a process with a default serves callers better than none.
+    pub(super) fn limit<T, P>(
+        &self,
+        section: &str,
+        key: &str,
+        allowed: &str,
+        parse: P,
+        substitute: T,
+    ) -> Result<Option<T>, SettingsError>
+    where
+        P: Fn(&str) -> Option<T>,
+    {
+        let text = self.get(section, key).unwrap_or_default();
+        match parse(text) {
+            None if self.is_rendered && text.is_empty() => Ok(None),
+            None if self.is_rendered => {
+                let found = format!("{text:?}");
+                self.replace(self.error_at(section, Some(key), found, allowed.into()))?;
+                Ok(Some(substitute))
+            }
+            _ => self.optional(section, key, allowed, parse),
+        }
+    }
+
+    /// Records a fault for which the caller has a substitute.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault if an operator wrote the file.
+    pub(super) fn replace(&self, fault: SettingsError) -> Result<(), SettingsError> {
+        match self.is_rendered {
+            true => self.replaced.borrow_mut().push(fault),
+            false => return Err(fault),
+        }
+        Ok(())
+    }
+
     /// Creates an error located at a key, or at a section if `key` is `None`.
     pub(super) fn error_at(
         &self,
@@ -164,14 +224,10 @@
         found: String,
         allowed: String,
     ) -> SettingsError {
-        let location = match key {
-            Some(key) => format!("[{section}] {key}"),
-            None => format!("[{section}]"),
-        };
         SettingsError {
             file: self.path.clone(),
             line: self.line_of(section, key),
-            location: Some(location),
+            location: Some(location(section, key)),
             found,
             allowed,
         }
@@ -202,6 +258,13 @@
     }
 }
 
+fn location(section: &str, key: Option<&str>) -> String {
+    match key {
+        Some(key) => format!("[{section}] {key}"),
+        None => format!("[{section}]"),
+    }
+}
+
 /// Parses any text that is not empty.
 pub(super) fn parse_text(text: &str) -> Option<String> {
     (!text.is_empty()).then(|| text.to_string())
@@ -219,89 +282,15 @@
         .collect()
 }
 
-/// Parses a whole number of milliseconds, at least 1.
-pub(super) fn parse_millis(text: &str) -> Option<Duration> {
-    match text.parse() {
-        Ok(ms) if ms > 0 => Some(Duration::from_millis(ms)),
+/// Parses `yes` or `no`, or the words by which the platform's templates write them.
+pub(super) fn parse_yes_or_no(text: &str) -> Option<bool> {
+    match text {
+        "yes" | "true" => Some(true),
+        "no" | "false" => Some(false),
         _ => None,
     }
 }
 
-/// Parses a number of seconds above 0.
-pub(super) fn parse_seconds(text: &str) -> Option<Duration> {
-    let seconds: f64 = text.parse().ok()?;
-    let duration = Duration::try_from_secs_f64(seconds).ok()?;
-    (!duration.is_zero()).then_some(duration)
-}
-
-/// Parses a number of seconds above 0 that is a whole number of milliseconds.
-pub(super) fn parse_whole_millis(text: &str) -> Option<Duration> {
-    let duration = parse_seconds(text)?;
-    (duration.as_nanos() % 1_000_000 == 0).then_some(duration)
-}
-
-/// Parses a whole number, at least 1.
-pub(super) fn parse_count(text: &str) -> Option<usize> {
-    text.parse().ok().filter(|count| *count > 0)
-}
-
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const SECTIONS: &[Section] = &[Section {
-        name: "entry",
-        keys: &["listen", "limit"],
-    }];
-
-    fn read(text: &str) -> Result<Reader, SettingsError> {
-        Reader::parse(Path::new("entry.ini"), text.to_string(), SECTIONS)
-    }
-
-    fn error_text<T>(result: Result<T, SettingsError>) -> String {
-        result.err().map(|err| err.to_string()).unwrap_or_default()
-    }
-
-    #[test]
-    fn parse_unknown_key() {
-        let text = "[entry]\nlisten = 127.0.0.1:1\nlisten_on = x\n";
-        assert!(error_text(read(text)).starts_with("entry.ini:3: [entry] listen_on: found key"));
-    }
-
-    #[test]
-    fn parse_unknown_section() {
-        assert!(
-            error_text(read("[entry]\n[exit]\na = 1\n")).starts_with("entry.ini:2: [exit]: found")
-        );
-    }
-
-    #[test]
-    fn parse_key_outside_section() {
-        assert!(error_text(read("listen = 1\n")).contains("keys below a [section]"));
-    }
-
-    #[test]
-    fn parse_key_twice() {
-        assert!(error_text(read("[entry]\nlisten = a\nlisten = b\n")).contains("key listen twice"));
-    }
-
-    #[test]
-    fn required_missing() {
-        let reader = read("\n[entry]\nlimit = 1\n").unwrap();
-        let result = reader.required("entry", "listen", "IP:PORT", parse_addr);
-        assert_eq!(
-            error_text(result),
-            "entry.ini:2: [entry] listen: found nothing, allowed: IP:PORT"
-        );
-    }
-
-    #[test]
-    fn required_wrong_type() {
-        let reader = read("[entry]\nlisten = localhost\n").unwrap();
-        let result = reader.required("entry", "listen", "IP:PORT", parse_addr);
-        assert_eq!(
-            error_text(result),
-            "entry.ini:2: [entry] listen: found \"localhost\", allowed: IP:PORT"
-        );
-    }
-}
+#[path = "reader_tests.rs"]
+mod tests;
--- a/laburnumlug-daemon/src/settings/redirect.rs
+++ b/laburnumlug-daemon/src/settings/redirect.rs
@@ -1,12 +1,9 @@
 //! Settings of a control process on a VM without a disk.
 
 use std::net::SocketAddr;
-use std::path::Path;
 
-use super::common::{
-    LOG, LogSettings, MESH, METRICS, MeshSettings, PROCESS, ProcessSettings, read_metrics_addr,
-};
-use super::control::{CONTROL, parse_yes_or_no};
+use super::common::{LogSettings, MeshSettings, ProcessSettings, read_metrics_addr};
+use super::control::read_may_bootstrap;
 use super::error::SettingsError;
 use super::reader::{Reader, parse_addr};
 
@@ -27,9 +24,8 @@
 }
 
 impl RedirectSettings {
-    /// Reads and validates a settings file; returns `None` if it configures a replica by naming a data folder.
-    pub(crate) fn read(path: &Path) -> Result<Option<RedirectSettings>, SettingsError> {
-        let reader = Reader::open(path, &[PROCESS, LOG, MESH, METRICS, CONTROL])?;
+    /// Reads and validates the settings; returns `None` if they configure a replica by naming a data folder.
+    pub(super) fn read(reader: &Reader) -> Result<Option<RedirectSettings>, SettingsError> {
         let data = reader.optional("control", "data", "the path of a folder", |text| {
             Some(!text.is_empty())
         })?;
@@ -40,15 +36,13 @@
             return Ok(None);
         }
         Ok(Some(RedirectSettings {
-            process: ProcessSettings::read(&reader)?,
-            log: LogSettings::read(&reader)?,
-            metrics: read_metrics_addr(&reader)?,
-            mesh: MeshSettings::read(&reader)?,
+            process: ProcessSettings::read(reader)?,
+            log: LogSettings::read(reader)?,
+            metrics: read_metrics_addr(reader)?,
+            mesh: MeshSettings::read(reader)?,
             listen: reader.required("control", "listen", "IP:PORT", parse_addr)?,
             operators: reader.required("control", "operators", "IP:PORT", parse_addr)?,
-            may_bootstrap: reader
-                .optional("control", "may_found", "yes or no", parse_yes_or_no)?
-                .unwrap_or(true),
+            may_bootstrap: read_may_bootstrap(reader)?,
         }))
     }
 }
--- a/laburnumlug-daemon/src/settings/target.rs
+++ b/laburnumlug-daemon/src/settings/target.rs
@@ -1,7 +1,6 @@
 //! Settings file of a target process: its backend, addresses and drain timeout.
 
 use std::net::SocketAddr;
-use std::path::Path;
 use std::time::Duration;
 
 use laburnumlug::TargetName;
@@ -10,7 +9,9 @@
     LOG, LogSettings, MESH, METRICS, MeshSettings, PROCESS, ProcessSettings, read_metrics_addr,
 };
 use super::error::SettingsError;
-use super::reader::{Reader, Section, parse_addr, parse_millis, parse_text};
+use super::file::RoleSettings;
+use super::numbers::parse_millis;
+use super::reader::{Reader, Section, parse_addr, parse_text};
 
 /// Default time that a planned stop or change waits for work in flight.
 const DEFAULT_DRAIN_TIMEOUT: Duration = Duration::from_secs(120);
@@ -64,17 +65,19 @@
     pub(crate) drain_timeout: Duration,
 }
 
-impl TargetSettings {
-    /// Reads and validates a settings file.
-    pub(crate) fn read(path: &Path) -> Result<TargetSettings, SettingsError> {
-        let reader = Reader::open(path, &[PROCESS, LOG, MESH, METRICS, TARGET, PLATFORM])?;
+impl RoleSettings for TargetSettings {
+    fn sections() -> Vec<Section> {
+        vec![PROCESS, LOG, MESH, METRICS, TARGET, PLATFORM]
+    }
+
+    fn read(reader: &Reader) -> Result<TargetSettings, SettingsError> {
         let allowed_name = "the target's name in the fleet document";
-        let allowed_drain_ms = "a whole number of milliseconds from 1";
+        let allowed_drain_ms = "a number of milliseconds above 0";
         Ok(TargetSettings {
-            process: ProcessSettings::read(&reader)?,
-            log: LogSettings::read(&reader)?,
-            mesh: MeshSettings::read(&reader)?,
-            metrics: read_metrics_addr(&reader)?,
+            process: ProcessSettings::read(reader)?,
+            log: LogSettings::read(reader)?,
+            mesh: MeshSettings::read(reader)?,
+            metrics: read_metrics_addr(reader)?,
             name: reader.required("target", "name", allowed_name, parse_text)?,
             slot: reader.required("target", "slot", "IP:PORT", parse_addr)?,
             listen: reader.required("target", "listen", "IP:PORT", parse_addr)?,
@@ -83,10 +86,12 @@
             drain_timeout: reader
                 .optional("target", "drain_ms", allowed_drain_ms, parse_millis)?
                 .unwrap_or(DEFAULT_DRAIN_TIMEOUT),
-            platform: read_platform(&reader)?,
+            platform: read_platform(reader)?,
         })
     }
+}
 
+impl TargetSettings {
     /// Returns settings with the default limits.
     pub(crate) fn with_defaults(
         process: ProcessSettings,
--- a/laburnumlug-daemon/src/target/mod.rs
+++ b/laburnumlug-daemon/src/target/mod.rs
@@ -34,7 +34,7 @@
 use crate::fleet_watch::{FleetView, FleetWatch};
 use crate::listener::bind;
 use crate::metrics::{self, Metrics};
-use crate::settings::{BackendKind, TargetSettings};
+use crate::settings::{BackendKind, SettingsFile, TargetSettings};
 use crate::signal::Signals;
 use crate::{logging, registration};
 
@@ -77,8 +77,13 @@
 }
 
 /// Runs a target process until it is asked to stop.
-pub(crate) async fn run(settings: TargetSettings, mut signals: Signals) -> Result<(), Error> {
+pub(crate) async fn run(
+    file: SettingsFile<TargetSettings>,
+    mut signals: Signals,
+) -> Result<(), Error> {
+    let settings = file.settings().clone();
     logging::start("target", &settings.process, &settings.log)?;
+    file.log_replaced();
     laburnumlug_http::set_memory_budget(settings.process.memory_budget);
     let metrics = Rc::new(Metrics::new()?);
     metrics::serve(settings.metrics, metrics.clone()).await?;
--- a/laburnumlug-daemon/tests/it/main.rs
+++ b/laburnumlug-daemon/tests/it/main.rs
@@ -37,4 +37,6 @@
 mod standin;
 mod stop_sweep;
 mod targets;
+mod template;
+mod templates;
 mod usage;
--- a/laburnumlug-daemon/tests/it/settings_page.rs
+++ b/laburnumlug-daemon/tests/it/settings_page.rs
@@ -38,7 +38,8 @@
     for line in text.lines() {
         if let Some(heading) = line.strip_prefix("## ") {
             section = heading;
-        } else if let Some((key, _)) = split_between(line, "| `", "` |") {
+        } else if let Some((key, _)) = split_between(&line.replace("` † |", "` |"), "| `", "` |")
+        {
             found.insert(format!("{section} {key}"));
         }
     }
