Apply a changed settings file except for its faulty keys

Callers saw: a gateway whose changed settings file has new seeds and one line that is not allowed goes on asking the old seeds. If these are gone, it is never ready. Cause: a change was read like the settings of a start, where the first fault rejects the file as a whole. Evidence: the log names the faulty line and nothing else happens; files with an unknown key, a missing address or a limit that is not allowed have the same effect. Change: while a process runs, a faulty key keeps the value that was accepted before, with an error line, and all others take effect, in gateways and in control processes with and without a replica.

--- a/laburnumlug-daemon/src/control.rs
+++ b/laburnumlug-daemon/src/control.rs
@@ -20,9 +20,10 @@
 use crate::ready_router::ReadyRouter;
 use crate::role_planner::RolePlanner;
 use crate::settings::{ControlRoleSettings, ControlSettings, SettingsFile};
+use crate::settings_watch::SettingsWatch;
 use crate::signal::Signals;
 use crate::software_recorder::SoftwareRecorder;
-use crate::{logging, settings_watch, target_reader};
+use crate::{logging, target_reader};
 
 /// Time after the request to stop by which all requests that arrived whole are answered: a change takes 5 s at most, and may
 /// arrive in the first second. It fits a grace period of 8 s.
@@ -39,34 +40,26 @@
     laburnumlug_http::set_memory_budget(settings.process.memory_budget);
     let server = start(settings, Rc::new(Metrics::new()?)).await?;
     let replica = server.replica.clone();
-    let path = file.path().to_path_buf();
-    compio::runtime::spawn(settings_watch::run(path.clone(), move || {
-        let file = SettingsFile::<ControlRoleSettings>::open(&path);
-        match file.as_ref().map(SettingsFile::settings) {
-            Ok(ControlRoleSettings::Replica(settings)) => {
-                if let Some(directory) = replica.directory() {
-                    directory.set_seeds(settings.mesh.control.clone());
-                }
-                for peer in &settings.replicas {
-                    replica.add_peer(&peer.name);
-                }
+    SettingsWatch::start(file, move |settings| match settings {
+        ControlRoleSettings::Replica(settings) => {
+            set_seeds(&replica, &settings.mesh.control);
+            for peer in &settings.replicas {
+                replica.add_peer(&peer.name);
             }
-            Ok(ControlRoleSettings::Redirect(_)) => {
-                log::error!(
-                    "the changed settings file names no data folder, keeping the previous settings"
-                );
-            }
-            Err(err) => log::error!(
-                "the changed settings file is invalid, keeping the previous settings: {err}"
-            ),
         }
-    }))
-    .detach();
+        ControlRoleSettings::Redirect(settings) => set_seeds(&replica, &settings.mesh.control),
+    });
     signals.stop_requested().await;
     server.stop().await;
     Ok(())
 }
 
+fn set_seeds(replica: &Replica, seeds: &[SocketAddr]) {
+    if let Some(directory) = replica.directory() {
+        directory.set_seeds(seeds.to_vec());
+    }
+}
+
 /// A running control replica.
 pub(crate) struct ControlServer {
     replica: Rc<Replica>,
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -22,10 +22,11 @@
 use crate::gateway_exchange::GatewayExchange;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::listener::bind;
+use crate::logging;
 use crate::metrics::{self, Metrics};
 use crate::settings::{GatewaySettings, SettingsFile};
+use crate::settings_watch::SettingsWatch;
 use crate::signal::Signals;
-use crate::{logging, settings_watch};
 
 /// Time in which a gateway that stops reports the counts of its last requests: an interval between polls and an exchange.
 const LAST_REPORT_TIME: Duration = Duration::from_millis(700);
@@ -174,17 +175,9 @@
     let stopping = Rc::new(Cell::new(false));
     serve_readiness(settings.ready, forwarder.clone(), stopping.clone()).await?;
     compio::runtime::spawn(poll_stale_targets(settings.target_list, forwarder.clone())).detach();
-    let path = file.path().to_path_buf();
-    compio::runtime::spawn(settings_watch::run(
-        path.clone(),
-        move || match SettingsFile::<GatewaySettings>::open(&path) {
-            Ok(file) => watch.set_seeds(&file.settings().mesh.control),
-            Err(err) => log::error!(
-                "the changed settings file is invalid, keeping the previous settings: {err}"
-            ),
-        },
-    ))
-    .detach();
+    SettingsWatch::start(file, move |settings| {
+        watch.set_seeds(&settings.mesh.control);
+    });
     let handler = Rc::new(ForwardHandler::new(forwarder.clone()));
     let server_task = compio::runtime::spawn(server.run(handler));
     log::info!("the gateway serves callers on {}", settings.listen);
--- a/laburnumlug-daemon/src/redirect.rs
+++ b/laburnumlug-daemon/src/redirect.rs
@@ -14,8 +14,9 @@
 use crate::metrics::{self, Metrics};
 use crate::redirect_metrics::RedirectMetrics;
 use crate::settings::{ControlRoleSettings, RedirectSettings, SettingsFile};
+use crate::settings_watch::SettingsWatch;
 use crate::signal::Signals;
-use crate::{control, logging, settings_watch};
+use crate::{control, logging};
 
 /// Timeout of the search for a replica. The platform's operator abandons a call after one second, which has to
 /// suffice for the redirected call too.
@@ -53,22 +54,15 @@
     })
     .await?;
     let reloaded = directory.clone();
-    let path = file.path().to_path_buf();
-    compio::runtime::spawn(settings_watch::run(path.clone(), move || {
-        let file = SettingsFile::<ControlRoleSettings>::open(&path);
-        match file.as_ref().map(SettingsFile::settings) {
-            Ok(ControlRoleSettings::Redirect(settings)) => {
-                reloaded.set_seeds(settings.mesh.control.clone());
-            }
-            Ok(ControlRoleSettings::Replica(_)) => {
-                log::info!("a data folder takes effect when this process is restarted");
-            }
-            Err(err) => log::error!(
-                "the changed settings file is invalid, keeping the previous settings: {err}"
-            ),
+    SettingsWatch::start(file, move |settings| match settings {
+        ControlRoleSettings::Redirect(settings) => {
+            reloaded.set_seeds(settings.mesh.control.clone())
         }
-    }))
-    .detach();
+        ControlRoleSettings::Replica(settings) => {
+            reloaded.set_seeds(settings.mesh.control.clone());
+            log::info!("a data folder takes effect when this process is restarted");
+        }
+    });
     let server = Server::new(listener, OperatorInterface::limits());
     let shutdown = server.shutdown_handle();
     let handler = Rc::new(move |req: Request| {
--- a/laburnumlug-daemon/src/settings/control.rs
+++ b/laburnumlug-daemon/src/settings/control.rs
@@ -311,7 +311,7 @@
         assert_eq!(known, [Duty::Usage, Duty::Scaling]);
         assert_eq!(unknown, ["backup"]);
         let text = "[control]\nduties = \nusage_late_s = 2\n".to_string();
-        let reader = Reader::parse(Path::new("control.ini"), text, &[CONTROL]).unwrap();
+        let reader = Reader::parse(Path::new("control.ini"), text, &[CONTROL], None).unwrap();
         let parse = |text: &str| Some(parse_duties(text));
         let duties = reader.optional("control", "duties", "", parse).unwrap();
         assert_eq!(duties, Some((Vec::new(), Vec::new())));
--- a/laburnumlug-daemon/src/settings/control_role.rs
+++ b/laburnumlug-daemon/src/settings/control_role.rs
@@ -17,6 +17,8 @@
 }
 
 impl RoleSettings for ControlRoleSettings {
+    const RELOADED: &'static [&'static str] = &["[mesh] control"];
+
     fn sections() -> Vec<Section> {
         vec![PROCESS, LOG, MESH, METRICS, CONTROL]
     }
--- a/laburnumlug-daemon/src/settings/entry.rs
+++ b/laburnumlug-daemon/src/settings/entry.rs
@@ -37,6 +37,8 @@
 }
 
 impl RoleSettings for EntrySettings {
+    const RELOADED: &'static [&'static str] = &[];
+
     fn sections() -> Vec<Section> {
         vec![PROCESS, LOG, MESH, METRICS, ENTRY]
     }
--- a/laburnumlug-daemon/src/settings/file_tests.rs
+++ b/laburnumlug-daemon/src/settings/file_tests.rs
@@ -71,3 +71,29 @@
         assert!(open(&text).is_err(), "{mistake}");
     }
 }
+
+/// Guards against changed seeds that are lost because another line of the changed file is faulty.
+#[test]
+fn reload_applies_all_but_faulty_values() {
+    for text in [VALID.to_string(), rendered(VALID)] {
+        let mut file = open(&text).unwrap();
+        let changed = text
+            .replace("control = 127.0.0.1:1", "control = 127.0.0.1:2")
+            .replace("grace_s = 8", "grace_s = soon")
+            .replace("listen = 127.0.0.1:0\nready", "ready")
+            .replace("retry_slack = 58", "retry_slack = 60.5\nunknown = 1")
+            .replace("max_key_age_ms = 5000", "max_key_age_ms = -1");
+        assert!(file.reload(changed));
+        let settings = file.settings();
+        assert_eq!(settings.mesh.control[0].port(), 2);
+        assert_eq!(settings.grace_period, Duration::from_secs(8));
+        assert_eq!(settings.retry_slack, 60.5);
+        assert_eq!(settings.max_key_age, Some(Duration::from_secs(5)));
+        // A value that was kept is kept again, and a file that cannot be read changes nothing.
+        assert!(!file.reload("[process".to_string()));
+        assert!(file.reload(text.replace("grace_s = 8", "grace_s = later")));
+        assert_eq!(file.settings().grace_period, Duration::from_secs(8));
+        assert!(file.reload(text.replace("grace_s = 8", "grace_s = 2.5")));
+        assert_eq!(file.settings().grace_period, Duration::from_millis(2500));
+    }
+}
--- a/laburnumlug-daemon/src/settings/gateway.rs
+++ b/laburnumlug-daemon/src/settings/gateway.rs
@@ -84,6 +84,8 @@
 }
 
 impl RoleSettings for GatewaySettings {
+    const RELOADED: &'static [&'static str] = &["[mesh] control"];
+
     fn sections() -> Vec<Section> {
         vec![PROCESS, LOG, MESH, METRICS, GATEWAY]
     }
--- a/laburnumlug-daemon/src/settings/mod.rs
+++ b/laburnumlug-daemon/src/settings/mod.rs
@@ -19,7 +19,7 @@
 pub(crate) use self::control_role::ControlRoleSettings;
 pub(crate) use self::entry::EntrySettings;
 pub use self::error::SettingsError;
-pub(crate) use self::file::SettingsFile;
+pub(crate) use self::file::{RoleSettings, SettingsFile};
 pub(crate) use self::gateway::GatewaySettings;
 pub(crate) use self::redirect::RedirectSettings;
 pub(crate) use self::target::{BackendKind, PlatformSettings, TargetSettings};
--- a/laburnumlug-daemon/src/settings/reader.rs
+++ b/laburnumlug-daemon/src/settings/reader.rs
@@ -1,9 +1,11 @@
 //! Reader of INI files that rejects unknown sections and keys.
 //!
-//! A file that an operator writes is rejected as a whole for its first fault, before the process starts. A limit that the
-//! platform filled in is replaced by its default instead, as every process would be without it.
+//! A file that an operator writes is rejected as a whole for its first fault, before the process starts. Where that would leave
+//! callers without a process, the faulty key alone is replaced: a limit that the platform filled in by its default, and any
+//! key of a file that changes while the process runs by its previous value.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -18,6 +20,9 @@
     pub(super) keys: &'static [&'static str],
 }
 
+/// Texts that were accepted as values, by their location in the file.
+pub(super) type AcceptedTexts = BTreeMap<String, String>;
+
 /// A settings file whose sections and keys are all known.
 pub(crate) struct Reader {
     path: PathBuf,
@@ -25,20 +30,24 @@
     ini: Ini,
     /// Whether the platform filled in the file from a template.
     is_rendered: bool,
+    /// Texts that were accepted before the file changed; `None` if the process starts.
+    previous: Option<AcceptedTexts>,
+    accepted: RefCell<AcceptedTexts>,
     /// Faults whose keys were replaced.
     replaced: RefCell<Vec<SettingsError>>,
 }
 
 impl Reader {
-    /// Parses the file at `path` with the content `text`.
+    /// Parses the file at `path` with the content `text`; `previous` are the texts that were accepted before it changed.
     ///
     /// # Errors
     ///
-    /// Fails if the text is no INI file, or has an unknown section or key.
+    /// Fails if the text is no INI file or, unless it changed, has an unknown section or key.
     pub(super) fn parse(
         path: &Path,
         text: String,
         sections: &[Section],
+        previous: Option<AcceptedTexts>,
     ) -> Result<Reader, SettingsError> {
         let malformed = |line: usize, found: String| SettingsError {
             file: path.to_path_buf(),
@@ -62,9 +71,13 @@
             text,
             ini,
             is_rendered: false,
+            previous,
+            accepted: RefCell::default(),
             replaced: RefCell::default(),
         };
-        reader.check_known_names(sections)?;
+        if let Err(fault) = reader.check_known_names(sections) {
+            reader.reject(fault)?;
+        }
         let is_rendered = reader.optional("process", "rendered", "yes or no", parse_yes_or_no)?;
         reader.is_rendered = is_rendered.unwrap_or(false);
         Ok(reader)
@@ -75,9 +88,22 @@
         self.is_rendered
     }
 
-    /// Returns the faults whose keys were replaced.
-    pub(super) fn into_replaced(self) -> Vec<SettingsError> {
-        self.replaced.into_inner()
+    /// Returns the accepted texts, and the faults whose keys were replaced.
+    pub(super) fn finish(self) -> (AcceptedTexts, Vec<SettingsError>) {
+        (self.accepted.into_inner(), self.replaced.into_inner())
+    }
+
+    /// Records a fault that a running process bears.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault if the process has yet to start.
+    pub(super) fn reject(&self, fault: SettingsError) -> Result<(), SettingsError> {
+        match self.previous {
+            Some(_) => self.replaced.borrow_mut().push(fault),
+            None => return Err(fault),
+        }
+        Ok(())
     }
 
     fn check_known_names(&self, sections: &[Section]) -> Result<(), SettingsError> {
@@ -150,9 +176,13 @@
     where
         P: Fn(&str) -> Option<T>,
     {
-        match self.optional(section, key, allowed, parse)? {
-            Some(value) => Ok(value),
-            None => Err(self.error_at(section, Some(key), "nothing".into(), allowed.into())),
+        if let Some(value) = self.optional(section, key, allowed, &parse)? {
+            return Ok(value);
+        }
+        let fault = self.error_at(section, Some(key), "nothing".into(), allowed.into());
+        match self.previous_value(section, key, parse) {
+            Some(value) => self.reject(fault).map(|()| value),
+            None => Err(fault),
         }
     }
 
@@ -170,8 +200,15 @@
         match self.get(section, key) {
             None => Ok(None),
             Some(text) => match parse(text) {
-                Some(value) => Ok(Some(value)),
-                None => Err(self.error_at(section, Some(key), format!("{text:?}"), allowed.into())),
+                Some(value) => {
+                    self.accept(section, key, text);
+                    Ok(Some(value))
+                }
+                None => {
+                    let found = format!("{text:?}");
+                    self.reject(self.error_at(section, Some(key), found, allowed.into()))?;
+                    Ok(self.previous_value(section, key, parse))
+                }
             },
         }
     }
@@ -197,7 +234,8 @@
             None if self.is_rendered => {
                 let found = format!("{text:?}");
                 self.replace(self.error_at(section, Some(key), found, allowed.into()))?;
-                Ok(Some(substitute))
+                let previous = self.previous_value(section, key, parse);
+                Ok(Some(previous.unwrap_or(substitute)))
             }
             _ => self.optional(section, key, allowed, parse),
         }
@@ -207,15 +245,31 @@
     ///
     /// # Errors
     ///
-    /// Returns the fault if an operator wrote the file.
+    /// Returns the fault if an operator wrote the file, and the process has yet to start.
     pub(super) fn replace(&self, fault: SettingsError) -> Result<(), SettingsError> {
         match self.is_rendered {
             true => self.replaced.borrow_mut().push(fault),
-            false => return Err(fault),
+            false => self.reject(fault)?,
         }
         Ok(())
     }
 
+    fn accept(&self, section: &str, key: &str, text: &str) {
+        let mut accepted = self.accepted.borrow_mut();
+        accepted.insert(location(section, Some(key)), text.to_string());
+    }
+
+    /// Returns the value that a key had before the file changed, which remains the accepted one.
+    fn previous_value<T, P>(&self, section: &str, key: &str, parse: P) -> Option<T>
+    where
+        P: Fn(&str) -> Option<T>,
+    {
+        let text = self.previous.as_ref()?.get(&location(section, Some(key)))?;
+        let value = parse(text)?;
+        self.accept(section, key, text);
+        Some(value)
+    }
+
     /// Creates an error located at a key, or at a section if `key` is `None`.
     pub(super) fn error_at(
         &self,
--- a/laburnumlug-daemon/src/settings/reader_tests.rs
+++ b/laburnumlug-daemon/src/settings/reader_tests.rs
@@ -6,7 +6,7 @@
 }];
 
 fn read(text: &str) -> Result<Reader, SettingsError> {
-    Reader::parse(Path::new("entry.ini"), text.to_string(), SECTIONS)
+    Reader::parse(Path::new("entry.ini"), text.to_string(), SECTIONS, None)
 }
 
 fn error_text<T>(result: Result<T, SettingsError>) -> String {
--- a/laburnumlug-daemon/src/settings/target.rs
+++ b/laburnumlug-daemon/src/settings/target.rs
@@ -66,6 +66,8 @@
 }
 
 impl RoleSettings for TargetSettings {
+    const RELOADED: &'static [&'static str] = &[];
+
     fn sections() -> Vec<Section> {
         vec![PROCESS, LOG, MESH, METRICS, TARGET, PLATFORM]
     }
--- a/laburnumlug-daemon/tests/it/platform.rs
+++ b/laburnumlug-daemon/tests/it/platform.rs
@@ -202,6 +202,32 @@
     });
 }
 
+/// Guards against a gateway that stays cut off because a faulty line in its changed settings file hides the new seeds.
+#[test]
+fn gateway_takes_changed_seeds_beside_faulty_line() {
+    block_on(async {
+        let cluster = Cluster::start();
+        cluster.replace_config(0, 1, 500).await;
+        let lost = free_addr();
+        let gateway = Gateway::start(&cluster.folder, &[lost]).await;
+        wait_for("a gateway that is not ready without control", || async {
+            (readiness_status(gateway.ready_addr).await? == 503).then_some(())
+        })
+        .await;
+        let text = std::fs::read_to_string(cluster.folder.path().join("g.ini")).unwrap();
+        let seed = cluster.seeds()[1];
+        let text = text
+            .replace(&lost.to_string(), &seed.to_string())
+            .replace("grace_s = 4", "grace_s = soon");
+        assert!(text.contains("soon"), "{text}");
+        cluster.folder.write("g.ini", &text);
+        wait_for("a ready gateway", || async {
+            (readiness_status(gateway.ready_addr).await? == 200).then_some(())
+        })
+        .await;
+    });
+}
+
 /// Guards against requests that are lost because the platform sends them to a gateway that has no routes yet or has
 /// exited: it must not be ready before it has routes and targets, must survive SIGHUP, and on SIGTERM must report at
 /// once that it is not ready, but keep serving until the platform has noticed.
