Apply changed limits while a process runs

Callers saw: a gateway whose grace period was shortened from 8 s to 2 s in its settings file stopped by the 8 s. A platform that kills it after 2 s cuts requests in flight. By reading, the same held for the age limits of routes and keys, the retry budget, and the time between orders of two leaders. Cause: limits were handed to each part by value at the start; a changed file applied the seeds only. Change: gateways apply the grace period, the age limits and the retry budget, and read the file once more when they are asked to stop. Control replicas apply a longer time between leaders at once and a shorter one at the next start, as other replicas may still obey the longer one. Usage windows wait for the next start: their length numbers the windows in the control log. DutyTurn takes the handover time as an argument.

--- a/laburnumlug-control/src/usage/model.rs
+++ b/laburnumlug-control/src/usage/model.rs
@@ -131,7 +131,7 @@
         let start = Instant::now();
         let replica = || ReplicaModel {
             collector: UsageCollector::new(start, CFG),
-            turn: DutyTurn::new(LEASE),
+            turn: DutyTurn::default(),
             schedule: ReportSchedule::default(),
             leads: None,
             turns: 0,
@@ -334,7 +334,7 @@
     fn begin_call(&mut self, index: usize, term: FencingToken) {
         let now = self.instant();
         let replica = &mut self.replicas[index];
-        let is_acting = replica.turn.acting_term(now) == Some(term);
+        let is_acting = replica.turn.acting_term(now, LEASE) == Some(term);
         if replica.call.is_some() || !(is_acting || self.omission == Omission::Handover) {
             return;
         }
--- a/laburnumlug-daemon/src/control.rs
+++ b/laburnumlug-daemon/src/control.rs
@@ -15,6 +15,7 @@
 use crate::duties::{ScalingDuty, UsageDuty};
 use crate::error::Error;
 use crate::fleet_store::ControlLogStore;
+use crate::leadership::HandoverTime;
 use crate::listener::bind;
 use crate::metrics::{self, Metrics};
 use crate::ready_router::ReadyRouter;
@@ -39,9 +40,11 @@
     file.log_replaced();
     laburnumlug_http::set_memory_budget(settings.process.memory_budget);
     let server = start(settings, Rc::new(Metrics::new()?)).await?;
-    let replica = server.replica.clone();
+    let (replica, handover) = (server.replica.clone(), server.handover.clone());
     SettingsWatch::start(file, move |settings| match settings {
         ControlRoleSettings::Replica(settings) => {
+            handover.raise(settings.handover_time);
+            log::info!(order_turn_ms = handover.get().as_secs_f64() * 1e3; "limits in force");
             set_seeds(&replica, &settings.mesh.control);
             for peer in &settings.replicas {
                 replica.add_peer(&peer.name);
@@ -63,6 +66,7 @@
 /// A running control replica.
 pub(crate) struct ControlServer {
     replica: Rc<Replica>,
+    handover: Rc<HandoverTime>,
     mesh_addr: SocketAddr,
     shutdown: laburnumlug_http::ShutdownHandle,
     server_task: JoinHandle<()>,
@@ -131,13 +135,14 @@
     for name in &settings.unknown_duties {
         log::warn!("ignored the duty {name:?} in the settings, which this version does not know");
     }
+    let handover = Rc::new(HandoverTime::new(settings.handover_time));
     if let Some(addr) = settings.target_list {
         let source = Rc::new(InstanceListClient::new(addr));
         let planner = Rc::new(RolePlanner::new(
             replica.clone(),
             Rc::new(PlatformRoleAssigner),
             &settings.process.vm,
-            settings.handover_time,
+            handover.clone(),
         ));
         let client = Rc::new(PlatformDutyClient::new(addr));
         let scaling = settings.scaling.then(|| {
@@ -145,7 +150,7 @@
                 replica.clone(),
                 client.clone(),
                 &settings.process.vm,
-                settings.handover_time,
+                handover.clone(),
             )
         });
         let software = SoftwareRecorder::new(replica.clone());
@@ -156,7 +161,7 @@
                 replica.clone(),
                 client,
                 &settings.process.vm,
-                settings.handover_time,
+                handover.clone(),
             );
         }
     }
@@ -175,6 +180,7 @@
     );
     Ok(ControlServer {
         replica,
+        handover,
         mesh_addr,
         shutdown,
         server_task,
--- a/laburnumlug-daemon/src/duties/scaling.rs
+++ b/laburnumlug-daemon/src/duties/scaling.rs
@@ -15,7 +15,7 @@
 };
 
 use super::scaling_view::{OrderTimes, ScaledServices, zone_targets};
-use crate::leadership::Leadership;
+use crate::leadership::{HandoverTime, Leadership};
 
 /// Interval between checks whether an order waits to be sent; targets start within seconds.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -54,10 +54,10 @@
         replica: Rc<Replica>,
         client: Rc<dyn DutyClient>,
         holder: &str,
-        handover_time: Duration,
+        handover: Rc<HandoverTime>,
     ) -> Rc<ScalingDuty> {
         let duty = Rc::new(ScalingDuty {
-            leadership: Leadership::new(replica.clone(), handover_time),
+            leadership: Leadership::new(replica.clone(), handover),
             replica,
             client,
             holder: holder.to_string(),
--- a/laburnumlug-daemon/src/duties/usage.rs
+++ b/laburnumlug-daemon/src/duties/usage.rs
@@ -9,7 +9,7 @@
 use laburnumlug_platform::{DutyClient, DutyTicket};
 use laburnumlug_policy::{ReportResult, ReportSchedule};
 
-use crate::leadership::Leadership;
+use crate::leadership::{HandoverTime, Leadership};
 
 /// Interval between checks whether a window can be fixed or reported; windows last seconds.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -36,10 +36,10 @@
         replica: Rc<Replica>,
         client: Rc<dyn DutyClient>,
         holder: &str,
-        handover_time: Duration,
+        handover: Rc<HandoverTime>,
     ) {
         let duty = Rc::new(UsageDuty {
-            leadership: Leadership::new(replica.clone(), handover_time),
+            leadership: Leadership::new(replica.clone(), handover),
             replica,
             client,
             holder: holder.to_string(),
--- a/laburnumlug-daemon/src/gateway.rs
+++ b/laburnumlug-daemon/src/gateway.rs
@@ -129,16 +129,11 @@
     let settings = file.settings().clone();
     logging::start("gateway", &settings.process, &settings.log)?;
     file.log_replaced();
-    log_limits(&settings);
+    log_limits(&settings, settings.usage_window);
     laburnumlug_http::set_memory_budget(settings.process.memory_budget);
     let metrics = Rc::new(Metrics::new()?);
-    let cfg = ForwardConfig::new(&settings.process.zone)
-        .retry_budget(settings.retry_ratio, settings.retry_window)
-        .retry_slack(settings.retry_slack)
-        .max_key_age(settings.max_key_age)
-        .max_route_age(Some(settings.max_route_age));
     let forwarder = Forwarder::new(
-        cfg,
+        forward_config(&settings),
         Rc::new(PlatformHeaderCodec),
         Rc::new(PlatformInspector),
     );
@@ -175,14 +170,21 @@
     let stopping = Rc::new(Cell::new(false));
     serve_readiness(settings.ready, forwarder.clone(), stopping.clone()).await?;
     compio::runtime::spawn(poll_stale_targets(settings.target_list, forwarder.clone())).detach();
-    SettingsWatch::start(file, move |settings| {
+    let grace_period = Rc::new(Cell::new(settings.grace_period));
+    let (reloaded, reloaded_grace) = (forwarder.clone(), grace_period.clone());
+    let settings_watch = SettingsWatch::start(file, move |settings| {
         watch.set_seeds(&settings.mesh.control);
+        reloaded.set_limits(&forward_config(settings));
+        reloaded_grace.set(settings.grace_period);
+        log_limits(settings, reloaded.usage_window());
     });
     let handler = Rc::new(ForwardHandler::new(forwarder.clone()));
     let server_task = compio::runtime::spawn(server.run(handler));
     log::info!("the gateway serves callers on {}", settings.listen);
     let request = signals.stop_requested().await;
-    let schedule = ShutdownSchedule::new(request.noticed_at, settings.grace_period)
+    // The grace period may have changed together with the request.
+    settings_watch.check().await;
+    let schedule = ShutdownSchedule::new(request.noticed_at, grace_period.get())
         .requested_at(request.requested_at, request.noticed_at);
     let now = Instant::now();
     let ms_until = |at: Instant| at.saturating_duration_since(now).as_millis() as u64;
@@ -223,14 +225,22 @@
     Ok(())
 }
 
-/// Logs the limits that the gateway starts with.
-fn log_limits(settings: &GatewaySettings) {
+fn forward_config(settings: &GatewaySettings) -> ForwardConfig {
+    ForwardConfig::new(&settings.process.zone)
+        .retry_budget(settings.retry_ratio, settings.retry_window)
+        .retry_slack(settings.retry_slack)
+        .max_key_age(settings.max_key_age)
+        .max_route_age(Some(settings.max_route_age))
+}
+
+/// Logs the limits that are in force from now on; `usage_window` is that of the start.
+fn log_limits(settings: &GatewaySettings, usage_window: Option<Duration>) {
     let ms = |time: Duration| time.as_secs_f64() * 1e3;
     log::info!(
         grace_ms = ms(settings.grace_period), retry_ratio = settings.retry_ratio,
         retry_window_ms = ms(settings.retry_window), retry_slack = settings.retry_slack,
         max_route_age_ms = ms(settings.max_route_age), max_key_age_ms = settings.max_key_age.map(ms),
-        usage_window_ms = settings.usage_window.map(ms);
+        usage_window_ms = usage_window.map(ms);
         "limits in force"
     );
 }
--- a/laburnumlug-daemon/src/leadership.rs
+++ b/laburnumlug-daemon/src/leadership.rs
@@ -1,6 +1,6 @@
 //! Turn of a control replica to act on the outside world: orders to engines and calls to the platform.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -11,18 +11,41 @@
 /// Timeout for a majority of the replicas to confirm that this replica still leads.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Minimum time between orders of two successive leaders.
+#[derive(Debug)]
+pub(crate) struct HandoverTime(Cell<Duration>);
+
+impl HandoverTime {
+    pub(crate) fn new(time: Duration) -> HandoverTime {
+        HandoverTime(Cell::new(time))
+    }
+
+    /// Sets a longer time; a shorter one takes effect at the next start, as the other replicas may still obey the longer one.
+    pub(crate) fn raise(&self, time: Duration) {
+        let previous = self.0.get();
+        self.0.set(previous.max(time));
+    }
+
+    /// Returns the time that is in force.
+    pub(crate) fn get(&self) -> Duration {
+        self.0.get()
+    }
+}
+
 /// Leadership of the control log, as the authority to act on the outside world.
 pub(crate) struct Leadership {
     replica: Rc<Replica>,
+    handover: Rc<HandoverTime>,
     turn: RefCell<DutyTurn>,
 }
 
 impl Leadership {
-    /// Creates the authority of a replica; `handover_time` is the minimum time between actions of two successive leaders.
-    pub(crate) fn new(replica: Rc<Replica>, handover_time: Duration) -> Leadership {
+    /// Creates the authority of a replica, which waits for `handover` after it was elected.
+    pub(crate) fn new(replica: Rc<Replica>, handover: Rc<HandoverTime>) -> Leadership {
         Leadership {
             replica,
-            turn: RefCell::new(DutyTurn::new(handover_time)),
+            handover,
+            turn: RefCell::default(),
         }
     }
 
@@ -35,7 +58,7 @@
 
     /// Returns the term of this replica if it led when it was last checked, and the handover is over.
     pub(crate) fn acting_term(&self, now: Instant) -> Option<FencingToken> {
-        self.turn.borrow().acting_term(now)
+        self.turn.borrow().acting_term(now, self.handover.get())
     }
 
     /// Returns the permission for one call in `term`, if a majority of the replicas confirms in time that this replica still
--- a/laburnumlug-daemon/src/role_planner.rs
+++ b/laburnumlug-daemon/src/role_planner.rs
@@ -10,7 +10,7 @@
 use laburnumlug_platform::RoleAssigner;
 use laburnumlug_policy::{Demand, DemandMeter, RoleChange, plan_roles};
 
-use crate::leadership::Leadership;
+use crate::leadership::{HandoverTime, Leadership};
 
 /// Delay between announcing that an engine is changing and ordering the change. Gateways poll twice a second.
 const ANNOUNCE_DELAY: Duration = Duration::from_millis(700);
@@ -49,10 +49,10 @@
         replica: Rc<Replica>,
         role_assigner: Rc<dyn RoleAssigner>,
         holder: &str,
-        handover_time: Duration,
+        handover: Rc<HandoverTime>,
     ) -> RolePlanner {
         RolePlanner {
-            leadership: Leadership::new(replica.clone(), handover_time),
+            leadership: Leadership::new(replica.clone(), handover),
             replica,
             role_assigner,
             holder: holder.to_string(),
--- a/laburnumlug-daemon/src/settings/control_role.rs
+++ b/laburnumlug-daemon/src/settings/control_role.rs
@@ -17,7 +17,7 @@
 }
 
 impl RoleSettings for ControlRoleSettings {
-    const RELOADED: &'static [&'static str] = &["[mesh] control"];
+    const RELOADED: &'static [&'static str] = &["[mesh] control", "[control] order_turn_ms"];
 
     fn sections() -> Vec<Section> {
         vec![PROCESS, LOG, MESH, METRICS, CONTROL]
--- a/laburnumlug-daemon/src/settings/gateway.rs
+++ b/laburnumlug-daemon/src/settings/gateway.rs
@@ -84,7 +84,15 @@
 }
 
 impl RoleSettings for GatewaySettings {
-    const RELOADED: &'static [&'static str] = &["[mesh] control"];
+    const RELOADED: &'static [&'static str] = &[
+        "[mesh] control",
+        "[gateway] retry_ratio",
+        "[gateway] retry_window_s",
+        "[gateway] retry_slack",
+        "[gateway] grace_s",
+        "[gateway] max_key_age_ms",
+        "[gateway] max_route_age_ms",
+    ];
 
     fn sections() -> Vec<Section> {
         vec![PROCESS, LOG, MESH, METRICS, GATEWAY]
--- a/laburnumlug-daemon/tests/it/templates.rs
+++ b/laburnumlug-daemon/tests/it/templates.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
 use crate::harness::Folder;
@@ -43,6 +44,8 @@
 /// Process with rendered settings, killed on drop.
 struct Rendered {
     folder: Folder,
+    role: &'static str,
+    fields: Value,
     /// Address that accepts connections as soon as the process serves.
     addr: SocketAddr,
     child: Child,
@@ -86,6 +89,8 @@
                 .parse()
                 .unwrap(),
             folder,
+            role,
+            fields,
             child,
         }
     }
@@ -122,6 +127,15 @@
             _ => text.parse().ok(),
         }
     }
+
+    /// Changes a field, and the settings file with it.
+    fn change(&mut self, path: &str, value: Value) {
+        *self
+            .fields
+            .pointer_mut(&format!("/{}", path.replace('.', "/")))
+            .unwrap() = value;
+        write_settings(&self.folder, self.role, &self.fields);
+    }
 }
 
 fn write_settings(folder: &Folder, role: &str, fields: &Value) {
@@ -406,3 +420,82 @@
         );
     });
 }
+
+/// Guards against requests in flight that are cut because the platform kills a gateway after a grace period that was shortened
+/// while the gateway ran.
+#[test]
+fn template_grace_period_shortened_before_stop() {
+    let mut process = Rendered::start("gateway", "bounds.graceS", &json!(8));
+    process.served().unwrap();
+    // The change is not followed by a poll before the request to stop.
+    process.change("bounds.graceS", json!(2));
+    let stopped_at = Instant::now();
+    kill_process(Pid::from_child(&process.child), Signal::TERM).unwrap();
+    let status = process.child.wait().unwrap();
+    let taken = stopped_at.elapsed();
+    assert!(
+        status.success() && taken < Duration::from_secs(2),
+        "{status} after {taken:?}"
+    );
+    assert_eq!(process.limit("grace_ms"), Some(2000.0));
+}
+
+/// Guards against limits that stay those of the start until the process is restarted.
+#[test]
+fn template_changes_reach_running_processes() {
+    let changes = vec![
+        (
+            "gateway",
+            "bounds.budgetSlack",
+            json!(20.5),
+            "retry_slack",
+            20.5,
+        ),
+        (
+            "gateway",
+            "bounds.configMs",
+            json!(2500.0),
+            "max_route_age_ms",
+            2500.0,
+        ),
+        (
+            "gateway",
+            "bounds.revokeMs",
+            json!(3000),
+            "max_key_age_ms",
+            3000.0,
+        ),
+        (
+            "control",
+            "bounds.leaseMs",
+            json!(4500.5),
+            "order_turn_ms",
+            4500.5,
+        ),
+        // A shorter time waits for the next start, as other replicas may still obey the longer one.
+        (
+            "control",
+            "bounds.leaseMs",
+            json!(500),
+            "order_turn_ms",
+            3000.0,
+        ),
+    ];
+    check_each(changes, |(role, path, value, key, limit)| {
+        let mut process = Rendered::start(role, "none", &json!(null));
+        process.served().unwrap();
+        process.change(path, value.clone());
+        let start = Instant::now();
+        while !process.log().contains("the settings file has changed") {
+            assert!(start.elapsed() < START_TIMEOUT, "{}", process.log());
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        std::thread::sleep(Duration::from_millis(100));
+        assert_eq!(
+            process.limit(key),
+            Some(*limit),
+            "{path}\n{}",
+            process.log()
+        );
+    });
+}
--- a/laburnumlug-forward/src/customers.rs
+++ b/laburnumlug-forward/src/customers.rs
@@ -94,13 +94,14 @@
 
     /// Returns the state of the document that `table` was built from.
     pub(crate) fn document_status(&self, now: BootTime, table: &RouteTable) -> DocumentStatus {
+        let limits = self.limits.get();
         DocumentStatus {
             lists_customers: table.customers.is_some(),
             confirmation_age: self
                 .confirmed_at()
                 .map(|at| now.saturating_duration_since(at)),
-            max_key_age: self.cfg.max_key_age,
-            max_route_age: self.cfg.max_route_age,
+            max_key_age: limits.max_key_age,
+            max_route_age: limits.max_route_age,
             contact: self.control_contact(),
         }
     }
--- a/laburnumlug-forward/src/forwarder.rs
+++ b/laburnumlug-forward/src/forwarder.rs
@@ -19,7 +19,7 @@
 use rand::Rng;
 
 use crate::cache_reports::CacheReportQueue;
-use crate::config::ForwardConfig;
+use crate::config::{ForwardConfig, ForwardLimits};
 use crate::crash_reports::OutlastedSuspects;
 use crate::engine_requests::EngineRequests;
 use crate::header_codec::HeaderCodec;
@@ -64,6 +64,8 @@
 /// Routes requests to services and forwards them to live targets.
 pub struct Forwarder {
     pub(crate) cfg: ForwardConfig,
+    /// Limits in force; those in `cfg` are the first ones.
+    pub(crate) limits: Cell<ForwardLimits>,
     pub(crate) header_codec: Rc<dyn HeaderCodec>,
     pub(crate) inspector: Rc<dyn Inspector>,
     pub(crate) pool: ConnectionPool,
@@ -101,6 +103,7 @@
         inspector: Rc<dyn Inspector>,
     ) -> Rc<Forwarder> {
         Rc::new(Forwarder {
+            limits: Cell::new(cfg.limits),
             cfg,
             header_codec,
             inspector,
@@ -216,6 +219,16 @@
         }
     }
 
+    /// Applies the limits in `cfg` from now on; requests and retries that were counted before still count.
+    pub fn set_limits(&self, cfg: &ForwardConfig) {
+        let limits = cfg.limits;
+        self.limits.set(limits);
+        let slack = self.local_retry_slack();
+        for budget in self.retry_budgets.borrow_mut().values_mut() {
+            budget.set_limit(limits.retry_ratio, limits.retry_window, slack);
+        }
+    }
+
     /// Returns the rendezvous rank of this gateway for an item, or `None` until the gateways are known.
     pub(crate) fn rendezvous_rank(&self, item: &str) -> Option<usize> {
         let gateways = self.gateways.borrow();
@@ -225,7 +238,8 @@
 
     /// Returns the part of the retry slack that this gateway may use.
     fn local_retry_slack(&self) -> f64 {
-        self.cfg.retry_slack_per_gateway(self.gateway_count())
+        let gateways = self.gateway_count();
+        self.limits.get().retry_slack_per_gateway(gateways)
     }
 
     /// Returns the number of gateways, or an assumed number until it is known.
@@ -342,8 +356,9 @@
     {
         let mut retry_budgets = self.retry_budgets.borrow_mut();
         let new = || {
-            let (ratio, window) = (self.cfg.retry_ratio, self.cfg.retry_window);
-            RetryBudget::new(ratio, window, self.local_retry_slack())
+            let limits = self.limits.get();
+            let slack = self.local_retry_slack();
+            RetryBudget::new(limits.retry_ratio, limits.retry_window, slack)
         };
         f(retry_budgets.entry(service.to_string()).or_insert_with(new))
     }
--- a/laburnumlug-policy/src/duty_turn.rs
+++ b/laburnumlug-policy/src/duty_turn.rs
@@ -13,22 +13,12 @@
 /// Leadership of this process: the term in which it leads, and the time at which that was first seen.
 ///
 /// A term has one leader and terms increase, so that the term serves as the fencing token of the leader's actions.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct DutyTurn {
-    handover_time: Duration,
     leading: Option<(FencingToken, Instant)>,
 }
 
 impl DutyTurn {
-    /// Creates the turn of a process that does not lead; `handover_time` is the minimum time between actions of two
-    /// successive leaders.
-    pub fn new(handover_time: Duration) -> DutyTurn {
-        DutyTurn {
-            handover_time,
-            leading: None,
-        }
-    }
-
     /// Records whether this process leads, and in which term; returns the time since which it leads in that term.
     pub fn observe(&mut self, now: Instant, leading: Option<FencingToken>) -> Option<Instant> {
         self.leading = match (leading, self.leading) {
@@ -39,11 +29,12 @@
         self.leading.map(|(_, since)| since)
     }
 
-    /// Returns the term in which this process leads, if the handover from the previous leader is over.
-    pub fn acting_term(&self, now: Instant) -> Option<FencingToken> {
+    /// Returns the term in which this process leads, if the handover from the previous leader is over; `handover_time` is the
+    /// minimum time between actions of two successive leaders.
+    pub fn acting_term(&self, now: Instant, handover_time: Duration) -> Option<FencingToken> {
         let (term, since) = self.leading?;
         let elapsed = now.saturating_duration_since(since);
-        (elapsed >= self.handover_time + HANDOVER_MARGIN).then_some(term)
+        (elapsed >= handover_time + HANDOVER_MARGIN).then_some(term)
     }
 }
 
--- a/laburnumlug-policy/src/retry_budget.rs
+++ b/laburnumlug-policy/src/retry_budget.rs
@@ -59,6 +59,11 @@
         self.slack = slack;
     }
 
+    /// Sets the ratio, the window and the slack, and keeps the requests and retries that were counted.
+    pub fn set_limit(&mut self, ratio: f64, window: Duration, slack: f64) {
+        (self.ratio, self.window, self.slack) = (ratio, window, slack);
+    }
+
     /// Returns the current bucket and drops those that have left the window.
     ///
     /// A retry may have been made up to one bucket length after the bucket's start, so a bucket is kept for one bucket
@@ -104,6 +109,18 @@
         assert_eq!(acquired(&mut budget, now + Duration::from_secs(20)), 2);
     }
 
+    /// Guards against retries that are allowed once more because the limit changed.
+    #[test]
+    fn set_limit_keeps_counts() {
+        let now = Instant::now();
+        let mut budget = RetryBudget::new(0.2, Duration::from_secs(10), 2.0);
+        assert!(budget.try_acquire(now) && budget.try_acquire(now));
+        budget.set_limit(0.0, Duration::from_secs(20), 2.0);
+        assert!(!budget.try_acquire(now + Duration::from_secs(15)));
+        budget.set_limit(0.0, Duration::from_secs(20), 3.0);
+        assert!(budget.try_acquire(now + Duration::from_secs(15)));
+    }
+
     /// Failures that begin late in a bucket and persist must not exceed the limit in a window that spans the buckets.
     #[test]
     fn try_acquire_any_window() {
