--- a/laburnumlug-http/src/pool.rs
+++ b/laburnumlug-http/src/pool.rs
@@ -299,13 +299,13 @@
     }
 }
 
-/// Returns the timeout of the `Keep-Alive` header, which is in whole seconds.
+/// Returns the timeout of the `Keep-Alive` header, which is a number of seconds.
 fn keep_alive_timeout(headers: &hyper::HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
     let seconds = value
         .split(',')
         .find_map(|item| item.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
+    Duration::try_from_secs_f64(seconds.trim().parse().ok()?).ok()
 }
 
 /// Response whose body is still arriving, on a connection that can be returned to the pool afterwards.
--- a/laburnumlug-http/src/pool_tests.rs
+++ b/laburnumlug-http/src/pool_tests.rs
@@ -12,5 +12,8 @@
         keep_alive("max=3, timeout=12"),
         Some(Duration::from_secs(12))
     );
-    assert_eq!(keep_alive("timeout=soon"), None);
+    assert_eq!(keep_alive("timeout=5.0"), Some(Duration::from_secs(5)));
+    for malformed in ["timeout=soon", "timeout=-1", "timeout=inf"] {
+        assert_eq!(keep_alive(malformed), None);
+    }
 }
