Tell answers that the end of a target cuts from whole ones by its other exchanges

Cause: the only sign was whether the target's address refuses a connection. It was not looked at for targets that leave, and the kernel accepts connections for a socket that is kept. Evidence: answers_unframed_leaving_server_is_killed and answers_unframed_server_is_killed_and_socket_kept get 200 in place of 502 on the code before. Change: the kernel closes all connections of a process at once. If another exchange with the target ended within 2 ms and none that began before goes on, a health check of that instance decides. An idle connection counts as a sign of life only if the target has answered on it. Result: both tests pass, and answers_unframed_whole before and after.

--- a/laburnumlug-forward/src/probe.rs
+++ b/laburnumlug-forward/src/probe.rs
@@ -20,7 +20,7 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Timeout of one probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Number of consecutive failed probes after which a target gets requests again all the same.
 const MAX_PROBES: u32 = 20;
@@ -52,6 +52,8 @@
 /// Answer of a target to a health check.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct HealthAnswer {
+    /// Whether the instance that was asked has answered, whatever it said.
+    pub is_answered: bool,
     /// Whether the target passes the check.
     pub is_healthy: bool,
     /// Statements of the target about itself.
@@ -128,6 +130,7 @@
                 AttemptFailure::answer_lost(err.to_string())
             }
             None => {
+                target.exchange_ends.borrow_mut().record_end(now);
                 self.record_failed_request(now, target, false);
                 AttemptFailure::connection_broken(err.to_string())
             }
--- a/laburnumlug-forward/src/registry.rs
+++ b/laburnumlug-forward/src/registry.rs
@@ -8,11 +8,12 @@
 use event_listener::Event;
 use laburnumlug::{LiveTarget, Role, ServiceName, TargetList, TargetName};
 use laburnumlug_policy::{
-    EngineActivity, EngineMemory, KvCacheEstimate, PendingParts, PrefillQueue, RecentSuspects,
-    RunningRequests, TargetHealth, TargetStatus,
+    EngineActivity, EngineMemory, ExchangeEnds, ExchangeId, KvCacheEstimate, PendingParts,
+    PrefillQueue, RecentSuspects, RunningRequests, TargetHealth, TargetStatus,
 };
 
 use crate::departed_targets::DepartedTargets;
+use crate::unframed::RunCheck;
 
 /// Initial estimate of an engine's prefill rate, until measurements replace it; about the rate of a current
 /// accelerator node with a model of 70 billion parameters.
@@ -72,6 +73,10 @@
     pub(crate) crash_checked: Event,
     /// Whether the last check found that the target had crashed.
     pub(crate) has_crashed: Cell<bool>,
+    /// Exchanges of this process, and those that the target ended without saying that it was finished.
+    pub(crate) exchange_ends: RefCell<ExchangeEnds>,
+    /// Check whether the target runs that was started last, which answers that end together share.
+    pub(crate) run_check: RefCell<Option<RunCheck>>,
     /// Suspects of requests that ended while the target was beginning to run them, and when.
     pub(crate) unfinished_requests: RefCell<RecentSuspects>,
     /// Requests that the target runs and that may crash it, of this process and of other gateways.
@@ -102,6 +107,8 @@
             is_checked_for_crash: Cell::new(false),
             crash_checked: Event::new(),
             has_crashed: Cell::new(false),
+            exchange_ends: RefCell::default(),
+            run_check: RefCell::default(),
             unfinished_requests: RefCell::default(),
             running: RefCell::default(),
         }
@@ -125,8 +132,10 @@
     /// Counts a request as in flight until the returned guard is dropped.
     pub(crate) fn track_request(self: &Rc<Self>) -> InFlightGuard {
         self.in_flight.set(self.in_flight.get() + 1);
+        let exchange = self.exchange_ends.borrow_mut().begin(Instant::now());
         InFlightGuard {
             target: self.clone(),
+            exchange,
         }
     }
 }
@@ -134,10 +143,12 @@
 /// Counts one request in flight at a target.
 pub(crate) struct InFlightGuard {
     pub(crate) target: Rc<TargetHandle>,
+    exchange: ExchangeId,
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
+        self.target.exchange_ends.borrow_mut().finish(self.exchange);
         self.target.in_flight.set(self.target.in_flight.get() - 1);
     }
 }
--- a/laburnumlug-forward/src/stream/attempt.rs
+++ b/laburnumlug-forward/src/stream/attempt.rs
@@ -302,7 +302,10 @@
         let target = &upstream.in_flight.target;
         match upstream.over_budget {
             Some(over) => self.record_ended_answer(now, request, target, over),
-            None => self.record_failed_request(now, target, upstream.has_invalid_answer),
+            None => {
+                target.exchange_ends.borrow_mut().record_end(now);
+                self.record_failed_request(now, target, upstream.has_invalid_answer);
+            }
         }
     }
 
--- a/laburnumlug-http/src/pool.rs
+++ b/laburnumlug-http/src/pool.rs
@@ -44,6 +44,8 @@
 
 struct IdleConnection {
     conn: Connection,
+    /// Whether the peer has answered on it; before that, the kernel alone may have accepted it.
+    has_answered: bool,
     idle_since: Instant,
     expires_at: Instant,
 }
@@ -138,7 +140,7 @@
         let conn = self.connect(addr).await.map_err(SendError::NotSent)?;
         if !may_send() {
             let expires_at = now + self.idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION);
-            self.add_idle(Instant::now(), addr, conn, expires_at);
+            self.add_idle(Instant::now(), addr, conn, false, expires_at);
             return Err(SendError::Withdrawn);
         }
         let exchanged = exchange(addr, conn, tag, req).await;
@@ -173,7 +175,7 @@
         let keep_alive = keep_alive_timeout(&response.headers);
         let keep_alive = keep_alive.unwrap_or(self.idle_timeout).min(MAX_IDLE_TIME);
         let expires_at = now + keep_alive.mul_f64(IDLE_TIMEOUT_FRACTION);
-        self.add_idle(now, response.addr, response.conn, expires_at);
+        self.add_idle(now, response.addr, response.conn, true, expires_at);
     }
 
     /// Opens a connection and adds it to the pool.
@@ -184,15 +186,15 @@
     pub async fn connect_idle(&self, now: Instant, addr: SocketAddr) -> Result<(), Error> {
         let conn = self.connect(addr).await?;
         let expires_at = now + self.idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION);
-        self.add_idle(now, addr, conn, expires_at);
+        self.add_idle(now, addr, conn, false, expires_at);
         Ok(())
     }
 
-    /// Returns whether an idle connection to a peer is open, so that the process of the peer has not ended.
+    /// Returns whether an idle connection is open on which a peer has answered, so that the process of the peer has not ended.
     pub fn has_open_connection(&self, addr: SocketAddr) -> bool {
         let idle = self.idle.borrow();
         let mut conns = idle.get(&addr).into_iter().flatten();
-        conns.any(|idle| idle.conn.is_open())
+        conns.any(|idle| idle.has_answered && idle.conn.is_open())
     }
 
     /// Closes all idle connections to a peer that sent an answer to another request, and reuses none to it for a while.
@@ -201,7 +203,14 @@
         self.idle.borrow_mut().remove(&addr);
     }
 
-    fn add_idle(&self, now: Instant, addr: SocketAddr, mut conn: Connection, expires_at: Instant) {
+    fn add_idle(
+        &self,
+        now: Instant,
+        addr: SocketAddr,
+        mut conn: Connection,
+        has_answered: bool,
+        expires_at: Instant,
+    ) {
         if conn.is_used_up() || self.unexpected_data.is_recent(now, addr) {
             return;
         }
@@ -211,6 +220,7 @@
         if conns.len() < MAX_IDLE_PER_PEER {
             conns.push(IdleConnection {
                 conn,
+                has_answered,
                 idle_since: now,
                 expires_at,
             });
--- a/laburnumlug-policy/src/lib.rs
+++ b/laburnumlug-policy/src/lib.rs
@@ -47,7 +47,7 @@
 [`EngineMemory`] predicts the memory that the requests of an engine use. [`EngineActivity`] detects engines that have stopped responding, from their signs of life and what they have in progress.
 
 [`OutputPredictor`] predicts the length of answers by caller, [`PrefixIndex`] tracks what an engine has cached, and
-[`RateMeter`] measures an engine's rates from its answers. [`TargetHealth`] ejects failing targets, [`RetryBudget`]
+[`RateMeter`] measures an engine's rates from its answers. [`TargetHealth`] ejects failing targets, [`ExchangeEnds`] tells an answer that was cut by the end of its target from a whole one, [`RetryBudget`]
 limits retries, [`TargetStatus`] keeps what a target states about itself, [`RequestLimit`] spaces the requests to one that limits them, [`CrashAttribution`] blocks prompt parts and repeated requests that crash targets, [`StreamOrigins`] remembers the software versions at which streams began while [`SoftwareHistory`] has several, [`RetrySchedule`] spaces the retries of refused requests, and [`rendezvous_rank`] assigns tasks to
 processes without coordination. [`CustomerShares`] keeps customers to their shares of the engines while there is too little
 room. [`select_exchange_links`] and [`event_batch_interval`] bound the messages that gateways exchange about prompts sent to
@@ -76,6 +76,7 @@
 mod event_batch;
 mod event_coverage;
 mod exchange;
+mod exchange_ends;
 mod fair_level;
 mod fairness;
 mod forecast;
@@ -134,6 +135,7 @@
 pub use crate::exchange::{
     ExchangeLink, PathId, SenderSessions, select_exchange_links, sends_cache_contents,
 };
+pub use crate::exchange_ends::{ExchangeEnds, ExchangeId};
 pub use crate::fairness::CallerActivity;
 pub use crate::forecast::{finish_times, prefill_wait_time};
 pub use crate::health::TargetHealth;
