--- a/laburnumlug-daemon/tests/it/templates.rs
+++ b/laburnumlug-daemon/tests/it/templates.rs
@@ -19,7 +19,7 @@
 /// Number of processes that run at the same time.
 const PROCESSES: usize = 4;
 
-/// Returns the fields that the platform gives to a process, on a machine with an address of its own.
+/// Returns the fields that the platform gives to a process, on a machine with its own address.
 fn node() -> Value {
     static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
     let [_, _, a, b] = std::process::id().to_be_bytes();
@@ -162,191 +162,112 @@
     });
 }
 
-/// Form of a field, and the limit that the process then obeys.
-type Form = (Value, Option<f64>);
+/// Fields of the platform that have a default, by role.
+///
+/// Each line has the path of the field, the name of the limit in the log and the factor between them, the limit if the field is
+/// missing and that if it makes no sense (`-` for none), the forms that are allowed, and those that are replaced with an error
+/// line. `null` stands for a missing field.
+const FIELDS: [(&str, &str); 2] = [
+    (
+        "control",
+        r#"
+        bounds.leaseMs          order_turn_ms     1        3000   3000  : 3 4.0 2.5 9.9996 0.5 0 2999.5 null : -1 "soon" true
+        bounds.windowS          usage_window_ms   1000     -      -     : 2.5 9.9996 : 0 0.0001 -1 "soon"
+        bounds.usageLateS       usage_late_ms     1000     10000  10000 : 3 4.0 2.5 9.9996 0.5 : 0 -1 "soon" true null
+        limits.diskMb           disk_bytes        1000000  -      -     : 64.0 64.5 0.5 null : 0 "soon"
+        faultTolerance.machines losses            1        -      -     : 1.0 0 null : 1.5 -1
+        bootstrap               may_found         1        0      0     : true false null : "soon""#,
+    ),
+    (
+        "gateway",
+        r#"
+        bounds.windowS          usage_window_ms   1000     -      -     : 10.0 9.9996 null : 0 0.0001 -1 "soon"
+        bounds.graceS           grace_ms          1000     8000   8000  : 3 4.0 2.5 9.9996 0.5 null : 0 -1 "soon" true
+        bounds.budgetWindowS    retry_window_ms   1000     10000  10000 : 3 4.0 2.5 9.9996 0.5 null : 0 -1 "soon" true
+        bounds.retryBudgetRatio retry_ratio       1        0.1    0.1   : 0 1 0.25 1.0 null : -1 "soon"
+        bounds.budgetSlack      retry_slack       1        50     50    : 0 1 0.25 58.0 null : -1 "soon"
+        bounds.configMs         max_route_age_ms  1        2000   2000  : 3 4.0 2.5 9.9996 0.5 null : 0 -1 "soon" true
+        bounds.revokeMs         max_key_age_ms    1        -      2000  : 3 4.0 2.5 9.9996 0.5 null : 0 -1 "soon" true"#,
+    ),
+];
 
-/// Field of the platform that a template fills in.
-struct Field {
+/// A field in one form, and the limit that the process then obeys.
+struct Case {
     role: &'static str,
     path: &'static str,
     /// Name of the limit in the log.
     key: &'static str,
-    /// Forms that are allowed.
-    forms: Vec<Form>,
-    /// Forms that make no sense and are replaced.
-    odd: Vec<Form>,
+    value: Value,
+    limit: Option<f64>,
+    /// Whether the value makes no sense and is replaced.
+    is_replaced: bool,
 }
 
-/// Returns all fields that have a default.
-fn fields() -> Vec<Field> {
-    let form = |value: Value, limit: f64| (value, Some(limit));
-    // Forms of a time in a unit of that many milliseconds, with the default in milliseconds.
-    let time = |unit: f64, default: f64| {
-        let numbers = [json!(3), json!(4.0), json!(2.5), json!(9.9996), json!(0.5)];
-        let forms = numbers.map(|n| (n.clone(), Some(n.as_f64().unwrap() * unit)));
-        let odd = [json!(-1), json!("soon"), json!(true)].map(|value| form(value, default));
-        (forms.to_vec(), odd.to_vec())
-    };
-    let with =
-        |(mut forms, mut odd): (Vec<Form>, Vec<Form>), more: Vec<Form>, odd_more: Vec<Form>| {
-            forms.extend(more);
-            odd.extend(odd_more);
-            (forms, odd)
+fn cases() -> Vec<Case> {
+    let mut cases = Vec::new();
+    let lines = FIELDS
+        .iter()
+        .flat_map(|(role, lines)| lines.trim().lines().map(move |line| (*role, line)));
+    for (role, line) in lines {
+        let parts: Vec<&str> = line.split(" : ").collect();
+        let columns: Vec<&str> = parts[0].split_whitespace().collect();
+        let [path, key, factor, missing, substitute] = columns[..] else {
+            panic!("five columns: {line}");
         };
-    let missing = |limit| (Value::Null, limit);
-    let no_window = vec![
-        (json!(0), None),
-        (json!(0.0001), None),
-        (json!(-1), None),
-        (json!("a"), None),
-    ];
-    let windows = vec![
-        form(json!(10.0), 10_000.0),
-        form(json!(9.9996), 9999.6),
-        missing(None),
-    ];
-    let ratio = vec![
-        form(json!(0), 0.0),
-        form(json!(1), 1.0),
-        form(json!(0.25), 0.25),
-    ];
-    let mut fields = Vec::new();
-    let mut add = |role, path, key, (forms, odd)| {
-        fields.push(Field {
-            role,
-            path,
-            key,
-            forms,
-            odd,
-        });
-    };
-    let lease = with(
-        time(1.0, 3000.0),
-        vec![
-            form(json!(2999.5), 2999.5),
-            form(json!(0), 0.0),
-            missing(Some(3000.0)),
-        ],
-        vec![],
-    );
-    add("control", "bounds.leaseMs", "order_turn_ms", lease);
-    let late = with(
-        time(1000.0, 10_000.0),
-        vec![],
-        vec![form(json!(0), 10_000.0), missing(Some(10_000.0))],
-    );
-    add("control", "bounds.usageLateS", "usage_late_ms", late);
-    add(
-        "control",
-        "bounds.windowS",
-        "usage_window_ms",
-        (vec![form(json!(2.5), 2500.0)], no_window.clone()),
-    );
-    let disk = vec![
-        form(json!(64.0), 64e6),
-        form(json!(64.5), 64.5e6),
-        form(json!(0.5), 5e5),
-        missing(None),
-    ];
-    add(
-        "control",
-        "limits.diskMb",
-        "disk_bytes",
-        (disk, vec![(json!(0), None), (json!("a"), None)]),
-    );
-    let losses = vec![form(json!(1.0), 1.0), form(json!(0), 0.0), missing(None)];
-    add(
-        "control",
-        "faultTolerance.machines",
-        "losses",
-        (losses, vec![(json!(1.5), None), (json!(-1), None)]),
-    );
-    let bootstrap = vec![
-        form(json!(true), 1.0),
-        form(json!(false), 0.0),
-        missing(Some(0.0)),
-    ];
-    add(
-        "control",
-        "bootstrap",
-        "may_found",
-        (bootstrap, vec![form(json!("maybe"), 0.0)]),
-    );
-    add(
-        "gateway",
-        "bounds.windowS",
-        "usage_window_ms",
-        (windows, no_window),
-    );
-    for (path, key, default) in [
-        ("bounds.graceS", "grace_ms", 8000.0),
-        ("bounds.budgetWindowS", "retry_window_ms", 10_000.0),
-    ] {
-        let odd = vec![form(json!(0), default)];
-        add(
-            "gateway",
-            path,
-            key,
-            with(time(1000.0, default), vec![missing(Some(default))], odd),
-        );
-    }
-    for (path, key, default) in [
-        ("bounds.retryBudgetRatio", "retry_ratio", 0.1),
-        ("bounds.budgetSlack", "retry_slack", 50.0),
-    ] {
-        let forms = [ratio.clone(), vec![missing(Some(default))]].concat();
-        add(
-            "gateway",
-            path,
-            key,
-            (
-                forms,
-                vec![form(json!(-1), default), form(json!("a"), default)],
-            ),
-        );
-    }
-    for (path, key, default) in [
-        ("bounds.configMs", "max_route_age_ms", Some(2000.0)),
-        ("bounds.revokeMs", "max_key_age_ms", None),
-    ] {
-        let odd = vec![form(json!(0), 2000.0)];
-        add(
-            "gateway",
-            path,
-            key,
-            with(time(1.0, 2000.0), vec![missing(default)], odd),
-        );
+        let number = |text: &str| text.parse::<f64>().ok();
+        let limit = |value: &Value| match value {
+            Value::Null => number(missing),
+            Value::Bool(is_set) => Some(f64::from(u8::from(*is_set))),
+            value => value
+                .as_f64()
+                .zip(number(factor))
+                .map(|(n, factor)| n * factor),
+        };
+        for (forms, is_replaced) in [(parts[1], false), (parts[2], true)] {
+            for form in forms.split_whitespace() {
+                let value: Value = serde_json::from_str(form).unwrap();
+                cases.push(Case {
+                    role,
+                    path,
+                    key,
+                    limit: if is_replaced {
+                        number(substitute)
+                    } else {
+                        limit(&value)
+                    },
+                    value,
+                    is_replaced,
+                });
+            }
+        }
     }
-    fields
+    cases
 }
 
 /// Guards against control processes, or gateways, none of which starts with a limit in a form that the platform allows, and
 /// against a limit that the process then does not obey.
 #[test]
 fn template_each_field_in_each_form() {
-    let mut cases = Vec::new();
-    for field in fields() {
-        let forms = field.forms.into_iter().map(|form| (form, false));
-        let odd = field.odd.into_iter().map(|form| (form, true));
-        for ((value, limit), is_odd) in forms.chain(odd) {
-            cases.push((field.role, field.path, field.key, value, limit, is_odd));
-        }
-    }
-    check_each(cases, |(role, path, key, value, limit, is_odd)| {
-        let mut process = Rendered::start(role, path, value);
+    check_each(cases(), |case| {
+        let (path, value) = (case.path, &case.value);
+        let mut process = Rendered::start(case.role, path, value);
         let served = process.served();
         let log = process.log();
         assert!(served.is_ok(), "{path} = {value}: {served:?}\n{log}");
-        let found = process.limit(key);
+        let found = process.limit(case.key);
         let is_near = |(a, b): (f64, f64)| (a - b).abs() < 1e-6;
-        let is_same = found.zip(*limit).map_or(found == *limit, is_near);
-        assert!(is_same, "{path} = {value}: {found:?}, not {limit:?}\n{log}");
+        let is_same = found.zip(case.limit).map_or(found == case.limit, is_near);
+        assert!(
+            is_same,
+            "{path} = {value}: {found:?}, not {:?}\n{log}",
+            case.limit
+        );
         let faults = log
             .lines()
             .filter(|line| line.contains("a setting is not allowed"));
         assert_eq!(
             faults.count(),
-            usize::from(*is_odd),
+            usize::from(case.is_replaced),
             "{path} = {value}\n{log}"
         );
     });
@@ -372,13 +293,15 @@
         "bounds.revokeClosed",
         ".",
     ];
-    let fields = fields();
+    let cases = cases();
     for role in ["gateway", "control"] {
         let template = template(role);
         let tags = template.split("{{").skip(1);
         for tag in tags.map(|rest| rest.split("}}").next().unwrap()) {
             let name = tag.trim_start_matches(['#', '^', '/']);
-            let is_tested = fields.iter().any(|f| (f.role, f.path) == (role, name));
+            let is_tested = cases
+                .iter()
+                .any(|case| (case.role, case.path) == (role, name));
             assert!(is_tested || others.contains(&name), "{role}: {name}");
         }
     }
